SIGHUP reads the configuration again and moves list, watch and notices

Now: config.load_again reads and checks the whole file; what can't change under a running program is refused with its key; Caller.move cuts the open call off, and Watcher and Notices make it again at the new address. In the file, discovery goes before the environment, as the file is what changes. A list that counts anew is asked for whole. Ruled out: failing over the watch through the module (its pause after a failure grows to 5 s; 4 s are given).

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -7,9 +7,9 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from springspread.config import Config, ConfigError, load
+from springspread.config import Config, ConfigError, load, load_again
 from springspread.core.clearance import Clearance
 from springspread.core.journal import Journal
 from springspread.core.loop import Sender
@@ -25,6 +25,7 @@
 
 ENDS = (signal.SIGTERM, signal.SIGINT)
 LOOP_OVER = signal.SIGUSR1
+HEARD = (*ENDS, signal.SIGHUP, LOOP_OVER)
 
 
 def known_groups(config: Config) -> HostGroups:
@@ -37,6 +38,21 @@
         raise ConfigError(f"known: {exc}") from exc
 
 
+def reload(running: Config, moved: Sequence[Watcher | Notices], log: Log) -> Config:
+    """Put the configuration as it now stands in force, whole; a bad one leaves all as it was."""
+    try:
+        config = load_again(running)
+        known_groups(config)
+    except Exception as exc:  # whatever the file holds, it must not end the program
+        log.error("configuration not read again", error=str(exc) or repr(exc))
+        return running
+    if config.discovery != running.discovery:
+        for part in moved:
+            part.move(config.discovery)
+    log.info("configuration read again", discovery=f"{config.discovery[0]}:{config.discovery[1]}")
+    return config
+
+
 def serve(config: Config, log: Log, flush: Callable[[], None]) -> int:
     """Serve until a signal ends it."""
     known = known_groups(config)
@@ -46,11 +62,10 @@
     clearance = Clearance(journal, grace)
     sender = Sender(config, journal, clearance, log)
     version = known.version if config.known is not None else None
-    sender.attach(
-        Workers(limits, settings.slots, config.names.report, clearance, sender.put, log),
-        Watcher(config.discovery, config.names, version, limits, sender.put, log),
-        Notices(config.discovery, limits, sender.put, log),
-    )
+    watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log)
+    notices = Notices(config.discovery, limits, sender.put, log)
+    workers = Workers(limits, settings.slots, config.names.report, clearance, sender.put, log)
+    sender.attach(workers, watcher, notices)
     sender.restore(known)
 
     def loop() -> None:
@@ -65,8 +80,9 @@
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
     intake.ready = True
     log.info("ready", listen=f"{listener.address[0]}:{listener.address[1]}")
-    while signal.sigwait((*ENDS, LOOP_OVER)) not in ENDS:
-        pass
+    while (heard := signal.sigwait(HEARD)) not in ENDS:
+        if heard == signal.SIGHUP:
+            config = reload(config, (watcher, notices), log)
     log.info("stopping")
     sender.put(Stop())
     time.sleep(limits.accept_after_stop_ms / 1000.0)
@@ -80,7 +96,7 @@
 
 def main() -> int:
     """Read the configuration and serve; 2 where it can't be used."""
-    signal.pthread_sigmask(signal.SIG_BLOCK, (*ENDS, LOOP_OVER))
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
     try:
         config = load()
         threading.stack_size(config.limits.stack_bytes)
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -5,7 +5,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 
 from springspread import interface as i
@@ -14,6 +14,10 @@
 Address = tuple[str, int]
 
 
+RELOADED = ("discovery", "known", "seed")
+"""What may differ in a file that is read again: the first is put in force, the others serve a start."""
+
+
 class ConfigError(Exception):
     """A configuration that the program can't start with; the text begins with the faulty key."""
 
@@ -103,15 +107,27 @@
     return read(raw, env)
 
 
+def load_again(running: Config, env: Mapping[str, str] = os.environ) -> Config:
+    """Read the file again for a program that runs; what can't change under it must be as it was."""
+    new = load(env)
+    for item in fields(Config):
+        if item.name not in RELOADED and getattr(new, item.name) != getattr(running, item.name):
+            raise ConfigError(f"{item.name}: can't change while the program runs; start it anew")
+    return new
+
+
 def read(raw: Mapping[str, object], env: Mapping[str, str]) -> Config:
-    """Check the decoded configuration; the environment's own variables come first."""
+    """Check the decoded configuration. The environment's own variables come first, but for discovery's.
+
+    The file is what a running program reads again, so its word on discovery is the newer one.
+    """
     state = env.get("RELAY_STATE") or raw.get("state")
     if not state:
         raise ConfigError("RELAY_STATE: not set; it names the folder that lasts")
     if not Path(str(state)).is_dir():
         raise ConfigError(f"RELAY_STATE: not a folder: {state}")
     listen = parse_address(env.get("RELAY_LISTEN") or raw.get("listen"), "listen", least=0)
-    discovery = parse_address(env.get("RELAY_DISCOVERY") or raw.get("discovery"), "discovery")
+    discovery = parse_address(raw.get("discovery") or env.get("RELAY_DISCOVERY"), "discovery")
     tree = raw.get("settings")
     if not isinstance(tree, dict):
         raise ConfigError("settings: must be an object")
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -7,13 +7,16 @@
 
 from springspread.config import Address, Limits, Names
 from springspread.core.types import CoreEvent, HostGroups, Log, Scope, clock
-from springspread.net.exchange import FAILURES, Caller
+from springspread.net.exchange import FAILURES, Caller, MovedError
 from springspread.net.threads import spawn
 from springspread.platform import catalog
 
 
 class Watcher:
-    """Watches once it is told to, and stops at a failure until it is told again."""
+    """Watches once it is told to, and stops at a failure until it is told again.
+
+    Moved to another address, it watches there at once.
+    """
 
     def __init__(
         self,
@@ -28,7 +31,7 @@
         self._names, self._version, self._limits = names, version, limits
         self._put, self._log = put, log
         self._wake = threading.Event()
-        self._watching = self._fetching = False
+        self._watching = self._fetching = self._moved = False
         self._first = True
         spawn("discovery", self._run, log)
 
@@ -42,21 +45,32 @@
         self._fetching = True
         self._wake.set()
 
+    def move(self, address: Address) -> None:
+        """Ask another address from now on, also what was cut off at the old one."""
+        self._caller.move(address)
+        self._moved = self._watching = True
+        self._wake.set()
+
     def _run(self) -> None:
         while True:
             self._wake.wait()
             self._wake.clear()
             while self._watching or self._fetching:
                 fetch, self._fetching = self._fetching, False
+                if self._moved:
+                    self._moved, self._first = False, True
                 try:
                     # The first watch is short: the module waits to hear that it has begun.
                     wait = self._limits.watch_first_ms if self._first else self._limits.watch_ms
                     since = None if fetch else self._version
                     self._put(self._ask(since, 0.0 if since is None else wait))
                     self._first = False
+                except MovedError as exc:
+                    self._log.info("discovery moved", cut_off=str(exc))
+                    self._fetching |= fetch
                 except (*FAILURES, catalog.Unreadable) as exc:
                     self._log.warning("discovery failed", error=repr(exc))
-                    self._watching, self._first = False, True
+                    self._watching, self._first = self._moved, True
                     self._put(HostGroups(Scope.FAILED))
 
     def _ask(self, since: int | None, wait_ms: float) -> HostGroups:
@@ -65,5 +79,7 @@
         if answer.status != 200:
             raise catalog.Unreadable(f"status {answer.status}")
         news = catalog.read_list(answer.body, self._names, clock())
+        # Guards the list against a service that counts anew, as another may: what it left out is not known.
+        self._fetching |= since is not None and news.version < since
         self._version = news.version
         return news
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import threading
 from collections.abc import Mapping
 
 from springspread.config import Address, Limits
@@ -20,6 +21,10 @@
     """The connection ended before the answer was whole."""
 
 
+class MovedError(Exception):
+    """The call was cut off as its caller moved to another address: it may be made again there."""
+
+
 def seconds(until: float) -> float:
     """A socket's time-out for a point of the clock; never 0, which would not block at all."""
     return max((until - clock()) / 1000.0, 0.001)
@@ -87,35 +92,58 @@
 
 
 class Caller:
-    """One kept connection to one address, opened anew where it is no longer good."""
+    """One kept connection to one address, opened anew where it is no longer good.
+
+    One thread calls; another may move it to a new address meanwhile.
+    """
 
     def __init__(self, address: Address, limits: Limits) -> None:
         self._address, self._limits = address, limits
-        self._host = f"{address[0]}:{address[1]}"
         self._connection: Connection | None = None
+        self._lock = threading.Lock()
+
+    def move(self, address: Address) -> None:
+        """Call another address from now on; a call that is out is cut off."""
+        with self._lock:
+            self._address = address
+            if self._connection is not None:
+                self._connection.cut()
 
     def call(
         self, method: str, target: str, headers: Mapping[str, str], body: bytes, until: float
     ) -> Answer:
         """Make a call; whatever goes wrong closes the connection and is raised."""
+        address = self._address
         try:
-            connection = self._connection
-            if connection is None or not connection.reusable or not connection.alive():
-                self.close()
-                connect_by = min(until, clock() + self._limits.connect_ms)
-                connection = self._connection = Connection(self._address, connect_by, self._limits)
-            connection.write(method, target, {"Host": self._host, **headers}, body, until)
+            connection = self._ready(address, until)
+            host = f"{address[0]}:{address[1]}"
+            connection.write(method, target, {"Host": host, **headers}, body, until)
             return connection.read(until)
-        except FAILURES:
+        except FAILURES as exc:
             self.close()
+            if address != self._address:
+                raise MovedError(repr(exc)) from exc
             raise
 
+    def _ready(self, address: Address, until: float) -> Connection:
+        kept = self._connection
+        if kept is not None and kept.address == address and kept.reusable and kept.alive():
+            return kept
+        self.close()
+        made = Connection(address, min(until, clock() + self._limits.connect_ms), self._limits)
+        with self._lock:
+            self._connection = made
+            if address != self._address:  # moved while it connected: nobody else cuts this one off
+                made.cut()
+        return made
+
     def close(self) -> None:
         """Close the connection."""
-        if self._connection is not None:
-            self._connection.close()
-        self._connection = None
+        with self._lock:
+            if self._connection is not None:
+                self._connection.close()
+            self._connection = None
 
 
-FAILURES = (OSError, BrokenError, LateError, Malformed)
+FAILURES = (OSError, BrokenError, LateError, MovedError, Malformed)
 """All that a call may raise."""
--- a/springspread/net/notices.py
+++ b/springspread/net/notices.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from queue import Empty, SimpleQueue
 
 from springspread.config import Address, Limits
 from springspread.core.types import CoreEvent, Log, Notice, NoticeHeard, clock
-from springspread.net.exchange import FAILURES, Caller
+from springspread.http1.client import Answer
+from springspread.net.exchange import FAILURES, Caller, MovedError
 from springspread.net.threads import spawn
 from springspread.platform import finals
 
@@ -28,6 +29,10 @@
         """Tell it until the platform has taken it."""
         self._line.put(notice)
 
+    def move(self, address: Address) -> None:
+        """Tell another address from now on, also what the old one did not take."""
+        self._caller.move(address)
+
     def _run(self) -> None:
         most = self._limits.notices_in_call
         while True:
@@ -47,11 +52,19 @@
                 self._line.put(notice)
             time.sleep(self._limits.notice_retry_ms / 1000.0)
 
+    def _call(self, headers: Mapping[str, str], body: bytes) -> Answer:
+        while True:
+            try:
+                until = clock() + self._limits.notice_ms
+                return self._caller.call("POST", finals.PATH, headers, body, until)
+            except MovedError as exc:
+                self._log.info("platform moved", cut_off=str(exc))
+
     def _post(self, batch: list[Notice]) -> bool:
-        until = clock() + self._limits.notice_ms
         headers = {"Content-Type": "application/x-ndjson"}
+        body = finals.write_notices(batch)
         try:
-            answer = self._caller.call("POST", finals.PATH, headers, finals.write_notices(batch), until)
+            answer = self._call(headers, body)
         except FAILURES as exc:
             self._log.warning("notice not told", count=len(batch), error=repr(exc))
             return False
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -39,6 +39,10 @@
         self.notice_answers: list[int] = []
         self.watch_bodies: list[bytes] = []
         self.watches = 0
+        self.asked: list[str] = []  # targets of what was asked of discovery
+        self.hold_watch = threading.Event()  # while clear, watches hang
+        self.hold_watch.set()
+        self.hanging = 0  # how many watches hung
         self.hold = threading.Event()  # while clear, calls hang
         self.hold.set()
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), type("Handler", (Handler,), {"peer": self}))
@@ -73,6 +77,7 @@
 
     def close(self) -> None:
         self.hold.set()
+        self.hold_watch.set()
         self.server.shutdown()
         self.server.server_close()
 
@@ -95,9 +100,12 @@
     def do_GET(self) -> None:
         with self.peer.lock:
             self.peer.watches += 1
+            self.peer.asked.append(self.path)
             body = self.peer.watch_bodies.pop(0) if self.peer.watch_bodies else b""
         if not body:
             time.sleep(0.05)
+            self.peer.hanging += not self.peer.hold_watch.is_set()
+            self.peer.hold_watch.wait(WAIT_S)
             body = json.dumps({"index": 1, "snapshot": False, "endpoints": []}).encode()
         self.reply(200, body)
 
@@ -155,6 +163,18 @@
         for line in self.process.stderr:
             self.log.append(json.loads(line))
 
+    def reload(self, text: str) -> None:
+        """Replace the file of the configuration and have it read again."""
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(text)
+        fresh.replace(self.file)
+        self.process.send_signal(signal.SIGHUP)
+
+    def move(self, peer: Peer) -> None:
+        """Name another peer as discovery and the platform."""
+        raw = json.loads(self.file.read_text())
+        self.reload(json.dumps({**raw, "discovery": f"127.0.0.1:{peer.port}"}))
+
     def connect(self) -> http.client.HTTPConnection:
         return http.client.HTTPConnection(*self.address, timeout=WAIT_S)
 
