Spoilt answers are an outcome of their own, and end as soon as they show

The module's view, dumped twice a second, showed healthy destinations at a pace of 11 of a limit of 120, as each spoilt answer came in as RESET: a sign of an outage (policy.py _judge, BROKEN) that ramps for 12 s, and a sign that idle connections break (_idle): the safe idle time fell from 432 to 3 ms, so each call opened a connection (1525 for 4541 messages). Ruled out: CPU (0.42 s in the worst second), slots, bad clients (30 of 712 left), limits. Now: Result.SPOILT and Outcome.SPOILT, which count against the route's health alone; a first line of 200 is true for one message; noise shows at its first bytes and an answer ends within 500 ms of them; interim answers, bodies and heads are bounded; a garbled bundle is spoilt as a whole and closes; a bad load report is ignored alone.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -28,7 +28,8 @@
 
     body_bytes: int = 64 * 1024
     head_bytes: int = 16 * 1024
-    answer_bytes: int = 4 * 1024 * 1024
+    answer_bytes: int = 256 * 1024
+    interim_answers: int = 16
     read_bytes: int = 64 * 1024
     stack_bytes: int = 384 * 1024  # deeply nested JSON takes 128 to 160 KiB before Python stops it
     disk_bytes: int = 3 * 1024 * 1024
@@ -45,6 +46,7 @@
     client_write_ms: float = 2_000.0
     verdict_ms: float = 380.0
     connect_ms: float = 1_000.0
+    answer_rest_ms: float = 500.0  # from an answer's first bytes to its end
     idle_ms: float = 3_500.0
     watch_ms: float = 5_000.0
     watch_first_ms: float = 200.0
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -39,6 +39,7 @@
     TIMED_OUT = "timed out"
     NOT_CONNECTED = "not connected"
     BROKEN = "broken"
+    SPOILT = "spoilt"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
 
--- a/springspread/http1/client.py
+++ b/springspread/http1/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -17,6 +18,10 @@
     write_head,
 )
 
+PROTOCOL = b"HTTP/1."
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?:[ \r]|\Z)")
+ENOUGH = 13  # bytes that tell a status line: its version, its code and what follows
+
 
 class Phase(Enum):
     """Where a connection stands."""
@@ -37,10 +42,15 @@
 
 
 class ClientConnection:
-    """States: idle, reading a head, reading a body, closed."""
+    """States: idle, reading a head, reading a body, closed.
+
+    ``optional`` names header fields that are left out where they can't be read.
+    """
 
-    def __init__(self, limits: Limits) -> None:
-        self._limits = limits
+    def __init__(self, limits: Limits, optional: frozenset[str] = frozenset()) -> None:
+        self._limits, self._optional = limits, optional
+        self._interim = 0
+        self.status = 0  # as the first line of the answer says; 0 while that is not known
         self._buffer = HeadBuffer(limits.head_bytes)
         self._body = bytearray()
         self._answer: tuple[int, Headers] = (0, Headers())
@@ -54,11 +64,21 @@
         if self.phase is not Phase.IDLE:
             raise ValueError(f"no new request: the connection is {self.phase.value}")
         self.phase = Phase.HEAD
+        self.status = self._interim = 0
         fields = dict(headers)
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
         return write_head(f"{method} {target} HTTP/1.1", fields) + body
 
+    @property
+    def begun(self) -> bool:
+        """Whether some of the answer has come, interim ones apart."""
+        return self.phase is Phase.BODY or (self.phase is Phase.HEAD and bool(self._buffer.data))
+
+    def give_up(self) -> None:
+        """Read no more of an answer that does not end."""
+        self.phase = Phase.CLOSED
+
     def feed(self, data: bytes) -> Answer | None:
         """Take in bytes; an answer that is whole comes back. Raises ``Malformed``."""
         if self.phase in (Phase.IDLE, Phase.CLOSED):
@@ -67,6 +87,7 @@
         self._buffer.data += data
         try:
             while self.phase is Phase.HEAD:
+                self._look()
                 head = self._buffer.take_head()
                 if head is None:
                     return None
@@ -82,21 +103,36 @@
         self.phase = Phase.CLOSED
         return Answer(*self._answer, bytes(self._body)) if whole else None
 
+    def _look(self) -> None:
+        """Read the first line's status as soon as it is there; noise shows before any line ends."""
+        if self.status or not self._buffer.data:
+            return
+        line, end, _ = bytes(self._buffer.data[:ENOUGH]).partition(b"\r\n")
+        if len(line) == ENOUGH or end:
+            if not STATUS_LINE.match(line):
+                raise Malformed("no status line")
+            self.status = int(line[9:12])
+        elif not PROTOCOL.startswith(line[: len(PROTOCOL)]):
+            raise Malformed("no status line")
+
     def _begin(self, head: bytes) -> None:
-        first, headers = parse_head(head)
-        version, _, rest = first.partition(b" ")
-        code = rest[:3]
-        if version not in (b"HTTP/1.1", b"HTTP/1.0") or not code.isdigit() or rest[3:4] not in (b"", b" "):
+        first, headers = parse_head(head, self._optional)
+        if not STATUS_LINE.match(first):
             raise Malformed("no status line")
-        status = int(code)
+        version, status = first[:8], int(first[9:12])
         if 100 <= status < 200:
-            return  # an interim answer: the real one follows
+            # Guards the time: interim answers without end, or another protocol from here on, are no answer.
+            self._interim += 1
+            if status == 101 or self._interim > self._limits.interim_answers:
+                raise Malformed("interim answers that lead nowhere")
+            self.status = 0
+            return
         self._answer = (status, headers)
         self._keeps = version == b"HTTP/1.1" and not headers.closes
         self._body.clear()
         self._chunked = headers.get("transfer-encoding").lower() == "chunked"
-        if "transfer-encoding" in headers and not self._chunked:
-            raise Malformed("an unknown transfer encoding")
+        if "transfer-encoding" in headers and (not self._chunked or "content-length" in headers):
+            raise Malformed("a transfer encoding that is unknown or beside a length")
         empty = status in (204, 304)
         self._left = 0 if empty or self._chunked else content_length(headers)
         self._chunked = self._chunked and not empty
--- a/springspread/http1/message.py
+++ b/springspread/http1/message.py
@@ -39,8 +39,11 @@
         return "close" in [part.strip().lower() for part in self.get("connection").split(",")]
 
 
-def parse_head(head: bytes) -> tuple[bytes, Headers]:
-    """Split a head without its closing blank line into the first line and the fields."""
+def parse_head(head: bytes, optional: frozenset[str] = frozenset()) -> tuple[bytes, Headers]:
+    """Split a head without its closing blank line into the first line and the fields.
+
+    An optional field (named in lower case) whose value can't be read is left out; another one is a fault.
+    """
     first, *lines = head.split(b"\r\n")
     values: dict[str, str] = {}
     doubled: set[str] = set()
@@ -49,9 +52,11 @@
         if not colon or not TOKEN.match(name):
             raise Malformed("a header field without a name")
         value = value.strip(b" \t")
+        key = name.decode("ascii").lower()
         if any(c < 32 and c != 9 or c == 127 for c in value):
+            if key in optional:
+                continue
             raise Malformed("a control character in a header field")
-        key = name.decode("ascii").lower()
         if key in values:
             doubled.add(key)
         values[key] = value.decode("latin-1")
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -50,6 +50,7 @@
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
+    SPOILT = "spoilt"  # it ran, and its answer can't be read
     CANCELLED = "cancelled"
     MOOT = "moot"
     UNKNOWN = "unknown"
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 from collections.abc import Mapping
+from math import inf
 
 from springspread.config import Address, Limits
 from springspread.core.types import clock
@@ -33,11 +34,13 @@
 class Connection:
     """One connection out."""
 
-    def __init__(self, address: Address, until: float, limits: Limits) -> None:
+    def __init__(
+        self, address: Address, until: float, limits: Limits, optional: frozenset[str] = frozenset()
+    ) -> None:
         self.address, self._limits = address, limits
         self.sock = socket.create_connection(address, timeout=seconds(until))
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._machine = ClientConnection(limits)
+        self._machine = ClientConnection(limits, optional)
         self.idle_since = clock()
 
     @property
@@ -45,6 +48,11 @@
         """Whether another request may go over it."""
         return self._machine.phase is Phase.IDLE
 
+    @property
+    def status(self) -> int:
+        """What the first line of the answer that is being read says; 0 while that is not known."""
+        return self._machine.status
+
     def alive(self) -> bool:
         """Whether nothing has come on an idle connection: no end, and no bytes that nobody asked for."""
         try:
@@ -64,16 +72,25 @@
 
     def read(self, until: float) -> Answer:
         """Read the answer. ``LateError`` leaves the connection as it is, for another read."""
+        rest = inf
         while True:
             if until <= clock():
                 raise LateError
-            self.sock.settimeout(seconds(until))
+            if self._machine.begun:
+                rest = min(rest, clock() + self._limits.answer_rest_ms)
+            self.sock.settimeout(seconds(min(until, rest)))
             try:
                 data = self.sock.recv(self._limits.read_bytes)
             except TimeoutError:
-                continue
+                data = None
             except OSError as exc:
                 raise BrokenError(str(exc)) from exc
+            if clock() >= rest:
+                # Guards the slot: a head without end, or less of a body than its length says.
+                self._machine.give_up()
+                raise Malformed("the answer does not end")
+            if data is None:
+                continue
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
                 self.idle_since = clock()
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -160,7 +160,7 @@
             return connection
         until = min(until, call.sent_at + self._limits.connect_ms)
         try:
-            return Connection((call.link.host, call.link.port), until, self._limits)
+            return Connection((call.link.host, call.link.port), until, self._limits, delivery.OPTIONAL)
         except OSError:
             return None
 
@@ -200,14 +200,18 @@
                     if len(late) == len(waiting):
                         connection.cut()  # before the slot is free again, so that the link sees it first
                     for run in late:
-                        self._end(call, run, Result.TIMED_OUT)
+                        self._end(call, run, delivery.read_part(call, connection.status, Result.TIMED_OUT))
                     continue
-                self._read(call, delivery.read_answer(call, answer, self._report))
-                return connection.reusable
+                reading = delivery.read_answer(call, answer, self._report)
+                self._read(call, reading)
+                return connection.reusable and not reading.fault
         except (BrokenError, Malformed) as exc:
+            result = Result.BROKEN
             if isinstance(exc, Malformed):
                 self._log.warning("bad answer", link=call.link.name, fault=str(exc))
-            self._end_all(call, Result.CANCELLED if call.cancelled.is_set() else Result.BROKEN)
+                result = Result.SPOILT
+            result = Result.CANCELLED if call.cancelled.is_set() else result
+            self._end_all(call, delivery.read_part(call, connection.status, result))
         return False
 
     def _read(self, call: Call, reading: delivery.Reading) -> None:
--- a/springspread/platform/delivery.py
+++ b/springspread/platform/delivery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from base64 import b64encode
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,6 +13,8 @@
 from springspread.http1.client import Answer
 from springspread.http1.message import Headers
 
+LOAD = "x-backend-load"
+OPTIONAL = frozenset({LOAD})  # what an answer may garble and still be good
 ONE, MANY, PING = "/events", "/events/bundle", "/ping"
 STATES = {
     "done": (Result.DELIVERED, False),
@@ -21,6 +24,7 @@
     "used_up": (Result.NOT_SENT, False),
 }
 MOST_WAIT_MS = 600_000.0
+REPORTED = re.compile(r"[0-9]{1,7}(?:\.[0-9]{1,9})?\Z")
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,17 +81,14 @@
 
 
 def read_load(headers: Headers, fields: tuple[str, ...]) -> Load:
-    """The report in an answer; values that it lacks or garbles stay ``None``."""
+    """The report in an answer. One that is garbled in any part tells nothing."""
     told: dict[str, float] = {}
-    for part in headers.get("x-backend-load").split(","):
+    for part in headers.get(LOAD).split(",") if LOAD in headers else ():
         name, _, value = part.strip().partition("=")
-        try:
-            number = float(value)
-        except ValueError:
-            continue
-        if name in fields and isfinite(number):
-            told[name] = max(number, 0.0)
-    return Load(told.get("x0"), told.get("x1"))
+        if not REPORTED.match(value) or name in told or LOAD in headers.doubled:
+            return Load()
+        told[name] = float(value)
+    return Load(*(told.get(name) if name in fields else None for name in ("x0", "x1")))
 
 
 def read_answer(call: Call, answer: Answer, fields: tuple[str, ...]) -> Reading:
@@ -100,6 +101,11 @@
     return Reading(tuple(End(run, result, over) for run in call.executions), wait, load, fault)
 
 
+def read_part(call: Call, status: int, result: Result) -> Result:
+    """What ended a call whose answer did not come whole: for one message, a first line with 200 is true."""
+    return Result.DELIVERED if len(call.executions) == 1 and status == 200 else result
+
+
 def _read_status(answer: Answer) -> tuple[Result, bool, str]:
     match answer.status:
         case 200:
@@ -121,15 +127,19 @@
 
 def _read_bundle(call: Call, body: bytes) -> tuple[tuple[End, ...], str]:
     states: dict[str, str] = {}
-    fault = ""
+    readable, fault = True, ""
     try:
         for item in json.loads(body):
-            states[str(item["id"])] = str(item["state"])
+            if item["state"] not in STATES or states.setdefault(item["id"], item["state"]) != item["state"]:
+                raise ValueError("states that are unknown or differ")
     except (ValueError, TypeError, KeyError, RecursionError) as exc:
-        fault = f"a bundle's answer that can't be read: {exc!r}"
+        readable, fault = False, f"a bundle's answer that can't be read: {exc!r}"
+    if any(run.id not in states for run in call.executions):
+        fault = fault or "a bundle's answer that leaves messages out"
     ends = []
     for run in call.executions:
-        # What the answer does not name may have run.
-        result, over = STATES.get(states.get(run.id, ""), (Result.BROKEN, False))
+        # What can't be read whole may hold anything; what the answer does not name may have run.
+        told = readable and run.id in states
+        result, over = STATES[states[run.id]] if told else (Result.SPOILT, False)
         ends.append(End(run, result, over))
     return tuple(ends), fault
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -187,7 +187,7 @@
             self._judge(m, call, event)
         if event.outcome in NEVER_RAN and m.ran_at == call.sent_at:
             m.ran_at = m.ran_route = None
-        elif event.outcome not in (i.Outcome.SERVED, i.Outcome.ERROR):
+        elif event.outcome not in (i.Outcome.SERVED, i.Outcome.ERROR, i.Outcome.SPOILT):
             m.rest_until = self.now + self.set.rules.order_settle_ms
         if event.over or m.finished:
             self._finish(m)
@@ -219,6 +219,9 @@
             route.mean_ms = mean + LEARN * (event.took_ms - mean)
         self._idle(call, outcome)
         healths = [route.health, route.classes[m.cls]]
+        if outcome is i.Outcome.SPOILT:  # it took the call: no outage, no limit, no idle connection
+            self._fault(route, healths, call)
+            return
         if outcome is i.Outcome.SERVED:
             route.dest.served_at = gate.served_at = self.now
             self.mean_ms += LEARN / 4 * (event.took_ms - self.mean_ms)
@@ -260,17 +263,20 @@
             shut = event.wait_ms > OUTAGE_WAIT_MS
             sign = 1.0 if shut else (DOUBT if used_up or few else 1.0) * (not recent)
         else:
-            for health in healths:
-                health.note(False, call.sent_at, LEARN)
-                if health.run >= FLAG_RUN and not health.flagged:
-                    health.flagged = True
-                    self.out.append(i.Log(f"route {route.id}: flagged"))
-                health.recheck_at = self.now + self._jitter(RECHECK_MS)
+            self._fault(route, healths, call)
         route.window = 1.0 if route.health.flagged else max(1.0, route.window * SHRINK)
         gate.doubt = min(gate.doubt + sign, 3.0)
         if sign and gate.doubt >= 1.0:
             self._out(route, gate.shut_until if event.wait_ms else inf)
 
+    def _fault(self, route: Route, healths: list[Health], call: Call) -> None:
+        for health in healths:
+            health.note(False, call.sent_at, LEARN)
+            if health.run >= FLAG_RUN and not health.flagged:
+                health.flagged = True
+                self.out.append(i.Log(f"route {route.id}: flagged"))
+            health.recheck_at = self.now + self._jitter(RECHECK_MS)
+
     def _idle(self, call: Call, outcome: i.Outcome) -> None:
         # A fault after idleness was the connection's where the next call is served. May cost handshakes.
         dest = call.route.dest
