Bad clients: limits on whole requests, no unknown destinations, nothing kept of what is gone

Endpoints' numbers, told waits and empty lists of kept connections stayed for good (translate.py, clearance.py, links.py); a waiting message never took a route listed after its walk began (policy.py). Now: the first request must be whole within 2 s of connecting, later ones within 2 s of their first byte; idle connections end after 2 s; clients hold a third of the descriptors at most, those being ended included, and one that has asked for nothing makes room first; a POST without a length is refused and closed on. Only the same message speaks for an open id; unknown groups hear 400. A name or an address that another link has now is that one's alone. Ruled out: cutting off above the cap (it reset usual clients in a crowd).

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -34,15 +34,20 @@
     stack_bytes: int = 384 * 1024  # deeply nested JSON takes 128 to 160 KiB before Python stops it
     disk_bytes: int = 3 * 1024 * 1024
     client_connections: int = 480
-    backlog: int = 128
+    client_spares: int = 32  # above those: the ones told to end make room, and those turned away hear it
+    backlog: int = 1024  # hundreds that connect at once wait in the system's line, not for its next try
     idle_connections: int = 128
     workers: int = 128
     recent_ends: int = 2048
     notices_in_call: int = 64
     log_lines: int = 1000
-    client_idle_ms: float = 120_000.0
-    client_read_ms: float = 5_000.0
-    client_spare_ms: float = 1_000.0
+    client_idle_ms: float = 2_000.0  # between requests, and until the first one is whole
+    client_read_ms: float = 2_000.0  # from a request's first byte to its last
+    client_new_ms: float = 30.0  # a new one that has asked for nothing makes room after this
+    client_spare_ms: float = 300.0  # another one that stands between requests after this
+    client_linger_ms: float = 200.0
+    linger_bytes: int = 1024 * 1024
+    group_kept_ms: float = 60_000.0  # a host group is known for so long without an endpoint
     client_write_ms: float = 2_000.0
     verdict_ms: float = 380.0
     connect_ms: float = 1_000.0
@@ -179,18 +184,21 @@
         return number
 
     sockets = int(machine_number("sockets", 1024, 64))
-    memory_mb = machine_number("memory_mb", 192, 64)
+    memory_mb = machine_number("memory_mb", 192, 16)
     disk_mb = machine_number("disk_mb", 3, 0.5)
     idle_ms = settings.number("limits.connIdleMs", 5000.0)
-    # Clients get half of the descriptors; one's connection may hold a head and a body, so a quarter of the
-    # memory bounds how many there are. Workers and kept connections get an eighth each.
+    # Clients get a third of the descriptors, those that are told to end or turned away included; one's
+    # connection may hold a head and a body, so a quarter of the memory bounds how many there are. Workers get
+    # an eighth, kept connections a quarter.
+    spares = min(base.client_spares, sockets // 24)
     by_memory = int(memory_mb * 1024 * 1024 / 4 / (base.body_bytes + base.head_bytes))
     return replace(
         base,
         disk_bytes=int(disk_mb * 1_000_000),
-        client_connections=max(8, min(base.client_connections, sockets // 2, by_memory)),
+        client_connections=max(8, min(base.client_connections, sockets // 3 - spares, by_memory)),
+        client_spares=spares,
         workers=min(base.workers, max(2, sockets // 8)),
-        idle_connections=min(base.idle_connections, sockets // 8),
+        idle_connections=min(base.idle_connections, sockets // 4),
         connect_ms=settings.number("limits.connectTimeoutMs", base.connect_ms) or base.connect_ms,
         idle_ms=0.7 * idle_ms,
         watch_ms=min(base.watch_ms, max(settings.number("rules.mustAskInMs", 10000.0) / 2, 500.0)),
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -20,8 +20,10 @@
     def bar(self, link: ServerLink, wait_ms: float) -> None:
         """A link told a wait; it binds at once, before the loop has heard of it."""
         with self._lock:
-            until = clock() + wait_ms
-            self._bars[link.bar_key] = max(until, self._bars.get(link.bar_key, 0.0))
+            now = clock()
+            until = max(now + wait_ms, self._bars.get(link.bar_key, 0.0))
+            self._bars = {key: end for key, end in self._bars.items() if end > now}  # of links long gone, too
+            self._bars[link.bar_key] = until
 
     def barred_ms(self, link: ServerLink) -> float:
         """How long a told wait still bars a link."""
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -46,7 +46,28 @@
     owed: Owed
     spec: i.ClassSpec
     deadline: float
-    query: Query | None = None  # the latest that handed it in; none after a restart
+    speakers: int = 1  # queries that handed it in and whose clients have not left
+
+
+class Groups:
+    """The host groups that discovery names, or has named lately."""
+
+    def __init__(self, kept_ms: float) -> None:
+        self._kept_ms = kept_ms
+        self._seen: dict[int, float] = {}  # when each was last seen with an endpoint
+        self.told = False  # whether discovery itself has told the whole list
+
+    def note(self, groups: set[int], told: bool) -> None:
+        """Take in the groups that have an endpoint now."""
+        now = clock()
+        self.told = self.told or told
+        self._seen.update(dict.fromkeys(groups, now))
+        for group in [group for group, at in self._seen.items() if now - at > self._kept_ms]:
+            del self._seen[group]
+
+    def knows(self, group: int) -> bool:
+        """Whether messages may go there."""
+        return group in self._seen
 
 
 class Sender:
@@ -63,6 +84,7 @@
         self._numbers: dict[str, int] = {}  # of all that is owed, notices that are out included
         self._recent: OrderedDict[str, bool] = OrderedDict()  # lately over: whether it was delivered
         self._calls: dict[Call, int] = {}
+        self._groups = Groups(config.limits.group_kept_ms)
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
         self._last = 0.0
@@ -173,13 +195,23 @@
         if cls is None:
             query.answer(Verdict.UNKNOWN_CLASS)
         elif query.id in self._numbers:
-            # It is owed already, and sent once more as the answer got lost: the later query speaks for it.
+            # It is owed already, and sent once more as the answer got lost: both queries speak for it. Guards
+            # it against a client that uses another's id: only what is the same speaks for it.
             number = self._numbers[query.id]
+            owed = self._journal.owed[number]
+            if (owed.cls, owed.group, owed.body) != (query.cls, query.group, query.body):
+                query.answer(Verdict.CONFLICT)
+                return []
+            query.number = number
             if number in self._held:
-                self._held[number].query = query
+                self._held[number].speakers += 1
             query.answer(Verdict.TAKEN)
         elif self._recent.get(query.id):
             query.answer(Verdict.DELIVERED)
+        elif not self._groups.knows(query.group):
+            # Guards the table: a destination that does not exist would hold its messages to their end. Before
+            # discovery has told the list, it may be one that is new.
+            query.answer(Verdict.UNKNOWN_GROUP if self._groups.told else Verdict.REFUSED)
         elif len(self._held) >= self._set.max_held:
             query.answer(Verdict.REFUSED)
         else:
@@ -198,16 +230,20 @@
             self._log.warning("not taken on", reason=repr(exc))
             query.answer(Verdict.REFUSED)
             return []
+        query.number = number
         query.answer(Verdict.TAKEN)
-        self._held[number] = Held(owed, self._set.classes[cls], query.deadline, query)
+        self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
         return [
             i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)
         ]
 
     def _gone(self, query: Query) -> list[i.Event]:
-        number = self._numbers.get(query.id)
-        if number is None or number not in self._held or self._held[number].query is not query:
+        number, query.number = query.number, 0
+        if number not in self._held:
+            return []
+        self._held[number].speakers -= 1
+        if self._held[number].speakers:
             return []
         # The call that is out is closed by the module's own cancel, where it may make one.
         del self._held[number]
@@ -231,14 +267,22 @@
         return [translate.ended(end, over)]
 
     def _listed(self, news: HostGroups) -> i.Listed:
-        listed = self._links.listed(news)
+        # Guards the host groups: whoever has a name or an address now has it alone.
+        replaced = self._links.replaced(news)
+        listed = self._links.listed(news, replaced)
         named = {entry.route for entry in listed.entries}
         for member in news.members:
             self._clearance.leaving(self._links.link(member), member.state, news.told_at)
-        if news.scope in (Scope.WHOLE, Scope.CACHED):
-            for number, link in self._links.by_number.items():
-                if number not in named:
-                    self._clearance.leaving(link, LinkState.GONE, news.told_at)
+        lacking = news.scope in (Scope.WHOLE, Scope.CACHED)
+        for number, link in list(self._links.by_number.items()):
+            if link in replaced or (lacking and number not in named):
+                self._clearance.leaving(link, LinkState.GONE, news.told_at)
+            if link.state is LinkState.GONE:
+                # Guards memory on a long day: calls that are out know the link themselves.
+                self._links.forget(link)
+                self._executor.close_idle(link)
+        here = {link.group for link in self._links.by_number.values()}
+        self._groups.note(here, told=news.scope in (Scope.CHANGES, Scope.WHOLE))
         return listed
 
     def _forget(self, number: int, *, delivered: bool) -> None:
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -68,12 +68,16 @@
     def __init__(self, kinds: tuple[i.KindSpec, ...]) -> None:
         self._kinds = kinds
         self._numbers: dict[tuple[str, int], int] = {}
+        self._last = 0  # no number is used again
         self.by_number: dict[int, ServerLink] = {}
 
     def link(self, member: Member) -> ServerLink:
         """The link of a list line. A name that moves to another group is another link."""
         key = (member.name, member.group)
-        number = self._numbers.setdefault(key, len(self._numbers) + 1)
+        if key not in self._numbers:
+            self._last += 1
+            self._numbers[key] = self._last
+        number = self._numbers[key]
         kind = self._kinds[member.kind] if 0 <= member.kind < len(self._kinds) else i.KindSpec("")
         held = self.by_number.get(number)
         if held is None:
@@ -90,9 +94,28 @@
         held.host, held.port = member.host, member.port
         return held
 
-    def listed(self, news: HostGroups) -> i.Listed:
-        """News of the host groups as the module's list."""
-        entries = []
+    def replaced(self, news: HostGroups) -> list[ServerLink]:
+        """Links that the news does not name, but whose name or address another one in it has now."""
+        named = {self._numbers.get((member.name, member.group)) for member in news.members}
+        here = [member for member in news.members if member.state is not LinkState.GONE]
+        names = {member.name for member in here}
+        addresses = {(member.host, member.port) for member in here}
+        return [
+            link
+            for link in self.by_number.values()
+            if link.number not in named and (link.name in names or (link.host, link.port) in addresses)
+        ]
+
+    def forget(self, link: ServerLink) -> None:
+        """Drop a link that is gone; one of that name that comes back is another."""
+        self.by_number.pop(link.number, None)
+        self._numbers.pop((link.name, link.group), None)
+
+    def listed(self, news: HostGroups, replaced: list[ServerLink]) -> i.Listed:
+        """News of the host groups as the module's list, with the links that it replaces as gone."""
+        entries = [
+            i.RouteEntry(link.number, 0, 0, link.group, i.RouteState.GONE, 0.0) for link in replaced
+        ]
         for member in news.members:
             added = clock() - (wall() - member.since_wall) if member.since_wall else 0.0
             link = self.link(member)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -28,6 +28,8 @@
     DELIVERED = "delivered"
     REFUSED = "refused"
     UNKNOWN_CLASS = "unknown class"
+    UNKNOWN_GROUP = "unknown host group"
+    CONFLICT = "conflict"
 
 
 class Result(Enum):
@@ -77,6 +79,7 @@
     body: bytes
     again: bool = False
     orphan: bool = False
+    number: int = 0  # of the message that it speaks for, once that is taken on
     _answer: SimpleQueue[Verdict] = field(default_factory=SimpleQueue)
 
     def answer(self, verdict: Verdict) -> None:
--- a/springspread/http1/server.py
+++ b/springspread/http1/server.py
@@ -16,6 +16,8 @@
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
     413: "Content Too Large",
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
@@ -24,6 +26,10 @@
 }
 
 
+BODILESS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS", b"TRACE")
+"""The methods whose requests may leave out the length of a body that is not there."""
+
+
 class Phase(Enum):
     """Where a connection stands."""
 
@@ -72,6 +78,8 @@
             if self._buffer.data:
                 self.phase = Phase.READING
             try:
+                if self._buffer.data and not self._buffer.data[:1].isalpha():
+                    raise Malformed("no request line")  # noise shows at once
                 head = self._buffer.take_head()
                 if head is None:
                     return None
@@ -95,7 +103,10 @@
             raise Malformed("another version of HTTP", 505)
         if "transfer-encoding" in headers or "host" in headers.doubled:
             raise Malformed("a body of unknown length, or two hosts")
-        size = content_length(headers) or 0
+        size = content_length(headers)
+        if size is None and parts[0] not in BODILESS:
+            raise Malformed("a body of no stated length", 411)
+        size = size or 0
         if size > self._limits.body_bytes:
             raise Malformed("the body is too long", 413)
         old = parts[2] == b"HTTP/1.0" and headers.get("connection").lower() != "keep-alive"
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -13,6 +13,7 @@
     CoreEvent,
     Execution,
     ExecutionEnd,
+    LinkState,
     Load,
     Log,
     ProbeEnd,
@@ -53,7 +54,10 @@
             connection.close()
 
     def give(self, link: ServerLink, connection: Connection) -> None:
-        """Keep a connection."""
+        """Keep a connection, unless its link is gone."""
+        if link.state is LinkState.GONE:
+            connection.close()
+            return
         with self._lock:
             self._idle.setdefault(link.number, []).append(connection)
             count = sum(map(len, self._idle.values()))
@@ -74,8 +78,11 @@
                 for connection in line
                 if now - connection.idle_since >= self._limits.idle_ms
             ]
-            for line in self._idle.values():
-                line[:] = [connection for connection in line if connection not in old]
+            lines = {
+                number: [connection for connection in line if connection not in old]
+                for number, line in self._idle.items()
+            }
+            self._idle = {number: line for number, line in lines.items() if line}
         for connection in old:
             connection.close()
 
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -65,8 +65,6 @@
         if path == "/_health":
             return Reply(200 if self.ready else 503)
         try:
-            if "content-length" not in request.headers:
-                raise Faulty("Content-Length is missing")
             query = read_query(request.headers, request.body, now)
         except Faulty as exc:
             return Reply(400, {"X-Fault": str(exc)})
@@ -83,6 +81,10 @@
                 return Reply(200)
             case Verdict.UNKNOWN_CLASS:
                 return Reply(400, {"X-Fault": f"{CLASS} names no class"})
+            case Verdict.UNKNOWN_GROUP:
+                return Reply(400, {"X-Fault": f"{CONSIGNEE} names no destination"})
+            case Verdict.CONFLICT:
+                return Reply(409, {"X-Fault": f"{ID} is another message's"})
             case Verdict.REFUSED:
                 return Reply(503)
             case None:
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -119,6 +119,11 @@
             if route.state is i.RouteState.GONE or route.id not in kept:
                 route.dest.routes.remove(route)
                 del self.routes[route.id]
+        for number, dest in list(self.dests.items()):
+            if dest.routes or dest.queue or dest.calls:
+                dest.left_at = self.now
+            elif self.now - dest.left_at > FORGET_MS:
+                del self.dests[number]
 
     def _add(self, entry: i.RouteEntry) -> Route:
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else i.KindSpec("")
@@ -409,7 +414,8 @@
         for m in dest.queue:
             stake = self._stake(m, horizon)
             if self._ready(m) and (best is None or stake > best[0]):
-                m.walk = m.walk or self._rank(m)
+                if any(r not in m.walk for r in ready):  # at first all; later the routes listed since
+                    m.walk = m.walk + [r for r in self._rank(m) if r not in m.walk]
                 route = next((r for r in m.walk if r in ready and self._allowed(m, r)), None)
                 best = (stake, m, route) if route else best
         dest.look_at = 0.0 if best else dest.look_at
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -186,6 +186,7 @@
     calls: int = 0
     served_at: float = float("-inf")
     look_at: float = 0.0  # when its waiting messages are looked at again
+    left_at: float = 0.0  # when the list last changed while it had a route or anything to do
     suspect_ms: float = 0.0  # how long a connection had been idle when the latest call on one failed
 
 
