Slots go by stake per slot time, and a crowded route's window shrinks

The module's view, dumped twice a second, showed a destination of 42 ms with open gates and 82 waiting at 0 or 1 slots, beside one of 290 ms at 9 whose throughput with 9 calls was that with 3: policy.py _dispatch compared stakes whatever a call's time, and windows grew with each served call though the further ones waited in the endpoint's own line. Tests: tests/test_slots.py, both fail without the change.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -21,6 +21,9 @@
 FLAG_RUN = 3  # faults in a row that flag a route (the design page's count)
 RECHECK_MS = 1500.0  # a flagged route is rechecked this often by a real message, an untold pause no longer
 SHRINK = 0.6  # a fault or refusal shrinks a route's window to this; a served call widens it by one
+SLOT_LEAN = 0.5  # the power of a call's time by which stakes count; with 1 a slow destination gets too little
+CROWDED = 2.0  # a route that takes so many times as long as for a call alone has enough of them
+CROWDED_SHRINK = 0.9  # and a served call there shrinks its window to this
 UNSAFE_SHARE = 0.8  # an unsafe message waits rather than take a route served less often than this
 CAP_SHARE = 0.75  # a destination's calls stay under this share of the slots
 SICK_SHARE = 0.5  # and within this share unless it served one lately
@@ -222,6 +225,9 @@
         if outcome in (i.Outcome.SERVED, i.Outcome.TIMEOUT):
             mean = route.mean_ms or event.took_ms
             route.mean_ms = mean + LEARN * (event.took_ms - mean)
+            if call.alone:
+                alone = route.alone_ms or event.took_ms
+                route.alone_ms = alone + LEARN * (event.took_ms - alone)
         self._idle(call, outcome)
         healths = [route.health, route.classes[m.cls]]
         if outcome is i.Outcome.SPOILT:  # it took the call: no outage, no limit, no idle connection
@@ -239,6 +245,8 @@
             if route.health.flagged:
                 self.out.append(i.Log(f"route {route.id}: recheck served"))
                 healths = [route.health, *route.classes]
+            elif route.alone_ms and (route.mean_ms or 0.0) > CROWDED * route.alone_ms:
+                route.window = max(1.0, route.window * CROWDED_SHRINK)  # more would wait in its own line
             elif route.calls + 1 >= route.window:
                 route.window = min(route.window + 1.0, self.set.slots)
             for health in healths:
@@ -425,17 +433,26 @@
         dests = self.lines if self.calls < self.set.slots else ()
         picks = [pick for dest in dests if dest.look_at <= self.now and (pick := self._pick(dest))]
         while picks and self.calls < self.set.slots:
-            best = max(picks, key=lambda pick: pick[0])
+            best = max(picks, key=self._yield)
             picks.remove(best)
             self._send(best[1], best[2])
             if again := self._pick(best[2].dest):
                 picks.append(again)
 
+    def _yield(self, pick: tuple[float, Message, Route]) -> float:
+        """What a call keeps, by the time that it takes a slot: slots are what all destinations share."""
+        stake, m, route = pick
+        size = min(self._room(route), len(m.dest.queue))
+        time: float = max(route.mean_ms or self.mean_ms, 1.0) ** SLOT_LEAN
+        return stake * size / time
+
+    def _room(self, route: Route) -> int:
+        return 1 if route.health.flagged or route.gate.out_at == inf else route.kind.per_call
+
     def _send(self, first: Message, route: Route) -> None:
         dest = route.dest
-        room = 1 if route.health.flagged or route.gate.out_at == inf else route.kind.per_call
         rest = [m for m in dest.queue if m is not first and self._ready(m) and self._allowed(m, route)]
-        batch = [first, *rest][:room]
+        batch = [first, *rest][: self._room(route)]
         idle = self.now - route.used_at if route.used_at and not route.calls else 0.0
         if idle > self._safe_ms() and self.idle_bad >= 1.0:
             self.out.append(i.CloseIdle(route.id))
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -83,6 +83,7 @@
     state: RouteState = RouteState.READY
     health: Health = field(default_factory=lambda: Health())
     mean_ms: float | None = None
+    alone_ms: float | None = None  # the same of calls that went out while no other was there
     used_at: float = 0.0  # when a call there last ended
     window: float = 1.0
     calls: int = 0
@@ -199,10 +200,12 @@
     size: int
     left: int
     idle_ms: float = 0.0
+    alone: bool = False
     judged: bool = False
 
     def begin(self) -> int:
         """Count it as out."""
+        self.alone = not self.route.calls
         self.route.calls += 1
         self.route.dest.calls += 1
         return 1
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,66 @@
+"""Slots are what all destinations share: what a slow one may take of them."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+
+from springspread import interface as i
+from springspread.policy import Dispatcher
+
+NOTE = i.ClassSpec("note", 1000.0, 8000.0, 1.0, 0.1, i.Effect.SAFE)
+FAST, SLOW = 1, 2
+
+
+def play(took: dict[int, list[float]], slots: int, each_ms: float) -> tuple[Dispatcher, dict[int, int], int]:
+    """Ten seconds in which both destinations get a message every so often.
+
+    ``took`` holds, by destination, how long a call takes with so many others out (the last for any more).
+    """
+    rules = i.Rules(cold_share=0.13, warm_within_ms=12_000.0, fall_multiple=2.5, fall_ms=2000.0)
+    settings = i.Settings(
+        (NOTE,), (i.KindSpec("dealer"),), slots=slots, max_held=2000, max_attempts=8, rules=rules
+    )
+    sender = Dispatcher(settings, seed=7)
+    routes = tuple(i.RouteEntry(n, 0, 0, n, i.RouteState.READY, 500.0) for n in (FAST, SLOW))
+    sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, routes)])
+    due: list[tuple[float, int, i.Ended]] = []
+    served, out, most = {FAST: 0, SLOW: 0}, {FAST: 0, SLOW: 0}, 0
+    now, next_at, number = 0.0, 0.0, 0
+    while now < 10_000.0:
+        now += 5.0
+        events: list[i.Event] = []
+        while due and due[0][0] <= now:
+            end = heappop(due)[2]
+            out[end.route] -= 1
+            served[end.route] += 1
+            events.append(end)
+        while next_at <= now:
+            next_at += each_ms
+            for dest in (FAST, SLOW):
+                number += 1
+                events.append(i.Taken(number, dest, 0, now + 8000.0))
+        for action in sender.handle(now, events):
+            if isinstance(action, i.Send):
+                times = took[action.route]
+                wait = times[min(out[action.route], len(times) - 1)]
+                out[action.route] += 1
+                attempt = sender.held[action.message].attempts - 1
+                end = i.Ended(action.message, attempt, action.route, i.Outcome.SERVED, wait, True)
+                heappush(due, (now + wait, number * 100 + len(due), end))
+        if now > 5000.0:
+            most = max(most, out[SLOW])
+    return sender, served, most
+
+
+def test_short_calls_come_before_long_ones_where_slots_are_short() -> None:
+    _, served, _ = play({FAST: [40.0], SLOW: [400.0]}, slots=6, each_ms=12.0)
+    assert served[FAST] > 0.9 * 10_000.0 / 12.0  # they would fill 3.3 of the 6 slots
+
+
+def test_a_route_whose_calls_wait_in_its_own_line_gets_no_more_of_them() -> None:
+    # One call takes 100 ms and each further one 100 ms more: any above the first gains nothing.
+    crowd = [100.0 * n for n in range(1, 20)]
+    sender, served, most = play({FAST: [100.0], SLOW: crowd}, slots=16, each_ms=50.0)
+    assert most <= 4
+    assert served[FAST] > 0.9 * 10_000.0 / 50.0
+    assert sender.routes[FAST].window > 2.0
