Silent connections no longer hold windows, a reset is no outage, late answers no delivery

Lost: a trace of each message's fate against each execution's end showed unsafe calls 'delivered' after 12.0 s: an answer that came after the message's time was taken for a delivery (loop.py _execution_end). Ruled out by the same trace: late notices (all within 61 ms), clients that left, answers that stopped short of a whole first line (those are no delivery either now: client.py _look). A message whose call is out is owed its end though its client left. Held: 25 to 45 of 82 slots in use with 1000 messages waiting; the module's view showed windows of 1 to 5 filled by calls whose connections had fallen silent, up to their 12 s (policy.py _open). Now such a call leaves the window once a later one was served; where all are stuck a safe message looks. One reset or failed connection of a route that serves is no sign of an outage by itself (policy.py _judge): it had each ramped for 12 s. Tests: test_slots.py (2 fail without it), test_core.py (late answers, clients that left), test_http1.py (short lines).

--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -181,8 +181,8 @@
                 return [self._listed(event)]
             case ProbeEnd():
                 return [translate.probed(event)]
-            case Gone(query):
-                return self._gone(query)
+            case Gone(query, refused):
+                return self._gone(query, refused)
             case NoticeHeard(numbers):
                 for number in numbers:
                     self._forget(number, delivered=False)
@@ -238,10 +238,12 @@
             i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)
         ]
 
-    def _gone(self, query: Query) -> list[i.Event]:
+    def _gone(self, query: Query, refused: bool) -> list[i.Event]:
         number, query.number = query.number, 0
         if number not in self._held:
             return []
+        if self._held[number].owed.begun and not refused:
+            return []  # a call is out, and how much of the answer was heard is not known: it is owed its end
         self._held[number].speakers -= 1
         if self._held[number].speakers:
             return []
@@ -260,12 +262,20 @@
             self._journal.not_run(run.number, run.attempt)
         held = self._held.get(run.number)
         over = held is None
+        if held is not None and end.result is Result.DELIVERED and self._too_late(held, end):
+            # Guards the message's end: an answer that came after its time is none, and of one that came just
+            # before it the platform may be told too much, which does no harm.
+            over, held = True, None
+            self._end(run.number, deferred=False)
         if held is not None and (end.result is Result.DELIVERED or end.over):
             over = True
             del self._held[run.number]
             self._forget(run.number, delivered=end.result is Result.DELIVERED)
         return [translate.ended(end, over)]
 
+    def _too_late(self, held: Held, end: ExecutionEnd) -> bool:
+        return end.at >= held.deadline - self._limits.deadline_margin_ms
+
     def _listed(self, news: HostGroups) -> i.Listed:
         # Guards the host groups: whoever has a name or an address now has it alone.
         replaced = self._links.replaced(news)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -200,9 +200,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Gone:
-    """The client went away before it heard the verdict on its query."""
+    """The client went away before it heard the verdict on its query, or was refused as that took too long."""
 
     query: Query
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/http1/client.py
+++ b/springspread/http1/client.py
@@ -20,6 +20,7 @@
 
 PROTOCOL = b"HTTP/1."
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?:[ \r]|\Z)")
+LONGEST_LINE = 256
 ENOUGH = 13  # bytes that tell a status line: its version, its code and what follows
 
 
@@ -104,14 +105,15 @@
         return Answer(*self._answer, bytes(self._body)) if whole else None
 
     def _look(self) -> None:
-        """Read the first line's status as soon as it is there; noise shows before any line ends."""
+        """Read the first line's status once the line is whole; noise shows before any line ends."""
         if self.status or not self._buffer.data:
             return
-        line, end, _ = bytes(self._buffer.data[:ENOUGH]).partition(b"\r\n")
-        if len(line) == ENOUGH or end:
+        line, end, _ = bytes(self._buffer.data[:LONGEST_LINE]).partition(b"\r\n")
+        if len(line) >= ENOUGH or end:
             if not STATUS_LINE.match(line):
                 raise Malformed("no status line")
-            self.status = int(line[9:12])
+            # Guards the message: a line that stopped short was not told, whatever its code would have been.
+            self.status = int(line[9:12]) if end else 0
         elif not PROTOCOL.startswith(line[: len(PROTOCOL)]):
             raise Malformed("no status line")
 
--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -177,13 +177,9 @@
                 return
             self._stands(client, inf)
             reply = self._front.respond(request)
-            status = reply.status
-            if reply.query is not None and _ended(sock):
-                # Guards the rule that only what a client heard counts: it has gone, or at least stopped.
-                self._front.gone(reply.query)
-                status = 503
             try:
-                self._write(sock, machine.answer(status, reply.headers, close=self._closing))
+                # Also to one that has ended its side: it may still read, and then its message is taken on.
+                self._write(sock, machine.answer(reply.status, reply.headers, close=self._closing))
             except OSError:
                 if reply.query is not None:
                     self._front.gone(reply.query)
@@ -240,15 +236,3 @@
 def _quietly(sock: socket.socket, how: int) -> None:
     with contextlib.suppress(OSError):
         sock.shutdown(how)
-
-
-def _ended(sock: socket.socket) -> bool:
-    """Whether the client has ended its connection."""
-    # Guards the answer's speed: under a time-out, Python waits for bytes whatever MSG_DONTWAIT says.
-    sock.settimeout(0)
-    try:
-        return sock.recv(1, socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -89,7 +89,7 @@
                 return Reply(503)
             case None:
                 # The client stops waiting about now: what the core may yet take is withdrawn.
-                self.gone(query)
+                self._put(Gone(query, refused=True))
                 return Reply(503)
 
     def gone(self, query: Query) -> None:
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -43,7 +43,9 @@
 OUTAGE_WAIT_MS = 2000.0  # a told wait over this is an outage's: limits count over shorter spans
 BACK_OFF_MS = 300.0  # first pause after a refusal that told no wait, doubled by each further one
 DOUBT = 0.5  # how much of an outage a fault or refusal suggests: two in a row may be one
-BROKEN = (i.Outcome.RESET, i.Outcome.CONNECT_FAILED)  # each of these may be one by itself
+BROKEN = (i.Outcome.RESET, i.Outcome.CONNECT_FAILED)  # each may be one by itself where none is served lately
+RESET_DOUBT = 0.34  # of a route that is, connections break now and then; three in a row may be an outage
+STUCK_MS = 400.0  # a call that has no answer after this, and PATIENCE, is stuck, as its connection may be
 CLASS_LEAN = 3.0  # a route's own served share weighs as much as this many calls of one class
 IDLE_PART = 0.5  # a connection is taken to be safe for this part of the idle time after which one failed
 RAMP_MARGIN = 0.7  # share of the fail-back budget that all senders together take
@@ -222,7 +224,11 @@
         gate.told_limit = event.report.limit_per_s or gate.told_limit
         if outcome in (i.Outcome.MOOT, i.Outcome.UNKNOWN):
             return
-        if outcome in (i.Outcome.SERVED, i.Outcome.TIMEOUT):
+        # A call sent later was served: this one's connection broke or fell silent, not the route.
+        long = event.took_ms > 2 * PATIENCE * (route.alone_ms or self.mean_ms)
+        lost = outcome is i.Outcome.RESET or (outcome is i.Outcome.TIMEOUT and long)
+        lost = lost and route.health.served_at > call.sent_at
+        if outcome in (i.Outcome.SERVED, i.Outcome.TIMEOUT) and not lost:
             mean = route.mean_ms or event.took_ms
             route.mean_ms = mean + LEARN * (event.took_ms - mean)
             if call.alone:
@@ -230,7 +236,7 @@
                 route.alone_ms = alone + LEARN * (event.took_ms - alone)
         self._idle(call, outcome)
         healths = [route.health, route.classes[m.cls]]
-        if outcome is i.Outcome.SPOILT:  # it took the call: no outage, no limit, no idle connection
+        if lost or outcome is i.Outcome.SPOILT:  # it took the call: no outage, no limit, no idle connection
             self._fault(route, healths, call)
             return
         if outcome is i.Outcome.SERVED:
@@ -256,9 +262,10 @@
                 left = event.report.left_share if event.report.limit_per_s else None
                 gate.share = min(gate.share * (1.0 + GROW * (LEFT if left is None else left)), ROUGH)
             return
-        # A call sent later was served: this one was slow or got lost, no outage. Could harm as a route dies.
+        # A call sent later was served: this one was slow, no outage. Could harm as a route dies.
         recent = self.now - gate.served_at <= WELL_MS
-        sign = 1.0 if outcome in BROKEN else DOUBT
+        sign = 1.0 if outcome in BROKEN and not recent else DOUBT
+        sign = RESET_DOUBT if outcome is i.Outcome.RESET and recent else sign
         sign *= route.health.served_at <= call.sent_at
         if outcome is i.Outcome.FULL:
             own = self._own(route, route.dest.demand) / max(self._limit(gate), 0.01)
@@ -361,11 +368,27 @@
         return warming and self.now - gate.sign_at < FORGET_MS and self.set.rules.warm_within_ms > 0
 
     def _open(self, route: Route) -> bool:
-        if route.state is not i.RouteState.READY or route.calls >= int(route.window):
+        if route.state is not i.RouteState.READY or self._filled(route) >= int(route.window):
             return False
         self._fill(route)
         return self.now >= route.gate.shut_until and route.gate.tokens >= 1.0
 
+    def _stuck_at(self, route: Route, call: Call) -> float:
+        return call.sent_at + max(PATIENCE * (route.alone_ms or self.mean_ms), STUCK_MS)
+
+    def _filled(self, route: Route) -> int:
+        """What fills the window. Guards it against calls whose connections fell silent."""
+        if self._hushed(route):
+            return 0  # a real message looks whether it was the connections or the route
+        served_at = route.health.served_at
+        return sum(c.sent_at >= served_at or self.now < self._stuck_at(route, c) for c in route.out)
+
+    def _hushed(self, route: Route) -> bool:
+        """Whether all calls there are stuck, and none that was sent later has been served."""
+        newest = route.out[-1].sent_at if route.out else -inf
+        stuck = all(self.now >= self._stuck_at(route, call) for call in route.out)
+        return stuck and newest > route.health.served_at
+
     def _served(self, route: Route, m: Message) -> float:
         own = route.classes[m.cls]
         return (CLASS_LEAN * route.health.served + own.weight * own.served) / (CLASS_LEAN + own.weight)
@@ -386,6 +409,8 @@
         if route in m.tried or not m.may_repeat(route, self.now):
             return False
         unsafe = m.spec.effect is i.Effect.UNSAFE
+        if unsafe and self._hushed(route):
+            return False  # a safe one looks first whether the route still serves
         flags = [health for health in (route.health, route.classes[m.cls]) if health.flagged]
         if flags:
             return all(self.now >= h.recheck_at + (RECHECK_MS if unsafe else 0.0) for h in flags)
@@ -412,7 +437,7 @@
         ready = [route for route in dest.routes if self._open(route)]
         dest.look_at = self.now + LOOK_MS
         if not ready or dest.calls >= self._cap(dest):
-            gates = [route.gate for route in dest.routes if not ready and route.calls < int(route.window)]
+            gates = [r.gate for r in dest.routes if not ready and self._filled(r) < int(r.window)]
             full_at = [self.now + 1000 * (1.0 - gate.tokens) / max(gate.pace, 0.001) for gate in gates]
             opens = [max(at, gate.shut_until) for at, gate in zip(full_at, gates, strict=True)]
             dest.look_at = min([dest.look_at, *(at for at in opens if at > self.now)])
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -87,6 +87,7 @@
     used_at: float = 0.0  # when a call there last ended
     window: float = 1.0
     calls: int = 0
+    out: list[Call] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
@@ -207,6 +208,7 @@
         """Count it as out."""
         self.alone = not self.route.calls
         self.route.calls += 1
+        self.route.out.append(self)
         self.route.dest.calls += 1
         return 1
 
@@ -216,6 +218,7 @@
         if self.left:
             return 0
         self.route.calls -= 1
+        self.route.out.remove(self)
         self.route.dest.calls -= 1
         self.route.used_at = now
         return 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -278,6 +278,27 @@
     assert [call.link.name for call in rig.drivers.calls] == ["s-1", "s-2"]
 
 
+def test_an_answer_after_the_messages_time_is_no_delivery(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.restore()
+    rig.query("a", "pay", left=400.0)
+    call = rig.drivers.calls[0]
+    late = t.clock() + 401.0
+    rig.sender.step([t.ExecutionEnd(call, call.executions[0], t.Result.DELIVERED, late)])
+    assert [(notice.id, notice.deferred) for notice in rig.drivers.told] == [("a", False)]
+    assert not rig.sender._module.held
+
+
+def test_a_message_whose_call_is_out_is_owed_its_end_though_the_client_left(tmp_path: Path) -> None:
+    rig = Rig(tmp_path)
+    rig.restore()
+    first, second = rig.query("a"), rig.query("b", "pay")
+    for call in rig.drivers.calls:
+        assert rig.clearance.refuses(call) is None
+    rig.sender.step([t.Gone(first), t.Gone(second, refused=True)])
+    assert [owed.id for owed in rig.journal.owed.values()] == ["a"]
+
+
 def test_a_told_wait_stops_a_call_that_was_queued_before_it(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.restore()
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,6 +4,8 @@
 
 from heapq import heappop, heappush
 
+import pytest
+
 from springspread import interface as i
 from springspread.policy import Dispatcher
 
@@ -64,3 +66,76 @@
     assert most <= 4
     assert served[FAST] > 0.9 * 10_000.0 / 50.0
     assert sender.routes[FAST].window > 2.0
+
+
+class Line:
+    """One destination with one route, driven a message at a time."""
+
+    def __init__(self, effect: i.Effect = i.Effect.SAFE) -> None:
+        spec = i.ClassSpec("note", 1000.0, 12_000.0, 1.0, 0.1, effect)
+        rules = i.Rules(cold_share=0.13, warm_within_ms=12_000.0, fall_multiple=2.5, fall_ms=2000.0)
+        settings = i.Settings(
+            (spec,), (i.KindSpec("dealer"),), slots=20, max_held=2000, max_attempts=8, rules=rules
+        )
+        self.sender = Dispatcher(settings, seed=7)
+        route = i.RouteEntry(1, 0, 0, 1, i.RouteState.READY, 500.0)
+        self.sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (route,))])
+        self.now, self.number = 0.0, 0
+
+    def step(self, *events: i.Event, after: float = 40.0) -> list[i.Send]:
+        self.now += after
+        return [action for action in self.sender.handle(self.now, list(events)) if isinstance(action, i.Send)]
+
+    def message(self) -> i.Taken:
+        self.number += 1
+        return i.Taken(self.number, 1, 0, self.now + 12_000.0)
+
+    def end(self, send: i.Send, outcome: i.Outcome, took: float = 40.0) -> i.Ended:
+        attempt = self.sender.held[send.message].attempts - 1
+        return i.Ended(send.message, attempt, send.route, outcome, took, outcome is i.Outcome.SERVED)
+
+    def serve(self, count: int) -> int:
+        """Hand in so many, each served after 40 ms; how many went out."""
+        out: list[i.Send] = []
+        served = 0
+        for _ in range(count):
+            ends = [self.end(send, i.Outcome.SERVED) for send in out]
+            served += len(ends)
+            out = self.step(self.message(), *ends)
+        self.step(*(self.end(send, i.Outcome.SERVED) for send in out))
+        return served + len(out)
+
+
+def test_calls_whose_connections_fell_silent_do_not_hold_a_window_that_serves() -> None:
+    line = Line()
+    assert line.serve(20) >= 19
+    silent = line.step(line.message())
+    while more := line.step(line.message(), after=1.0):
+        silent += more
+    assert len(silent) == int(line.sender.routes[1].window)  # all of it hangs
+    line.step(after=500.0)
+    assert line.serve(60) >= 55
+
+
+def test_an_unsafe_message_never_finds_out_whether_a_silent_route_serves() -> None:
+    line = Line(i.Effect.UNSAFE)
+    assert line.serve(20) >= 19
+    silent = [send for _ in range(30) for send in line.step(line.message(), after=1.0)]
+    for _ in range(100):
+        silent += line.step(line.message())
+    assert len(silent) <= int(line.sender.routes[1].window)
+
+
+@pytest.mark.parametrize(("every", "outage"), [(10, False), (1, True)])
+def test_a_reset_now_and_then_is_no_outage_and_nothing_but_resets_are(every: int, outage: bool) -> None:
+    line = Line()
+    assert line.serve(20) >= 19
+    ends: list[i.Ended] = []
+    for _ in range(200):
+        sends = line.step(line.message(), *ends)
+        broken = [line.number % every == 0 and send.message == line.number for send in sends]
+        if every == 1:
+            broken = [True] * len(sends)
+        outcomes = [i.Outcome.RESET if breaks else i.Outcome.SERVED for breaks in broken]
+        ends = [line.end(send, outcome, 5.0) for send, outcome in zip(sends, outcomes, strict=True)]
+    assert (line.sender.routes[1].gate.sign_at > float("-inf")) == outage
