Unsafe calls hold their last byte back; reuse of a connection is a decision of its own

- net/exchange: the last byte of a call that may run once is held back for a round trip (2.5 ms at least).
A kept connection that is dead by then is replaced; a told wait that comes meanwhile stops the call.
- core/reuse: the chance that a connection is stale, by idleness seen, against a handshake.
- door: newcomers and half requests are spared for as long as the places allow at the rate of arrival.
- a link that takes nothing of a request for 2 s never had it.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -79,7 +79,8 @@
     except OSError as exc:
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
     intake.ready = True
-    log.info("ready", listen=f"{door.address[0]}:{door.address[1]}")
+    listen = f"{door.address[0]}:{door.address[1]}"
+    log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections)
     while (heard := signal.sigwait(HEARD)) not in ENDS:
         if heard == signal.SIGHUP:
             config = reload(config, (watcher, notices), log)
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -44,6 +44,7 @@
     client_new_ms: float = 1_300.0  # a connection that has sent nothing is ended after this
     client_speak_ms: float = 50.0  # and is not asked to make room before this
     client_read_ms: float = 1_500.0  # from a request's first byte to its last
+    client_half_ms: float = 100.0  # half a request is not asked to make room before this
     client_brisk_ms: float = 300.0  # one that takes longer lags, and may be asked to make room
     client_least_bytes_s: int = 200  # and has come at this rate at least
     client_bytes: int = 16 * 1024 * 1024  # kept of unfinished requests, of all clients together
@@ -55,6 +56,12 @@
     client_write_ms: float = 2_000.0
     verdict_ms: float = 380.0
     connect_ms: float = 1_000.0
+    link_write_ms: float = 2_000.0  # a request not taken by its link within this never ran
+    reuse_once: float = 0.03  # a call that may run once takes this chance of a stale connection, no more:
+    reuse_repeat: float = 0.25  # a handshake costs 0.04 of a message; one that may be repeated loses less
+    break_ms: float = 30.0  # a connection that ends sooner under a call was likely dead before it
+    hold_least_ms: float = 2.5  # the last byte of a call that may run once is held back so long at least
+    hold_most_ms: float = 50.0
     answer_rest_ms: float = 500.0  # from an answer's first bytes to its end
     idle_ms: float = 3_500.0
     watch_ms: float = 5_000.0
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -167,6 +167,11 @@
     sent_at: float
     cancelled: threading.Event = field(default_factory=threading.Event)
 
+    @property
+    def once(self) -> bool:
+        """Whether some of it may run only once."""
+        return not all(execution.may_repeat for execution in self.executions)
+
     @property
     def until(self) -> float:
         """When the last of its executions times out."""
--- a/springspread/door/admission.py
+++ b/springspread/door/admission.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
-from math import inf
+from math import exp, inf
 
 from springspread.config import Limits
 
@@ -52,8 +52,13 @@
     Standing.IDLE,
     Standing.KEPT,
     Standing.ANSWERED,
+    Standing.READING,
 )
-"""In which order room is made. Whoever is READING or WAITING may have a request in flight: never asked."""
+"""In which order room is made. Whoever is WAITING has a request in flight and is never asked. A usual request
+comes whole within milliseconds: one READING for longer goes last, and is told that it may come again.
+"""
+RATE_MS = 50.0  # arrivals are counted over about this long
+ROOM_PART = 0.5  # of the places, for newcomers that have yet to show what they want
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +73,7 @@
     """The table of times, from the program's limits."""
     return {
         Standing.NEW: Rule(limits.client_new_ms, limits.client_speak_ms),
-        Standing.READING: Rule(limits.client_brisk_ms),
+        Standing.READING: Rule(limits.client_brisk_ms, limits.client_half_ms),
         Standing.LAGGING: Rule(limits.client_read_ms - limits.client_brisk_ms, 0.0),
         Standing.WAITING: Rule(limits.verdict_ms),
         Standing.ANSWERED: Rule(limits.client_write_ms, limits.client_brisk_ms),
@@ -109,6 +114,7 @@
         self._rules = rules(limits)
         self._lines: dict[Standing, OrderedDict[Place, None]] = {kind: OrderedDict() for kind in Standing}
         self._held = 0
+        self._arrivals, self._arrived_at = 0.0, -inf
         self.closing = False
 
     def __len__(self) -> int:
@@ -128,7 +134,7 @@
         return self._held
 
     def room(self, now: float) -> Room:
-        """Whether a newcomer may be let in. One named to make room ends before this is asked again."""
+        """Whether a newcomer may be let in; whoever is named to make room ends before the next look."""
         leaving = self.count(Standing.LEAVING)
         everyone = len(self)
         if (
@@ -146,12 +152,21 @@
             head = next(iter(self._lines[standing]), None)
             if head is None:
                 continue
-            spared_until = head.since + self._rules[standing].spared_ms
+            spared_until = head.since + self._spared(standing, now)
             if spared_until <= now:
                 return Room(False, head)
             soonest = min(soonest, spared_until)
         return Room(False, at=soonest)
 
+    def _spared(self, standing: Standing, now: float) -> float:
+        # Guards usual clients at any rate of arrival: who comes in while newcomers are spared must fit in,
+        # or nobody is left who can make room.
+        spared = self._rules[standing].spared_ms
+        if standing not in (Standing.NEW, Standing.READING):
+            return spared
+        rate = self._arrivals * exp((self._arrived_at - now) / RATE_MS) / RATE_MS
+        return min(spared, ROOM_PART * self._limits.client_connections / rate) if rate else spared
+
     def may_turn_away(self) -> bool:
         """Whether there is a spare descriptor for somebody who is only told to come again."""
         return len(self) < self._limits.client_connections + self._limits.client_spares
@@ -160,6 +175,8 @@
         """Give a newcomer its place; LEAVING for one that is turned away."""
         if standing not in (Standing.NEW, Standing.LEAVING):
             raise Misuse(f"nobody begins as {standing.value}")
+        self._arrivals = self._arrivals * exp((self._arrived_at - now) / RATE_MS) + 1.0
+        self._arrived_at = now
         place = Place(standing, now)
         self._lines[standing][place] = None
         return place
--- a/springspread/net/door.py
+++ b/springspread/net/door.py
@@ -196,7 +196,7 @@
             self._make_room(self._clients[room.ends])
 
     def _make_room(self, client: Client) -> None:
-        if client.place.standing is Standing.LAGGING:
+        if client.place.standing in (Standing.READING, Standing.LAGGING):
             self._refuse(client, 503)
         elif client.place.standing not in SILENT or not self._heard_last(client):
             self._end(client)
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -5,7 +5,7 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import inf
 
 from springspread.config import Address, Limits
@@ -38,10 +38,14 @@
         self, address: Address, until: float, limits: Limits, optional: frozenset[str] = frozenset()
     ) -> None:
         self.address, self._limits = address, limits
+        begun = clock()
         self.sock = socket.create_connection(address, timeout=seconds(until))
+        self.round_trip_ms = clock() - begun
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._machine = ClientConnection(limits, optional)
         self.idle_since = clock()
+        self.idle_ms: float | None = None  # how long it stood idle before the present call; None: it is new
+        self.heard = False  # whether a byte of the present call's answer has come
 
     @property
     def reusable(self) -> bool:
@@ -64,11 +68,45 @@
             return False
         return False
 
-    def write(self, method: str, target: str, headers: Mapping[str, str], body: bytes, until: float) -> None:
-        """Write a request, whole; raises ``OSError`` where its last byte was not written."""
+    def write(
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        until: float,
+        clear: Callable[[], bool] | None = None,
+    ) -> None:
+        """Write a request, whole; raises ``OSError`` where its last byte was not written.
+
+        With ``clear`` the last byte is held back for a round trip, in which a dead connection says so, and
+        is written if ``clear`` still says that it may be.
+        """
         data = self._machine.request(method, target, headers, body)
+        self.heard = False
+        until = min(until, clock() + self._limits.link_write_ms)
         self.sock.settimeout(seconds(until))
-        self.sock.sendall(data)
+        if clear is None:
+            self.sock.sendall(data)
+            return
+        self.sock.sendall(data[:-1])
+        self._listen(until)
+        if not clear():
+            raise ConnectionAbortedError("called off before its last byte")
+        self.sock.settimeout(seconds(until))
+        self.sock.sendall(data[-1:])
+
+    def _listen(self, until: float) -> None:
+        # Guards what may run only once: a call begins with its last byte, so whatever breaks before that
+        # byte is written proves that it never ran, and only then.
+        least, most = self._limits.hold_least_ms, self._limits.hold_most_ms
+        hold = min(max(1.5 * self.round_trip_ms, least), most)
+        self.sock.settimeout(seconds(min(until, clock() + hold)))
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                raise ConnectionResetError("ended before its last byte")
+        except TimeoutError:
+            pass
 
     def read(self, until: float) -> Answer:
         """Read the answer. ``LateError`` leaves the connection as it is, for another read."""
@@ -91,6 +129,7 @@
                 raise Malformed("the answer does not end")
             if data is None:
                 continue
+            self.heard = self.heard or bool(data)
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
                 self.idle_since = clock()
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -4,10 +4,12 @@
 
 import threading
 from collections.abc import Callable
+from functools import partial
 from queue import Empty, SimpleQueue
 
 from springspread.config import Limits
 from springspread.core.clearance import Clearance
+from springspread.core.reuse import Bounds, Reuse
 from springspread.core.types import (
     Call,
     CoreEvent,
@@ -30,22 +32,28 @@
 PROBE_MS = 1_500.0
 
 
+class StaleError(Exception):
+    """A kept connection was dead before a call's last byte: the call has not begun."""
+
+
 class Kept:
     """Idle connections by link, the last used first."""
 
     def __init__(self, limits: Limits) -> None:
         self._limits = limits
+        self._reuse = Reuse(Bounds(limits.reuse_once, limits.reuse_repeat))
         self._lock = threading.Lock()
         self._idle: dict[int, list[Connection]] = {}
 
-    def take(self, link: ServerLink) -> Connection | None:
-        """A connection that is still good."""
+    def take(self, link: ServerLink, once: bool) -> Connection | None:
+        """A connection that is still good, and good enough for a call that may run once, or for others."""
         while True:
             with self._lock:
-                idle = self._idle.get(link.number)
-                connection = idle.pop() if idle else None
-            if connection is None:
-                return None
+                idle, now = self._idle.get(link.number), clock()
+                if not idle or not self._reuse.may(link.number, now - idle[-1].idle_since, once, now):
+                    return None
+                connection = idle.pop()
+                connection.idle_ms = now - connection.idle_since
             # Guards unsafe messages: a request on a connection that the other side has closed is a reset.
             young = clock() - connection.idle_since < self._limits.idle_ms
             same = connection.address == (link.host, link.port)
@@ -53,6 +61,12 @@
                 return connection
             connection.close()
 
+    def heard(self, link: ServerLink, idle_ms: float | None, broke: bool) -> None:
+        """A call's connection has broken or served; ``idle_ms`` is how long it had stood idle, if at all."""
+        with self._lock:
+            if link.state is not LinkState.GONE:  # nothing is kept of what is gone
+                self._reuse.note(link.number, idle_ms, broke, clock())
+
     def give(self, link: ServerLink, connection: Connection) -> None:
         """Keep a connection, unless its link is gone."""
         if link.state is LinkState.GONE:
@@ -90,6 +104,8 @@
         """Close all that is kept for a link."""
         with self._lock:
             idle = self._idle.pop(link.number, [])
+            if link.state is LinkState.GONE:
+                self._reuse.forget(link.number)
         for connection in idle:
             connection.close()
 
@@ -162,9 +178,10 @@
             self._end(call, run, result, wait_ms)
 
     def _connect(self, call: Call, until: float) -> Connection | None:
-        connection = self._kept.take(call.link)
-        if connection is not None:
-            return connection
+        connection = self._kept.take(call.link, call.once)
+        return connection or self._new(call, until)
+
+    def _new(self, call: Call, until: float) -> Connection | None:
         until = min(until, call.sent_at + self._limits.connect_ms)
         try:
             return Connection((call.link.host, call.link.port), until, self._limits, delivery.OPTIONAL)
@@ -173,18 +190,28 @@
 
     def _carry(self, call: Call) -> None:
         connection = self._connect(call, call.until)
+        if connection is not None and not self._over(call, connection):
+            # Nothing of the call has begun: it goes over a new connection, as if none had been kept.
+            connection = self._new(call, call.until)
+            if connection is not None:
+                self._over(call, connection)
         if connection is None:
             self._end_all(call, Result.NOT_CONNECTED)
-            return
+
+    def _over(self, call: Call, connection: Connection) -> bool:
+        """Carry a call over a connection; false where that was kept, and dead before the call's last byte."""
         with self._lock:
             self._open[call] = connection
         keep = False
         try:
             keep = self._exchange(call, connection)
+        except StaleError:
+            return False
         finally:
             with self._lock:
                 del self._open[call]
             self._kept.give(call.link, connection) if keep else connection.close()
+        return True
 
     def _exchange(self, call: Call, connection: Connection) -> bool:
         refused = self._clearance.refuses(call)
@@ -192,9 +219,13 @@
             self._end_all(call, *refused)
             return refused[0] is not Result.CANCELLED
         out = delivery.write_call(call, clock())
+        clear = partial(self._clear, call) if call.once else None
+        written = clock()
         try:
-            connection.write(out.method, out.target, out.headers, out.body, call.until)
+            connection.write(out.method, out.target, out.headers, out.body, call.until, clear)
         except OSError:
+            if self._broke(call, connection, written) and connection.idle_ms is not None:
+                raise StaleError from None
             self._end_all(call, Result.CANCELLED if call.cancelled.is_set() else Result.NOT_CONNECTED)
             return False
         try:
@@ -209,10 +240,12 @@
                     for run in late:
                         self._end(call, run, delivery.read_part(call, connection.status, Result.TIMED_OUT))
                     continue
+                self._kept.heard(call.link, connection.idle_ms, False)
                 reading = delivery.read_answer(call, answer, self._report)
                 self._read(call, reading)
                 return connection.reusable and not reading.fault
         except (BrokenError, Malformed) as exc:
+            self._broke(call, connection, written)
             result = Result.BROKEN
             if isinstance(exc, Malformed):
                 self._log.warning("bad answer", link=call.link.name, fault=str(exc))
@@ -221,6 +254,18 @@
             self._end_all(call, delivery.read_part(call, connection.status, result))
         return False
 
+    def _broke(self, call: Call, connection: Connection, written: float) -> bool:
+        """Note a connection that ended soon, without a byte of an answer, and not by our own hand."""
+        soon = clock() - written < self._limits.break_ms
+        if not soon or connection.heard or not self._clear(call):
+            return False
+        self._kept.heard(call.link, connection.idle_ms, True)
+        return True
+
+    def _clear(self, call: Call) -> bool:
+        """Whether the last byte of a call may still be written."""
+        return not call.cancelled.is_set() and self._clearance.barred_ms(call.link) <= 0.0
+
     def _read(self, call: Call, reading: delivery.Reading) -> None:
         if reading.wait_ms > 0:
             self._clearance.bar(call.link, reading.wait_ms)
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -45,6 +45,8 @@
 DOUBT = 0.5  # how much of an outage a fault or refusal suggests: two in a row may be one
 BROKEN = (i.Outcome.RESET, i.Outcome.CONNECT_FAILED)  # each may be one by itself where none is served lately
 RESET_DOUBT = 0.34  # of a route that is, connections break now and then; three in a row may be an outage
+RESETS_USUAL = 0.02  # where more of all calls than this break, a break tells that much less of an outage
+RESETS_LEARN = 0.01  # weight of a new call in that share: about a hundred calls
 STUCK_MS = 400.0  # a call that has no answer after this, and PATIENCE, is stuck, as its connection may be
 CLASS_LEAN = 3.0  # a route's own served share weighs as much as this many calls of one class
 QUICK_PART = 0.4  # a reset after less than this part of a call's time came as the call was written
@@ -86,6 +88,7 @@
         self.ask_at = 0.0 if settings.must_ask else inf
         self.wake_at, self.ask_pause = 0.0, ASK_AGAIN_MS
         self.safe_ms, self.safe_at, self.idle_bad = inf, 0.0, 0.0
+        self.resets = 0.0  # the share of all calls whose connections break
         self.out: list[i.Action] = []
 
     def handle(self, now_ms: float, events: list[i.Event]) -> list[i.Action]:
@@ -226,6 +229,7 @@
         gate.told_limit = event.report.limit_per_s or gate.told_limit
         if outcome in (i.Outcome.MOOT, i.Outcome.UNKNOWN):
             return
+        self.resets += RESETS_LEARN * ((outcome is i.Outcome.RESET) - self.resets)
         # A call sent later was served: this one's connection broke or fell silent, not the route.
         long = event.took_ms > 2 * PATIENCE * (route.alone_ms or self.mean_ms)
         lost = outcome is i.Outcome.RESET or (outcome is i.Outcome.TIMEOUT and long)
@@ -269,6 +273,9 @@
         sign = 1.0 if outcome in BROKEN and not recent else DOUBT
         sign = RESET_DOUBT if outcome is i.Outcome.RESET and recent else sign
         sign *= route.health.served_at <= call.sent_at
+        # Guards healthy partners where connections break everywhere. Could harm as one resets all calls.
+        telling = min(1.0, RESETS_USUAL / max(self.resets, 0.001)) if outcome is i.Outcome.RESET else 1.0
+        sign *= telling
         if outcome is i.Outcome.FULL:
             own = self._own(route, route.dest.demand) / max(self._limit(gate), 0.01)
             own = max(own, 1.0 / self.set.senders)
@@ -286,7 +293,8 @@
             sign = 1.0 if shut else (DOUBT if used_up or few else 1.0) * (not recent)
         else:
             self._fault(route, healths, call)
-        route.window = 1.0 if route.health.flagged else max(1.0, route.window * SHRINK)
+        kept = 1.0 - (1.0 - SHRINK) * telling
+        route.window = 1.0 if route.health.flagged else max(1.0, route.window * kept)
         gate.doubt = min(gate.doubt + sign, 3.0)
         if sign and gate.doubt >= 1.0:
             self._out(route, gate.shut_until if event.wait_ms else inf)
--- /dev/null
+++ b/tests/test_last_byte.py
@@ -0,0 +1,137 @@
+"""A call that may run only once begins with its last byte: what breaks before it proves it never ran."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from springspread.config import Limits
+from springspread.core.types import Call, CoreEvent, Execution, ExecutionEnd, Result, ServerLink, clock
+from springspread.net.links import Workers
+from tests.peer import until
+from tests.test_spoilt import GOOD, Free, Silent, read_request
+
+RESET = struct.pack("ii", 1, 0)
+LAST = b"!"
+
+
+@dataclass
+class Link:
+    """An endpoint that serves each connection's first request, and then does as told with the next bytes."""
+
+    then: Callable[[socket.socket], None]
+    first: Callable[[socket.socket], None] | None = None  # in place of serving a first request
+    took: list[bytes] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock = self.sock.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        if self.first is not None:
+            self.first(sock)
+            return
+        self.took.append(read_request(sock))
+        sock.sendall(GOOD)
+        self.then(sock)
+
+
+def reset_at_a_byte(sock: socket.socket) -> None:
+    sock.recv(1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    sock.close()
+
+
+def end_at_a_byte(sock: socket.socket) -> None:
+    sock.recv(65536)
+    sock.close()
+
+
+def serve_on(sock: socket.socket) -> None:
+    while read_request(sock):
+        sock.sendall(GOOD)
+
+
+class Barred(Free):
+    """Lets a call begin, and hears of a wait before its last byte."""
+
+    def barred_ms(self, link: ServerLink) -> float:
+        return 100.0
+
+
+class Rig:
+    def __init__(self, link: Link, clearance: Free) -> None:
+        self.link, self.ends = link, list[CoreEvent]()
+        self.workers = Workers(Limits(), 1, (), clearance, self.ends.append, Silent())
+        self.target = ServerLink(1, "s-1", "127.0.0.1", link.port, 7, True, 1)
+
+    def call(self, *, safe: bool) -> Result:
+        run = Execution(len(self.ends), 0, "id", b"body" + LAST, clock() + 5000.0, safe)
+        before = len(self.ends)
+        self.workers.start(Call(self.target, (run,), clock()))
+        until(lambda: len(self.ends) > before, "the end")
+        (end,) = self.ends[before:]
+        assert isinstance(end, ExecutionEnd)
+        return end.result
+
+
+@pytest.fixture
+def links() -> Iterator[list[Link]]:
+    made: list[Link] = []
+    yield made
+    for link in made:
+        link.sock.close()
+
+
+@pytest.mark.parametrize("then", [reset_at_a_byte, end_at_a_byte])
+def test_a_dead_connection_costs_an_unsafe_call_nothing(
+    links: list[Link], then: Callable[[socket.socket], None]
+) -> None:
+    links.append(Link(then))
+    rig = Rig(links[0], Free())
+    assert rig.call(safe=False) is Result.DELIVERED
+    assert rig.call(safe=False) is Result.DELIVERED  # over a new connection, as it had not begun
+    assert len(links[0].took) == 2
+    assert rig.call(safe=True) is Result.BROKEN  # one that may be repeated does not wait to find out
+
+
+def test_a_new_connection_that_is_dead_before_the_last_byte_proves_that_nothing_ran(
+    links: list[Link],
+) -> None:
+    links.append(Link(serve_on, first=reset_at_a_byte))
+    rig = Rig(links[0], Free())
+    assert rig.call(safe=False) is Result.NOT_CONNECTED
+
+
+def test_no_last_byte_follows_a_wait_that_was_told_meanwhile(links: list[Link]) -> None:
+    links.append(Link(serve_on))
+    rig = Rig(links[0], Barred())
+    assert rig.call(safe=False) is Result.NOT_CONNECTED
+    assert links[0].took in ([], [b""])  # its connection ended one byte short
+
+
+def test_holding_the_last_byte_back_costs_some_milliseconds(links: list[Link]) -> None:
+    links.append(Link(serve_on))
+    rig = Rig(links[0], Free())
+    for safe in (True, False):
+        rig.call(safe=safe)  # the connection is there
+    begun = time.monotonic()
+    for _ in range(10):
+        assert rig.call(safe=False) is Result.DELIVERED
+    held = (time.monotonic() - begun) / 10
+    assert 0.001 * Limits().hold_least_ms <= held < 0.001 * Limits().hold_most_ms
