--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: build dev test lint run sim clean
+.PHONY: build dev demo test lint run sim clean
 
 build: $(VENV)/built
 
@@ -21,6 +21,9 @@
 	$(BIN)/ruff check .
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/mypy
 
+demo: dev
+	$(BIN)/python -m springspread.cli demo
+
 run: build
 	exec $(BIN)/python -m springspread
 
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -4,15 +4,16 @@
 
 import threading
 
+from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
-from springspread.core.types import Call, LinkState, Result, ServerLink, clock
+from springspread.core.types import Call, LinkState, Result, ServerLink
 
 
 class Clearance:
     """Asked by the threads that write; fed by them and by the loop."""
 
-    def __init__(self, journal: Journal, grace_ms: float) -> None:
-        self._journal, self._grace = journal, grace_ms
+    def __init__(self, journal: Journal, grace_ms: float, clock: Clock = SYSTEM) -> None:
+        self._journal, self._grace, self._clock = journal, grace_ms, clock
         self._lock = threading.Lock()
         self._bars: dict[tuple[int, int], float] = {}
         self._stopped = False
@@ -20,7 +21,7 @@
     def bar(self, link: ServerLink, wait_ms: float) -> None:
         """A link told a wait; it binds at once, before the loop has heard of it."""
         with self._lock:
-            now = clock()
+            now = self._clock.now()
             until = max(now + wait_ms, self._bars.get(link.bar_key, 0.0))
             self._bars = {key: end for key, end in self._bars.items() if end > now}  # of links long gone, too
             self._bars[link.bar_key] = until
@@ -28,7 +29,7 @@
     def barred_ms(self, link: ServerLink) -> float:
         """How long a told wait still bars a link."""
         with self._lock:
-            return max(self._bars.get(link.bar_key, 0.0) - clock(), 0.0)
+            return max(self._bars.get(link.bar_key, 0.0) - self._clock.now(), 0.0)
 
     def leaving(self, link: ServerLink, state: LinkState, told_at: float) -> None:
         """Note what discovery says of a link; a drain counts from when it was first told."""
@@ -51,7 +52,7 @@
             return Result.THROTTLED, wait
         with self._lock:
             # Guards rule 3: a call that was still opening its connection when the drain was told.
-            if self._stopped or clock() > call.link.leaving_at + self._grace:
+            if self._stopped or self._clock.now() > call.link.leaving_at + self._grace:
                 return Result.NOT_SENT, 0.0
         try:
             for execution in call.executions:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -12,6 +11,7 @@
 from springspread.config import Config
 from springspread.core import translate
 from springspread.core.clearance import Clearance
+from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal, JournalFull, Owed
 from springspread.core.types import (
     Call,
@@ -33,8 +33,6 @@
     Scope,
     Stop,
     Verdict,
-    clock,
-    wall,
 )
 from springspread.policy import Dispatcher
 
@@ -52,14 +50,14 @@
 class Groups:
     """The host groups that discovery names, or has named lately."""
 
-    def __init__(self, kept_ms: float) -> None:
-        self._kept_ms = kept_ms
+    def __init__(self, kept_ms: float, clock: Clock) -> None:
+        self._kept_ms, self._clock = kept_ms, clock
         self._seen: dict[int, float] = {}  # when each was last seen with an endpoint
         self.told = False  # whether discovery itself has told the whole list
 
     def note(self, groups: set[int], told: bool) -> None:
         """Take in the groups that have an endpoint now."""
-        now = clock()
+        now = self._clock.now()
         self.told = self.told or told
         self._seen.update(dict.fromkeys(groups, now))
         for group in [group for group, at in self._seen.items() if now - at > self._kept_ms]:
@@ -73,18 +71,21 @@
 class Sender:
     """Feeds the module what came in, a tick at a time, and has its actions carried out."""
 
-    def __init__(self, config: Config, journal: Journal, clearance: Clearance, log: Log) -> None:
+    def __init__(
+        self, config: Config, journal: Journal, clearance: Clearance, log: Log, clock: Clock = SYSTEM
+    ) -> None:
+        self._clock = clock
         self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
         self._journal, self._clearance, self._log = journal, clearance, log
         self._module = Dispatcher(config.settings, config.seed)
         self._classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
-        self._links = translate.Links(config.settings.kinds)
+        self._links = translate.Links(config.settings.kinds, clock)
         self._inbox: SimpleQueue[CoreEvent] = SimpleQueue()
         self._held: dict[int, Held] = {}
         self._numbers: dict[str, int] = {}  # of all that is owed, notices that are out included
         self._recent: OrderedDict[str, bool] = OrderedDict()  # lately over: whether it was delivered
         self._calls: dict[Call, int] = {}
-        self._groups = Groups(config.limits.group_kept_ms)
+        self._groups = Groups(config.limits.group_kept_ms, clock)
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
         self._last = 0.0
@@ -100,7 +101,7 @@
     def restore(self, known: HostGroups) -> None:
         """Take up what the last process owed; only then may a client be told that this one is ready."""
         events: list[i.Event] = [self._listed(known)]
-        now, now_wall = clock(), wall()
+        now, now_wall = self._clock.now(), self._clock.wall()
         for owed in list(self._journal.owed.values()):
             self._numbers[owed.id] = owed.number
             cls = self._classes.get(owed.cls)
@@ -132,20 +133,28 @@
         """Handle batches until a stop is through."""
         while not self._stopped():
             first = self._next()
-            pause = self._last + self._set.tick_ms - clock()
+            pause = self._last + self._set.tick_ms - self._clock.now()
             if pause > 0:
-                time.sleep(pause / 1000.0)
-            batch = [] if first is None else [first]
-            while True:
-                try:
-                    batch.append(self._inbox.get_nowait())
-                except Empty:
-                    break
-            self.step(batch)
+                self._clock.sleep(pause)
+            self.step(([] if first is None else [first]) + self.waiting())
+
+    def waiting(self) -> list[CoreEvent]:
+        """Take what has come in, without waiting for more."""
+        batch: list[CoreEvent] = []
+        while True:
+            try:
+                batch.append(self._inbox.get_nowait())
+            except Empty:
+                return batch
+
+    @property
+    def due(self) -> float:
+        """When the next timer is due; inf where there is none."""
+        return self._timers[0][0] if self._timers else float("inf")
 
     def step(self, batch: list[CoreEvent]) -> None:
         """Handle one batch with the timers that are due."""
-        now = self._last = clock()
+        now = self._last = self._clock.now()
         events: list[i.Event] = []
         for event in batch:
             events += self._take_in(event)
@@ -155,18 +164,18 @@
             self._decide(now, events)
 
     def _next(self) -> CoreEvent | None:
-        due = self._timers[0][0] if self._timers else float("inf")
+        due = self.due
         if self._stop_at < float("inf"):
-            due = min(due, clock() + 20.0)  # the stop's own conditions are looked at this often
+            due = min(due, self._clock.now() + 20.0)  # the stop's own conditions are looked at this often
         try:
             if due == float("inf"):
                 return self._inbox.get()
-            return self._inbox.get(timeout=max(due - clock(), 0.0) / 1000.0)
+            return self._inbox.get(timeout=max(due - self._clock.now(), 0.0) / 1000.0)
         except Empty:
             return None
 
     def _stopped(self) -> bool:
-        since = clock() - self._stop_at
+        since = self._clock.now() - self._stop_at
         if since < self._limits.accept_after_stop_ms + 500.0:
             return False
         return since >= self._limits.stop_ms or not (self._held or self._calls or self._numbers)
@@ -187,7 +196,7 @@
                 for number in numbers:
                     self._forget(number, delivered=False)
             case Stop():
-                self._stop_at = min(self._stop_at, clock())
+                self._stop_at = min(self._stop_at, self._clock.now())
         return []
 
     def _query(self, query: Query) -> list[i.Event]:
@@ -220,9 +229,10 @@
 
     def _admit(self, query: Query, cls: int) -> list[i.Event]:
         number = self._journal.last_number + 1
-        left = query.deadline - clock()
+        left = query.deadline - self._clock.now()
+        until = self._clock.wall() + left
         owed = Owed(
-            number, query.id, query.cls, query.group, wall() + left, query.body, query.again, query.orphan
+            number, query.id, query.cls, query.group, until, query.body, query.again, query.orphan
         )
         try:
             self._journal.taken(owed)
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from springspread import interface as i
+from springspread.core.clock import Clock
 from springspread.core.types import (
     ExecutionEnd,
     HostGroups,
@@ -13,8 +14,6 @@
     Result,
     Scope,
     ServerLink,
-    clock,
-    wall,
 )
 
 OUTCOMES = {
@@ -65,8 +64,8 @@
 class Links:
     """The server links by the numbers that the module knows them by."""
 
-    def __init__(self, kinds: tuple[i.KindSpec, ...]) -> None:
-        self._kinds = kinds
+    def __init__(self, kinds: tuple[i.KindSpec, ...], clock: Clock) -> None:
+        self._kinds, self._clock = kinds, clock
         self._numbers: dict[tuple[str, int], int] = {}
         self._last = 0  # no number is used again
         self.by_number: dict[int, ServerLink] = {}
@@ -117,7 +116,7 @@
             i.RouteEntry(link.number, 0, 0, link.group, i.RouteState.GONE, 0.0) for link in replaced
         ]
         for member in news.members:
-            added = clock() - (wall() - member.since_wall) if member.since_wall else 0.0
+            added = self._clock.now() - (self._clock.wall() - member.since_wall) if member.since_wall else 0.0
             link = self.link(member)
             kind = member.kind if member.kind >= 0 else len(self._kinds)
             state = STATES[member.state]
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -3,21 +3,17 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
-
-def clock() -> float:
-    """Milliseconds on the process's own clock, which never steps."""
-    return time.monotonic() * 1000.0
+from springspread.core.clock import SYSTEM
 
 
-def wall() -> float:
-    """Unix time in milliseconds, for what must be understood by a later process."""
-    return time.time() * 1000.0
+def clock() -> float:
+    """Milliseconds on the process's own clock, which never steps; for drivers, which live in real time."""
+    return SYSTEM.now()
 
 
 class Verdict(Enum):
--- /dev/null
+++ b/springspread/town/sockets.py
@@ -0,0 +1,429 @@
+"""A day on loopback sockets: the model round real sender processes, in real time.
+
+One thread polls every partner's, directory's and platform's sockets and writes answers when they are due;
+clients hand messages in from a pool of threads, at the day's times whatever becomes of earlier ones. It
+measures how late it is itself: a run on which it was late is no result, and says so.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import selectors
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, replace
+from heapq import heappop, heappush
+from math import inf
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from springspread.config import Limits
+from springspread.core.types import LinkState
+from springspread.http1.message import Malformed
+from springspread.http1.server import Request, ServerConnection
+from springspread.net.exchange import FAILURES, Connection
+from springspread.town.checker import Checker, Tally
+from springspread.town.day import CLASSES, Arrival, Change, Day
+from springspread.town.partner import Answer, End, Partner, Trouble
+
+STATUS = {End.DONE: 200, End.FAILED: 500, End.FULL: 503}
+WORDS = {LinkState.READY: "Ready", LinkState.DRAINING: "Terminating", LinkState.GONE: "Gone"}
+RESET = struct.pack("ii", 1, 0)
+HEARD_MS = 400.0  # a client waits so long for its answer
+LATE_MS = 25.0  # a driver that was later than this, at its 99th percentile, has no result
+READY_S = 15.0
+LIMITS = replace(Limits(), body_bytes=1 << 20)
+
+
+@dataclass(frozen=True, slots=True)
+class Live:
+    """What a day on sockets came to. ``late_ms``: the driver's own lateness, 99th percentile and most."""
+
+    checker: Checker
+    late_ms: tuple[float, float]
+
+    @property
+    def valid(self) -> bool:
+        """Whether the driver kept up, so that the figures say something of the senders."""
+        return self.late_ms[0] <= LATE_MS
+
+
+class Place:
+    """One connection to the town."""
+
+    __slots__ = ("sock", "machine", "serve", "open")
+
+    def __init__(self, sock: socket.socket, serve: Callable[[Place, Request], None]) -> None:
+        self.sock, self.serve = sock, serve
+        self.machine = ServerConnection(LIMITS)
+        self.open = True
+
+
+class SocketTown:
+    """Plays one day; use it once, then ``close``."""
+
+    def __init__(self, day: Day, folder: Path) -> None:
+        self.day, self._folder = day, folder
+        self._begun = time.monotonic()
+        self._lock = threading.RLock()
+        self._moments: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._count = 0
+        self._late: list[float] = []
+        self._selector = selectors.DefaultSelector()
+        self._bell, self._ear = socket.socketpair()
+        self._ear.setblocking(False)
+        self._selector.register(self._ear, selectors.EVENT_READ, None)
+        self._partners = {
+            spec.group: Partner(spec.group, spec.habit, [*spec.names, *spec.later], f"{day.seed}")
+            for spec in day.partners
+        }
+        self._kinds = {spec.group: spec.kind for spec in day.partners}
+        self._group = {
+            name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)
+        }
+        listed = {name for spec in day.partners for name in spec.names}
+        self._states = {
+            name: LinkState.READY if name in listed else LinkState.GONE for name in self._group
+        }
+        self._version = 1
+        self._changed: dict[str, int] = dict.fromkeys(self._group, 1)
+        self._watches: list[tuple[Place, str, int, bool]] = []
+        limits = {
+            self._key(name): self._partners[group].habit.limit_per_s or inf
+            for name, group in self._group.items()
+        }
+        self.checker = Checker(CLASSES, 500.0, 8, limits)
+        self._handed = 0
+        self._ports = {name: self._listen(self._call(name)) for name in self._group}
+        self._processes: list[subprocess.Popen[bytes]] = []
+        self._addresses: list[tuple[str, int]] = []
+        self._open = True
+        threading.Thread(target=self._run, name="town", daemon=True).start()
+        self._clients = ThreadPoolExecutor(64, "client")
+
+    # Time and the one polling thread
+
+    def _now(self) -> float:
+        return (time.monotonic() - self._begun) * 1000.0
+
+    def _at(self, when: float, work: Callable[..., None], *values: Any) -> None:
+        with self._lock:
+            self._count += 1
+            heappush(self._moments, (when, self._count, work, values))
+        self._bell.send(b"\0")
+
+    def _run(self) -> None:
+        while self._open:
+            with self._lock:
+                due = self._moments[0][0] if self._moments else inf
+            wait = min(max(due - self._now(), 0.0) / 1000.0, 0.5)
+            for key, _ in self._selector.select(wait):
+                if key.data is None:
+                    self._ear.recv(4096)
+                elif isinstance(key.data, Place):
+                    self._read(key.data)
+                else:
+                    self._accept(key.fileobj, key.data)  # type: ignore[arg-type]
+            with self._lock:
+                while self._moments and self._moments[0][0] <= self._now():
+                    when, _, work, values = heappop(self._moments)
+                    self._late.append(self._now() - when)
+                    work(*values)
+
+    def _listen(self, serve: Callable[[Place, Request], None]) -> int:
+        sock = socket.create_server(("127.0.0.1", 0), backlog=256)
+        sock.setblocking(False)
+        self._selector.register(sock, selectors.EVENT_READ, serve)
+        port: int = sock.getsockname()[1]
+        return port
+
+    def _accept(self, listener: socket.socket, serve: Callable[[Place, Request], None]) -> None:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._selector.register(sock, selectors.EVENT_READ, Place(sock, serve))
+
+    def _read(self, place: Place) -> None:
+        try:
+            data = place.sock.recv(65536)
+            request = place.machine.feed(data) if data else None
+        except (OSError, Malformed):
+            data, request = b"", None
+        if not data:
+            self._end(place)
+        elif request is not None:
+            with self._lock:
+                place.serve(place, request)
+
+    def _end(self, place: Place, reset: bool = False) -> None:
+        if place.open:
+            place.open = False
+            self._selector.unregister(place.sock)
+            if reset:
+                place.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            place.sock.close()
+
+    def _answer(self, place: Place, status: int, headers: dict[str, str], body: bytes = b"") -> None:
+        if not place.open:
+            return
+        length = {} if status == 204 else {"Content-Length": str(len(body))}
+        try:
+            place.sock.send(place.machine.answer(status, {**length, **headers}) + body)
+            request = place.machine.resume()
+        except (OSError, Malformed):
+            self._end(place)
+            return
+        if request is not None:
+            place.serve(place, request)
+
+    # Partners
+
+    def _key(self, endpoint: str) -> str:
+        group = self._group[endpoint]
+        return endpoint if self._partners[group].habit.apart else f"g{group}"
+
+    def _call(self, name: str) -> Callable[[Place, Request], None]:
+        return lambda place, request: self._arrives(name, place, request)
+
+    def _arrives(self, name: str, place: Place, request: Request) -> None:
+        now, group = self._now(), self._group[name]
+        bundle = request.path == "/events/bundle"
+        if bundle:
+            ids = [item["id"] for item in json.loads(request.body)]
+        else:
+            ids = [request.headers.get("X-Correlation-Id")]
+        endpoint, stood = self._partners[group].endpoints[name], False
+        if endpoint.condition.trouble is Trouble.REFUSING:
+            self._end(place, reset=True)  # as near to a refused connection as one that was accepted can be
+            return
+        stood = endpoint.fallen
+        sender, key = self.checker.sender_of(ids[0]), self._key(name)
+        self.checker.call(now, sender, name, group, key, ids)
+        answer = endpoint.arrive(now, len(ids))
+        if endpoint.fallen and not stood:
+            self.checker.pushed_over(now, name)
+        if answer.ran:
+            self.checker.done(now, sender, key, ids, "maybe", True)
+        if answer.end is End.REFUSED:
+            self._end(place, reset=True)
+        elif answer.at < inf:
+            self._at(answer.at, self._told, name, place, ids, answer, bundle)
+
+    def _told(self, name: str, place: Place, ids: list[str], answer: Answer, bundle: bool) -> None:
+        now, key, sender = self._now(), self._key(name), self.checker.sender_of(ids[0])
+        headers, body = {}, b""
+        if answer.left_share is not None:
+            headers["X-Backend-Load"] = f"x0={answer.left_share:.3f},x1={answer.limit_per_s:.3f}"
+        if answer.wait_ms:
+            headers["Retry-After"] = f"{answer.wait_ms / 1000:.3f}"
+            self.checker.wait(now, sender, key, answer.wait_ms)
+        if answer.end is End.DONE:
+            body = json.dumps([{"id": id, "state": "done"} for id in ids]).encode() if bundle else b""
+        was_open = place.open
+        self._answer(place, STATUS[answer.end], headers, body)
+        if was_open and answer.end is End.DONE:
+            self.checker.done(now, sender, key, ids, "delivered", False)
+        elif answer.end is not End.FULL:
+            self.checker.done(now, sender, key, ids, "maybe", False)
+
+    def _change(self, change: Change) -> None:
+        if change.condition is not None:
+            group = self._partners[self._group[change.endpoint]]
+            group.endpoints[change.endpoint].troubled(self._now(), change.condition)
+        if change.state:
+            self._at(self._now() + self.day.list_lag_ms, self._listed, change)
+
+    # Directory and platform
+
+    def _listed(self, change: Change) -> None:
+        self._states[change.endpoint] = LinkState(change.state)
+        self._version += 1
+        self._changed[change.endpoint] = self._version
+        watches, self._watches = self._watches, []
+        for place, sender, since, _ in watches:
+            self._tell(place, sender, since, False)
+
+    def _line(self, name: str) -> dict[str, Any]:
+        group = self._group[name]
+        return {
+            "name": name,
+            "address": f"127.0.0.1:{self._ports[name]}",
+            "zone": self.day.zones.get(name, ""),
+            "type": self._kinds[group],
+            "group": group,
+            "status": WORDS[self._states[name]],
+            "weight": self._partners[group].rating,
+            "since_ms": 0,
+        }
+
+    def _directory(self, sender: str) -> Callable[[Place, Request], None]:
+        def serve(place: Place, request: Request) -> None:
+            if request.method == "POST":
+                for line in request.body.splitlines():
+                    item = json.loads(line)
+                    self.checker.notice(self._now(), item["id"], item["status"])
+                    if item["status"] == "deferred":
+                        self._again(item["id"], item.get("again_ms", 0.0))
+                self._answer(place, 204, {})
+                return
+            asked = parse_qs(urlsplit(request.path).query)
+            since = int(asked["since"][0]) if "since" in asked else None
+            if since is None or since != self._version:
+                self._tell(place, sender, since or 0, since is None)
+                return
+            self._watches.append((place, sender, since, False))
+            wait = float(asked.get("timeout_ms", ["0"])[0])
+            self._at(self._now() + wait, self._watched, place, sender, since)
+
+        return serve
+
+    def _watched(self, place: Place, sender: str, since: int) -> None:
+        for watch in self._watches:
+            if watch[0] is place and watch[2] == since:
+                self._watches.remove(watch)
+                self._tell(place, sender, since, False)
+                return
+
+    def _tell(self, place: Place, sender: str, since: int, whole: bool) -> None:
+        names = [name for name in self._group if whole or self._changed[name] > since]
+        if whole:
+            names = [name for name in names if self._states[name] is not LinkState.GONE]
+        told = {"index": self._version, "snapshot": whole, "endpoints": [self._line(n) for n in names]}
+        for name in names:
+            self.checker.listed(self._now(), sender, name, self._states[name] is LinkState.READY)
+        self._answer(place, 200, {}, json.dumps(told).encode())
+
+    # Senders
+
+    def _start(self, index: int) -> None:
+        name, place = f"n{index}", self._folder / f"n{index}"
+        (place / "state").mkdir(parents=True)
+        directory = self._listen(self._directory(name))
+        names = [name for name, state in self._states.items() if state is LinkState.READY]
+        raw = {
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{directory}",
+            "state": str(place / "state"),
+            "seed": f"{self.day.seed * 1000 + index:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 8},
+            "known": {"index": 1, "snapshot": True, "endpoints": [self._line(n) for n in names]},
+            "settings": self.day.settings(index),
+        }
+        file = place / "config.json"
+        file.write_text(json.dumps(raw))
+        env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        log = (place / "log").open("wb")
+        process = subprocess.Popen(
+            [sys.executable, "-m", "springspread"], env={**env, "RELAY_CONFIG": str(file)}, stderr=log
+        )
+        log.close()
+        self._processes.append(process)
+        self._addresses.append(_ready(process, place / "log"))
+
+    # Clients
+
+    def _hand_in(self, arrival: Arrival, tries: int, first_at: float) -> None:
+        spec = next(spec for spec in CLASSES if spec.name == arrival.cls)
+        left = first_at + spec.deadline_ms - self._now()
+        if left <= 0:
+            return
+        self._handed += 1
+        id, sender = f"m{self._handed}", f"n{arrival.sender}"
+        self._errands[id] = (arrival, tries, first_at)
+        again = tries < self.day.retries
+        self.checker.handed_in(self._now(), sender, id, spec.name, arrival.group, left, first_at, again)
+        self._clients.submit(self._ask, id, arrival, left)
+
+    def _ask(self, id: str, arrival: Arrival, left: float) -> None:
+        headers = {
+            "Host": "town",
+            "X-Correlation-Id": id,
+            "X-Service-Class": arrival.cls,
+            "X-Time-Left-Ms": str(max(int(left), 1)),
+            "X-Consignee": f"dest={arrival.group}",
+        }
+        until = time.monotonic() * 1000.0 + HEARD_MS
+        status = 0
+        try:
+            connection = Connection(self._addresses[arrival.sender], until, LIMITS)
+            try:
+                connection.write("POST", "/api", headers, arrival.body, until)
+                status = connection.read(until).status
+            finally:
+                connection.close()
+        except FAILURES:
+            pass
+        with self._lock:
+            self.checker.verdict(self._now(), id, status in (200, 202))
+            if status not in (200, 202):
+                self._again(id, 0.0)
+
+    def _again(self, id: str, after_ms: float) -> None:
+        arrival, tries, first_at = self._errands[id]
+        if tries:
+            when = self._now() + max(after_ms, self.day.retry_ms)
+            self._at(when, self._hand_in, arrival, tries - 1, first_at)
+
+    def play(self, each_s: Callable[[float, Tally], None] | None = None) -> Live:
+        """Start the senders and play the day; ``each_s`` hears the time and the tally about once a second."""
+        self._errands: dict[str, tuple[Arrival, int, float]] = {}
+        for index in range(self.day.senders):
+            self._start(index)
+        self._begun = time.monotonic() + 0.5
+        for arrival in self.day.arrivals:
+            self._at(arrival.at, self._hand_in, arrival, self.day.retries, arrival.at)
+        for change in self.day.changes:
+            self._at(change.at, self._change, change)
+        longest = max(spec.deadline_ms for spec in CLASSES)
+        end, told = self.day.length_ms + longest + 1000.0, 0.0
+        while self._now() < end and not (self._now() > self.day.length_ms and self._settled()):
+            time.sleep(0.05)
+            if each_s is not None and self._now() >= told + 1000.0:
+                told = self._now()
+                with self._lock:
+                    each_s(told, self.checker.tally)
+        with self._lock:
+            self.checker.close(end)
+        late = sorted(self._late) or [0.0]
+        return Live(self.checker, (late[int(0.99 * (len(late) - 1))], late[-1]))
+
+    def _settled(self) -> bool:
+        with self._lock:
+            return not self.checker.open and not any(work == self._hand_in for _, _, work, _ in self._moments)
+
+    def close(self) -> None:
+        """End the senders and every socket."""
+        for process in self._processes:
+            process.terminate()
+        for process in self._processes:
+            try:
+                process.wait(5.0)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._clients.shutdown()
+        self._open = False
+
+
+def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
+    """Where a sender that has just been started listens, from its log."""
+    end = time.monotonic() + READY_S
+    while time.monotonic() < end and process.poll() is None:
+        for line in log.read_text().splitlines():
+            if '"event": "ready"' in line:
+                host, _, port = json.loads(line)["listen"].rpartition(":")
+                return host, int(port)
+        time.sleep(0.02)
+    raise RuntimeError(f"a sender did not come up: {log.read_text()[-500:]}")
--- /dev/null
+++ b/springspread/town/virtual.py
@@ -0,0 +1,448 @@
+"""A day in virtual time: the model round real senders (loop, module, journal, clearance) in one process.
+
+One heap holds all moments, ties in the order in which they were put there; a clock given to the senders jumps
+from one to the next. What sockets do to a message is modelled: a way there and back, a handshake for a new
+connection, time-outs, a cancelled call's connection. Same day, same result, whatever the machine's pace.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from springspread import config
+from springspread.core.clearance import Clearance
+from springspread.core.journal import Journal
+from springspread.core.loop import Sender
+from springspread.core.types import (
+    Call,
+    CoreEvent,
+    Execution,
+    ExecutionEnd,
+    HostGroups,
+    LinkState,
+    Load,
+    Member,
+    Notice,
+    NoticeHeard,
+    ProbeEnd,
+    Query,
+    Result,
+    Scope,
+    ServerLink,
+    Verdict,
+)
+from springspread.town.checker import Checker
+from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day
+from springspread.town.partner import Answer, End, Partner
+
+RESULTS = {
+    End.DONE: Result.DELIVERED,
+    End.FAILED: Result.ERROR,
+    End.FULL: Result.THROTTLED,
+    End.REFUSED: Result.NOT_CONNECTED,
+    End.RESET: Result.BROKEN,
+}
+KEPT_MS = 3_500.0  # a connection idle for longer is opened anew
+EPOCH_MS = 1.8e12  # what the day's zero is on the wall
+
+
+@dataclass(slots=True)
+class VirtualClock:
+    """The town's time."""
+
+    at: float = 0.0
+
+    def now(self) -> float:
+        """Milliseconds since the day began."""
+        return self.at
+
+    def wall(self) -> float:
+        """Unix time: a fixed moment on, so that every run is alike."""
+        return EPOCH_MS + self.at
+
+    def sleep(self, ms: float) -> None:
+        """Nobody sleeps in virtual time: the town calls each when its moment has come."""
+        raise AssertionError(f"a sender slept for {ms} ms in virtual time")
+
+
+class Lines:
+    """What the senders logged, counted by event."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def info(self, event: str, **values: object) -> None:
+        """Count it."""
+        self.counts[event] += 1
+
+    warning = error = info
+
+
+@dataclass(frozen=True, slots=True)
+class Knobs:
+    """Faults put in on purpose, so that the checker can be seen to convict."""
+
+    ignore_drains: bool = False
+    ignore_waits: bool = False
+    drop_notices: bool = False
+    repeat_unsafe: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """A call on its way: which of its executions still wait."""
+
+    call: Call
+    waiting: set[int]
+    over: bool = False
+
+
+class Instance:
+    """One sender in the town, and the drivers that stand in for its sockets."""
+
+    def __init__(self, town: Town, index: int, folder: Path, seed: int) -> None:
+        self.town, self.index, self.name = town, index, f"n{index}"
+        raw: dict[str, Any] = {
+            "name": self.name,
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:9",
+            "state": str(folder),
+            "seed": f"{seed:x}",
+            "limits": {"sockets": 1024, "memory_mb": 192, "disk_mb": 8},
+            "settings": town.day.settings(index),
+        }
+        self.config = config.read(raw, {})
+        limits, settings = self.config.limits, self.config.settings
+        self.journal = Journal(folder, limits.disk_bytes, settings.max_attempts, limits.body_bytes)
+        grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
+        self.clearance = Clearance(self.journal, grace, town.clock)
+        self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock)
+        self.sender.attach(self, self, self)
+        self._out: dict[Call, Out] = {}
+        self._idle: dict[int, list[float]] = {}
+        self._watching = False
+        self._step_at = inf
+        self._stepped = -inf
+        self.sender.restore(HostGroups(Scope.CACHED))
+        self.wake()
+
+    # The loop: what came in is handled at the next tick, timers when they are due.
+
+    def put(self, event: CoreEvent) -> None:
+        """Hand an event to the sender."""
+        self.sender.put(event)
+        self.wake(now=True)
+
+    def wake(self, now: bool = False) -> None:
+        """Have the sender step when something is due."""
+        at = self.town.clock.now() if now else self.sender.due
+        at = max(at, self._stepped + self.config.settings.tick_ms)
+        if at < self._step_at:
+            self._step_at = at
+            self.town.at(at, self._step, at)
+
+    def _step(self, planned: float) -> None:
+        if planned != self._step_at:
+            return  # an earlier step came in between
+        self._step_at, self._stepped = inf, planned
+        self.sender.step(self.sender.waiting())
+        self.wake()
+
+    # Executor
+
+    def start(self, call: Call) -> None:
+        """Begin a call, or a probe where it has no executions."""
+        town, now = self.town, self.town.clock.now()
+        if not call.executions:
+            self._probe(call)
+            return
+        refused = self.clearance.refuses(call)
+        if refused is not None and not self._overrides(refused[0]):
+            for run in call.executions:
+                self.put(ExecutionEnd(call, run, refused[0], now, refused[1]))
+            return
+        self._out[call] = Out(call, {run.number for run in call.executions})
+        endpoint = call.link.name
+        town.checker.call(now, self.name, endpoint, call.link.group, town.key(endpoint), _ids(call))
+        way = town.way(self.index, endpoint)
+        town.at(now + way + self._handshake(call.link, way), self._arrives, call)
+        for until in sorted({run.until for run in call.executions}):
+            town.at(until, self._late, call, until)
+
+    def _overrides(self, result: Result) -> bool:
+        knobs = self.town.knobs
+        return knobs.ignore_waits and result is Result.THROTTLED or (
+            knobs.ignore_drains and result is Result.NOT_SENT
+        )
+
+    def _handshake(self, link: ServerLink, way: float) -> float:
+        now, idle = self.town.clock.now(), self._idle.get(link.number, [])
+        fresh = [at for at in idle if now - at < KEPT_MS]
+        if fresh:
+            self._idle[link.number] = fresh[:-1]
+            return 0.0
+        self._idle.pop(link.number, None)
+        return 2 * way
+
+    def _arrives(self, call: Call) -> None:
+        out = self._out.get(call)
+        if out is None:
+            return  # its connection ended on the way
+        now, endpoint = self.town.clock.now(), call.link.name
+        answer = self.town.arrive(endpoint, len(call.executions))
+        if answer.ran:
+            self.town.checker.done(now, self.name, self.town.key(endpoint), _ids(call), "maybe", True)
+        if answer.at < inf:
+            self.town.at(answer.at + self.town.way(self.index, endpoint), self._hears, call, answer)
+
+    def _hears(self, call: Call, answer: Answer) -> None:
+        out = self._out.pop(call, None)
+        if out is None:
+            return  # it had stopped waiting
+        now, result = self.town.clock.now(), RESULTS[answer.end]
+        key = self.town.key(call.link.name)
+        if answer.wait_ms:
+            self.town.checker.wait(now, self.name, key, answer.wait_ms)
+            if not self.town.knobs.ignore_waits:
+                self.clearance.bar(call.link, answer.wait_ms)
+        runs = [run for run in call.executions if run.number in out.waiting]
+        ids = [run.id for run in runs]
+        if answer.end is End.DONE:
+            self.town.checker.done(now, self.name, key, ids, "delivered", False)
+        elif answer.end is End.FAILED and not answer.ran:
+            self.town.checker.done(now, self.name, key, ids, "maybe", False)
+        if answer.end is not End.REFUSED:
+            self._idle.setdefault(call.link.number, []).append(now)
+        for run in runs:
+            load = Load(answer.left_share, answer.limit_per_s)
+            self.put(ExecutionEnd(call, run, result, now, answer.wait_ms, load))
+
+    def _late(self, call: Call, until: float) -> None:
+        out = self._out.get(call)
+        if out is None:
+            return
+        now = self.town.clock.now()
+        late = [run for run in call.executions if run.number in out.waiting and run.until <= until]
+        self.town.checker.done(now, self.name, "", [run.id for run in late], "maybe", False)
+        self._end(call, out, late, Result.TIMED_OUT)
+
+    def _end(self, call: Call, out: Out, runs: list[Execution], result: Result) -> None:
+        out.waiting -= {run.number for run in runs}
+        if not out.waiting:
+            del self._out[call]
+        for run in runs:
+            self.put(ExecutionEnd(call, run, result, self.town.clock.now()))
+
+    def cancel(self, call: Call) -> None:
+        """Close the call's connection: what had arrived runs on."""
+        call.cancelled.set()
+        out = self._out.get(call)
+        if out is not None:
+            runs = [run for run in call.executions if run.number in out.waiting]
+            now = self.town.clock.now()
+            self.town.checker.done(now, self.name, "", [run.id for run in runs], "maybe", False)
+            self._end(call, out, runs, Result.CANCELLED)
+
+    def _probe(self, call: Call) -> None:
+        way = self.town.way(self.index, call.link.name)
+        end = ProbeEnd(call.link, Result.DELIVERED, 2 * way)
+        self.town.at(self.town.clock.now() + 2 * way, self.put, end)
+
+    def close_idle(self, link: ServerLink) -> None:
+        """Close the kept connections to a link."""
+        self._idle.pop(link.number, None)
+
+    # Directory
+
+    def watch(self, active: bool) -> None:
+        """Begin or end the watch."""
+        if active and not self._watching:
+            self._watching = True
+            self.fetch()
+        self._watching = active
+
+    def fetch(self) -> None:
+        """Ask for the whole list."""
+        town = self.town
+        town.at(town.clock.now() + 2 * town.day.network_ms[0], self.told, Scope.WHOLE, list(town.states))
+
+    def told(self, scope: Scope, names: list[str]) -> None:
+        """Discovery's answer comes in."""
+        town, now = self.town, self.town.clock.now()
+        if scope is Scope.CHANGES and not self._watching:
+            return
+        if scope is Scope.WHOLE:
+            names = [name for name in names if town.states[name] is not LinkState.GONE]
+        for name in names:
+            town.checker.listed(now, self.name, name, town.states[name] is LinkState.READY)
+        members = tuple(town.member(name) for name in names)
+        if town.knobs.ignore_drains:
+            members = tuple(member for member in members if member.state is LinkState.READY)
+        self.put(HostGroups(scope, town.version, members, now))
+
+    # Platform
+
+    def tell(self, notice: Notice) -> None:
+        """Tell the platform a message's end."""
+        town = self.town
+        if not town.knobs.drop_notices:
+            town.at(town.clock.now() + town.day.network_ms[0], self._noticed, notice)
+
+    def _noticed(self, notice: Notice) -> None:
+        town, now = self.town, self.town.clock.now()
+        town.checker.notice(now, notice.id, "deferred" if notice.deferred else "undeliverable")
+        town.at(now + town.day.network_ms[0], self.put, NoticeHeard((notice.number,)))
+        if notice.deferred:
+            town.again(notice.id, notice.again_ms)
+
+
+@dataclass(slots=True)
+class Errand:
+    """A client's message: what it hands in, and how often it still would."""
+
+    arrival: Arrival
+    tries: int
+    first_at: float
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a day came to."""
+
+    checker: Checker
+    calls: int
+    logged: dict[str, int] = field(default_factory=dict)
+
+
+class Town:
+    """The heap of moments, the partners, the clients, and the senders among them."""
+
+    def __init__(self, day: Day, folder: Path, knobs: Knobs | None = None) -> None:
+        self.day, self.knobs = day, knobs or Knobs()
+        self.clock, self.log = VirtualClock(), Lines()
+        self._moments: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._count = 0
+        self.partners = {
+            spec.group: Partner(spec.group, spec.habit, [*spec.names, *spec.later], f"{day.seed}")
+            for spec in day.partners
+        }
+        self._kinds = {spec.group: KINDS.index(spec.kind) for spec in day.partners}
+        self._group = {
+            name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)
+        }
+        self._ports = {name: 1000 + n for n, name in enumerate(self._group)}
+        listed = {name for spec in day.partners for name in spec.names}
+        self.states = {
+            name: LinkState.READY if name in listed else LinkState.GONE for name in self._group
+        }
+        self.version = 1
+        limits = {
+            self.key(name): self.partners[group].habit.limit_per_s or inf
+            for name, group in self._group.items()
+        }
+        self.checker = Checker(CLASSES, 500.0, 8, limits)
+        self._errands: dict[str, Errand] = {}
+        self._handed = 0
+        self.instances = []
+        for n in range(day.senders):
+            place = folder / f"n{n}"
+            place.mkdir(parents=True)
+            self.instances.append(Instance(self, n, place, day.seed * 1000 + n))
+
+    def at(self, when: float, work: Callable[..., None], *values: Any) -> None:
+        """Have something done at a time."""
+        self._count += 1
+        heappush(self._moments, (when, self._count, work, values))
+
+    def key(self, endpoint: str) -> str:
+        """What a limit and a told wait bind."""
+        group = self._group[endpoint]
+        return endpoint if self.partners[group].habit.apart else f"g{group}"
+
+    def way(self, sender: int, endpoint: str) -> float:
+        """One way between a sender's building (they take turns) and an endpoint's."""
+        near, far = self.day.network_ms
+        return near if self.day.zones.get(endpoint) == ZONES[sender % 2] else far
+
+    def arrive(self, name: str, messages: int) -> Answer:
+        """A call's last byte has come to an endpoint."""
+        endpoint = self.partners[self._group[name]].endpoints[name]
+        stood = endpoint.fallen
+        answer = endpoint.arrive(self.clock.now(), messages)
+        if endpoint.fallen and not stood:
+            self.checker.pushed_over(self.clock.now(), name)
+        return answer
+
+    def member(self, name: str) -> Member:
+        """An endpoint's line in the list."""
+        group = self._group[name]
+        zone = ZONES.index(self.day.zones.get(name, ZONES[0]))
+        rating = self.partners[group].rating
+        kind, state = self._kinds[group], self.states[name]
+        return Member(name, "127.0.0.1", self._ports[name], group, zone, kind, state, rating, 0.0)
+
+    def _change(self, change: Change) -> None:
+        endpoint = self.partners[self._group[change.endpoint]].endpoints[change.endpoint]
+        if change.condition is not None:
+            endpoint.troubled(self.clock.now(), change.condition)
+        if change.state:
+            self.states[change.endpoint] = LinkState(change.state)
+            self.version += 1
+            for instance in self.instances:
+                when = self.clock.now() + self.day.list_lag_ms
+                self.at(when, instance.told, Scope.CHANGES, [change.endpoint])
+
+    # Clients
+
+    def _hand_in(self, errand: Errand) -> None:
+        arrival, now = errand.arrival, self.clock.now()
+        spec = next(spec for spec in CLASSES if spec.name == arrival.cls)
+        left = errand.first_at + spec.deadline_ms - now
+        if left <= 0:
+            return
+        self._handed += 1
+        id, instance = f"m{self._handed}", self.instances[arrival.sender]
+        self._errands[id] = errand
+        again, group = now > errand.first_at, arrival.group
+        self.checker.handed_in(now, instance.name, id, spec.name, group, left, errand.first_at, again)
+        query = Query(id, spec.name, group, now + left, arrival.body, again, told=self._heard)
+        instance.put(query)
+
+    def _heard(self, query: Query) -> None:
+        taken = query.verdict in (Verdict.TAKEN, Verdict.DELIVERED)
+        self.checker.verdict(self.clock.now(), query.id, taken)
+        if not taken:
+            self.again(query.id, 0.0)
+
+    def again(self, id: str, after_ms: float) -> None:
+        """A refused client comes again, if it has a try left."""
+        errand = self._errands[id]
+        if errand.tries:
+            errand.tries -= 1
+            self.at(self.clock.now() + max(after_ms, self.day.retry_ms), self._hand_in, errand)
+
+    def play(self) -> Outcome:
+        """Play the day to its end: the last message's time, and the slack of the rules."""
+        for arrival in self.day.arrivals:
+            self.at(arrival.at, self._hand_in, Errand(arrival, self.day.retries, arrival.at))
+        for change in self.day.changes:
+            self.at(change.at, self._change, change)
+        end = self.day.length_ms + max(spec.deadline_ms for spec in CLASSES) + 1000.0
+        while self._moments and self._moments[0][0] <= end:
+            when, _, work, values = heappop(self._moments)
+            self.clock.at = max(self.clock.at, when)
+            work(*values)
+        self.checker.close(end)
+        for instance in self.instances:
+            instance.journal.close()
+        return Outcome(self.checker, self.checker.tally.calls, dict(sorted(self.log.counts.items())))
+
+
+def _ids(call: Call) -> list[str]:
+    return [run.id for run in call.executions]
--- /dev/null
+++ b/tests/town/test_checker.py
@@ -0,0 +1,146 @@
+"""The checker alone: each promise broken by hand, one at a time, and each kept."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from springspread.town.checker import Checker
+from springspread.town.day import CLASSES
+
+NOTE, FEE = (spec.name for spec in CLASSES)
+
+
+def checker() -> Checker:
+    made = Checker(CLASSES, 500.0, 3, {"g7": 1.0})
+    made.handed_in(0.0, "n0", "a", FEE, 7, 28_000.0, 0.0)
+    made.verdict(1.0, "a", True)
+    return made
+
+
+def call(it: Checker, at: float = 10.0, group: int = 7) -> None:
+    it.call(at, "n0", "s-1", group, "g7", ["a"])
+
+
+def delivered(it: Checker, at: float = 500.0) -> None:
+    it.done(at, "n0", "g7", ["a"], "delivered", False)
+
+
+def good(it: Checker) -> None:
+    call(it)
+    it.done(400.0, "n0", "g7", ["a"], "maybe", True)
+    delivered(it)
+
+
+def sent_again(it: Checker) -> None:
+    call(it)
+    it.done(400.0, "n0", "g7", ["a"], "maybe", False)
+    call(it, 600.0)
+    delivered(it, 900.0)
+
+
+def ran_twice(it: Checker) -> None:
+    good(it)
+    it.done(600.0, "n0", "g7", ["a"], "maybe", True)
+
+
+def never_ended(it: Checker) -> None:
+    call(it)
+
+
+def told_late(it: Checker) -> None:
+    it.notice(28_400.0, "a", "deferred")
+
+
+def told_in_time(it: Checker) -> None:
+    it.notice(28_300.0, "a", "undeliverable")
+
+
+def two_ends(it: Checker) -> None:
+    it.notice(100.0, "a", "deferred")
+    it.notice(200.0, "a", "undeliverable")
+
+
+def wrong_group(it: Checker) -> None:
+    call(it, group=8)
+    delivered(it)
+
+
+def after_a_drain(it: Checker) -> None:
+    it.listed(0.0, "n0", "s-1", False)
+    call(it, 551.0)
+    delivered(it, 900.0)
+
+
+def within_the_grace(it: Checker) -> None:
+    it.listed(0.0, "n0", "s-1", False)
+    call(it, 540.0)
+    delivered(it, 900.0)
+
+
+def within_a_wait(it: Checker) -> None:
+    it.wait(0.0, "n0", "g7", 1000.0)
+    call(it, 900.0)
+    delivered(it, 1500.0)
+
+
+def after_a_wait(it: Checker) -> None:
+    it.wait(0.0, "n0", "g7", 1000.0)
+    call(it, 1001.0)
+    delivered(it, 1500.0)
+
+
+def too_many_attempts(it: Checker) -> None:
+    for n in range(4):
+        call(it, 10.0 + n)
+        it.done(20.0 + n, "n0", "g7", ["a"], "never", False)
+    delivered(it)
+
+
+def pushed(it: Checker) -> None:
+    good(it)
+    it.pushed_over(600.0, "s-1")
+
+
+@pytest.mark.parametrize(
+    ("history", "expected"),
+    [
+        (good, []),
+        (told_in_time, []),
+        (within_the_grace, []),
+        (after_a_wait, []),
+        (sent_again, ["twice"]),
+        (ran_twice, ["twice"]),
+        (never_ended, ["lost"]),
+        (told_late, ["late"]),
+        (two_ends, ["answers"]),
+        (wrong_group, ["group"]),
+        (after_a_drain, ["drain"]),
+        (within_a_wait, ["wait"]),
+        (too_many_attempts, ["attempts"]),
+        (pushed, ["cold"]),
+    ],
+)
+def test_each_promise_is_judged_by_itself(history: Callable[[Checker], None], expected: list[str]) -> None:
+    it = checker()
+    history(it)
+    it.close(60_000.0)
+    assert [fault.rule for fault in it.faults] == expected
+
+
+def test_worth_falls_by_half_with_each_further_aim_down_to_its_least() -> None:
+    for took, worth in ((4000.0, 2.0), (8000.0, 1.0), (20_000.0, 1.0)):
+        it = checker()
+        delivered(it, took)
+        assert it.tally.kept == pytest.approx(worth)
+        assert it.tally.service == pytest.approx(worth / 2)
+
+
+def test_calls_above_the_limit_are_counted_by_span() -> None:
+    it = checker()
+    for n in range(3):
+        call(it, 10.0 + n)
+        it.done(20.0 + n, "n0", "g7", ["a"], "never", False)
+    it.close(1000.0)
+    assert it.tally.over_limit == 1
--- /dev/null
+++ b/tests/town/test_partner.py
@@ -0,0 +1,78 @@
+"""Partners alone: limits, places of work, troubles and the cold return."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from math import inf
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from springspread.town.partner import Condition, End, Endpoint, Habit, Limit, Partner, Trouble
+
+HABIT = Habit(pace_ms=100.0, spread=0.0, places=2, queue=2)
+
+
+def endpoint(habit: Habit = HABIT, limit: Limit | None = None) -> Endpoint:
+    return Endpoint("s-1", habit, Random(1), limit)
+
+
+def test_places_of_work_then_a_queue_then_full() -> None:
+    it = endpoint()
+    answers = [it.arrive(0.0) for _ in range(7)]
+    assert [answer.at for answer in answers[:4]] == [100.0, 100.0, 200.0, 200.0]
+    assert answers[-1].end is End.FULL and not answers[-1].ran
+    assert it.arrive(150.0).end is End.DONE  # two places came free
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.lists(st.floats(0, 500), min_size=1, max_size=200), st.integers(1, 20))
+def test_no_span_takes_more_calls_than_its_count(gaps: list[float], per_s: int) -> None:
+    limit, now, taken = Limit(per_s, 2000.0), 0.0, Counter[int]()
+    for gap in gaps:
+        now += gap
+        taken[int(now / 2000.0)] += limit.take(now)
+    assert max(taken.values()) <= 2 * per_s
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.lists(st.floats(0, 500), min_size=1, max_size=200), st.integers(1, 20))
+def test_a_plain_rate_is_never_passed_by_more_than_its_burst(gaps: list[float], per_s: int) -> None:
+    limit, now, taken = Limit(per_s), 0.0, 0
+    for gap in gaps:
+        now += gap
+        taken += limit.take(now)
+        assert taken <= max(per_s * 0.5, 1.0) + per_s * now / 1000 + 1e-6
+
+
+def test_endpoints_share_a_limit_unless_they_are_routes_apart() -> None:
+    habit = replace(HABIT, limit_per_s=1.0, span_ms=2000.0, places=50)
+    for apart, served in ((False, 2), (True, 4)):
+        partner = Partner(1, replace(habit, apart=apart), ["a", "b"], "seed")
+        ends = [it.arrive(0.0).end for _ in range(5) for it in partner.endpoints.values()]
+        assert ends.count(End.DONE) == served
+
+
+def test_each_trouble_ends_calls_in_its_own_way() -> None:
+    it = endpoint()
+    seen = {}
+    for trouble in (Trouble.REFUSING, Trouble.SILENT, Trouble.SHUT, Trouble.FAILING, Trouble.NONE):
+        it.condition = Condition(trouble)
+        answer = it.arrive(0.0)
+        seen[trouble] = answer.end
+        assert (answer.at == inf) == (trouble is Trouble.SILENT)
+    assert list(seen.values()) == [End.REFUSED, End.SILENT, End.FULL, End.FAILED, End.DONE]
+
+
+def test_it_comes_back_cold_and_falls_over_when_pushed() -> None:
+    for calls, stands in ((3, True), (40, False)):
+        it = endpoint(replace(HABIT, places=4, queue=100))
+        it.troubled(0.0, Condition(Trouble.REFUSING))
+        it.troubled(10_000.0, Condition())
+        assert it.warmth(10_000.0) == it.habit.cold_share
+        for n in range(calls):
+            it.arrive(10_000.0 + n)
+        assert it.fallen is not stands
+        assert it.warmth(30_000.0) == 1.0
