--- /dev/null
+++ b/benchmarks/drivers.py
@@ -0,0 +1,92 @@
+"""The town's two drivers against each other: the same ten days in virtual time and on sockets, side by side.
+
+    python -m benchmarks.drivers [--seconds 8] [--csv FILE]
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from springspread.town.day import Day, draw
+from springspread.town.sockets import SocketTown
+from springspread.town.virtual import Town
+
+COLUMNS = (
+    "scenario",
+    "messages",
+    "service_virtual",
+    "service_sockets",
+    "difference",
+    "refused_virtual",
+    "refused_sockets",
+    "faults_virtual",
+    "faults_sockets",
+    "late_ms_p99",
+    "virtual_messages_per_s",
+)
+
+
+def scenarios(length_ms: float) -> dict[str, Day]:
+    """Ten days, by name."""
+    days = {"calm": draw(1, senders=2, length_ms=length_ms)}
+    for n, trouble in enumerate(("refusing", "silent", "failing", "shut", "slow")):
+        days[trouble] = draw(2 + n, senders=2, length_ms=length_ms, troubles=3, trouble=trouble)
+    days["drains"] = draw(7, senders=2, length_ms=length_ms, drains=5)
+    days["overload"] = draw(8, senders=2, length_ms=length_ms, load=1.2)
+    days["all"] = draw(9, senders=3, length_ms=length_ms, load=0.9, troubles=3, drains=3)
+    days["five senders"] = draw(10, senders=5, length_ms=length_ms, per_s=50.0, troubles=2)
+    return days
+
+
+def compare(name: str, day: Day) -> dict[str, object]:
+    """Play a day twice."""
+    with tempfile.TemporaryDirectory(prefix="springspread-drivers-") as folder:
+        begun = time.perf_counter()
+        virtual = Town(day, Path(folder) / "virtual").play().checker
+        took = time.perf_counter() - begun
+        town = SocketTown(day, Path(folder) / "sockets")
+        try:
+            live = town.play()
+        finally:
+            town.close()
+    ours, theirs = virtual.tally, live.checker.tally
+    for fault in live.checker.faults[:3]:
+        print(name, fault, file=sys.stderr)
+    return {
+        "scenario": name,
+        "messages": ours.messages,
+        "service_virtual": round(ours.service, 4),
+        "service_sockets": round(theirs.service, 4),
+        "difference": round(theirs.service - ours.service, 4),
+        "refused_virtual": ours.refused,
+        "refused_sockets": theirs.refused,
+        "faults_virtual": len(virtual.faults),
+        "faults_sockets": len(live.checker.faults),
+        "late_ms_p99": round(live.late_ms[0], 1),
+        "virtual_messages_per_s": round(ours.messages / took),
+    }
+
+
+def main() -> None:
+    """Play each day twice and write a line."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--processes", type=int, default=4, help="days at once; each takes two cores")
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    with ProcessPoolExecutor(args.processes) as pool:
+        rows = list(pool.map(compare, *zip(*scenarios(1000 * args.seconds).items(), strict=True)))
+    for out in [sys.stdout] + ([args.csv.open("w", newline="")] if args.csv else []):
+        writer = csv.DictWriter(out, COLUMNS, lineterminator="\n")
+        writer.writeheader()
+        writer.writerows(rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/lab/chart.py
+++ b/springspread/lab/chart.py
@@ -9,6 +9,8 @@
 from matplotlib.backends.backend_agg import FigureCanvasAgg
 from matplotlib.figure import Figure
 
+from springspread.lab.plan import KNOBS, Value
+
 MEASURES = ("service", "service_status-notice", "service_fee-payment")
 
 
@@ -18,10 +20,11 @@
     FigureCanvasAgg(figure)
     axes = figure.subplots()
     for measure in MEASURES:
-        groups: dict[float, list[float]] = defaultdict(list)
+        groups: dict[Value, list[float]] = defaultdict(list)
         for row in rows:
             if row[measure]:
-                groups[float(row[knob])].append(float(row[measure]))
+                x = row[knob] if KNOBS[knob].words else float(row[knob])
+                groups[x].append(float(row[measure]))
         xs = sorted(groups)
         means = [sum(groups[x]) / len(groups[x]) for x in xs]
         (line,) = axes.plot(xs, means, marker="o", label=measure.replace("service_", ""))
--- a/springspread/lab/plan.py
+++ b/springspread/lab/plan.py
@@ -9,21 +9,25 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.town.day import Day, draw
+from springspread.town.day import ANY, TROUBLES, Day, draw
 
 
 class PlanError(Exception):
     """A plan that can't be run; the text begins with the faulty key."""
 
 
+Value = float | str
+
+
 @dataclass(frozen=True, slots=True)
 class Knob:
-    """What a day is drawn with: its type, default, least and greatest value."""
+    """What a day is drawn with: its type, default, least and greatest value, or the words to choose from."""
 
     kind: type
-    default: float
-    least: float
-    most: float
+    default: Value
+    least: float = 0.0
+    most: float = 0.0
+    words: tuple[str, ...] = ()
 
 
 KNOBS = {
@@ -34,6 +38,7 @@
     "length_ms": Knob(float, 60_000.0, 1_000.0, 3_600_000.0),
     "troubles": Knob(int, 0, 0, 5000),
     "drains": Knob(int, 0, 0, 5000),
+    "trouble": Knob(str, ANY, words=TROUBLES),
 }
 MOST_RUNS = 10_000
 
@@ -43,7 +48,7 @@
     """One day of a plan."""
 
     seed: int
-    knobs: Mapping[str, float]
+    knobs: Mapping[str, Value]
 
     def day(self) -> Day:
         """Draw it."""
@@ -57,8 +62,8 @@
 
     name: str
     seeds: tuple[int, ...]
-    base: Mapping[str, float]
-    vary: Mapping[str, tuple[float, ...]]
+    base: Mapping[str, Value]
+    vary: Mapping[str, tuple[Value, ...]]
 
     def runs(self) -> Iterator[Run]:
         """Every combination of what varies, with every seed."""
@@ -89,7 +94,7 @@
     if not isinstance(seeds, list) or not seeds or not all(_whole(seed) for seed in seeds):
         raise PlanError("seeds: must be a list of whole numbers, one at least")
     base = {key: _value(f"base.{key}", key, value) for key, value in _table(raw, "base").items()}
-    vary: dict[str, tuple[float, ...]] = {}
+    vary: dict[str, tuple[Value, ...]] = {}
     for key, values in _table(raw, "vary").items():
         if not isinstance(values, list) or not values:
             raise PlanError(f"vary.{key}: must be a list, one value at least")
@@ -114,10 +119,14 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
-def _value(where: str, key: str, value: object) -> float:
+def _value(where: str, key: str, value: object) -> Value:
     knob = KNOBS.get(key)
     if knob is None:
         raise PlanError(f"{where}: no such knob; there are {', '.join(KNOBS)}")
+    if knob.words:
+        if value not in knob.words:
+            raise PlanError(f"{where}: must be one of {', '.join(knob.words)}: {value!r}")
+        return str(value)
     if not (_whole(value) or (knob.kind is float and isinstance(value, float))):
         raise PlanError(f"{where}: must be a {'whole ' if knob.kind is int else ''}number: {value!r}")
     number = float(value)  # type: ignore[arg-type]
--- a/springspread/town/day.py
+++ b/springspread/town/day.py
@@ -19,6 +19,8 @@
     ClassSpec("fee-payment", 4000.0, 28000.0, 2.0, 0.5, Effect.UNSAFE),
 )
 KINDS = ("state-portal", "county-office", "dealer")
+ANY = "any"
+TROUBLES = (ANY, *(kind.value for kind in Trouble if kind is not Trouble.NONE))
 ZONES = ("north-bldg", "south-bldg")
 
 
@@ -137,8 +139,13 @@
     length_ms: float = 60_000.0,
     troubles: int = 0,
     drains: int = 0,
+    trouble: str = ANY,
 ) -> Day:
-    """Draw a day. ``load`` is the share of the partners' limits that the traffic takes up in the mean."""
+    """Draw a day. ``load`` is the share of the partners' limits that the traffic takes up in the mean.
+
+    So many partners are in trouble, of the kind named (see ``Trouble``) or of any; so many have their
+    endpoints replaced.
+    """
     specs = _partners(seed, partners, per_s / load)
     specs, moves = _drains(seed, specs, drains, length_ms)
     rng = Random(f"{seed}/arrivals")
@@ -160,7 +167,7 @@
         most_held=max(int(8 * per_s / load / senders), 8),
         partners=specs,
         arrivals=tuple(arrivals),
-        changes=tuple(sorted((*moves, *_troubles(seed, specs, troubles, length_ms)), key=_at)),
+        changes=tuple(sorted(moves + _troubles(seed, specs, troubles, trouble, length_ms), key=_at)),
         zones=_zones(seed, specs),
     )
 
@@ -193,10 +200,10 @@
 
 
 def _troubles(
-    seed: int, specs: tuple[PartnerSpec, ...], count: int, length_ms: float
-) -> tuple[Change, ...]:
+    seed: int, specs: tuple[PartnerSpec, ...], count: int, named: str, length_ms: float
+) -> list[Change]:
     rng = Random(f"{seed}/troubles")
-    kinds = (Trouble.REFUSING, Trouble.SILENT, Trouble.FAILING, Trouble.SHUT, Trouble.SLOW)
+    kinds = [kind for kind in Trouble if named in (ANY, kind.value) and kind is not Trouble.NONE]
     changes = []
     for spec in rng.sample(specs, min(count, len(specs))):
         trouble = rng.choice(kinds)
@@ -207,7 +214,7 @@
         for name in spec.names:
             changes.append(Change(begin, name, Condition(trouble, much)))
             changes.append(Change(end, name, Condition()))
-    return tuple(changes)
+    return changes
 
 
 def _drains(
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -59,10 +59,10 @@
 class Place:
     """One connection to the town."""
 
-    __slots__ = ("sock", "machine", "serve", "open")
+    __slots__ = ("sock", "machine", "serve", "open", "at")
 
-    def __init__(self, sock: socket.socket, serve: Callable[[Place, Request], None]) -> None:
-        self.sock, self.serve = sock, serve
+    def __init__(self, sock: socket.socket, at: int, serve: Callable[[Place, Request], None]) -> None:
+        self.sock, self.at, self.serve = sock, at, serve  # ``at``: the port that it came to
         self.machine = ServerConnection(LIMITS)
         self.open = True
 
@@ -102,6 +102,7 @@
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
         self._handed = 0
+        self._listeners: dict[int, socket.socket] = {}
         self._ports = {name: self._listen(self._call(name)) for name in self._group}
         self._processes: list[subprocess.Popen[bytes]] = []
         self._addresses: list[tuple[str, int]] = []
@@ -138,13 +139,27 @@
                     self._late.append(self._now() - when)
                     work(*values)
 
-    def _listen(self, serve: Callable[[Place, Request], None]) -> int:
-        sock = socket.create_server(("127.0.0.1", 0), backlog=256)
+    def _listen(self, serve: Callable[[Place, Request], None], port: int = 0) -> int:
+        sock = socket.create_server(("127.0.0.1", port), backlog=256)
         sock.setblocking(False)
         self._selector.register(sock, selectors.EVENT_READ, serve)
-        port: int = sock.getsockname()[1]
+        port = sock.getsockname()[1]
+        self._listeners[port] = sock
         return port
 
+    def _refuse(self, name: str, refusing: bool) -> None:
+        """An endpoint's machine takes no connections and resets those that it has, or takes them again."""
+        port = self._ports[name]
+        if not refusing:
+            self._listen(self._call(name), port)
+            return
+        listener = self._listeners.pop(port)
+        self._selector.unregister(listener)
+        listener.close()
+        for key in list(self._selector.get_map().values()):
+            if isinstance(key.data, Place) and key.data.at == port:
+                self._end(key.data, reset=True)
+
     def _accept(self, listener: socket.socket, serve: Callable[[Place, Request], None]) -> None:
         try:
             sock, _ = listener.accept()
@@ -152,7 +167,8 @@
             return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._selector.register(sock, selectors.EVENT_READ, Place(sock, serve))
+        place = Place(sock, listener.getsockname()[1], serve)
+        self._selector.register(sock, selectors.EVENT_READ, place)
 
     def _read(self, place: Place) -> None:
         try:
@@ -203,10 +219,7 @@
             ids = [item["id"] for item in json.loads(request.body)]
         else:
             ids = [request.headers.get("X-Correlation-Id")]
-        endpoint, stood = self._partners[group].endpoints[name], False
-        if endpoint.condition.trouble is Trouble.REFUSING:
-            self._end(place, reset=True)  # as near to a refused connection as one that was accepted can be
-            return
+        endpoint = self._partners[group].endpoints[name]
         stood = endpoint.fallen
         sender, key = self.checker.sender_of(ids[0]), self._key(name)
         self.checker.call(now, sender, name, group, key, ids)
@@ -239,8 +252,12 @@
 
     def _change(self, change: Change) -> None:
         if change.condition is not None:
-            group = self._partners[self._group[change.endpoint]]
-            group.endpoints[change.endpoint].troubled(self._now(), change.condition)
+            endpoint = self._partners[self._group[change.endpoint]].endpoints[change.endpoint]
+            before = endpoint.condition.trouble is Trouble.REFUSING
+            endpoint.troubled(self._now(), change.condition)
+            after = change.condition.trouble is Trouble.REFUSING
+            if before != after:
+                self._refuse(change.endpoint, after)
         if change.state:
             self._at(self._now() + self.day.list_lag_ms, self._listed, change)
 
