A call stopped by a told wait before its last byte is a throttle, not a failed connection

Read again: a call whose last byte was held back and stopped by a wait told meanwhile ended as not connected, which the module takes for a sign of an outage; it now ends as throttled with the rest of the wait, as one stopped before its first byte does.

Also missing until now: a property test that a request's verdict does not hang on how its bytes are cut.

--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -226,7 +226,13 @@
         except OSError:
             if self._broke(call, connection, written) and connection.idle_ms is not None:
                 raise StaleError from None
-            self._end_all(call, Result.CANCELLED if call.cancelled.is_set() else Result.NOT_CONNECTED)
+            if call.cancelled.is_set():
+                self._end_all(call, Result.CANCELLED)
+            elif (wait := self._clearance.barred_ms(call.link)) > 0.0:
+                # Guards the partner: a call stopped by a told wait does not say that it is unreachable.
+                self._end_all(call, Result.THROTTLED, wait)
+            else:
+                self._end_all(call, Result.NOT_CONNECTED)
             return False
         try:
             while (waiting := [run for run in call.executions if not run.done]):
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -102,6 +102,46 @@
     assert machine.phase is server.Phase.CLOSED
 
 
+def told(pieces: list[bytes]) -> tuple[list[bytes], int]:
+    """The bodies of the requests in some bytes, and the status of the fault that ended them (0: none)."""
+    machine, bodies = server.ServerConnection(LIMITS), []
+    try:
+        for piece in pieces:
+            request = machine.feed(piece)
+            while request is not None:
+                bodies.append(request.body)
+                machine.answer(200)
+                request = machine.resume()
+    except Malformed as exc:
+        return bodies, exc.status
+    return bodies, 0
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    st.sampled_from(
+        [
+            b"\r\n" + post(b"one"),
+            b"\r\n\r\n" + post(b"one") + b"\r\n" + post(b"two"),
+            b"\rX" + post(b"one"),
+            b"GET /a\rb HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nA: " + b"x" * (LIMITS.head_bytes - 19) + b"\r\n\r\n",
+            b"GET / HTTP/1.1\r\nA: " + b"x" * (LIMITS.head_bytes - 18) + b"\r\n\r\n",
+        ]
+    ),
+    st.lists(st.integers(0, LIMITS.head_bytes + 20), max_size=5),
+    st.integers(0, 6),
+)
+def test_the_verdict_does_not_hang_on_how_bytes_are_cut(data: bytes, cuts: list[int], tail: int) -> None:
+    edges = sorted({0, len(data), max(len(data) - tail, 0), *(min(cut, len(data)) for cut in cuts)})
+    pieces = [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+    assert told(pieces) == told([data])
+
+
+def test_a_control_character_in_a_target_is_refused() -> None:
+    assert told([b"GET /a\rb HTTP/1.1\r\n\r\n"]) == ([], 400)
+
+
 def test_the_longest_body_is_taken() -> None:
     request = server.ServerConnection(LIMITS).feed(post(b"x" * LIMITS.body_bytes))
     assert request is not None and len(request.body) == 65536
