--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -13,7 +13,7 @@
 from springspread.core.clearance import Clearance
 from springspread.core.journal import Journal
 from springspread.core.loop import Sender
-from springspread.core.types import HostGroups, Log, Scope, Stop
+from springspread.core.types import HostGroups, Log, Scope, Shares, Stop
 from springspread.logs import make_log
 from springspread.net.discovery import Watcher
 from springspread.net.door import Door
@@ -53,14 +53,24 @@
     return config
 
 
+def fleet_shares(log: Log) -> Shares | None:
+    """The part of the partners' limits that a fleet gives this instance; none where it stands alone."""
+    if "SPRINGSPREAD_FLEET" not in os.environ:
+        return None
+    from springspread.fleet.client import from_environment  # a sender that stands alone loads nothing of it
+
+    return from_environment(os.environ, log)
+
+
 def serve(config: Config, log: Log, flush: Callable[[], None]) -> int:
     """Serve until a signal ends it."""
     known = known_groups(config)
     limits, settings = config.limits, config.settings
     journal = Journal(config.state, limits.disk_bytes, settings.max_attempts, limits.body_bytes)
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
-    clearance = Clearance(journal, grace)
-    sender = Sender(config, journal, clearance, log)
+    shares = fleet_shares(log)
+    clearance = Clearance(journal, grace, shares=shares)
+    sender = Sender(config, journal, clearance, log, shares=shares)
     version = known.version if config.known is not None else None
     watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log)
     notices = Notices(config.discovery, limits, sender.put, log)
--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -42,9 +42,6 @@
 
     Exits with 1 where a promise was broken, with 4 where a signal or the disk stopped it.
     """
-    from rich.console import Console
-    from rich.progress import track
-
     from springspread.lab.plan import PlanError, read_plan
     from springspread.lab.run import Table, run_plan
 
@@ -56,10 +53,11 @@
     table: Table | None = None
     try:
         table = Table(out, read)
-        shown = track(run_plan(read, processes), read.name, days, console=Console(stderr=True))
-        for row, took in shown:
-            table.add(row)
-            done, broken, seconds = done + 1, broken + bool(row["faults"]), seconds + took
+        played = run_plan(read, processes)
+        with click.progressbar(played, days, label=read.name, file=sys.stderr, show_pos=True) as shown:
+            for row, took in shown:
+                table.add(row)
+                done, broken, seconds = done + 1, broken + bool(row["faults"]), seconds + took
     except KeyboardInterrupt:
         early = "interrupted"
     except OSError as exc:
--- a/springspread/cli/live.py
+++ b/springspread/cli/live.py
@@ -1,54 +1,52 @@
-"""The demo's live table: on a terminal it stands still and changes, elsewhere it is a line every second."""
+"""Tables for a terminal or a pipe, and the demo's, which stands still on a terminal and changes."""
 
 from __future__ import annotations
 
-from types import TracebackType
-
-from rich.console import Console, Group
-from rich.live import Live
-from rich.table import Table
-from rich.text import Text
+import sys
+from collections.abc import Mapping, Sequence
+from typing import TextIO
 
 from springspread.town.checker import Checker
 
 PERCENTILES = (50, 90, 99)
+UP = "\x1b[{}A\x1b[J"  # so many lines up, and clear from there
 
 
-class Watching:
-    """Shows a day as it is played; use it as a context."""
+def columns(heads: Sequence[str], rows: Sequence[Sequence[object]]) -> list[str]:
+    """Lines with each column as wide as its widest cell."""
+    cells = [list(map(str, row)) for row in [heads, *rows]]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(heads))]
+    return ["  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True)) for row in cells]
 
-    def __init__(self, console: Console | None = None) -> None:
-        self._console = console or Console()
-        self._live = Live(console=self._console, refresh_per_second=4)
 
-    def __enter__(self) -> Watching:
-        if self._console.is_terminal:
-            self._live.start()
-        return self
+class Watching:
+    """Shows a day as it is played: a table in place on a terminal, a line a second elsewhere."""
 
-    def __exit__(
-        self, kind: type[BaseException] | None, exc: BaseException | None, trace: TracebackType | None
-    ) -> None:
-        if self._console.is_terminal:
-            self._live.stop()
+    def __init__(self, out: TextIO = sys.stdout) -> None:
+        self._out, self._still = out, out.isatty()
+        self._lines = 0
 
-    def show(self, at: float, checker: Checker, sufferings: dict[str, str]) -> None:
+    def show(self, at: float, checker: Checker, sufferings: Mapping[str, str]) -> None:
         """What the day has come to by ``at`` (ms); ``sufferings`` names what each partner has now."""
         tally = checker.tally
-        values = [checker.latency.get_value_at_percentile(p) for p in PERCENTILES]
-        heads = ("s", "handed in", "delivered", "refused", "failed", "calls", "service")
-        told = (tally.messages, tally.delivered, tally.refused, tally.failed, tally.calls)
-        cells = [f"{at / 1000:.0f}", *map(str, told), f"{tally.service:.3f}", *map(str, values)]
-        if not self._console.is_terminal:
-            names = [*heads, *(f"p{p} ms" for p in PERCENTILES)]
-            line = ", ".join(f"{name} {cell}" for name, cell in zip(names, cells, strict=True))
-            suffer = "; ".join(f"{partner} {what}" for partner, what in sufferings.items())
-            self._console.print(line + (f" | {suffer}" if suffer else ""), soft_wrap=True, highlight=False)
-            return
-        table = Table(*heads, *(f"p{p} ms" for p in PERCENTILES), title="A small town and one sender")
-        table.add_row(*cells)
-        troubles = Table("partner", "suffers")
-        for partner, what in sufferings.items():
-            troubles.add_row(partner, what)
-        broken = Text(f"{len(checker.faults)} broken promises", "red" if checker.faults else "green")
-        self._live.update(Group(table, troubles, broken))
+        told: dict[str, object] = {
+            "s": f"{at / 1000:.0f}",
+            "handed in": tally.messages,
+            "delivered": tally.delivered,
+            "refused": tally.refused,
+            "failed": tally.failed,
+            "calls": tally.calls,
+            "service": f"{tally.service:.3f}",
+            **{f"p{p} ms": checker.latency.get_value_at_percentile(p) for p in PERCENTILES},
+            "broken": len(checker.faults),
+        }
+        suffer = [f"{partner}: {what}" for partner, what in sufferings.items()]
+        if self._still:
+            lines = [*columns(list(told), [list(told.values())]), *suffer]
+            head = UP.format(self._lines) if self._lines else ""
+            self._out.write(head + "".join(f"{line}\n" for line in lines))
+            self._lines = len(lines)
+        else:
+            line = ", ".join(f"{name} {value}" for name, value in told.items())
+            self._out.write(" | ".join([line, *suffer]) + "\n")
+        self._out.flush()
--- a/springspread/cli/main.py
+++ b/springspread/cli/main.py
@@ -10,6 +10,7 @@
 
 import click
 
+from springspread.cli.fleet import fleet
 from springspread.cli.journal import journal
 from springspread.cli.lab import lab
 from springspread.cli.town import town
@@ -35,6 +36,7 @@
 cli.add_command(town)
 cli.add_command(lab)
 cli.add_command(journal)
+cli.add_command(fleet)
 
 
 @cli.command()
@@ -91,10 +93,10 @@
     from springspread.town.sockets import SocketTown
 
     day = draw(seed, senders=1, length_ms=1000 * seconds, troubles=3, drains=2)
-    with tempfile.TemporaryDirectory(prefix="springspread-demo-") as folder, Watching() as watching:
+    with tempfile.TemporaryDirectory(prefix="springspread-demo-") as folder:
         town = SocketTown(day, Path(folder))
         try:
-            live = town.play(watching.show)
+            live = town.play(Watching().show)
         finally:
             town.close()
     for fault in live.checker.faults:
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -6,14 +6,16 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
-from springspread.core.types import Call, LinkState, Result, ServerLink
+from springspread.core.types import Call, LinkState, Result, ServerLink, Shares
 
 
 class Clearance:
     """Asked by the threads that write; fed by them and by the loop."""
 
-    def __init__(self, journal: Journal, grace_ms: float, clock: Clock = SYSTEM) -> None:
-        self._journal, self._grace, self._clock = journal, grace_ms, clock
+    def __init__(
+        self, journal: Journal, grace_ms: float, clock: Clock = SYSTEM, shares: Shares | None = None
+    ) -> None:
+        self._journal, self._grace, self._clock, self._shares = journal, grace_ms, clock, shares
         self._lock = threading.Lock()
         self._bars: dict[tuple[int, int], float] = {}
         self._stopped = False
@@ -44,6 +46,9 @@
 
     def refuses(self, call: Call) -> tuple[Result, float] | None:
         """Why a call may not go out now, with the rest of the wait; else it is journalled as begun."""
+        # First, as it may wait: whatever came meanwhile is looked at after it.
+        if self._shares is not None and not self._shares.acquire(call.link):
+            return Result.NOT_SENT, 0.0
         if call.cancelled.is_set():
             return Result.CANCELLED, 0.0
         # Guards rule 5: a call queued before a wait was told must not slip out after it.
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from queue import Empty, SimpleQueue
 
@@ -31,6 +31,7 @@
     Query,
     Result,
     Scope,
+    Shares,
     Stop,
     Verdict,
 )
@@ -72,9 +73,15 @@
     """Feeds the module what came in, a tick at a time, and has its actions carried out."""
 
     def __init__(
-        self, config: Config, journal: Journal, clearance: Clearance, log: Log, clock: Clock = SYSTEM
+        self,
+        config: Config,
+        journal: Journal,
+        clearance: Clearance,
+        log: Log,
+        clock: Clock = SYSTEM,
+        shares: Shares | None = None,
     ) -> None:
-        self._clock = clock
+        self._clock, self._shares = clock, shares
         self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
         self._journal, self._clearance, self._log = journal, clearance, log
         self._module = Dispatcher(config.settings, config.seed)
@@ -264,6 +271,8 @@
 
     def _execution_end(self, end: ExecutionEnd) -> list[i.Event]:
         run, call = end.execution, end.call
+        if self._shares is not None:
+            end = replace(end, load=self._shares.load(call.link, end.load))
         if call in self._calls:
             self._calls[call] -= 1
             if not self._calls[call]:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -260,6 +260,16 @@
         """Tell it until the platform has taken it."""
 
 
+class Shares(Protocol):
+    """What a fleet's instance may use of its partners' limits."""
+
+    def acquire(self, link: ServerLink) -> bool:
+        """The right to begin one call to a link; may wait for it, a bounded time."""
+
+    def load(self, link: ServerLink, load: Load) -> Load:
+        """What the decision module is told of a link's limit: the instance's part of it."""
+
+
 class Log(Protocol):
     """The part of a structlog logger that the program uses."""
 
--- /dev/null
+++ b/springspread/fleet/daemon.py
@@ -0,0 +1,324 @@
+"""The daemon: starts instances, looks after them, and takes orders on a socket that only its owner may open.
+
+What there is stands in ``members.json`` before it is done, so that a new daemon adopts what runs: the death
+of this one stops nobody. A process is known by its id together with the moment of its start. One daemon at a
+time holds the folder.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from contextlib import suppress
+from dataclasses import asdict, replace
+from functools import partial
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from springspread.core.clock import SYSTEM, Clock
+from springspread.core.journal import Journal
+from springspread.core.types import Log
+from springspread.fleet.members import Row, Seen, Step, Want, died, scaled, step
+from springspread.fleet.plan import FleetPlan
+from springspread.fleet.server import AllotterServer
+from springspread.net.threads import spawn
+
+LOOK_MS = 50.0
+ORDER_BYTES = 4096
+ORDER_S = 2.0
+MOST = 1000
+LOG_BYTES = 4 << 20
+
+
+class Refused(Exception):
+    """An order that can't be carried out, or a folder that another daemon holds; the text says why."""
+
+
+class Daemon:
+    """Runs a fleet until ``stop``. Raises ``Refused`` or ``OSError`` where its folder can't be used."""
+
+    def __init__(self, plan: FleetPlan, log: Log, clock: Clock = SYSTEM) -> None:
+        self._plan, self._log, self._clock = plan, log, clock
+        self.folder = plan.folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._base: dict[str, Any] = json.loads(plan.config.read_text())
+        self._held = (self.folder / "lock").open("w")
+        try:
+            fcntl.flock(self._held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as exc:
+            raise Refused(f"{self.folder}: another daemon runs this fleet") from exc
+        self._lock = threading.Lock()
+        self._children: dict[int, subprocess.Popen[bytes]] = {}
+        self._since: dict[int, str] = {}  # of processes that another daemon started
+        self._rolling: list[str] = []
+        self._rows = self._adopted()
+        if not self._rows:
+            self._rows = scaled({}, plan.instances)
+        self._server = AllotterServer(self.folder / "allot", self.folder, plan.shared, log, clock)
+        self._orders = socket.socket(socket.AF_UNIX)
+        path = self.folder / "control"
+        path.unlink(missing_ok=True)
+        mask = os.umask(0o177)  # nobody else may open it, not even for a moment
+        try:
+            self._orders.bind(str(path))
+        finally:
+            os.umask(mask)
+        self._orders.listen(16)
+        self._over = threading.Event()
+        spawn("fleet-orders", self._listen, log)
+        spawn("fleet-look", self._look_on, log)
+
+    # Rows on disk
+
+    def _adopted(self) -> dict[str, Row]:
+        file = self.folder / "members.json"
+        if not file.exists():
+            return {}
+        rows = {}
+        for raw in json.loads(file.read_text()):
+            started = raw.pop("started")
+            row = Row(**{**raw, "want": Want(raw["want"])})
+            if row.pid and _started(row.pid) == started:
+                self._since[row.pid] = started
+                rows[row.name] = replace(row, started_at=self._clock.now(), told_at=inf)
+                self._log.info("adopted", instance=row.name, pid=row.pid)
+            else:
+                rows[row.name] = replace(row, pid=0, started_at=inf, told_at=inf, emptying=False)
+        return rows
+
+    def _save(self) -> None:
+        rows = []
+        for row in self._rows.values():
+            raw = {**asdict(row), "want": row.want.value, "started": _started(row.pid) if row.pid else ""}
+            for moment in ("started_at", "told_at", "died_at"):
+                raw.pop(moment)  # of a clock that the next daemon may not share
+            rows.append(raw)
+        fresh = self.folder / "members.new"
+        fresh.write_text(json.dumps(rows))
+        fresh.replace(self.folder / "members.json")
+
+    # Looking after them
+
+    def _look_on(self) -> None:
+        while not self._over.is_set():
+            with self._lock:
+                for name in list(self._rows):
+                    self._look(name)
+                    _cut(self.folder / name / "log")
+                self._roll()
+            self._over.wait(LOOK_MS / 1000.0)
+
+    def _look(self, name: str) -> None:
+        row, now = self._rows[name], self._clock.now()
+        alive = row.pid != 0 and self._alive(row.pid)
+        if row.pid and not alive:
+            self._log.info("instance ended", instance=name, pid=row.pid)
+            row = self._rows[name] = died(row, now, self._plan.pauses)
+            self._save()
+        leaving = row.want is Want.LEAVING
+        seen = Seen(alive, self._owed(name) if leaving else 0)
+        match step(row, seen, now, self._plan.pauses):
+            case Step.START:
+                self._start(row, emptying=False)
+            case Step.EMPTY:
+                self._start(row, emptying=True)
+            case Step.TERM:
+                self._signal(row, signal.SIGTERM)
+                self._rows[name] = replace(row, told_at=now)
+            case Step.KILL:
+                self._log.warning("instance killed", instance=name, pid=row.pid)
+                self._signal(row, signal.SIGKILL)
+            case Step.DROP:
+                self._log.info("instance left", instance=name)
+                del self._rows[name]
+                self._save()
+                shutil.rmtree(self.folder / name, ignore_errors=True)
+
+    def _start(self, row: Row, emptying: bool) -> None:
+        place = self.folder / row.name
+        (place / "state").mkdir(parents=True, exist_ok=True)
+        epoch = row.epoch + 1
+        number = int(row.name[1:])
+        port = self._plan.first_port + number if self._plan.first_port and not emptying else 0
+        raw = {**self._base, "name": row.name, "listen": f"{self._plan.host}:{port}"}
+        seed = int(str(self._base.get("seed", "0")), 16) + number * 7919 + epoch
+        raw |= {"state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
+        file = place / "config.json"
+        file.write_text(json.dumps(raw))
+        own = ("RELAY_", "SPRINGSPREAD_")
+        env = {key: value for key, value in os.environ.items() if not key.startswith(own)}
+        env |= {"RELAY_CONFIG": str(file), "SPRINGSPREAD_FLEET": str(self.folder / "allot")}
+        env |= {"SPRINGSPREAD_INSTANCE": row.name, "SPRINGSPREAD_EPOCH": str(epoch)}
+        # On record first: a daemon that dies in between leaves an epoch unused, never one used twice.
+        self._rows[row.name] = replace(row, epoch=epoch)
+        self._save()
+        with (place / "log").open("ab") as log:
+            args = [sys.executable, "-m", "springspread"]
+            none = subprocess.DEVNULL
+            child = subprocess.Popen(args, env=env, stdin=none, stderr=log, start_new_session=True)
+        self._children[child.pid] = child
+        now = self._clock.now()
+        self._rows[row.name] = replace(
+            row, epoch=epoch, pid=child.pid, started_at=now, told_at=inf, emptying=emptying
+        )
+        self._save()
+        self._log.info("instance started", instance=row.name, pid=child.pid, epoch=epoch, emptying=emptying)
+
+    def _alive(self, pid: int) -> bool:
+        child = self._children.get(pid)
+        if child is None:
+            return _started(pid) == self._since.get(pid, "none")
+        if child.poll() is None:
+            return True
+        del self._children[pid]
+        return False
+
+    def _signal(self, row: Row, number: signal.Signals) -> None:
+        with suppress(ProcessLookupError):
+            os.kill(row.pid, number)
+
+    def _owed(self, name: str) -> int:
+        state = self.folder / name / "state"
+        if not state.is_dir():
+            return 0
+        with suppress(FileNotFoundError):  # its process clears files away
+            return len(Journal(state, 1 << 40, read_only=True).owed)
+        return 1
+
+    def _roll(self) -> None:
+        """One after the other: the next one ends when all others serve again."""
+        if not self._rolling or any(not row.pid or row.restart for row in self._rows.values()):
+            return
+        name = self._rolling.pop(0)
+        if name in self._rows and self._rows[name].want is Want.SERVING:
+            self._rows[name] = replace(self._rows[name], restart=True)
+
+    # Orders
+
+    def _listen(self) -> None:
+        while not self._over.is_set():
+            try:
+                sock, _ = self._orders.accept()
+            except OSError:
+                return
+            sock.settimeout(ORDER_S)
+            spawn("fleet-order", partial(self._order, sock), self._log, vital=False)
+
+    def _order(self, sock: socket.socket) -> None:
+        with sock:
+            data = b""
+            try:
+                while not data.endswith(b"\n") and len(data) < ORDER_BYTES:
+                    if not (more := sock.recv(ORDER_BYTES)):
+                        break
+                    data += more
+                try:
+                    answer = {"ok": True, **self.order(json.loads(data))}
+                except (Refused, ValueError, RecursionError) as exc:
+                    answer = {"ok": False, "fault": str(exc)}
+                sock.sendall(json.dumps(answer).encode() + b"\n")
+            except OSError as exc:
+                self._log.warning("order broken off", error=str(exc))
+
+    def order(self, order: object) -> dict[str, Any]:
+        """Carry an order out; raises ``Refused``."""
+        if not isinstance(order, dict):
+            raise Refused("an order must be an object")
+        with self._lock:
+            match order:
+                case {"do": "status"}:
+                    return {"instances": self._status()}
+                case {"do": "scale", "count": int(count)} if 0 <= count <= MOST:
+                    self._rows = scaled(self._rows, count)
+                case {"do": "scale"}:
+                    raise Refused(f"scale: the count must be a whole number from 0 to {MOST}")
+                case {"do": "drain" | "restart" as what, "name": str(name)}:
+                    if name not in self._rows:
+                        raise Refused(f"{what}: no such instance: {name}; there are {', '.join(self._rows)}")
+                    change = {"want": Want.LEAVING} if what == "drain" else {"restart": True}
+                    self._rows[name] = replace(self._rows[name], **change)
+                case {"do": "roll"}:
+                    self._rolling = [row.name for row in self._rows.values() if row.want is Want.SERVING]
+                case _:
+                    raise Refused("no such order; there are status, scale, drain, restart and roll")
+            self._save()
+            return {"instances": self._status()}
+
+    def _status(self) -> list[dict[str, Any]]:
+        connected = dict(self._server.members)
+        now = self._clock.now()
+        return [
+            {
+                "name": row.name,
+                "want": row.want.value,
+                "pid": row.pid,
+                "epoch": row.epoch,
+                "listen": _listens(self.folder / row.name / "log") if row.pid and not row.emptying else "",
+                "up_s": round((now - row.started_at) / 1000.0, 1) if row.pid else 0.0,
+                "in_fleet": connected.get(row.name) == row.epoch,
+                "deaths": row.deaths,
+            }
+            for row in self._rows.values()
+        ]
+
+    def stop(self) -> None:
+        """End every instance in order, within the time that one has, and then the daemon."""
+        self._over.set()
+        with self._lock:
+            rows = [row for row in self._rows.values() if row.pid]
+            for row in rows:
+                self._signal(row, signal.SIGTERM)
+            end = self._clock.now() + self._plan.pauses.stop_ms
+            while (rows := [row for row in rows if self._alive(row.pid)]) and self._clock.now() < end:
+                self._clock.sleep(20.0)
+            for row in rows:
+                self._signal(row, signal.SIGKILL)
+            self._save()
+        self.leave()
+
+    def leave(self) -> None:
+        """End the daemon alone: a new one adopts what runs."""
+        self._over.set()
+        self._orders.close()
+        self._server.close()
+        self._held.close()
+
+
+def _started(pid: int) -> str:
+    """The moment of a process's start in the system's ticks; empty for one that is dead."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except (FileNotFoundError, ProcessLookupError):
+        return ""
+    return "" if fields[0] in "ZX" else fields[19]
+
+
+def _cut(log: Path) -> None:
+    """Guards the disk: a log that is long enough becomes the one before, and begins anew."""
+    with suppress(FileNotFoundError):
+        if log.stat().st_size > LOG_BYTES:
+            shutil.copyfile(log, log.with_suffix(".1"))
+            os.truncate(log, 0)  # its process appends, and goes on at the beginning
+
+
+def _listens(log: Path) -> str:
+    """Where an instance listens, out of its log's latest ready line."""
+    try:
+        with log.open("rb") as source:
+            source.seek(max(log.stat().st_size - (1 << 18), 0))
+            lines = source.read().splitlines()
+    except OSError:
+        return ""
+    for line in reversed(lines):
+        if b'"event": "ready"' in line:
+            with suppress(ValueError, KeyError):
+                return str(json.loads(line)["listen"])
+    return ""
--- /dev/null
+++ b/springspread/fleet/plan.py
@@ -0,0 +1,68 @@
+"""The operator file of a fleet (TOML), checked whole: each fault names its file and key."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import Field, ValidationError
+
+from springspread.fleet.members import Pauses
+from springspread.fleet.shares import Limit
+from springspread.lab.plan import PlanError, Strict, faults_of
+
+Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
+
+
+class LimitEntry(Strict):
+    """So many calls in any span, whatever number of instances makes them."""
+
+    calls: Annotated[int, Field(ge=1, le=10_000_000)]
+    span_ms: Annotated[float, Field(ge=10.0, le=600_000.0)] = 2_000.0
+
+
+class Restarts(Strict):
+    """How soon instances that died are started again."""
+
+    first_ms: Annotated[float, Field(ge=10.0, le=60_000.0)] = 100.0
+    most_ms: Annotated[float, Field(ge=100.0, le=600_000.0)] = 10_000.0
+    settled_ms: Annotated[float, Field(ge=1_000.0, le=3_600_000.0)] = 30_000.0
+    stop_ms: Annotated[float, Field(ge=3_500.0, le=60_000.0)] = 4_000.0
+
+
+class FleetPlan(Strict):
+    """A fleet: its folder, its size, the configuration that instances share, and the limits that bind all."""
+
+    folder: Path = Field(strict=False)
+    config: Path = Field(strict=False)
+    instances: Annotated[int, Field(ge=0, le=1000)] = 2
+    host: str = "127.0.0.1"
+    first_port: Annotated[int, Field(ge=0, le=65_000)] = 0
+    limits: dict[Name, LimitEntry] = Field(default_factory=dict)
+    restarts: Restarts = Restarts()
+
+    @property
+    def pauses(self) -> Pauses:
+        """As the members' machine takes them."""
+        return Pauses(**self.restarts.model_dump())
+
+    @property
+    def shared(self) -> dict[str, Limit]:
+        """As the allotter takes them."""
+        return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
+
+
+def read_fleet(path: Path) -> FleetPlan:
+    """Read an operator file; raises ``PlanError``. Relative paths count from the file's folder."""
+    try:
+        plan = FleetPlan.model_validate(tomllib.loads(path.read_text()))
+    except OSError as exc:
+        raise PlanError(f"{path}: {exc.strerror}") from exc
+    except ValidationError as exc:
+        lines = faults_of(exc, list(FleetPlan.model_fields)).splitlines()
+        raise PlanError("\n".join(f"{path}: {line}" for line in lines)) from exc
+    except ValueError as exc:
+        raise PlanError(f"{path}: not TOML: {exc}") from exc
+    here = path.resolve().parent
+    return plan.model_copy(update={"folder": here / plan.folder, "config": here / plan.config})
--- /dev/null
+++ b/springspread/fleet/record.py
@@ -0,0 +1,93 @@
+"""What an allotter gave out, on disk before it is told: its successor counts it as used.
+
+Two files take turns. A file is begun anew when every lease in it is of no account any more, so both stay
+small. They outlast the process, as that is all that can end without the instances: the clock that leases are
+counted by begins again with the machine, and a record of another start of the machine is left aside.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Sequence
+from pathlib import Path
+from struct import Struct
+from zlib import crc32
+
+from springspread.fleet.shares import Lease
+
+HEAD = Struct("<II")  # length and checksum of the rest
+BODY = Struct("<QQIdHH")
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+BOOT_BYTES = 36
+FILE_BYTES = 1 << 16  # a file is left for the other one at this length, as soon as that is of no account
+
+
+class Record:
+    """Append leases; read what an earlier process appended."""
+
+    def __init__(self, folder: Path, keep_ms: float) -> None:
+        """``keep_ms``: how long after its end a lease still counts, at most."""
+        self._paths = [folder / f"leases.{n}" for n in (0, 1)]
+        self._keep_ms = keep_ms
+        self._boot = _boot_id()
+        found = [self._read(path) for path in self._paths]
+        self.before = [lease for leases, _ in found for lease in leases]
+        self._ends = [max((lease.until for lease in leases), default=0.0) for leases, _ in found]
+        self._file = -1
+        # The newer file goes on, without a torn tail; where none is of this start of the machine, it is anew.
+        newer = self._ends.index(max(self._ends))
+        self._open(newer, found[newer][1])
+
+    def _open(self, turn: int, good: int) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+        self._turn = turn
+        self._file = os.open(self._paths[turn], os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        os.ftruncate(self._file, good)
+        if not good:
+            self._ends[turn] = 0.0
+            os.write(self._file, self._boot)
+
+    def _read(self, path: Path) -> tuple[list[Lease], int]:
+        """The leases of a file, and how many of its bytes hold them."""
+        data = path.read_bytes() if path.exists() else b""
+        if data[:BOOT_BYTES] != self._boot:
+            return [], 0
+        leases, at = [], BOOT_BYTES
+        while at + HEAD.size <= len(data):
+            size, check = HEAD.unpack_from(data, at)
+            body = data[at + HEAD.size : at + HEAD.size + size]
+            if len(body) < size or crc32(body) != check:
+                break  # torn as the process was killed: it was not told
+            leases.append(_unpack(body))
+            at += HEAD.size + size
+        return leases, at
+
+    def append(self, leases: Sequence[Lease], now: float) -> None:
+        """Put leases on record; raises ``OSError``, and then none of them may be told."""
+        other = 1 - self._turn
+        if os.fstat(self._file).st_size > FILE_BYTES and self._ends[other] + self._keep_ms < now:
+            self._open(other, 0)
+        os.write(self._file, b"".join(map(_pack, leases)))
+        self._ends[self._turn] = max([self._ends[self._turn], *(lease.until for lease in leases)])
+
+    def close(self) -> None:
+        """Let go of the file."""
+        os.close(self._file)
+
+
+def _pack(lease: Lease) -> bytes:
+    name, key = lease.owner[0].encode(), lease.key.encode()
+    body = BODY.pack(lease.serial, lease.owner[1], lease.calls, lease.until, len(name), len(key)) + name + key
+    return HEAD.pack(len(body), crc32(body)) + body
+
+
+def _unpack(body: bytes) -> Lease:
+    serial, epoch, calls, until, name, key = BODY.unpack_from(body)
+    rest = body[BODY.size :]
+    return Lease(serial, (rest[:name].decode(), epoch), rest[name : name + key].decode(), calls, until)
+
+
+def _boot_id() -> bytes:
+    """Which start of the machine this is."""
+    return BOOT_ID.read_text().strip().encode()[:BOOT_BYTES].ljust(BOOT_BYTES)
--- /dev/null
+++ b/springspread/fleet/server.py
@@ -0,0 +1,165 @@
+"""The allotter's driver: a Unix socket that instances connect to, a record on disk, and a thread that allots.
+
+A frozen instance blocks nobody: what it does not read is dropped with its connection, and its leases run out.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+from springspread.core.clock import SYSTEM, Clock
+from springspread.core.types import Log
+from springspread.fleet.record import Record
+from springspread.fleet.shares import Allotter, Limit, Owner
+from springspread.fleet.wire import Asking, Granted, Hello, Limited, Lines, Message, Unreadable, write
+from springspread.net.threads import spawn
+
+TICK_MS = 5.0
+IDLE_MS = 200.0
+TOLD_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One instance's connection; without an owner until it has said hello."""
+
+    sock: socket.socket
+    owner: Owner | None = None
+
+
+class AllotterServer:
+    """Serves until ``close``. ``limits`` are the operator's; others are taken from what partners tell."""
+
+    def __init__(
+        self, path: Path, folder: Path, limits: Mapping[str, Limit], log: Log, clock: Clock = SYSTEM
+    ) -> None:
+        """Raises ``OSError`` where the socket or the record can't be opened."""
+        self._log, self._clock = log, clock
+        self._lock = threading.Lock()
+        self._asked = threading.Event()
+        self._members: dict[Owner, Member] = {}
+        self._fixed = set(limits)
+        longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
+        self._record = Record(folder, longest)
+        self._allotter = Allotter()
+        self._allotter.restore(self._record.before)
+        for key, limit in limits.items():
+            self._allotter.limited(key, limit)
+        path.unlink(missing_ok=True)
+        self._listener = socket.socket(socket.AF_UNIX)
+        self._listener.bind(str(path))
+        path.chmod(0o600)
+        self._listener.listen(256)
+        self._open = True
+        spawn("fleet-accept", self._accept, log)
+        spawn("fleet-allot", self._allot, log)
+
+    @property
+    def members(self) -> list[Owner]:
+        """Who is connected."""
+        with self._lock:
+            return sorted(self._members)
+
+    def _accept(self) -> None:
+        while self._open:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            spawn("fleet-member", partial(self._serve, Member(sock)), self._log, vital=False)
+
+    def _serve(self, member: Member) -> None:
+        lines = Lines()
+        try:
+            while self._open and (data := member.sock.recv(65536)):
+                for message in lines.feed(data):
+                    self._take(member, message)
+        except Unreadable as exc:
+            self._log.warning("instance not understood", owner=member.owner, fault=str(exc))
+        except OSError:
+            pass
+        finally:
+            with self._lock:
+                if member.owner is not None and self._members.get(member.owner) is member:
+                    del self._members[member.owner]
+            member.sock.close()
+
+    def _take(self, member: Member, message: Message) -> None:
+        with self._lock:
+            if isinstance(message, Hello):
+                owner = (message.name, message.epoch)
+                if not self._allotter.joined(owner):
+                    raise Unreadable(f"{message.name}: a later start of it is known than {message.epoch}")
+                member.owner = owner
+                self._members[owner] = member
+                self._send(member, Limited(self._allotter.keys))
+            elif isinstance(message, Asking) and member.owner is not None:
+                self._asking(member.owner, message)
+            else:
+                raise Unreadable(f"not expected: {type(message).__name__}")
+
+    def _asking(self, owner: Owner, message: Asking) -> None:
+        now = self._clock.now()
+        for one in message.reports:
+            self._allotter.report(now, one.key, one.serial, one.made, one.last_at)
+        known = set(self._allotter.keys)
+        for key, per_s in message.told.items():
+            if key not in self._fixed and per_s > 0:
+                self._allotter.limited(key, Limit.of_rate(per_s, TOLD_SPAN_MS))
+        for key, calls in message.wants.items():
+            self._allotter.ask(now, owner, key, calls)
+        if set(self._allotter.keys) != known:
+            for member in self._members.values():
+                self._send(member, Limited(self._allotter.keys))
+        self._asked.set()
+
+    def _allot(self) -> None:
+        while self._open:
+            with self._lock:
+                now = self._clock.now()
+                leases = self._allotter.allot(now)
+                try:
+                    if leases:
+                        self._record.append(leases, now)
+                except OSError as exc:
+                    # Guards the limit against a successor that would not know of them: they run out untold.
+                    self._log.error("leases not on record", error=str(exc))
+                    leases = []
+                for lease in leases:
+                    member = self._members.get(lease.owner)
+                    if member is not None:
+                        per_s = self._allotter.rate(now, lease.key, lease.owner)
+                        self._send(member, Granted(lease, per_s))
+                waiting = self._allotter.waiting
+                self._asked.clear()
+            if waiting:
+                self._clock.sleep(TICK_MS)
+            else:
+                self._asked.wait(IDLE_MS / 1000.0)
+
+    def _send(self, member: Member, message: Message) -> None:
+        """Never waits: whoever does not read loses its connection."""
+        try:
+            data = write(message)
+            if member.sock.send(data, socket.MSG_DONTWAIT) < len(data):
+                raise BlockingIOError
+        except OSError:
+            with suppress(OSError):  # it may be gone already
+                member.sock.shutdown(socket.SHUT_RDWR)  # its reader ends the rest
+
+    def close(self) -> None:
+        """End every connection; instances go on with what they hold and connect anew."""
+        self._open = False
+        self._asked.set()
+        self._listener.close()
+        with self._lock:
+            members = list(self._members.values())
+        for member in members:
+            with suppress(OSError):
+                member.sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/springspread/fleet/shares.py
@@ -0,0 +1,261 @@
+"""Shares of limits: the one place that decides which instance may make how many calls, and until when.
+
+Theory of operation. A limit is a count of calls in any span of so many milliseconds, wherever it begins. An
+instance may begin a call only against a lease: so many calls, until a moment. The allotter keeps, for each
+limit, the calls that may still fall into a span that ends now or later:
+
+    lease       counts                              until
+    open        all of its calls                    its end, or its report
+    reported    the calls that were made            the last of them, plus the span
+    lapsed      all of its calls                    its end, plus the span
+
+It gives out no more than the limit less that count. A call counts from before it is made until a span
+after it, so in any span the calls that are made never exceed the limit; no message has to arrive for this
+to hold, and no instance has to be alive. What an allotter gave out is on record before it is told, so that
+its successor counts the same.
+
+Division is max-min fair by what each has had within the last span; of instances that had the same the one
+that was served longest ago goes first, so that a limit below one call an instance and span goes round. What
+is free is given out at the limit's pace, and no more at once than that is in ``burst_ms``: else a span's
+calls would all come in its first moment, and a shift of demand would wait for the next.
+
+Times are milliseconds of one clock that all instances of a machine share. Nothing here waits, reads a clock
+or does I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import floor, inf
+
+PACE = 1.1  # times the limit: what was late is made up for
+Owner = tuple[str, int]
+"""An instance and its epoch: each start of an instance is another owner."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """So many calls in any span."""
+
+    calls: int
+    span_ms: float
+
+    @staticmethod
+    def of_rate(per_s: float, span_ms: float) -> Limit:
+        """A limit told as a rate, counted over a span; at least one call in it."""
+        return Limit(max(floor(per_s * span_ms / 1000.0 + 1e-9), 1), span_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """The right of one owner to begin so many calls before ``until``."""
+
+    serial: int
+    owner: Owner
+    key: str
+    calls: int
+    until: float
+
+
+@dataclass(slots=True)
+class Count:
+    """What is known of one lease; ``calls`` count until ``over_at``, when it leaves the book."""
+
+    owner: Owner
+    calls: int
+    over_at: float
+
+
+@dataclass(slots=True)
+class Want:
+    """How many calls an owner waits to make, as it last said, and when it did."""
+
+    calls: int
+    at: float
+
+
+@dataclass(slots=True)
+class Book:
+    """One limit: what counts against it, who waits for it, and who was served when."""
+
+    limit: Limit
+    counts: dict[int, Count] = field(default_factory=dict)
+    wants: dict[Owner, Want] = field(default_factory=dict)
+    served_at: dict[Owner, float] = field(default_factory=dict)
+    level: float = inf  # calls that the pace has free
+    filled_at: float = 0.0
+
+    def fill(self, now: float, burst_ms: float) -> None:
+        """The pace goes on."""
+        per_ms = PACE * self.limit.calls / self.limit.span_ms
+        self.level = min(self.level + (now - self.filled_at) * per_ms, max(per_ms * burst_ms, 1.0))
+        self.filled_at = now
+
+    def clear(self, now: float, want_ms: float) -> None:
+        """Let go of what no longer counts and of who no longer asks."""
+        self.counts = {serial: count for serial, count in self.counts.items() if count.over_at > now}
+        self.wants = {owner: want for owner, want in self.wants.items() if want.at + want_ms > now}
+        had = {count.owner for count in self.counts.values()}
+        self.served_at = {o: at for o, at in self.served_at.items() if o in had or o in self.wants}
+
+    @property
+    def taken(self) -> int:
+        """The calls that may fall into a span that ends now or later."""
+        return sum(count.calls for count in self.counts.values())
+
+
+class Allotter:
+    """Gives out leases. ``ask`` and ``report`` as messages come in, ``allot`` every few milliseconds."""
+
+    def __init__(
+        self,
+        lease_ms: float = 200.0,
+        want_ms: float = 500.0,
+        burst_ms: float = 600.0,
+        quiet_until: float = 0.0,
+    ) -> None:
+        """``quiet_until``: give nothing out before, as what a predecessor gave out is not known."""
+        self._lease_ms, self._want_ms, self._burst_ms = lease_ms, want_ms, burst_ms
+        self._quiet_until = quiet_until
+        self._books: dict[str, Book] = {}
+        self._before: list[Lease] = []
+        self._epochs: dict[str, int] = {}
+        self._serial = 0
+
+    def limited(self, key: str, limit: Limit) -> None:
+        """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
+        book = self._books.get(key)
+        if book is None:
+            book = self._books[key] = Book(limit)
+            for lease in [lease for lease in self._before if lease.key == key]:
+                book.counts[lease.serial] = Count(lease.owner, lease.calls, lease.until + limit.span_ms)
+            return
+        if limit.span_ms > book.limit.span_ms:
+            # Guards the longer span: calls that the shorter one had let go of still fall into it.
+            for count in book.counts.values():
+                count.over_at += limit.span_ms - book.limit.span_ms
+        book.limit = limit
+
+    def limit(self, key: str) -> Limit | None:
+        """The limit of a key, where one is known."""
+        book = self._books.get(key)
+        return book.limit if book is not None else None
+
+    def joined(self, owner: Owner) -> bool:
+        """An instance begins under an epoch; false for one that a later epoch has replaced."""
+        name, epoch = owner
+        if epoch < self._epochs.get(name, -1):
+            return False
+        self._epochs[name] = epoch
+        for book in self._books.values():
+            for old in [one for one in book.wants if one[0] == name and one[1] < epoch]:
+                del book.wants[old]
+        return True
+
+    def ask(self, now: float, owner: Owner, key: str, calls: int) -> None:
+        """An owner waits to make so many calls; this replaces what it asked before. Zero asks for nothing."""
+        book = self._books.get(key)
+        if book is None or owner[1] < self._epochs.get(owner[0], 0):
+            return
+        if calls > 0:
+            book.wants[owner] = Want(calls, now)
+        else:
+            book.wants.pop(owner, None)
+
+    def report(self, now: float, key: str, serial: int, made: int, last_at: float) -> None:
+        """The owner of a lease will make no more calls against it: it made so many, the last one then."""
+        book = self._books.get(key)
+        count = book.counts.get(serial) if book is not None else None
+        if book is None or count is None:
+            return
+        book.level += count.calls - max(min(made, count.calls), 0)
+        if made <= 0:
+            del book.counts[serial]
+            return
+        # Guards the limit against a report that claims too much: it can only lower what counts.
+        count.calls = min(made, count.calls)
+        count.over_at = min(min(last_at, now) + book.limit.span_ms, count.over_at)
+
+    def allot(self, now: float) -> list[Lease]:
+        """Give out what is free, by what is asked for. Put the leases on record before they are told."""
+        leases: list[Lease] = []
+        for key in [key for key, book in self._books.items() if book.wants]:
+            book = self._books[key]
+            book.clear(now, self._want_ms)
+            book.fill(now, self._burst_ms)
+            free = min(book.limit.calls - book.taken, floor(book.level)) if now >= self._quiet_until else 0
+            if free <= 0 or not book.wants:
+                continue
+            had: dict[Owner, int] = {}
+            for count in book.counts.values():
+                had[count.owner] = had.get(count.owner, 0) + count.calls
+            order = sorted(book.wants, key=lambda owner: (book.served_at.get(owner, -inf), owner))
+            shares = divide(free, {owner: (had.get(owner, 0), book.wants[owner].calls) for owner in order})
+            for owner, calls in shares.items():
+                leases.append(self._lease(now, key, book, owner, calls))
+        return leases
+
+    def _lease(self, now: float, key: str, book: Book, owner: Owner, calls: int) -> Lease:
+        self._serial += 1
+        lease = Lease(self._serial, owner, key, calls, now + self._lease_ms)
+        book.counts[lease.serial] = Count(owner, calls, lease.until + book.limit.span_ms)
+        book.served_at[owner] = now
+        book.level -= calls
+        book.wants[owner].calls -= calls
+        if book.wants[owner].calls <= 0:
+            del book.wants[owner]
+        return lease
+
+    def restore(self, records: Iterable[Lease]) -> None:
+        """Count what a predecessor gave out, before any limit is told."""
+        self._before = list(records)
+        for lease in self._before:
+            self._serial = max(self._serial, lease.serial)
+            self._epochs[lease.owner[0]] = max(lease.owner[1], self._epochs.get(lease.owner[0], 0))
+
+    def rate(self, now: float, key: str, owner: Owner) -> float:
+        """The calls a second that an owner may count on: its fair part, or what it had if that is more."""
+        book = self._books[key]
+        live = [count for count in book.counts.values() if count.over_at > now]
+        had = sum(count.calls for count in live if count.owner == owner)
+        sharers = {count.owner for count in live} | set(book.wants) | {owner}
+        return 1000.0 * max(had, book.limit.calls / len(sharers)) / book.limit.span_ms
+
+    @property
+    def keys(self) -> list[str]:
+        """Which limits are known."""
+        return list(self._books)
+
+    def taken(self, now: float, key: str) -> int:
+        """How much of a limit counts as used now."""
+        book = self._books[key]
+        return sum(count.calls for count in book.counts.values() if count.over_at > now)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether anybody asks for anything."""
+        return any(book.wants for book in self._books.values())
+
+
+def divide(free: int, wants: Mapping[Owner, tuple[int, int]]) -> dict[Owner, int]:
+    """Max-min fair: raise whoever has least, until nothing is free or nobody wants more.
+
+    ``wants`` holds, in the order in which equals are served, what each has had and how much more it wants.
+    The result leaves out who gets nothing.
+    """
+
+    def given(level: int) -> int:
+        return sum(min(max(level - had, 0), want) for had, want in wants.values())
+
+    low, high = 0, max((had + want for had, want in wants.values()), default=0)
+    while low < high:  # the highest level to which all can be raised
+        middle = (low + high + 1) // 2
+        low, high = (middle, high) if given(middle) <= free else (low, middle - 1)
+    shares = {owner: min(max(low - had, 0), want) for owner, (had, want) in wants.items()}
+    left = free - sum(shares.values())
+    for owner, (had, want) in wants.items():  # what is left is less than one call for each at that level
+        if left and had + shares[owner] <= low and shares[owner] < want:
+            shares[owner] += 1
+            left -= 1
+    return {owner: calls for owner, calls in shares.items() if calls}
--- /dev/null
+++ b/springspread/fleet/wire.py
@@ -0,0 +1,132 @@
+"""Between an instance and the allotter: one JSON object a line, both ways. Bytes in, messages out; no socket.
+
+Theory of operation. The instance opens with ``Hello`` and from then on sends ``Asking`` whenever what it
+waits for, what it is done with or what it was told changes. The allotter answers ``Limited`` (which limits
+there are, at first and when one comes) and ``Granted``. Either side ends the connection at the first line
+that it can't read: what is lost with it costs time and never a limit, as leases count whether they arrive or
+not.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from springspread.fleet.shares import Lease
+from springspread.fleet.wallet import Report
+
+LINE_BYTES = 1 << 18
+KEYS = 4096  # asked for, reported or told in one line
+KEY_CHARS = 200
+
+
+class Unreadable(Exception):
+    """A line that is no message; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """An instance begins, or begins again after the allotter was away."""
+
+    name: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Asking:
+    """How many calls wait by key, leases that are done with, and limits (calls a second) that were told."""
+
+    wants: Mapping[str, int] = field(default_factory=dict)
+    reports: Sequence[Report] = ()
+    told: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Which keys need leases."""
+
+    keys: Sequence[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A lease, and the rate (calls a second) that its owner may count on there for now."""
+
+    lease: Lease
+    per_s: float
+
+
+Message = Hello | Asking | Limited | Granted
+
+
+def write(message: Message) -> bytes:
+    """As a line."""
+    kind = type(message).__name__.lower()
+    return json.dumps({"kind": kind, **asdict(message)}, separators=(",", ":")).encode() + b"\n"
+
+
+class Lines:
+    """Takes bytes as they come and gives the messages that are whole."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Raises ``Unreadable``; nothing can be fed after that."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > LINE_BYTES or any(len(line) > LINE_BYTES for line in lines):
+            raise Unreadable(f"a line of more than {LINE_BYTES} bytes")
+        return [_read(line) for line in lines]
+
+
+def _read(line: bytes) -> Message:
+    try:
+        raw = json.loads(line)
+        kind = raw["kind"]
+        if kind == "hello":
+            return Hello(_text(raw["name"]), _whole(raw["epoch"]))
+        if kind == "asking":
+            reports = [
+                Report(_text(one["key"]), _whole(one["serial"]), _whole(one["made"]), _number(one["last_at"]))
+                for one in _few(raw["reports"])
+            ]
+            wants = {_text(key): _whole(calls) for key, calls in _few(raw["wants"].items())}
+            told = {_text(key): _number(rate) for key, rate in _few(raw["told"].items())}
+            return Asking(wants, reports, told)
+        if kind == "limited":
+            return Limited([_text(key) for key in raw["keys"]])
+        if kind == "granted":
+            one = raw["lease"]
+            owner = (_text(one["owner"][0]), _whole(one["owner"][1]))
+            serial, key, calls = _whole(one["serial"]), _text(one["key"]), _whole(one["calls"])
+            return Granted(Lease(serial, owner, key, calls, _number(one["until"])), _number(raw["per_s"]))
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError, RecursionError) as exc:
+        raise Unreadable(f"not a message: {exc!r}") from exc
+    raise Unreadable(f"no such kind: {kind!r}")
+
+
+def _few(values: Any) -> list[Any]:
+    found = list(values)
+    if len(found) > KEYS:
+        raise ValueError(f"more than {KEYS} keys")
+    return found
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= KEY_CHARS:
+        raise ValueError(f"not a name: {value!r}")
+    return value
+
+
+def _whole(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < 1 << 62:
+        raise ValueError(f"not a count: {value!r}")
+    return value
+
+
+def _number(value: object) -> float:
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value < 1e18:
+        raise ValueError(f"not a number: {value!r}")
+    return float(value)
--- a/springspread/lab/plan.py
+++ b/springspread/lab/plan.py
@@ -45,7 +45,7 @@
 class Knobs(Strict):
     """What a day is drawn with. Times are milliseconds, rates are per second, shares are 0 to 1."""
 
-    senders: Annotated[int, Field(ge=1, le=500)] = 3
+    senders: Annotated[int, Field(ge=1, le=1000)] = 3
     partners: Annotated[int, Field(ge=1, le=5000)] = 10
     per_s: Annotated[float, Field(ge=0.1, le=2000.0)] = 30.0
     load: Annotated[float, Field(ge=0.01, le=10.0)] = 0.7
@@ -59,6 +59,7 @@
     deaths: Annotated[int, Field(ge=0, le=100)] = 0
     directory_outages: Annotated[int, Field(ge=0, le=100)] = 0
     platform_outages: Annotated[int, Field(ge=0, le=100)] = 0
+    shared: bool = False
 
     @field_validator("trouble")
     @classmethod
@@ -158,20 +159,25 @@
     try:
         return Plan.model_validate(raw)
     except ValidationError as exc:
-        raise PlanError("\n".join(_told(dict(fault)) for fault in exc.errors())) from exc
+        raise PlanError(faults_of(exc, list(Plan.model_fields))) from exc
 
 
-def _told(fault: Mapping[str, Any]) -> str:
+def faults_of(exc: ValidationError, known: Sequence[str]) -> str:
+    """A line for each fault; ``known`` are the keys of the file's top."""
+    return "\n".join(_told(dict(fault), known) for fault in exc.errors())
+
+
+def _told(fault: Mapping[str, Any], known: Sequence[str]) -> str:
     where = ".".join(str(part) for part in fault["loc"] if part != "[key]")
     if fault["type"] == "value_error":
         text = str(fault["ctx"]["error"])
         return f"{where}: {text}" if where else text
     if fault["type"] == "extra_forbidden":
         parent, name = fault["loc"][:-1], str(fault["loc"][-1])
-        known: Sequence[str] = list(Plan.model_fields)
-        if parent:
+        if parent and parent[0] in ("base", "arms"):
             known = list(Arm.model_fields if parent[0] == "arms" else Knobs.model_fields)
-        return f"{where}: no such key{_meant(name, known)}"
+        elsewhere = parent and parent[0] not in ("base", "arms")
+        return f"{where}: no such key{'' if elsewhere else _meant(name, known)}"
     return f"{where}: {fault['msg']}, not {fault['input']!r}"
 
 
--- a/springspread/lab/run.py
+++ b/springspread/lab/run.py
@@ -26,7 +26,7 @@
 from springspread.town.day import CLASSES
 from springspread.town.virtual import Town
 
-MEASURES = ("service", *(f"service_{spec.name}" for spec in CLASSES))
+MEASURES = ("grade", "service", *(f"service_{spec.name}" for spec in CLASSES))
 COLUMNS = (
     "arm",
     "seed",
@@ -42,6 +42,8 @@
     "calls",
     "pushed_over",
     "spans_over_limit",
+    "limit_ratio",
+    "fleet_messages",
     "faults",
     "first_fault",
     "digest",
@@ -58,9 +60,11 @@
     """Play one day; the row, and how many seconds it took (in no row, as no two runs agree on it)."""
     begun = time.perf_counter()
     with tempfile.TemporaryDirectory(prefix="springspread-lab-") as folder, _module(run.module):
-        checker = Town(run.knobs.day(run.seed), Path(folder)).play().checker
+        outcome = Town(run.knobs.day(run.seed), Path(folder)).play()
+    checker = outcome.checker
     tally = checker.tally
     row = _head(run) | {"state": DONE, "messages": tally.messages, "service": round(tally.service, 4)}
+    row["grade"] = round(tally.grade, 4)
     for spec in CLASSES:
         asked, kept = tally.by_class.get(spec.name, (0.0, 0.0))
         row[f"service_{spec.name}"] = round(kept / asked, 4) if asked else ""
@@ -69,6 +73,7 @@
     row |= {"delivered": tally.delivered, "refused": tally.refused, "failed": tally.failed}
     row |= {"calls": tally.calls, "pushed_over": tally.pushed_over}
     row |= {"spans_over_limit": tally.over_limit, "faults": len(checker.faults)}
+    row |= {"limit_ratio": round(tally.limit_ratio, 3), "fleet_messages": outcome.fleet_messages}
     first = min(checker.faults, key=lambda fault: fault.at, default=None)
     row["first_fault"] = f"{first.at:.0f} ms {first.rule}: {first.text}" if first else ""
     row["digest"] = checker.digest
--- a/springspread/town/checker.py
+++ b/springspread/town/checker.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from math import exp2, inf
+from math import exp2, floor, inf
 
 from hdrh.histogram import HdrHistogram
 
@@ -67,6 +67,11 @@
     after_all: int = 0  # delivered by a call that was still out as its end was told
     pushed_over: int = 0
     over_limit: int = 0
+    attempts: int = 0
+    handshakes: int = 0
+    late_fails: int = 0  # messages whose client heard of their failure only after the wanted time
+    worst: float = 1.0  # service of the worst ten seconds, by first hand-in
+    limit_ratio: float = 0.0  # the most calls in any span of 2 s, over the limit's calls in it
     by_class: dict[str, list[float]] = field(default_factory=dict)
 
     @property
@@ -74,6 +79,17 @@
         """Worth kept over worth asked for."""
         return self.kept / self.asked if self.asked else 1.0
 
+    @property
+    def grade(self) -> float:
+        """Service by the brief's weights, less its prices: what a variant of the module is judged by."""
+        if not self.messages:
+            return 1.0
+        worst_class = min((kept / asked for asked, kept in self.by_class.values() if asked), default=1.0)
+        weighed = 0.5 * self.service + 0.3 * self.worst + 0.2 * worst_class
+        waste = max(self.attempts - self.delivered, 0) / self.messages
+        handshakes, late = self.handshakes / self.messages, self.late_fails / self.messages
+        return weighed - 0.16 * min(waste, 1.0) - 0.04 * min(handshakes, 1.0) - 0.014 * late
+
 
 class Checker:
     """Fed by a driver; ``close`` looks for what never came."""
@@ -84,10 +100,16 @@
         self._classes = {spec.name: spec for spec in classes}
         self._grace, self._max_attempts = grace_ms, max_attempts
         self._limits = limits  # calls a second that a limit key takes from everybody
+        self._counts = {
+            key: max(floor(per_s * SPAN_MS / 1000 + 1e-9), 1) for key, per_s in limits.items() if per_s < inf
+        }
         self._cases: dict[str, Case] = {}
         self._told_off: dict[tuple[str, str], float] = {}
         self._waits: dict[tuple[str, str], float] = {}
         self._spans: dict[str, Counter[int]] = defaultdict(Counter)
+        self._saw_fail: dict[str, set[str]] = defaultdict(set)
+        self._seconds: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        self._lately: dict[str, deque[float]] = defaultdict(deque)
         self._away: list[tuple[float, float]] = []
         self._dead: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.latency = HdrHistogram(1, LONGEST_MS, 3)  # of what was delivered, from its first hand-in
@@ -133,6 +155,7 @@
             self.tally.messages += 1
             self.tally.asked += spec.worth
             self.tally.by_class.setdefault(cls, [0.0, 0.0])[0] += spec.worth
+            self._seconds[int(first_at / 1000)][0] += spec.worth
         self._cases[id] = Case(spec, group, first_at, at + left_ms, sender)
 
     def verdict(self, at: float, id: str, taken: bool) -> None:
@@ -158,6 +181,12 @@
         self._see("call", at, sender, endpoint, list(ids))
         self.tally.calls += 1
         self._spans[key][int(at / SPAN_MS)] += 1
+        lately = self._lately[key]
+        lately.append(at)
+        while lately[0] <= at - SPAN_MS:
+            lately.popleft()
+        if key in self._counts:
+            self.tally.limit_ratio = max(self.tally.limit_ratio, len(lately) / self._counts[key])
         off = self._told_off.get((sender, endpoint), inf)
         if at > off + self._grace + GRACE_SLACK_MS:
             self._fault(at, "drain", sender, f"a call to {endpoint} {at - off:.0f} ms after it was told off")
@@ -166,6 +195,7 @@
         for id in ids:
             case = self._cases[id]
             case.calls += 1
+            self.tally.attempts += 1
             if case.told_at < at:
                 text = f"{id} was sent {at - case.told_at:.0f} ms after it was told as {case.ended}"
                 self._fault(at, "answers", sender, text)
@@ -205,6 +235,7 @@
         self.latency.record_value(max(round(at - case.first_at), 1))
         self.tally.kept += worth
         self.tally.by_class[case.spec.name][1] += worth
+        self._seconds[int(case.first_at / 1000)][1] += worth
 
     def wait(self, at: float, sender: str, key: str, ms: float) -> None:
         """A sender was told to wait; what is on its way then is let through."""
@@ -221,6 +252,7 @@
         if not case.ended:
             case.ended, case.told_at = status, at
             self.tally.failed += status == "undeliverable"
+            self.tally.late_fails += status == "undeliverable" and at > case.first_at + case.spec.aim_ms
             self.tally.refused += status == "deferred"
 
     def astray(self, at: float, sender: str, text: str) -> None:
@@ -243,10 +275,24 @@
                 due = end + AWAY_SLACK_MS
         return due
 
-    def pushed_over(self, at: float, endpoint: str) -> None:
-        """A cold endpoint fell over under what it was sent."""
+    def troubled(self, endpoint: str) -> None:
+        """An endpoint's trouble begins: who has seen it fail is asked anew."""
+        self._saw_fail[endpoint].clear()
+
+    def failed(self, at: float, sender: str, endpoint: str) -> None:
+        """A sender's call failed there, or was refused."""
+        self._saw_fail[endpoint].add(sender)
+
+    def pushed_over(self, at: float, endpoint: str, senders: Sequence[str]) -> None:
+        """A cold endpoint fell over under what it was sent by ``senders``, a call each.
+
+        The promise is broken where two thirds of it came from senders that had seen a call fail there.
+        """
         self.tally.pushed_over += 1
-        self._fault(at, "cold", "", f"{endpoint} fell over as it came back")
+        knew = [sender for sender in senders if sender in self._saw_fail[endpoint]]
+        if 3 * len(knew) >= 2 * len(senders):
+            text = f"{endpoint} fell over as it came back; {len(knew)} of {len(senders)} calls knew"
+            self._fault(at, "cold", ",".join(sorted(set(knew))), text)
 
     def close(self, at: float) -> None:
         """The day is over: whatever is still owed is lost."""
@@ -254,6 +300,10 @@
             if case.taken and not case.ended and at > self._due(case):
                 text = f"{id} got no final answer in its time ({case.calls} attempts made)"
                 self._fault(case.deadline, "lost", case.sender, text)
+        for first in range(max(self._seconds, default=0) - 8):
+            window = [self._seconds[second] for second in range(first, first + 10)]
+            asked, kept = sum(one[0] for one in window), sum(one[1] for one in window)
+            self.tally.worst = min(self.tally.worst, kept / asked if asked else 1.0)
         for key, spans in self._spans.items():
             most = self._limits.get(key, inf) * SPAN_MS / 1000
             self.tally.over_limit += sum(max(count - most, 0) > 0 for count in spans.values())
--- a/springspread/town/day.py
+++ b/springspread/town/day.py
@@ -112,6 +112,7 @@
     network_ms: tuple[float, float] = (1.0, 10.0)  # one way, in one building and between the two
     list_lag_ms: float = 1500.0
     zones: Mapping[str, str] = field(default_factory=dict)
+    shared: bool = False  # the senders are a fleet, and share the partners' limits
 
     def away(self, service: Service, now: float) -> float:
         """Until when a service is away; ``now`` itself where it is there."""
@@ -123,8 +124,9 @@
         habits = {spec.kind: spec.habit for spec in self.partners}
         apart = [habits[kind].apart if kind in habits else False for kind in KINDS]
         return {
-            "balancers": self.senders,
-            "index": index,
+            # One of a fleet is told its part of each limit, and need not guess it from the number of senders.
+            "balancers": 1 if self.shared else self.senders,
+            "index": 0 if self.shared else index,
             "classes": [
                 {
                     "name": spec.name,
@@ -189,6 +191,7 @@
     deaths: int = 0,
     directory_outages: int = 0,
     platform_outages: int = 0,
+    shared: bool = False,
 ) -> Day:
     """Draw a day. ``load`` is the share of the partners' limits that the traffic takes up in the mean.
 
@@ -196,7 +199,7 @@
     replaced, and so many of the new endpoints get an address that another partner's endpoint had.
     ``clumps`` is the share of the messages that come in clumps for one partner, ``surge`` the factor of the
     traffic at the month's end: a fifth of the day. So many times a sender is killed, and the directory or the
-    platform is away for some seconds.
+    platform is away for some seconds. ``shared``: the senders are a fleet under one allotter.
     """
     specs = _partners(seed, partners, per_s / load)
     specs, moves = _drains(seed, specs, drains, length_ms)
@@ -223,6 +226,7 @@
         deaths=_deaths(seed, senders, deaths, length_ms),
         outages=tuple(outages),
         zones=zones,
+        shared=shared,
     )
 
 
--- a/springspread/town/partner.py
+++ b/springspread/town/partner.py
@@ -126,7 +126,7 @@
     back_at: float = -inf  # when its last outage ended: it is cold from then on
     fallen: bool = False
     _free: list[float] = field(default_factory=list)
-    _cold_calls: deque[float] = field(default_factory=deque)
+    _cold_calls: deque[tuple[float, str]] = field(default_factory=deque)
 
     def __post_init__(self) -> None:
         self._free = [0.0] * self.habit.places
@@ -153,9 +153,9 @@
             self._cold_calls.clear()
         self.condition = condition
 
-    def arrive(self, now: float, messages: int = 1) -> Answer:
+    def arrive(self, now: float, messages: int = 1, sender: str = "") -> Answer:
         """A call's last byte has come."""
-        if self._pushed(now):
+        if self._pushed(now, sender):
             self.fallen = True
         trouble = Trouble.REFUSING if self.fallen else self.condition.trouble
         if trouble is Trouble.REFUSING:
@@ -197,13 +197,18 @@
         left = round(max(self.limit.left(at), 0.0), 3)
         return Answer(at, end, ran, wait_ms, left, self.limit.per_s)
 
-    def _pushed(self, now: float) -> bool:
+    @property
+    def pushers(self) -> list[str]:
+        """Who sent what it was sent in its last ``fall_ms`` while cold, a call each."""
+        return [sender for _, sender in self._cold_calls]
+
+    def _pushed(self, now: float, sender: str) -> bool:
         # What a cold endpoint is sent, whether it serves it or not, may be so many times what it can do.
         habit = self.habit
         if now - self.back_at >= habit.warm_ms:
             return False
-        self._cold_calls.append(now)
-        while self._cold_calls[0] <= now - habit.fall_ms:
+        self._cold_calls.append((now, sender))
+        while self._cold_calls[0][0] <= now - habit.fall_ms:
             self._cold_calls.popleft()
         budget = habit.fall_multiple * self.warmth(now) * self.capacity * habit.fall_ms / 1000
         return len(self._cold_calls) > max(budget, 3.0)
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -226,9 +226,11 @@
         stood = endpoint.fallen
         sender, key = self.checker.sender_of(ids[0]), self._key(name)
         self.checker.call(now, sender, name, group, key, ids)
-        answer = endpoint.arrive(now, len(ids))
+        answer = endpoint.arrive(now, len(ids), sender)
         if endpoint.fallen and not stood:
-            self.checker.pushed_over(now, name)
+            self.checker.pushed_over(now, name, endpoint.pushers)
+        if answer.end is not End.DONE:
+            self.checker.failed(now, sender, name)
         if answer.ran:
             self.checker.done(now, sender, key, ids, "maybe", True)
         if answer.end is End.REFUSED:
@@ -286,6 +288,8 @@
             endpoint = self._partners[self._group[change.endpoint]].endpoints[change.endpoint]
             before = endpoint.condition.trouble is Trouble.REFUSING
             endpoint.troubled(self._now(), change.condition)
+            if change.condition.trouble is not Trouble.NONE:
+                self.checker.troubled(change.endpoint)
             after = change.condition.trouble is Trouble.REFUSING
             if before != after:
                 self._refuse(change.endpoint, after)
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -37,9 +37,13 @@
     ServerLink,
     Verdict,
 )
-from springspread.town.checker import Checker
+from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
+from springspread.fleet.server import TICK_MS
+from springspread.fleet.shares import Allotter, Lease, Limit, Owner
+from springspread.fleet.wallet import Report, Wallet
+from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
-from springspread.town.partner import Answer, End, Partner
+from springspread.town.partner import Answer, End, Partner, Trouble
 
 RESULTS = {
     End.DONE: Result.DELIVERED,
@@ -49,6 +53,7 @@
     End.RESET: Result.BROKEN,
     End.SPOILT: Result.SPOILT,
 }
+MEDIUM_MS = 0.5  # between an instance and the allotter, one way
 KEPT_MS = 3_500.0  # a connection idle for longer is opened anew
 EPOCH_MS = 1.8e12  # what the day's zero is on the wall
 
@@ -107,9 +112,13 @@
 class Instance:
     """One sender in the town, and the drivers that stand in for its sockets."""
 
-    def __init__(self, town: Town, index: int, folder: Path, seed: int) -> None:
+    def __init__(self, town: Town, index: int, folder: Path, seed: int, epoch: int) -> None:
         self.town, self.index, self.name = town, index, f"n{index}"
-        self.dead = False
+        self.dead = self._polling = False
+        self.owner = (self.name, epoch)
+        self.wallet = Wallet() if town.day.shared else None
+        self.rates: dict[str, float] = {}
+        self._asked: set[str] = set()
         raw: dict[str, Any] = {
             "name": self.name,
             "listen": "127.0.0.1:0",
@@ -124,7 +133,11 @@
         self.journal = Journal(folder, limits.disk_bytes, settings.max_attempts, limits.body_bytes)
         grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
         self.clearance = Clearance(self.journal, grace, town.clock)
-        self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock)
+        shares = self if town.day.shared else None
+        self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock, shares)
+        if self.wallet is not None:
+            self.wallet.limited(set(town.allotter.keys))
+            town.allotter.joined(self.owner)
         self.sender.attach(self, self, self)
         self._out: dict[Call, Out] = {}
         self._idle: dict[int, list[float]] = {}
@@ -168,6 +181,62 @@
         self.dead = True
         self.journal.close()
 
+    # The fleet
+
+    def granted(self, lease: Lease, per_s: float) -> None:
+        """A lease comes in."""
+        if not self.dead and self.wallet is not None:
+            self.rates[lease.key] = per_s
+            self.wallet.received(lease, self.town.clock.now())
+
+    def _poll(self) -> None:
+        """Ask for what waits and report what is done with, as long as there is either."""
+        self._polling = False
+        if self.dead or self.wallet is None:
+            return
+        now = self.town.clock.now()
+        wants, reports = self.wallet.wants(now), self.wallet.done(now)
+        if wants or reports or self._asked:
+            told = {**dict.fromkeys(self._asked, 0), **wants}
+            self.town.at(now + MEDIUM_MS, self.town.asked, self.owner, told, reports)
+        self._asked = set(wants)
+        if wants or reports or self.wallet.holding:
+            self._polling = True
+            self.town.at(now + POLL_MS, self._poll)
+
+    def _lacks(self, call: Call) -> bool:
+        """Whether a call has to wait for a lease, or to end without one."""
+        now = self.town.clock.now()
+        if self.wallet is None or self.wallet.take(key_of(call.link), now) == 0.0:
+            return False
+        if not self._polling:
+            self._polling = True
+            self.town.at(now, self._poll)
+        if now < call.sent_at + LEASE_WAIT_MS:
+            self.town.at(now + POLL_MS, self._goes_on, call)
+        else:
+            for run in call.executions:
+                self.put(ExecutionEnd(call, run, Result.NOT_SENT, now))
+        return True
+
+    def _goes_on(self, call: Call) -> None:
+        if self.dead:
+            return
+        if call.cancelled.is_set():
+            for run in call.executions:
+                self.put(ExecutionEnd(call, run, Result.CANCELLED, self.town.clock.now()))
+            return
+        self.start(call)
+
+    def acquire(self, link: ServerLink) -> bool:
+        """Asked by nobody: ``start`` waits in virtual time instead."""
+        raise AssertionError(f"{link.name}: a wait in virtual time")
+
+    def load(self, link: ServerLink, load: Load) -> Load:
+        """What the decision module is told of a limit: this instance's part of it."""
+        rate = self.rates.get(key_of(link))
+        return load if rate is None else Load(load.left_share, rate)
+
     # Executor
 
     def start(self, call: Call) -> None:
@@ -176,6 +245,8 @@
         if not call.executions:
             self._probe(call)
             return
+        if self._lacks(call):
+            return
         refused = self.clearance.refuses(call)
         if refused is not None and not self._overrides(refused[0]):
             for run in call.executions:
@@ -202,6 +273,7 @@
             self._idle[link.number] = fresh[:-1]
             return 0.0
         self._idle.pop(link.number, None)
+        self.town.checker.tally.handshakes += 1
         return 2 * way
 
     def _arrives(self, call: Call) -> None:
@@ -213,7 +285,9 @@
         if holder != endpoint:
             text = f"a call for {endpoint} came to {holder}, which has its address now"
             self.town.checker.astray(now, self.name, text)
-        answer = self.town.arrive(holder, len(call.executions))
+        answer = self.town.arrive(holder, len(call.executions), self.name)
+        if answer.end is not End.DONE:
+            self.town.checker.failed(now, self.name, holder)
         if answer.ran:
             self.town.checker.done(now, self.name, self.town.key(endpoint), _ids(call), "maybe", True)
         if answer.at < inf:
@@ -348,6 +422,7 @@
     checker: Checker
     calls: int
     logged: dict[str, int] = field(default_factory=dict)
+    fleet_messages: int = 0  # between instances and the allotter
 
 
 class Town:
@@ -378,6 +453,14 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
+        self.allotter = Allotter()
+        self.fleet_messages = 0
+        self._allotting = False
+        for name, group in self._group.items():
+            habit = self.partners[group].habit
+            if habit.limit_per_s:
+                key = f"r{group}/{name}" if habit.apart else f"g{group}"
+                self.allotter.limited(key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
         for cut in day.outages:
             if cut.service is Service.PLATFORM:
                 self.checker.platform_away(cut.begin, cut.end)
@@ -392,7 +475,7 @@
         place = self._folder / f"n{index}"
         place.mkdir(parents=True, exist_ok=True)
         self._starts += 1
-        return Instance(self, index, place, self.day.seed * 1000 + self._starts - 1)
+        return Instance(self, index, place, self.day.seed * 1000 + self._starts - 1, self._starts)
 
     def _dies(self, death: Death) -> None:
         old = self.instances[death.sender]
@@ -413,6 +496,30 @@
         self._count += 1
         heappush(self._moments, (when, self._count, work, values))
 
+    def asked(self, owner: Owner, wants: dict[str, int], reports: list[Report]) -> None:
+        """An instance's message comes to the allotter."""
+        now = self.clock.now()
+        self.fleet_messages += 1
+        for one in reports:
+            self.allotter.report(now, one.key, one.serial, one.made, one.last_at)
+        for key, calls in wants.items():
+            self.allotter.ask(now, owner, key, calls)
+        if self.allotter.waiting and not self._allotting:
+            self._allotting = True
+            self.at(now, self._allot)
+
+    def _allot(self) -> None:
+        now = self.clock.now()
+        for lease in self.allotter.allot(now):
+            self.fleet_messages += 1
+            instance = self.instances[int(lease.owner[0][1:])]
+            if instance.owner == lease.owner:
+                per_s = self.allotter.rate(now, lease.key, lease.owner)
+                self.at(now + MEDIUM_MS, instance.granted, lease, per_s)
+        self._allotting = self.allotter.waiting
+        if self._allotting:
+            self.at(now + TICK_MS, self._allot)
+
     def key(self, endpoint: str) -> str:
         """What a limit and a told wait bind."""
         group = self._group[endpoint]
@@ -423,13 +530,13 @@
         near, far = self.day.network_ms
         return near if self.day.zones.get(endpoint) == ZONES[sender % 2] else far
 
-    def arrive(self, name: str, messages: int) -> Answer:
+    def arrive(self, name: str, messages: int, sender: str) -> Answer:
         """A call's last byte has come to an endpoint."""
         endpoint = self.partners[self._group[name]].endpoints[name]
         stood = endpoint.fallen
-        answer = endpoint.arrive(self.clock.now(), messages)
+        answer = endpoint.arrive(self.clock.now(), messages, sender)
         if endpoint.fallen and not stood:
-            self.checker.pushed_over(self.clock.now(), name)
+            self.checker.pushed_over(self.clock.now(), name, endpoint.pushers)
         return answer
 
     def member(self, name: str) -> Member:
@@ -451,6 +558,8 @@
         endpoint = self.partners[self._group[change.endpoint]].endpoints[change.endpoint]
         if change.condition is not None:
             endpoint.troubled(self.clock.now(), change.condition)
+            if change.condition.trouble is not Trouble.NONE:
+                self.checker.troubled(change.endpoint)
         if change.state:
             self.states[change.endpoint] = LinkState(change.state)
             self.version += 1
@@ -522,7 +631,8 @@
         for instance in self.instances:
             if not instance.dead:
                 instance.journal.close()
-        return Outcome(self.checker, self.checker.tally.calls, dict(sorted(self.log.counts.items())))
+        logged = dict(sorted(self.log.counts.items()))
+        return Outcome(self.checker, self.checker.tally.calls, logged, self.fleet_messages)
 
 
 def _ids(call: Call) -> list[str]:
--- /dev/null
+++ b/tests/fleet/test_members.py
@@ -0,0 +1,65 @@
+"""The members' machine: who is started, ended, emptied and dropped, and when."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from springspread.fleet.members import Pauses, Row, Seen, Step, Want, died, pause, scaled, step
+
+PAUSES = Pauses(first_ms=100.0, most_ms=1_000.0, settled_ms=5_000.0, stop_ms=4_000.0)
+RUNNING = Row("n000", epoch=1, pid=77, started_at=0.0)
+LEAVING = replace(RUNNING, want=Want.LEAVING)
+EMPTYING = replace(LEAVING, emptying=True)
+DOWN = Row("n000", epoch=1, died_at=0.0, deaths=1)
+
+
+@pytest.mark.parametrize(
+    ("row", "seen", "now", "expected"),
+    [
+        (Row("n000"), Seen(False), 0.0, Step.START),
+        (RUNNING, Seen(True, 9), 10.0, None),
+        (DOWN, Seen(False, 9), 99.0, None),
+        (DOWN, Seen(False, 9), 100.0, Step.START),
+        (replace(RUNNING, restart=True), Seen(True), 10.0, Step.TERM),
+        (replace(RUNNING, restart=True, told_at=10.0), Seen(True), 4_009.0, None),
+        (replace(RUNNING, restart=True, told_at=10.0), Seen(True), 4_010.0, Step.KILL),
+        (LEAVING, Seen(True, 9), 10.0, Step.TERM),
+        (replace(LEAVING, told_at=10.0), Seen(True, 9), 20.0, None),
+        (replace(LEAVING, told_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
+        (replace(LEAVING, pid=0), Seen(False, 9), 10.0, Step.EMPTY),
+        (replace(LEAVING, pid=0), Seen(False, 0), 10.0, Step.DROP),
+        (EMPTYING, Seen(True, 9), 10.0, None),
+        (EMPTYING, Seen(True, 0), 10.0, Step.TERM),
+        (replace(EMPTYING, told_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
+        (replace(DOWN, want=Want.LEAVING), Seen(False, 3), 50.0, None),
+    ],
+)
+def test_each_state_has_its_step(row: Row, seen: Seen, now: float, expected: Step | None) -> None:
+    assert step(row, seen, now, PAUSES) is expected
+
+
+def test_one_that_keeps_dying_waits_longer_each_time_up_to_a_bound() -> None:
+    row, pauses = RUNNING, []
+    for _ in range(6):
+        row = died(replace(row, pid=1, started_at=1_000.0), 1_100.0, PAUSES)
+        pauses.append(pause(row, PAUSES))
+    assert pauses == [100.0, 200.0, 400.0, 800.0, 1_000.0, 1_000.0]
+    row = died(replace(row, pid=1, started_at=0.0), 5_000.0, PAUSES)
+    assert pause(row, PAUSES) == 100.0
+
+
+def test_one_that_was_told_to_end_is_started_again_at_once() -> None:
+    row = died(replace(RUNNING, restart=True, told_at=10.0), 500.0, PAUSES)
+    assert step(row, Seen(False, 4), 500.0, PAUSES) is Step.START and not row.restart
+
+
+def test_scaling_adds_the_lowest_free_names_and_takes_the_highest_away() -> None:
+    rows = scaled({}, 3)
+    assert list(rows) == ["n000", "n001", "n002"]
+    less = scaled(rows, 1)
+    assert [name for name, row in less.items() if row.want is Want.LEAVING] == ["n001", "n002"]
+    more = scaled(less, 2)  # what leaves is not taken back: its folder may be half emptied
+    assert [name for name, row in more.items() if row.want is Want.SERVING] == ["n000", "n003"]
+    assert scaled(more, 0)["n000"].want is Want.LEAVING
--- /dev/null
+++ b/tests/fleet/test_shares.py
@@ -0,0 +1,300 @@
+"""Shares of limits: the promise under any order of events that a search comes upon, and fair division."""
+
+from __future__ import annotations
+
+import os
+from bisect import bisect_left
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from springspread.fleet.shares import Allotter, Lease, Limit, Owner, divide
+from springspread.fleet.wallet import Wallet
+
+SPAN = 200.0
+LEASE = 40.0
+KEY = "g1"
+
+
+@dataclass
+class Instance:
+    owner: Owner
+    wallet: Wallet = field(default_factory=Wallet)
+    frozen: bool = False
+
+    def __post_init__(self) -> None:
+        self.wallet.limited({KEY})
+
+
+class Fleet(RuleBasedStateMachine):
+    """Instances that come, go, freeze and call; messages that are lost or late; allotters replaced."""
+
+    forgets = False  # planted faults: a successor that knows nothing, reports that are believed too much
+    frees_early = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.limit = Limit(5, SPAN)
+        self.record: list[Lease] = []
+        self.allotter = self._allotter()
+        self.allotter.limited(KEY, self.limit)
+        self.alive: dict[str, Instance] = {}
+        self.epochs = 0
+        self.mail: list[tuple[Instance, Lease]] = []
+        self.calls: deque[float] = deque()
+
+    def _allotter(self) -> Allotter:
+        return Allotter(lease_ms=LEASE, want_ms=100.0)
+
+    @rule(name=st.sampled_from("abc"))
+    def starts(self, name: str) -> None:
+        """Also in place of one that runs: as if that had been killed, or thought dead."""
+        self.epochs += 1
+        self.alive[name] = Instance((name, self.epochs))
+        assert self.allotter.joined(self.alive[name].owner)
+
+    @rule(name=st.sampled_from("abc"))
+    def freezes_or_goes_on(self, name: str) -> None:
+        if name in self.alive:
+            self.alive[name].frozen = not self.alive[name].frozen
+
+    @rule(name=st.sampled_from("abc"), calls=st.integers(1, 9))
+    def asks(self, name: str, calls: int) -> None:
+        if name in self.alive:
+            self.allotter.ask(self.now, self.alive[name].owner, KEY, calls)
+
+    @rule()
+    def allots(self) -> None:
+        for lease in self.allotter.allot(self.now):
+            self.record.append(lease)
+            instance = self.alive.get(lease.owner[0])
+            if instance is not None and instance.owner == lease.owner:
+                self.mail.append((instance, lease))
+
+    @rule(name=st.sampled_from("abc"), calls=st.integers(1, 9))
+    def is_served(self, name: str, calls: int) -> None:
+        """All goes well once: it asks, hears and calls. Without this rule few searches get as far."""
+        if name not in self.alive:
+            self.starts(name)
+        self.alive[name].frozen = False
+        self.asks(name, calls)
+        self.allots()
+        while self.mail:
+            instance, lease = self.mail.pop()
+            if not instance.frozen:
+                instance.wallet.received(lease, self.now)
+        self.calls_out(name, calls)
+
+    @precondition(lambda self: self.mail)
+    @rule(data=st.data(), lost=st.booleans())
+    def a_lease_arrives_or_is_lost(self, data: st.DataObject, lost: bool) -> None:
+        instance, lease = self.mail.pop(data.draw(st.integers(0, len(self.mail) - 1)))
+        if not lost and not instance.frozen:
+            instance.wallet.received(lease, self.now)
+
+    @rule(name=st.sampled_from("abc"), times=st.integers(1, 6))
+    def calls_out(self, name: str, times: int) -> None:
+        instance = self.alive.get(name)
+        if instance is None or instance.frozen:
+            return
+        for _ in range(times):
+            if instance.wallet.take(KEY, self.now) == 0.0:
+                self.calls.append(self.now)
+
+    @rule(name=st.sampled_from("abc"), lost=st.booleans())
+    def reports(self, name: str, lost: bool) -> None:
+        instance = self.alive.get(name)
+        if instance is None or instance.frozen:
+            return
+        for report in instance.wallet.done(self.now):
+            if not lost:
+                last_at = report.last_at - (SPAN if self.frees_early else 0.0)
+                self.allotter.report(self.now, report.key, report.serial, report.made, last_at)
+
+    @rule()
+    def the_allotter_is_replaced(self) -> None:
+        """Its successor reads what was given out; the last of it may never have been told."""
+        self.allotter = self._allotter()
+        self.allotter.restore([] if self.forgets else self.record)
+        self.allotter.limited(KEY, self.limit)
+
+    @rule(ms=st.sampled_from([1.0, 5.0, 19.0, 40.0, 77.0, 160.0, 201.0]))
+    def time_goes_by(self, ms: float) -> None:
+        self.now += ms
+
+    @invariant()
+    def no_span_holds_more_than_the_limit(self) -> None:
+        while self.calls and self.calls[0] <= self.now - SPAN:
+            self.calls.popleft()
+        assert len(self.calls) <= self.limit.calls
+
+    @invariant()
+    def no_more_is_out_than_the_limit(self) -> None:
+        assert self.allotter.taken(self.now, KEY) <= self.limit.calls
+
+
+class Forgetful(Fleet):
+    forgets = True
+
+
+class Hasty(Fleet):
+    frees_early = True
+
+
+SEARCH = settings(
+    max_examples=int(os.environ.get("SPRINGSPREAD_SEARCH", "60")),
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+"""For a long search: SPRINGSPREAD_SEARCH=20000 python -m pytest tests/fleet/test_shares.py."""
+
+
+def test_no_span_ever_holds_more_than_the_limit() -> None:
+    run_state_machine_as_test(Fleet, settings=SEARCH)
+
+
+@pytest.mark.parametrize("faulty", [Forgetful, Hasty])
+def test_the_search_finds_a_planted_fault(faulty: type[Fleet]) -> None:
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(faulty, settings=settings(SEARCH, phases=[Phase.generate]))
+
+
+OWNERS = [(f"n{n}", 1) for n in range(6)]
+PAIRS = st.tuples(st.integers(0, 30), st.integers(1, 30))
+WANTS = st.dictionaries(st.sampled_from(OWNERS), PAIRS, max_size=6)
+
+
+@given(free=st.integers(0, 100), wants=WANTS)
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+def test_division_is_max_min_fair(free: int, wants: dict[Owner, tuple[int, int]]) -> None:
+    shares = divide(free, wants)
+    got = {owner: shares.get(owner, 0) for owner in wants}
+    assert all(0 <= got[owner] <= want for owner, (_, want) in wants.items())
+    assert sum(got.values()) == min(free, sum(want for _, want in wants.values()))
+    for owner, (had, want) in wants.items():
+        if got[owner] < want:  # nobody who was raised stands more than one call above one that waits
+            assert all(
+                wants[other][0] + got[other] <= had + got[owner] + 1 for other in wants if got[other]
+            )
+
+
+class Clocked:
+    """Some instances that ask every few milliseconds, and an allotter; calls are made as leases come."""
+
+    def __init__(self, count: int, limit: Limit, lease_ms: float = 200.0) -> None:
+        self.now = 0.0
+        self.allotter = Allotter(lease_ms=lease_ms)
+        self.allotter.limited(KEY, limit)
+        self.wallets = {(f"n{n:02}", 1): Wallet() for n in range(count)}
+        self.made: list[tuple[float, Owner]] = []
+        for wallet in self.wallets.values():
+            wallet.limited({KEY})
+
+    def step(self, demand: dict[Owner, int], ms: float = 10.0) -> None:
+        self.now += ms
+        for owner, wallet in self.wallets.items():
+            for _ in range(demand.get(owner, 0)):
+                if wallet.take(KEY, self.now) == 0.0:
+                    self.made.append((self.now, owner))
+            for report in wallet.done(self.now):
+                self.allotter.report(self.now, report.key, report.serial, report.made, report.last_at)
+            self.allotter.ask(self.now, owner, KEY, wallet.wants(self.now).get(KEY, 0))
+        for lease in self.allotter.allot(self.now):
+            self.wallets[lease.owner].received(lease, self.now)
+
+    def worst(self, span: float) -> int:
+        times = [at for at, _ in self.made]
+        return max((bisect_left(times, at + span) - n for n, at in enumerate(times)), default=0)
+
+    def of(self, owner: Owner, begin: float, end: float) -> int:
+        return sum(begin <= at < end and who == owner for at, who in self.made)
+
+
+def test_a_limit_below_one_call_an_instance_and_span_goes_round() -> None:
+    fleet = Clocked(50, Limit(4, 2000.0))
+    everyone = dict.fromkeys(fleet.wallets, 1)
+    for _ in range(3000):
+        fleet.step(everyone)
+    had = [fleet.of(owner, 0.0, 30_000.0) for owner in fleet.wallets]
+    assert fleet.worst(2000.0) == 4
+    assert max(had) - min(had) <= 1 and sum(had) >= 0.9 * 4 * 15
+
+
+def test_a_shift_of_demand_is_followed_and_little_is_left_idle() -> None:
+    fleet = Clocked(10, Limit(200, 2000.0))
+    first, second = list(fleet.wallets)[:2]
+    for _ in range(600):
+        fleet.step({first: 5})
+    assert fleet.of(first, 2000.0, 6000.0) >= 0.9 * 400
+    for _ in range(600):
+        fleet.step({first: 5, second: 5})
+    assert fleet.of(second, 6000.0, 6500.0) >= 0.9 * 25  # its fair part within 500 ms, at a full limit
+    late = fleet.of(first, 8000.0, 12_000.0), fleet.of(second, 8000.0, 12_000.0)
+    assert abs(late[0] - late[1]) <= 0.1 * sum(late) and sum(late) >= 0.9 * 400
+    assert fleet.worst(2000.0) <= 200
+
+
+def test_what_an_idle_instance_holds_comes_back() -> None:
+    fleet = Clocked(2, Limit(10, 2000.0))
+    idle, busy = fleet.wallets
+    fleet.step({idle: 10})
+    for _ in range(210):
+        fleet.step({busy: 10})
+    assert fleet.of(busy, 0.0, 2000.0) == 10 and fleet.of(idle, 0.0, 2000.0) == 0
+
+
+def test_a_limit_that_shrinks_while_fully_leased_holds_a_span_after_its_leases_ended() -> None:
+    fleet = Clocked(4, Limit(100, 2000.0))
+    everyone = dict.fromkeys(fleet.wallets, 2)
+    for _ in range(400):
+        fleet.step(everyone)
+    fleet.allotter.limited(KEY, Limit(20, 2000.0))
+    shrunk = fleet.now
+    for _ in range(800):
+        fleet.step(everyone)
+    fleet.made = [(at, who) for at, who in fleet.made if at > shrunk + 200.0]
+    assert fleet.worst(2000.0) <= 20 and len(fleet.made) >= 0.8 * 20 * 2
+
+
+def test_a_lease_ends_by_the_clock_of_the_one_that_holds_it() -> None:
+    wallet = Wallet()
+    wallet.limited({KEY})
+    wallet.received(Lease(1, ("n0", 1), KEY, 2, 100.0), 0.0)
+    assert wallet.take(KEY, 99.0) == 0.0
+    assert wallet.take(KEY, 100.0) > 0.0  # it was frozen meanwhile
+    (report,) = wallet.done(100.0)
+    assert (report.made, report.last_at) == (1, 99.0) and wallet.done(100.0) == []
+
+
+def test_an_older_epoch_gets_nothing() -> None:
+    allotter = Allotter()
+    allotter.limited(KEY, Limit(5, SPAN))
+    assert allotter.joined(("n0", 2)) and not allotter.joined(("n0", 1))
+    allotter.ask(0.0, ("n0", 1), KEY, 3)
+    assert allotter.allot(1.0) == []
+
+
+def test_ten_thousand_limits_cost_only_what_is_asked_for() -> None:
+    allotter, rng = Allotter(), Random(1)
+    for n in range(10_000):
+        allotter.limited(f"g{n}", Limit(4, 2000.0))
+    for n in rng.sample(range(10_000), 20):
+        allotter.ask(0.0, ("n0", 1), f"g{n}", 1)
+    leases = allotter.allot(1.0)
+    assert len(leases) == 20 and all(lease.calls == 1 for lease in leases)
+    assert not allotter.waiting
--- /dev/null
+++ b/tests/fleet/test_wire.py
@@ -0,0 +1,100 @@
+"""The fleet's lines and the record of leases: what is cut, torn or foreign is told apart."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from springspread.fleet import wire
+from springspread.fleet.record import FILE_BYTES, Record
+from springspread.fleet.shares import Lease
+from springspread.fleet.wallet import Report
+from springspread.fleet.wire import Asking, Granted, Hello, Limited, Lines, Message, Unreadable, write
+
+MESSAGES: list[Message] = [
+    Hello("n001", 7),
+    Asking({"g1": 3, "r2/é": 0}, [Report("g1", 9, 2, 12.5)], {"g1": 4.5}),
+    Limited(["g1", "r2/s-1"]),
+    Granted(Lease(9, ("n001", 7), "g1", 2, 200.0), 1.5),
+]
+
+
+@given(cuts=st.lists(st.integers(0, 400), max_size=8))
+@settings(max_examples=100, deadline=None, derandomize=True, database=None)
+def test_messages_are_read_however_their_bytes_are_cut(cuts: list[int]) -> None:
+    data = b"".join(map(write, MESSAGES))
+    lines, heard, at = Lines(), [], 0
+    for cut in [*sorted(cuts), len(data)]:
+        heard += lines.feed(data[at:cut])
+        at = max(at, cut)
+    assert heard == MESSAGES
+
+
+@given(line=st.binary(max_size=60))
+@settings(max_examples=300, deadline=None, derandomize=True, database=None)
+def test_whatever_else_comes_is_unreadable(line: bytes) -> None:
+    with pytest.raises(Unreadable):
+        Lines().feed(line.replace(b"\n", b" ") + b"\n")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b'{"kind":"hello","name":"","epoch":1}',
+        b'{"kind":"hello","name":"a","epoch":-1}',
+        b'{"kind":"hello","name":"a","epoch":true}',
+        b'{"kind":"asking","wants":{"g1":"3"},"reports":[],"told":{}}',
+        b'{"kind":"asking","wants":{},"reports":[],"told":{"g1":NaN}}',
+        b'{"kind":"granted","lease":{},"per_s":1}',
+        b'{"kind":"other"}',
+        b"[" * 100_000,
+        b"x" * (wire.LINE_BYTES + 1),
+    ],
+)
+def test_a_faulty_line_is_told(line: bytes) -> None:
+    with pytest.raises(Unreadable):
+        Lines().feed(line + b"\n")
+
+
+def lease(serial: int, until: float = 100.0) -> Lease:
+    return Lease(serial, ("n000", 1), "g1", 3, until)
+
+
+def test_a_successor_reads_what_was_given_out_but_not_a_torn_tail(tmp_path: Path) -> None:
+    record = Record(tmp_path, 2_000.0)
+    record.append([lease(1), lease(2)], 0.0)
+    record.append([lease(3)], 0.0)
+    record.close()
+    (file,) = [path for path in tmp_path.iterdir() if path.stat().st_size]
+    whole = file.read_bytes()
+    for cut in range(1, len(whole) - 36):
+        file.write_bytes(whole[:-cut])
+        after = Record(tmp_path, 2_000.0)
+        assert after.before == [lease(1), lease(2), lease(3)][: len(after.before)] and len(after.before) < 3
+        after.append([lease(4)], 0.0)
+        after.close()
+        again = Record(tmp_path, 2_000.0)
+        assert again.before == [*after.before, lease(4)]
+        again.close()
+
+
+def test_the_record_stays_small(tmp_path: Path) -> None:
+    record = Record(tmp_path, 100.0)
+    for n in range(20_000):
+        record.append([lease(n, float(n) + 20.0)], float(n))
+    record.close()
+    assert sum(path.stat().st_size for path in tmp_path.iterdir()) < 3 * FILE_BYTES
+    kept = [one.serial for one in Record(tmp_path, 100.0).before]
+    assert set(range(19_880, 20_000)) <= set(kept)
+
+
+def test_a_record_of_another_start_of_the_machine_is_left_aside(tmp_path: Path) -> None:
+    record = Record(tmp_path, 2_000.0)
+    record.append([lease(1)], 0.0)
+    record.close()
+    for path in tmp_path.iterdir():
+        path.write_bytes(b"0" * 36 + path.read_bytes()[36:])
+    assert Record(tmp_path, 2_000.0).before == []
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -112,7 +112,8 @@
 
 def test_an_arm_sets_numbers_of_the_decision_module_for_its_days_alone() -> None:
     base = {**PLAN["base"], "troubles": 3}
-    plan = check_plan({**PLAN, "base": base, "arms": {"a": {}, "b": {"module": {"FLAG_RUN": 1.0, "SHRINK": 0.1}}}})
+    arms = {"a": {}, "b": {"module": {"FLAG_RUN": 1.0, "SHRINK": 0.1}}}
+    plan = check_plan({**PLAN, "base": base, "arms": arms})
     before = policy.FLAG_RUN, policy.SHRINK
     runs = [one for one in plan.runs() if one.seed == 1 and one.knobs.load == 1.0]
     rows = [play(one)[0] for one in runs]
@@ -230,6 +231,6 @@
     code = "import sys, springspread.__main__; print(list(sys.modules))"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert "springspread.core.loop" in loaded
-    others = ("pydantic", "click", "hdrh", "scipy")  # rich is structlog's own guest, where it is installed
+    others = ("pydantic", "click", "hdrh", "scipy", "rich")  # the last would come with structlog by itself
     for part in ("springspread.town", "springspread.lab", "springspread.cli", *others):
         assert f"'{part}" not in loaded
--- a/tests/town/test_checker.py
+++ b/tests/town/test_checker.py
@@ -156,7 +156,16 @@
 
 def pushed(it: Checker) -> None:
     good(it)
-    it.pushed_over(600.0, "s-1")
+    it.failed(300.0, "n0", "s-1")
+    it.pushed_over(600.0, "s-1", ["n0", "n0", "n1"])
+
+
+def pushed_unawares(it: Checker) -> None:
+    good(it)
+    it.failed(100.0, "n1", "s-1")
+    it.troubled("s-1")
+    it.failed(300.0, "n0", "s-1")
+    it.pushed_over(600.0, "s-1", ["n0", "n1", "n1"])
 
 
 @pytest.mark.parametrize(
@@ -186,6 +195,7 @@
         (within_a_wait, ["wait"]),
         (too_many_attempts, ["attempts"]),
         (pushed, ["cold"]),
+        (pushed_unawares, []),
     ],
 )
 def test_each_promise_is_judged_by_itself(history: Callable[[Checker], None], expected: list[str]) -> None:
@@ -210,3 +220,16 @@
         it.done(20.0 + n, "n0", "g7", ["a"], "never", False)
     it.close(1000.0)
     assert it.tally.over_limit == 1
+
+
+def test_the_grade_weighs_the_worst_ten_seconds_and_class_and_takes_prices_off() -> None:
+    it = Checker(CLASSES, 500.0, 3, {})
+    for second in range(20):
+        it.handed_in(1000.0 * second, "n0", f"m{second}", FEE, 7, 28_000.0, 1000.0 * second)
+        it.verdict(1000.0 * second + 1.0, f"m{second}", True)
+        it.call(1000.0 * second + 2.0, "n0", "s-1", 7, "g7", [f"m{second}"])
+        if second < 10:
+            it.done(1000.0 * second + 50.0, "n0", "g7", [f"m{second}"], "delivered", False)
+    it.close(0.0)
+    assert (it.tally.service, it.tally.worst) == (0.5, 0.0)
+    assert it.tally.grade == pytest.approx(0.5 * 0.5 + 0.2 * 0.5 - 0.16 * 0.5)
--- a/tests/town/test_town.py
+++ b/tests/town/test_town.py
@@ -112,3 +112,12 @@
     day = draw(8, senders=50, partners=20, per_s=100.0, length_ms=5_000.0)
     outcome = play(tmp_path, day)
     assert outcome.checker.faults == [] and outcome.checker.tally.service > 0.8
+
+
+def test_a_fleet_keeps_every_limit_in_every_span_and_one_without_shares_does_not(tmp_path: Path) -> None:
+    apart = draw(2, senders=20, per_s=60.0, partners=15, load=0.8, length_ms=15_000.0, deaths=3)
+    fleet = play(tmp_path / "fleet", replace(apart, shared=True))
+    alone = play(tmp_path / "apart", apart)
+    assert fleet.checker.faults == [] and fleet.fleet_messages > 0
+    assert fleet.checker.tally.limit_ratio <= 1.0 < alone.checker.tally.limit_ratio
+    assert fleet.checker.tally.service >= alone.checker.tally.service - 0.02
