--- /dev/null
+++ b/benchmarks/fleet_chaos.py
@@ -0,0 +1,110 @@
+"""Fifty instances on loopback against the town's partners, killed, ended and frozen at random.
+
+    python -m benchmarks.fleet_chaos [--seconds 600] [--senders 50] [--apart] [--csv FILE]
+
+Tells the most calls in any 2 s over the limit, messages without exactly one end, refusals and worth.
+``--apart`` plays the same day without shares. Exits with 1 where the checker finds a broken promise or, in a
+fleet, a span above its limit; with 3 where the town itself was late.
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import resource
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+from springspread.town.day import Day, Death, Fate, draw
+from springspread.town.sockets import SocketTown
+
+LONGEST_MS = {Fate.KILL: 3_000.0, Fate.TERM: 6_000.0, Fate.FREEZE: 10_000.0}
+
+
+def fates(seed: int, senders: int, length_ms: float, each_ms: float) -> tuple[Death, ...]:
+    """One sender after the other meets its fate, about every ``each_ms``; none while it is still away."""
+    rng, made, free = Random(f"{seed}/fates"), [], [0.0] * senders
+    at = 5_000.0
+    while at < length_ms - 15_000.0:
+        sender = rng.choice([n for n in range(senders) if free[n] <= at])
+        fate = rng.choice(list(Fate))
+        back_at = at + rng.uniform(4_500.0 if fate is Fate.TERM else 300.0, LONGEST_MS[fate])
+        made.append(Death(at, sender, back_at, fate))
+        free[sender] = back_at + 4_000.0
+        at += rng.expovariate(1.0 / each_ms)
+    return tuple(made)
+
+
+def play(day: Day) -> dict[str, object]:
+    """Play it once; what came of it."""
+    with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as folder:
+        town = SocketTown(day, Path(folder))
+        try:
+            live = town.play()
+        finally:
+            town.close()
+    tally = live.checker.tally
+    for fault in live.checker.faults[:10]:
+        print(f"BROKEN {fault.rule} at {fault.at:.0f} ms, {fault.sender}: {fault.text}", file=sys.stderr)
+    answers = sum(fault.rule in ("lost", "answers") for fault in live.checker.faults)
+    return {
+        "kind": "fleet" if day.shared else "apart",
+        "senders": day.senders,
+        "seconds": round(day.length_ms / 1000),
+        "kills": sum(death.fate is Fate.KILL for death in day.deaths),
+        "ends": sum(death.fate is Fate.TERM for death in day.deaths),
+        "freezes": sum(death.fate is Fate.FREEZE for death in day.deaths),
+        "messages": tally.messages,
+        "calls": tally.calls,
+        "limit_ratio": round(tally.limit_ratio, 3),
+        "without_one_end": answers,
+        "broken": len(live.checker.faults),
+        "refused": tally.refused,
+        "failed": tally.failed,
+        "service": round(tally.service, 4),
+        "late_ms_p99": round(live.late_ms[0], 1),
+    }
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--seconds", type=float, default=600.0)
+    parser.add_argument("--senders", type=int, default=50)
+    parser.add_argument("--per-s", type=float, default=100.0)
+    parser.add_argument("--each-s", type=float, default=2.0, help="mean time between two fates")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--apart", action="store_true")
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(max(soft, 16_384), hard), hard))
+    length_ms = 1000.0 * args.seconds
+    day = draw(
+        args.seed,
+        senders=args.senders,
+        partners=20,
+        per_s=args.per_s,
+        load=0.8,
+        length_ms=length_ms,
+        shared=not args.apart,
+    )
+    row = play(replace(day, deaths=fates(args.seed, args.senders, length_ms, 1000.0 * args.each_s)))
+    for key, value in row.items():
+        print(f"{key:16} {value}")
+    if args.csv is not None:
+        new = not args.csv.exists()
+        with args.csv.open("a", newline="") as out:
+            writer = csv.DictWriter(out, list(row), lineterminator="\n")
+            if new:
+                writer.writeheader()
+            writer.writerow(row)
+    over = not args.apart and float(str(row["limit_ratio"])) > 1.0
+    sys.exit(1 if row["broken"] or over else 3 if float(str(row["late_ms_p99"])) > 25.0 else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -33,7 +33,8 @@
     """Mean grade by arm."""
     values: dict[str, list[float]] = defaultdict(list)
     for row, _ in run_plan(plan, processes):
-        values[str(row["arm"])].append(float(str(row["grade"])))
+        # A day on which a promise was broken counts nothing, as on the other bench.
+        values[str(row["arm"])].append(0.0 if row["faults"] else float(str(row["grade"])))
     return {arm: mean_of(grades).mean for arm, grades in values.items()}
 
 
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -21,6 +21,7 @@
 POLL_MS = 10.0
 IDLE_MS = 250.0
 AGAIN_MS = 100.0
+REPEAT_MS = 150.0
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -87,11 +88,14 @@
         reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
         reader.start()
         asked: Mapping[str, int] = {}
+        said_at = 0.0
         while self._open and not over.is_set():
             now = self._clock.now()
             wants, reports = self._wallet.wants(now), self._wallet.done(now)
             told, self._new = self._new, {}
-            if wants != asked or wants or reports or told:
+            # What waits is said again now and then: the allotter forgets who is silent.
+            if wants != asked or reports or told or (wants and now >= said_at + REPEAT_MS):
+                said_at = now
                 gone = dict.fromkeys(asked.keys() - wants.keys(), 0)
                 sock.sendall(write(Asking({**gone, **wants}, reports, told)))
                 asked = wants
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -86,7 +86,7 @@
         for raw in json.loads(file.read_text()):
             started = raw.pop("started")
             row = Row(**{**raw, "want": Want(raw["want"])})
-            if row.pid and _started(row.pid) == started:
+            if row.pid and started and process_start(row.pid) == started:
                 self._since[row.pid] = started
                 rows[row.name] = replace(row, started_at=self._clock.now(), told_at=inf)
                 self._log.info("adopted", instance=row.name, pid=row.pid)
@@ -97,7 +97,8 @@
     def _save(self) -> None:
         rows = []
         for row in self._rows.values():
-            raw = {**asdict(row), "want": row.want.value, "started": _started(row.pid) if row.pid else ""}
+            start = process_start(row.pid) if row.pid else ""
+            raw = {**asdict(row), "want": row.want.value, "started": start}
             for moment in ("started_at", "told_at", "died_at"):
                 raw.pop(moment)  # of a clock that the next daemon may not share
             rows.append(raw)
@@ -175,7 +176,7 @@
     def _alive(self, pid: int) -> bool:
         child = self._children.get(pid)
         if child is None:
-            return _started(pid) == self._since.get(pid, "none")
+            return process_start(pid) == self._since.get(pid, "none")
         if child.poll() is None:
             return True
         del self._children[pid]
@@ -292,7 +293,7 @@
         self._held.close()
 
 
-def _started(pid: int) -> str:
+def process_start(pid: int) -> str:
     """The moment of a process's start in the system's ticks; empty for one that is dead."""
     try:
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -22,6 +22,7 @@
 
 TICK_MS = 5.0
 IDLE_MS = 200.0
+SLACK_MS = 75.0  # from a call's right to its last byte at the partner: a held last byte and the way there
 TOLD_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
 
 
@@ -46,8 +47,8 @@
         self._members: dict[Owner, Member] = {}
         self._fixed = set(limits)
         longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
-        self._record = Record(folder, longest)
-        self._allotter = Allotter()
+        self._record = Record(folder, longest + SLACK_MS)
+        self._allotter = Allotter(slack_ms=SLACK_MS)
         self._allotter.restore(self._record.before)
         for key, limit in limits.items():
             self._allotter.limited(key, limit)
--- a/springspread/fleet/shares.py
+++ b/springspread/fleet/shares.py
@@ -113,11 +113,11 @@
         lease_ms: float = 200.0,
         want_ms: float = 500.0,
         burst_ms: float = 600.0,
-        quiet_until: float = 0.0,
+        slack_ms: float = 0.0,
     ) -> None:
-        """``quiet_until``: give nothing out before, as what a predecessor gave out is not known."""
+        """``slack_ms``: a call counts for longer by this, the time from its right to the partner."""
         self._lease_ms, self._want_ms, self._burst_ms = lease_ms, want_ms, burst_ms
-        self._quiet_until = quiet_until
+        self._slack_ms = slack_ms
         self._books: dict[str, Book] = {}
         self._before: list[Lease] = []
         self._epochs: dict[str, int] = {}
@@ -129,7 +129,8 @@
         if book is None:
             book = self._books[key] = Book(limit)
             for lease in [lease for lease in self._before if lease.key == key]:
-                book.counts[lease.serial] = Count(lease.owner, lease.calls, lease.until + limit.span_ms)
+                over_at = lease.until + limit.span_ms + self._slack_ms
+                book.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
             return
         if limit.span_ms > book.limit.span_ms:
             # Guards the longer span: calls that the shorter one had let go of still fall into it.
@@ -175,7 +176,7 @@
             return
         # Guards the limit against a report that claims too much: it can only lower what counts.
         count.calls = min(made, count.calls)
-        count.over_at = min(min(last_at, now) + book.limit.span_ms, count.over_at)
+        count.over_at = min(min(last_at, now) + book.limit.span_ms + self._slack_ms, count.over_at)
 
     def allot(self, now: float) -> list[Lease]:
         """Give out what is free, by what is asked for. Put the leases on record before they are told."""
@@ -184,7 +185,7 @@
             book = self._books[key]
             book.clear(now, self._want_ms)
             book.fill(now, self._burst_ms)
-            free = min(book.limit.calls - book.taken, floor(book.level)) if now >= self._quiet_until else 0
+            free = min(book.limit.calls - book.taken, floor(book.level))
             if free <= 0 or not book.wants:
                 continue
             had: dict[Owner, int] = {}
@@ -199,7 +200,8 @@
     def _lease(self, now: float, key: str, book: Book, owner: Owner, calls: int) -> Lease:
         self._serial += 1
         lease = Lease(self._serial, owner, key, calls, now + self._lease_ms)
-        book.counts[lease.serial] = Count(owner, calls, lease.until + book.limit.span_ms)
+        over_at = lease.until + book.limit.span_ms + self._slack_ms
+        book.counts[lease.serial] = Count(owner, calls, over_at)
         book.served_at[owner] = now
         book.level -= calls
         book.wants[owner].calls -= calls
--- a/springspread/town/checker.py
+++ b/springspread/town/checker.py
@@ -247,7 +247,7 @@
         case = self._cases[id]
         if case.ended and case.ended != "delivered" and case.ended != status:
             self._fault(at, "answers", case.sender, f"{id} was told as {status} after {case.ended}")
-        if at > self._due(case) and not case.ended:
+        if at > self._due(case) and not case.ended and case.taken:
             self._fault(at, "late", case.sender, f"{id} heard {at - case.deadline:.0f} ms after its time")
         if not case.ended:
             case.ended, case.told_at = status, at
--- a/springspread/town/day.py
+++ b/springspread/town/day.py
@@ -59,13 +59,25 @@
     end: float
 
 
+class Fate(Enum):
+    """What befalls a sender's process."""
+
+    KILL = "kill"
+    TERM = "term"
+    FREEZE = "freeze"  # it stands still, and goes on as if nothing had been
+
+
 @dataclass(frozen=True, slots=True)
 class Death:
-    """A sender's process is killed, and another one takes up its folder at ``back_at``."""
+    """A sender's process ends, and another one takes up its folder at ``back_at``; or it freezes till then.
+
+    In virtual time there is only the kill.
+    """
 
     at: float
     sender: int
     back_at: float
+    fate: Fate = Fate.KILL
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -10,6 +10,7 @@
 import json
 import os
 import selectors
+import signal
 import socket
 import struct
 import subprocess
@@ -21,17 +22,22 @@
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from math import inf
+from multiprocessing import get_context
+from multiprocessing.context import SpawnProcess as Process
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from springspread.config import Limits
 from springspread.core.types import LinkState
+from springspread.fleet.server import AllotterServer
+from springspread.fleet.shares import Limit
 from springspread.http1.message import Malformed
 from springspread.http1.server import Request, ServerConnection
+from springspread.logs import make_log
 from springspread.net.exchange import FAILURES, Connection
-from springspread.town.checker import Checker
-from springspread.town.day import CLASSES, Arrival, Change, Day, Death, Service
+from springspread.town.checker import SPAN_MS, Checker
+from springspread.town.day import CLASSES, Arrival, Change, Day, Death, Fate, Service
 from springspread.town.partner import Answer, End, Partner, Trouble
 
 STATUS = {End.DONE: 200, End.FAILED: 500, End.FULL: 503}
@@ -110,7 +116,18 @@
         self._addresses: dict[int, tuple[str, int]] = {}  # of the senders that are there
         self._directories: dict[int, int] = {}  # ports
         self._open = True
-        threading.Thread(target=self._run, name="town", daemon=True).start()
+        self._starts = 0
+        self._allotter: Process | None = None
+        if day.shared:
+            told = {self._limit_key(key): per_s for key, per_s in limits.items() if per_s < inf}
+            shared = {key: Limit.of_rate(per_s, SPAN_MS) for key, per_s in told.items()}
+            # A process of its own, as in an installation: in this one it would make the town late.
+            self._allotter = get_context("spawn").Process(target=_allot, args=(folder, shared), daemon=True)
+            self._allotter.start()
+        # Guards the polling thread's punctuality: clients' threads give way to it ten times as often.
+        sys.setswitchinterval(0.0005)
+        self._thread = threading.Thread(target=self._run, name="town", daemon=True)
+        self._thread.start()
         self._clients = ThreadPoolExecutor(64, "client")
 
     # Time and the one polling thread
@@ -122,7 +139,9 @@
         with self._lock:
             self._count += 1
             heappush(self._moments, (when, self._count, work, values))
-        self._bell.send(b"\0")
+            sooner = self._moments[0][1] == self._count
+        if sooner and threading.current_thread() is not self._thread:
+            self._bell.send(b"\0")
 
     def _run(self) -> None:
         while self._open:
@@ -212,6 +231,10 @@
         group = self._group[endpoint]
         return endpoint if self._partners[group].habit.apart else f"g{group}"
 
+    def _limit_key(self, key: str) -> str:
+        """A limit's key as the fleet names it."""
+        return f"r{self._group[key]}/{key}" if key in self._group else key
+
     def _call(self, name: str) -> Callable[[Place, Request], None]:
         return lambda place, request: self._arrives(name, place, request)
 
@@ -383,6 +406,10 @@
         file = place / "config.json"
         file.write_text(json.dumps(raw))
         env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        if self.day.shared:
+            self._starts += 1
+            fleet = {"SPRINGSPREAD_FLEET": str(self._folder / "allot"), "SPRINGSPREAD_INSTANCE": name}
+            env |= {**fleet, "SPRINGSPREAD_EPOCH": str(self._starts)}
         log = (place / "log").open("wb")
         process = subprocess.Popen(
             [sys.executable, "-m", "springspread"], env={**env, "RELAY_CONFIG": str(file)}, stderr=log
@@ -392,20 +419,29 @@
         self._addresses[index] = _ready(process, place / "log")
 
     def _dies(self, death: Death) -> None:
-        name = f"n{death.sender}"
-        self._processes[death.sender].kill()
-        self._processes[death.sender].wait()
+        process = self._processes[death.sender]
+        self.checker.sender_away(f"n{death.sender}", death.at, death.back_at + RESTART_MS)
+        if death.fate is Fate.FREEZE:
+            process.send_signal(signal.SIGSTOP)
+            self._at(death.back_at, process.send_signal, signal.SIGCONT)
+            return
         del self._addresses[death.sender]
-        self.checker.sender_away(name, death.at, death.back_at + RESTART_MS)
+        process.send_signal(signal.SIGTERM if death.fate is Fate.TERM else signal.SIGKILL)
         self._at(death.back_at, self._returns, death.sender)
 
     def _returns(self, sender: int) -> None:
         # Its start takes longer than the town may stand still.
-        threading.Thread(target=self._start, args=(sender,), name="start", daemon=True).start()
+        threading.Thread(target=self._restart, args=(sender,), name="start", daemon=True).start()
+
+    def _restart(self, sender: int) -> None:
+        self._processes[sender].wait()
+        self._start(sender)
 
     # Clients
 
-    def _hand_in(self, arrival: Arrival, tries: int, first_at: float, orphan: bool = False) -> None:
+    def _hand_in(
+        self, arrival: Arrival, tries: int, first_at: float, orphan: bool = False, first: bool = True
+    ) -> None:
         spec = next(spec for spec in CLASSES if spec.name == arrival.cls)
         left = first_at + spec.deadline_ms - self._now()
         if left <= 0:
@@ -413,12 +449,10 @@
         turn = [(arrival.sender + n) % self.day.senders for n in range(self.day.senders)]
         alive = [sender for sender in turn if sender in self._addresses]
         if not alive:
-            self._at(self._now() + self.day.retry_ms, self._hand_in, arrival, tries, first_at, orphan)
+            self._at(self._now() + self.day.retry_ms, self._hand_in, arrival, tries, first_at, orphan, first)
             return
         self._handed += 1
         id, sender = f"m{self._handed}", alive[0]
-        first = (arrival, first_at) not in self._counted
-        self._counted.add((arrival, first_at))
         self._errands[id] = (arrival, tries, first_at)
         repeat = "again" if orphan else "1" if tries < self.day.retries else ""
         now, group = self._now(), arrival.group
@@ -456,7 +490,9 @@
         arrival, tries, first_at = self._errands[id]
         if tries or unheard:
             when, left = self._now() + max(after_ms, self.day.retry_ms), tries if unheard else tries - 1
-            self._at(when, self._hand_in, arrival, left, first_at, unheard)
+            if unheard:  # whoever did not answer may be frozen
+                arrival = replace(arrival, sender=(arrival.sender + 1) % self.day.senders)
+            self._at(when, self._hand_in, arrival, left, first_at, unheard, False)
 
     def sufferings(self) -> dict[str, str]:
         """What is wrong with partners now, by partner."""
@@ -479,7 +515,6 @@
         ``each_s`` hears about once a second the time (ms), the checker and what is wrong with partners.
         """
         self._errands: dict[str, tuple[Arrival, int, float]] = {}
-        self._counted: set[tuple[Arrival, float]] = set()  # among the day's messages
         for index in range(self.day.senders):
             self._start(index)
         self._begun = time.monotonic() + 0.5
@@ -514,6 +549,7 @@
     def close(self) -> None:
         """End the senders and every socket."""
         for process in self._processes.values():
+            process.send_signal(signal.SIGCONT)
             process.terminate()
         for process in self._processes.values():
             try:
@@ -521,10 +557,21 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        if self._allotter is not None:
+            self._allotter.terminate()
+            self._allotter.join()
         self._clients.shutdown()
         self._open = False
 
 
+def _allot(folder: Path, limits: dict[str, Limit]) -> None:
+    """The fleet's allotter, until it is ended."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    log, _ = make_log("allotter", 1000)
+    AllotterServer(folder / "allot", folder, limits, log)
+    threading.Event().wait()
+
+
 def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
     """Where a sender that has just been started listens, from its log."""
     end = time.monotonic() + READY_S
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -38,7 +38,7 @@
     Verdict,
 )
 from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
-from springspread.fleet.server import TICK_MS
+from springspread.fleet.server import SLACK_MS, TICK_MS
 from springspread.fleet.shares import Allotter, Lease, Limit, Owner
 from springspread.fleet.wallet import Report, Wallet
 from springspread.town.checker import SPAN_MS, Checker
@@ -453,7 +453,7 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
-        self.allotter = Allotter()
+        self.allotter = Allotter(slack_ms=SLACK_MS)
         self.fleet_messages = 0
         self._allotting = False
         for name, group in self._group.items():
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from springspread.fleet.daemon import Daemon, Refused
+from springspread.fleet.daemon import Daemon, Refused, process_start
 from springspread.fleet.plan import read_fleet
 from springspread.lab.plan import PlanError
 from tests.fleet.test_medium import Quiet
@@ -104,6 +104,73 @@
     until(lambda: "after" in {id for _, id, _ in place.peer.calls}, "it has a lease of the new allotter")
 
 
+def test_a_daemon_that_is_killed_stops_nobody_and_the_next_one_goes_on(place: Place) -> None:
+    place.daemon.stop()
+    line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(place.file)]
+    first = subprocess.Popen(line, stderr=subprocess.DEVNULL)
+
+    def status() -> list[dict[str, Any]]:
+        done = subprocess.run(
+            [*line[:-2], "status", str(place.file), "--json"], capture_output=True, text=True, timeout=30.0
+        )
+        rows: list[dict[str, Any]] = json.loads(done.stdout) if done.returncode == 0 else []
+        return rows if all(row["in_fleet"] for row in rows) else []
+
+    until(status, "both serve")
+    pids = [row["pid"] for row in status()]
+    first.kill()
+    first.wait()
+    assert all(Path(f"/proc/{pid}").exists() for pid in pids)
+    second = subprocess.Popen(line, stderr=subprocess.DEVNULL)
+    until(status, "both are in the fleet again")
+    assert [row["pid"] for row in status()] == pids
+    second.terminate()
+    assert second.wait(10.0) == 0
+    assert not any(process_start(pid) for pid in pids)
+
+
+def test_half_the_fleet_killed_within_a_second_comes_back(place: Place) -> None:
+    place.daemon.order({"do": "scale", "count": 6})
+    until(lambda: len(place.serving()) == 6, "six serve")
+    before = {name: row["pid"] for name, row in place.rows().items()}
+    for name in list(before)[::2]:
+        os.kill(before[name], signal.SIGKILL)
+
+    def back() -> bool:
+        return len(place.serving()) == 6 and sum(row["deaths"] for row in place.rows().values()) == 3
+
+    until(back, "all six serve")
+    after = {name: row["pid"] for name, row in place.rows().items()}
+    assert [after[name] == before[name] for name in before] == [False, True] * 3
+
+
+def test_an_adopter_that_is_killed_is_followed_by_another(place: Place) -> None:
+    place.peer.hold.clear()
+    assert place.hand_in("n001", "owed-3") in (200, 202)
+    os.kill(place.rows()["n001"]["pid"], signal.SIGKILL)
+    place.daemon.order({"do": "drain", "name": "n001"})
+    epoch = place.rows()["n001"]["epoch"]
+
+    def emptied() -> bool:
+        row = place.rows()["n001"]
+        return bool(row["pid"]) and row["epoch"] > epoch
+
+    until(emptied, "its folder is being emptied")
+    os.kill(place.rows()["n001"]["pid"], signal.SIGKILL)
+    until(lambda: place.rows()["n001"]["epoch"] > epoch + 1, "another process empties it")
+    place.peer.hold.set()
+    until(lambda: "n001" not in place.rows(), "it is gone")
+    assert "owed-3" in {id for _, id, _ in place.peer.calls}
+
+
+def test_one_that_is_frozen_does_not_outlive_its_leaving(place: Place) -> None:
+    pid = place.rows()["n001"]["pid"]
+    os.kill(pid, signal.SIGSTOP)
+    place.daemon.order({"do": "drain", "name": "n001"})
+    until(lambda: "n001" not in place.rows(), "it is killed and gone")
+    assert not Path(f"/proc/{pid}").exists()
+
+
 def test_a_roll_restarts_all_one_after_the_other(place: Place) -> None:
     place.daemon.order({"do": "roll"})
 
--- a/tests/town/test_checker.py
+++ b/tests/town/test_checker.py
@@ -99,6 +99,14 @@
     it.notice(29_300.0, "a", "undeliverable")
 
 
+def told_late_of_one_that_nobody_heard_was_taken(it: Checker) -> None:
+    """A sender that was frozen reads a query whose client has long gone elsewhere."""
+    it.handed_in(0.0, "n0", "b", NOTE, 7, 8_000.0, 0.0)
+    it.verdict(400.0, "b", False)
+    it.notice(20_000.0, "b", "deferred")
+    good(it)
+
+
 def went_astray(it: Checker) -> None:
     good(it)
     it.astray(10.0, "n0", "a call came to an address that had passed on")
@@ -187,6 +195,7 @@
         (told_long_after_the_platform_came_back, ["late"]),
         (told_as_its_sender_came_back, []),
         (another_sender_was_away, ["late"]),
+        (told_late_of_one_that_nobody_heard_was_taken, []),
         (went_astray, ["group"]),
         (delivered_at_its_last_moment, []),
         (told_before_it_was_asked, []),
