--- a/springspread/lab/chart.py
+++ b/springspread/lab/chart.py
@@ -26,8 +26,8 @@
         xs = sorted(groups)
         means = [sum(groups[x]) / len(groups[x]) for x in xs]
         # Words have no order, so nothing leads from one to the next.
-        style = {"linestyle": "none" if words else "-", "marker": "os^"[n % 3]}
-        (line,) = axes.plot(xs, means, label=measure.replace("service_", ""), **style)  # type: ignore[arg-type]
+        name, dash = measure.replace("service_", ""), "none" if words else "-"
+        (line,) = axes.plot(xs, means, label=name, linestyle=dash, marker="os^v"[n % 4])
         for x in xs:
             axes.scatter([x] * len(groups[x]), groups[x], s=9, alpha=0.35, color=line.get_color())
     if words:
