--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -509,10 +509,13 @@
                     found[f"{self._kinds[group]} {group}"] = ", ".join(words)
         return found
 
-    def play(self, each_s: Callable[[float, Checker, dict[str, str]], None] | None = None) -> Live:
+    def play(
+        self, each_s: Callable[[float, Checker, dict[str, str]], None] | None = None, tail_ms: float = inf
+    ) -> Live:
         """Start the senders and play the day.
 
-        ``each_s`` hears about once a second the time (ms), the checker and what is wrong with partners.
+        ``each_s`` hears about once a second the time (ms), the checker and what partners suffer. At most
+        ``tail_ms`` after the day are waited for what is still owed; what is not due by then is not judged.
         """
         self._errands: dict[str, tuple[Arrival, int, float]] = {}
         for index in range(self.day.senders):
@@ -530,7 +533,7 @@
         for death in self.day.deaths:
             self._at(death.at, self._dies, death)
         longest = max(spec.deadline_ms for spec in CLASSES)
-        end, told = self.day.length_ms + longest + 1000.0, 0.0
+        end, told = self.day.length_ms + min(longest + 1000.0, tail_ms), 0.0
         while self._now() < end and not (self._now() > self.day.length_ms and self._settled()):
             time.sleep(0.05)
             if each_s is not None and self._now() >= told + 1000.0:
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -67,6 +67,9 @@
     until(lambda: made.serving() == ["n000", "n001"], "both serve")
     yield made
     made.peer.hold.set()
+    for row in made.rows().values():
+        if row["in_fleet"]:
+            os.kill(row["pid"], signal.SIGKILL)  # an orderly end takes a second, and is not tested here
     made.daemon.stop()
     made.peer.close()
 
