--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -108,7 +108,7 @@
     def _asking(self, owner: Owner, message: Asking) -> None:
         now = self._clock.now()
         for one in message.reports:
-            self._allotter.report(now, one.key, one.serial, one.made, one.last_at)
+            self._allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
         known = set(self._allotter.keys)
         for key, per_s in message.told.items():
             if key not in self._fixed and per_s > 0:
--- a/springspread/fleet/shares.py
+++ b/springspread/fleet/shares.py
@@ -164,12 +164,12 @@
         else:
             book.wants.pop(owner, None)
 
-    def report(self, now: float, key: str, serial: int, made: int, last_at: float) -> None:
+    def report(self, now: float, owner: Owner, key: str, serial: int, made: int, last_at: float) -> None:
         """The owner of a lease will make no more calls against it: it made so many, the last one then."""
         book = self._books.get(key)
         count = book.counts.get(serial) if book is not None else None
-        if book is None or count is None:
-            return
+        if book is None or count is None or count.owner != owner:
+            return  # guards the limit against one that frees another's lease
         book.level += count.calls - max(min(made, count.calls), 0)
         if made <= 0:
             del book.counts[serial]
--- a/springspread/fleet/wallet.py
+++ b/springspread/fleet/wallet.py
@@ -64,7 +64,10 @@
                     held.made += 1
                     held.last_at = now
                     return 0.0
-            self._wants.setdefault(key, deque()).append(now)
+            times = self._wants.setdefault(key, deque())
+            while times and times[0] + self._want_ms <= now:
+                times.popleft()  # guards memory while nobody asks for them, as the allotter is away
+            times.append(now)
             return self._retry_ms
 
     def received(self, lease: Lease, now: float) -> None:
--- a/springspread/lab/compare.py
+++ b/springspread/lab/compare.py
@@ -49,18 +49,25 @@
 def paired(ours: Rows, theirs: Rows, measure: str) -> Mean:
     """How much more of a measure ``theirs`` has than ``ours``, day by day.
 
-    Days are matched by seed and all knobs; raises ``ValueError`` where none is in both.
+    Days are matched by seed and by what varies within either side: what differs between the two alone is what
+    is compared. Raises ``ValueError`` where no day is in both.
     """
-    before = {_day(row): value for row in ours if (value := number(row, measure)) is not None}
-    after = {_day(row): value for row in theirs if (value := number(row, measure)) is not None}
+    knobs = ("arm", *Knobs.model_fields)
+    keys = ["seed", *(key for key in knobs if _varies(ours, key) or _varies(theirs, key))]
+    before = {_day(row, keys): value for row in ours if (value := number(row, measure)) is not None}
+    after = {_day(row, keys): value for row in theirs if (value := number(row, measure)) is not None}
     both = [after[day] - before[day] for day in before if day in after]
     if not both:
         raise ValueError(f"no day with a {measure} stands in both")
     return mean_of(both)
 
 
-def _day(row: Mapping[str, str]) -> tuple[str, ...]:
-    return tuple(row[key] for key in ("seed", *Knobs.model_fields))
+def _varies(rows: Rows, key: str) -> bool:
+    return len({row[key] for row in rows}) > 1
+
+
+def _day(row: Mapping[str, str], keys: Sequence[str]) -> tuple[str, ...]:
+    return tuple(row[key] for key in keys)
 
 
 def rank_correlation(ours: Sequence[float], theirs: Sequence[float]) -> float:
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -307,9 +307,9 @@
         ids = [run.id for run in runs]
         if answer.end is End.DONE:
             self.town.checker.done(now, self.name, key, ids, "delivered", False)
-        elif answer.end is End.FAILED and not answer.ran:
+        elif answer.end in (End.FAILED, End.RESET, End.SPOILT) and not answer.ran:
             self.town.checker.done(now, self.name, key, ids, "maybe", False)
-        if answer.end is not End.REFUSED:
+        if answer.end not in (End.REFUSED, End.RESET, End.SPOILT):
             self._idle.setdefault(call.link.number, []).append(now)
         for run in runs:
             load = Load(answer.left_share, answer.limit_per_s)
@@ -501,7 +501,7 @@
         now = self.clock.now()
         self.fleet_messages += 1
         for one in reports:
-            self.allotter.report(now, one.key, one.serial, one.made, one.last_at)
+            self.allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
         for key, calls in wants.items():
             self.allotter.ask(now, owner, key, calls)
         if self.allotter.waiting and not self._allotting:
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -121,7 +121,8 @@
         for report in instance.wallet.done(self.now):
             if not lost:
                 last_at = report.last_at - (SPAN if self.frees_early else 0.0)
-                self.allotter.report(self.now, report.key, report.serial, report.made, last_at)
+                told = (report.key, report.serial, report.made, last_at)
+                self.allotter.report(self.now, instance.owner, *told)
 
     @rule()
     def the_allotter_is_replaced(self) -> None:
@@ -212,7 +213,7 @@
                 if wallet.take(KEY, self.now) == 0.0:
                     self.made.append((self.now, owner))
             for report in wallet.done(self.now):
-                self.allotter.report(self.now, report.key, report.serial, report.made, report.last_at)
+                self.allotter.report(self.now, owner, report.key, report.serial, report.made, report.last_at)
             self.allotter.ask(self.now, owner, KEY, wallet.wants(self.now).get(KEY, 0))
         for lease in self.allotter.allot(self.now):
             self.wallets[lease.owner].received(lease, self.now)
@@ -281,6 +282,17 @@
     assert (report.made, report.last_at) == (1, 99.0) and wallet.done(100.0) == []
 
 
+def test_nobody_frees_another_s_lease() -> None:
+    allotter = Allotter()
+    allotter.limited(KEY, Limit(5, SPAN))
+    allotter.ask(0.0, ("n0", 1), KEY, 1)
+    (lease,) = allotter.allot(1.0)
+    allotter.report(2.0, ("n1", 1), KEY, lease.serial, 0, 0.0)
+    assert allotter.taken(2.0, KEY) == 1
+    allotter.report(2.0, ("n0", 1), KEY, lease.serial, 0, 0.0)
+    assert allotter.taken(2.0, KEY) == 0
+
+
 def test_an_older_epoch_gets_nothing() -> None:
     allotter = Allotter()
     allotter.limited(KEY, Limit(5, SPAN))
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -138,7 +138,7 @@
     assert "patient" in (tmp_path / "report" / "one.html").read_text()
     code, output = run("lab", "compare", table, "--arms", "plain", "patient")
     assert code == 0 and " over 4 days" in output
-    assert run("lab", "compare", table, table)[1].startswith("service: +0.0000 ± 0.0000 over 4 days")
+    assert run("lab", "compare", table, table)[1].startswith("service: +0.0000 ± 0.0000 over 8 days")
 
 
 def test_means_and_paired_differences() -> None:
@@ -146,6 +146,8 @@
     assert mean.mean == 2.0 and mean.half == pytest.approx(2.4841, abs=1e-4)  # t(0.975, 2) = 4.3027
     assert mean_of([1.0]).half == float("inf") and not mean_of([1.0]).sure
     rows = read_like([(1, 0.5), (2, 0.9)])
+    others = [{**row, "arm": "drains", "drains": "10"} for row in read_like([(1, 0.4), (2, 0.8)])]
+    assert paired(rows, others, "service").mean == pytest.approx(-0.1)  # the knob is what is compared
     better = read_like([(1, 0.6), (2, 1.0), (3, 0.1)])
     found = paired(rows, better, "service")
     assert found.count == 2 and found.mean == pytest.approx(0.1) and found.sure
