Clients are let in after a first wait, and structlog is loaded by the log's own thread

The logs tell two times for each line, the world's and the sender's: at a start the sender's clock is 0.2 to 1.3 s ahead, stands still until the world has caught up, and then goes with it. What is taken on meanwhile gets a deadline that lies so much too late. At fault: __main__.serve opened the door before the program had ever waited.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -11,6 +11,7 @@
 
 from springspread.config import Config, ConfigError, load, load_again
 from springspread.core.clearance import Clearance
+from springspread.core.clock import SYSTEM
 from springspread.core.journal import Journal
 from springspread.core.loop import Sender
 from springspread.core.types import HostGroups, Log, Scope, Shares, Stop
@@ -83,6 +84,9 @@
         os.kill(os.getpid(), LOOP_OVER)
 
     running = spawn("loop", loop, log)
+    # Guards deadlines: where a start's processor time is charged to the clock, it may be ahead of the world
+    # until a wait has ended, and whatever is taken on before that would be given up too late.
+    SYSTEM.sleep(limits.settle_ms)
     intake = Intake(sender.put)
     try:
         door = Door(config.listen, intake, limits, log)
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -41,6 +41,7 @@
     recent_ends: int = 2048
     notices_in_call: int = 64
     log_lines: int = 1000
+    settle_ms: float = 1.0  # waited out between a start and the first client
     client_new_ms: float = 1_300.0  # a connection that has sent nothing is ended after this
     client_speak_ms: float = 50.0  # and is not asked to make room before this
     client_read_ms: float = 1_500.0  # from a request's first byte to its last
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -9,7 +9,6 @@
 from heapq import heappop, heappush
 from math import ceil, exp2, inf, log2
 from random import Random
-from statistics import median
 
 from springspread import interface as i
 from springspread.state import Call, Destination, Fading, Gate, Health, Message, Route, Turn
@@ -187,7 +186,7 @@
         # Guards other tenants against one's burst. Could harm one whose traffic moves to this sender.
         for number, use in enumerate(self.use):
             use.add(self.now, USE_MS, (number == tenant) / max(self.set.tenants[number].share, 0.01))
-        middle = max(median(use.count for use in self.use), USE_LEAST)
+        middle = max(sorted(use.count for use in self.use)[len(self.use) // 2], USE_LEAST)
         within = min(USE_SLACK * middle / self.use[tenant].count, 1.0)
         return within + (1.0 - within) * self.set.over_share_worth
 
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -233,6 +233,6 @@
     code = "import sys, springspread.__main__; print(list(sys.modules))"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert "springspread.core.loop" in loaded
-    others = ("pydantic", "click", "hdrh", "scipy", "rich")  # the last would come with structlog by itself
+    others = ("pydantic", "click", "hdrh", "scipy", "rich", "structlog")  # the log loads the last
     for part in ("springspread.town", "springspread.lab", "springspread.cli", *others):
         assert f"'{part}" not in loaded
