A ramp starts half-way between the last sign and the first served call, by the larger part

Each sender sees a call every 2 to 4 s, so it hears of the return 1 to 3 s late, and took the moment when it heard as the return itself; its part was half an equal one and half its own, of which light senders leave most unused. Ruled out: slots (under half out), told waits (none), flags (rechecks were served at once), the limit (x0 over 0.8). At fault in policy.py: _judge (out_at = now) and _out (the mean of the two parts). The return lies between the last sign of the outage and the first served call, on average half-way, whatever the fleet's size; a part is now the larger of an equal one and what the sender was served.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -248,10 +248,8 @@
             route.dest.served_at = gate.served_at = self.now
             self.mean_ms += LEARN / 4 * (event.took_ms - self.mean_ms)
             if gate.out_at == inf and call.sent_at >= gate.sign_at:
-                gate.out_at, gate.doubt = (
-                    self.now,
-                    0.0,
-                )  # only now is it known to be back: it warms up from here
+                # Known to be back: since a time between the last sign and this call, so on average half-way.
+                gate.out_at, gate.doubt = (gate.sign_at + self.now) / 2, 0.0
             route.dest.served.add(self.now, FADE_MS, 1.0 + ITEM_WEIGHT * (call.size - 1))
             if route.health.flagged:
                 self.out.append(i.Log(f"route {route.id}: recheck served"))
@@ -338,7 +336,7 @@
         gate.signs = gate.signs + 1 if self._ramps(gate) else 0
         if not gate.signs:
             route.dest.served.add(self.now, FADE_MS, 0.0)
-            gate.own = (self._own(route, route.dest.served) + self._limit(gate) / self.set.senders) / 2
+            gate.own = max(self._own(route, route.dest.served), self._limit(gate) / self.set.senders)
             gate.tokens = 1.0 - self.rng.expovariate(1.0)
         gate.out_at, gate.sign_at = back_at, self.now
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -443,8 +443,11 @@
     assert [route for _, route in closes] == [20]
 
 
-def cold_fleet(count: int, heavy: int) -> float:
-    """Play a fleet against one destination that is down, then cold; the most it was sent of its budget."""
+def cold_fleet(count: int, heavy: int) -> tuple[float, float]:
+    """Play a fleet against one destination that is down, then cold.
+
+    Returns the most that it was sent of its budget, and what it was sent as it warmed up, in parts of the limit.
+    """
     settings_ = make_settings(senders=count, slots=6, max_held=40)
     limit = 20.0
     worlds = [World(settings_, n, entries((1, 1, 0), rating=limit)) for n in range(count)]
@@ -476,15 +479,21 @@
         if at - back <= RULES.warm_within_ms and sum(recent) >= len(recent) * 2 / 3:
             worst = max(worst, len(recent) / max(budget, 3.0))
     assert len(sent) > limit
-    return worst
+    warmed = sum(at < back + 8000 for at, _ in sent) / (8 * limit)
+    return worst, warmed
 
 
 @pytest.mark.parametrize(("count", "heavy"), [(3, 1), (40, 4), (200, 8)])
 def test_a_fleet_keeps_the_fail_back_budget(count: int, heavy: int) -> None:
-    worst = cold_fleet(count, heavy)
+    worst, _ = cold_fleet(count, heavy)
     assert worst <= 1.0
 
 
+def test_forty_senders_that_each_learn_late_use_what_a_partner_can_take_as_it_warms_up() -> None:
+    _, warmed = cold_fleet(40, 4)
+    assert warmed >= 0.3
+
+
 @pytest.mark.parametrize("rating", [0.0, 0.001, 5.0])
 def test_more_senders_than_calls_and_odd_ratings_still_send(rating: float) -> None:
     world = World(make_settings(senders=600, slots=2, max_held=8), 1, entries((1, 2, 0), rating=rating))
