List requests are not doubled at a start and retried over a span; a town of grown fleets

At fault: net/discovery.py (the short first watch), policy._listed (retries within a quarter around 1 s), and _out, which keeps an outage although the only routes that showed it have left the list. Now one watch, retries over a span that grows with the doublings in the number of senders, and an outage ends with the last route that it was seen at.

--- a/springspread/lab/plan.py
+++ b/springspread/lab/plan.py
@@ -60,6 +60,10 @@
     directory_outages: Annotated[int, Field(ge=0, le=100)] = 0
     platform_outages: Annotated[int, Field(ge=0, le=100)] = 0
     shared: bool = False
+    tight: bool = False
+    skew: Annotated[float, Field(ge=0.0, le=3.0)] = 0.0
+    falls: Count = 0
+    killed: Annotated[float, Field(ge=0.0, le=1.0)] = 0.0
 
     @field_validator("trouble")
     @classmethod
--- a/springspread/lab/run.py
+++ b/springspread/lab/run.py
@@ -40,6 +40,8 @@
     "refused",
     "failed",
     "calls",
+    "throttled",
+    "handshakes",
     "pushed_over",
     "spans_over_limit",
     "limit_ratio",
@@ -71,7 +73,8 @@
     row["p50_ms"] = checker.latency.get_value_at_percentile(50)
     row["p99_ms"] = checker.latency.get_value_at_percentile(99)
     row |= {"delivered": tally.delivered, "refused": tally.refused, "failed": tally.failed}
-    row |= {"calls": tally.calls, "pushed_over": tally.pushed_over}
+    row |= {"calls": tally.calls, "throttled": tally.throttled, "handshakes": tally.handshakes}
+    row |= {"pushed_over": tally.pushed_over}
     row |= {"spans_over_limit": tally.over_limit, "faults": len(checker.faults)}
     row |= {"limit_ratio": round(tally.limit_ratio, 3), "fleet_messages": outcome.fleet_messages}
     first = min(checker.faults, key=lambda fault: fault.at, default=None)
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -32,7 +32,6 @@
         self._put, self._log = put, log
         self._wake = threading.Event()
         self._watching = self._fetching = self._moved = False
-        self._first = True
         spawn("discovery", self._run, log)
 
     def watch(self, active: bool) -> None:
@@ -57,20 +56,17 @@
             self._wake.clear()
             while self._watching or self._fetching:
                 fetch, self._fetching = self._fetching, False
-                if self._moved:
-                    self._moved, self._first = False, True
+                self._moved = False
                 try:
-                    # The first watch is short: the module waits to hear that it has begun.
-                    wait = self._limits.watch_first_ms if self._first else self._limits.watch_ms
+                    # Guards discovery against a fleet that starts at once: no short watch goes before this.
                     since = None if fetch else self._version
-                    self._put(self._ask(since, 0.0 if since is None else wait))
-                    self._first = False
+                    self._put(self._ask(since, 0.0 if since is None else self._limits.watch_ms))
                 except MovedError as exc:
                     self._log.info("discovery moved", cut_off=str(exc))
                     self._fetching |= fetch
                 except (*FAILURES, catalog.Unreadable) as exc:
                     self._log.warning("discovery failed", error=repr(exc))
-                    self._watching, self._first = self._moved, True
+                    self._watching = self._moved
                     self._put(HostGroups(Scope.FAILED))
 
     def _ask(self, since: int | None, wait_ms: float) -> HostGroups:
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -113,7 +113,9 @@
 
     def _listed(self, event: i.Listed) -> None:
         if event.scope is i.ListScope.FAILED:
-            self.ask_at = self.now + self._jitter(self.ask_pause)
+            # Guards discovery where many failed in the same moment: they come back over a span, not in step.
+            spread = max(1.0, log2(self.set.senders) / 2)
+            self.ask_at = self.now + self.ask_pause * (0.5 + spread * self.rng.random())
             self.ask_pause = min(2 * self.ask_pause, max(self.set.rules.ask_within_ms / 2, ASK_AGAIN_MS))
             return
         if event.scope is not i.ListScope.CACHED:
@@ -128,6 +130,7 @@
             if route.state is i.RouteState.GONE or route.id not in kept:
                 route.dest.routes.remove(route)
                 del self.routes[route.id]
+                self._absolve(route)
         for number, dest in list(self.dests.items()):
             if dest.routes or dest.queue or dest.calls:
                 dest.left_at = self.now
@@ -297,6 +300,14 @@
         if sign and gate.doubt >= 1.0:
             self._out(route, gate.shut_until if event.wait_ms else inf)
 
+    def _absolve(self, route: Route) -> None:
+        """A route is gone: an outage that was seen there alone was none of the destination."""
+        gate = route.gate
+        if gate.blamed and gate.blamed <= {route}:
+            gate.out_at = gate.sign_at = -inf
+            gate.doubt, gate.signs = 0.0, 0
+        gate.blamed.discard(route)
+
     def _part_to(self, gate: Gate, part: float) -> None:
         gate.share = min(max(part, LEAST_PART / self.set.senders), ROUGH)
 
@@ -335,10 +346,12 @@
         gate = route.gate
         gate.signs = gate.signs + 1 if self._ramps(gate) else 0
         if not gate.signs:
+            gate.blamed.clear()
             route.dest.served.add(self.now, FADE_MS, 0.0)
             gate.own = max(self._own(route, route.dest.served), self._limit(gate) / self.set.senders)
             gate.tokens = 1.0 - self.rng.expovariate(1.0)
         gate.out_at, gate.sign_at = back_at, self.now
+        gate.blamed.add(route)
 
     def _jitter(self, pause: float) -> float:
         return pause * (0.75 + self.rng.random() / 2)
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -45,6 +45,7 @@
     sign_at: float = float("-inf")  # the latest sign of an outage
     signs: int = 0  # how many came after the first one
     own: float = 0.0  # what this sender may count as its own of the limit, as the first one came
+    blamed: set[Route] = field(default_factory=set)  # the routes that they came from
     served_at: float = float("-inf")
 
 
--- a/springspread/town/checker.py
+++ b/springspread/town/checker.py
@@ -64,6 +64,7 @@
     refused: int = 0
     failed: int = 0
     calls: int = 0
+    throttled: int = 0  # calls that a partner turned away
     after_all: int = 0  # delivered by a call that was still out as its end was told
     pushed_over: int = 0
     over_limit: int = 0
--- a/springspread/town/day.py
+++ b/springspread/town/day.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from math import ceil
 from random import Random
 from typing import Any
 
@@ -84,7 +85,8 @@
 class Change:
     """At a time an endpoint's condition changes, or the list's word on it (ready, draining, gone).
 
-    ``takes_over`` names the endpoint whose address it has from then on.
+    ``takes_over`` names the endpoint whose address it has from then on; ``limit`` is the part of its usual
+    limit that the endpoint's partner takes from then on.
     """
 
     at: float
@@ -92,6 +94,7 @@
     condition: Condition | None = None
     state: str = ""
     takes_over: str = ""
+    limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,6 +207,10 @@
     directory_outages: int = 0,
     platform_outages: int = 0,
     shared: bool = False,
+    tight: bool = False,
+    skew: float = 0.0,
+    falls: int = 0,
+    killed: float = 0.0,
 ) -> Day:
     """Draw a day. ``load`` is the share of the partners' limits that the traffic takes up in the mean.
 
@@ -212,8 +219,14 @@
     ``clumps`` is the share of the messages that come in clumps for one partner, ``surge`` the factor of the
     traffic at the month's end: a fifth of the day. So many times a sender is killed, and the directory or the
     platform is away for some seconds. ``shared``: the senders are a fleet under one allotter.
+
+    Of a grown fleet: ``tight`` gives every partner a limit that refused calls use up, and a quick pace;
+    ``skew`` is the spread (lognormal) of the senders' parts of the traffic; so many limits fall to a third
+    for nine seconds; ``killed`` is the share of the senders that are killed at once at 0.4 of the day.
     """
     specs = _partners(seed, partners, per_s / load)
+    if tight:
+        specs = tuple(_tight(seed, spec, per_s / load * spec.share / _shares(specs)) for spec in specs)
     specs, moves = _drains(seed, specs, drains, length_ms)
     moves += _takeovers(seed, specs, moves, takeovers)
     zones = _zones(seed, specs)
@@ -225,7 +238,12 @@
     moves += _troubles(seed, specs, troubles, trouble, length_ms, zones)
     outages = _outages(seed, Service.DIRECTORY, directory_outages, length_ms)
     outages += _outages(seed, Service.PLATFORM, platform_outages, length_ms)
+    moves += _falls(seed, specs, falls, length_ms)
+    if skew:
+        arrivals = _skewed(seed, arrivals, senders, skew)
     busy = per_s / load * 0.4  # calls out at full load, at 400 ms each
+    if tight:
+        busy *= 0.3  # and at a quick pace
     return Day(
         seed,
         length_ms,
@@ -235,7 +253,7 @@
         partners=specs,
         arrivals=tuple(arrivals),
         changes=tuple(sorted(moves, key=_at)),
-        deaths=_deaths(seed, senders, deaths, length_ms),
+        deaths=_deaths(seed, senders, deaths, length_ms) + _killed(senders, killed, length_ms),
         outages=tuple(outages),
         zones=zones,
         shared=shared,
@@ -307,6 +325,45 @@
     return tuple(made)
 
 
+def _killed(senders: int, part: float, length_ms: float) -> tuple[Death, ...]:
+    """A part of the senders is killed in the same moment and comes back within a second."""
+    at = 0.4 * length_ms
+    return tuple(Death(at, n, at + 1_500.0 + 10.0 * n) for n in range(round(senders * part)))
+
+
+def _shares(specs: tuple[PartnerSpec, ...]) -> float:
+    return sum(spec.share for spec in specs)
+
+
+def _tight(seed: int, spec: PartnerSpec, want: float) -> PartnerSpec:
+    """The same partner with a limit that refused calls use up; it can do somewhat more, at a quick pace."""
+    rng = Random(f"{seed}/tight/{spec.group}")
+    pace = rng.uniform(30.0, 100.0)
+    per_s = max(want * rng.uniform(0.9, 1.8), 2.0)
+    ends = len(spec.names) if spec.habit.apart else 1
+    places = max(ceil(per_s * rng.uniform(1.2, 1.6) * pace / 1000 / len(spec.names)), 1)
+    habit = replace(spec.habit, pace_ms=pace, places=places, limit_per_s=per_s / ends, counts_refused=True)
+    return replace(spec, habit=habit)
+
+
+def _falls(seed: int, specs: tuple[PartnerSpec, ...], count: int, length_ms: float) -> list[Change]:
+    """So many partners take a third of their limit for nine seconds."""
+    rng = Random(f"{seed}/falls")
+    changes = []
+    for spec in rng.sample(specs, min(count, len(specs))):
+        at = rng.uniform(0.2, 0.4) * length_ms
+        changes += [Change(at, spec.names[0], limit=1 / 3), Change(at + 9_000.0, spec.names[0], limit=1.0)]
+    return changes
+
+
+def _skewed(seed: int, arrivals: list[Arrival], senders: int, spread: float) -> list[Arrival]:
+    """The same arrivals, dealt to the senders by uneven parts."""
+    rng = Random(f"{seed}/skew")
+    parts = [rng.lognormvariate(0.0, spread) for _ in range(senders)]
+    dealt = rng.choices(range(senders), parts, k=len(arrivals))
+    return [replace(arrival, sender=sender) for arrival, sender in zip(arrivals, dealt, strict=True)]
+
+
 def _outages(seed: int, service: Service, count: int, length_ms: float) -> list[Outage]:
     rng = Random(f"{seed}/{service.value}")
     part = 0.8 * length_ms / max(count, 1)
--- a/springspread/town/partner.py
+++ b/springspread/town/partner.py
@@ -57,34 +57,42 @@
     """So many calls in each fixed span (``span_ms`` > 0), or a plain rate with room for a short burst."""
 
     def __init__(self, per_s: float, span_ms: float = 0.0, burst_ms: float = 500.0) -> None:
-        self.per_s, self.span_ms = per_s, span_ms
-        self._count = max(int(per_s * span_ms / 1000), 1)
-        self._depth = max(per_s * burst_ms / 1000, 1.0)
+        self.span_ms, self._burst_ms = span_ms, burst_ms
+        self.falls_to(per_s)
         self._span, self._used = -1, 0
         self._tokens, self._at = self._depth, 0.0
 
+    def falls_to(self, per_s: float) -> None:
+        """It is another one from now on, lower or higher."""
+        self.per_s = per_s
+        self._count = max(int(per_s * self.span_ms / 1000), 1)
+        self._depth = max(per_s * self._burst_ms / 1000, 1.0)
+
     def left(self, now: float) -> float:
         """The share of the limit that is left now."""
         if self.span_ms:
             return 1.0 - (self._used if int(now / self.span_ms) == self._span else 0) / self._count
         return min(self._tokens + (now - self._at) * self.per_s / 1000, self._depth) / self._depth
 
-    def take(self, now: float, *, spends: bool = True) -> bool:
-        """Whether a call is within the limit; ``spends``: it counts against it."""
+    def take(self, now: float) -> bool:
+        """A call comes: whether it is within the limit."""
         if self.span_ms:
             span = int(now / self.span_ms)
             if span != self._span:
                 self._span, self._used = span, 0
             within = self._used < self._count
-            self._used += spends and (within or self._used < 10 * self._count)
+            self._used += within
             return within
         self._tokens = min(self._tokens + (now - self._at) * self.per_s / 1000, self._depth)
         self._at = now
         within = self._tokens >= 1.0
-        if spends and within:
-            self._tokens -= 1.0
+        self._tokens -= within
         return within
 
+    def refused(self) -> None:
+        """A call that was refused just now uses the limit up, too."""
+        self._tokens = max(self._tokens - 1.0, 0.0)
+
 
 @dataclass(frozen=True, slots=True)
 class Habit:
@@ -188,7 +196,7 @@
 
     def _full(self, now: float) -> Answer:
         if self.limit is not None and self.habit.counts_refused:
-            self.limit.take(now)
+            self.limit.refused()
         return self._told(now + 1.0, End.FULL, False, self.habit.tells_wait_ms)
 
     def _told(self, at: float, end: End, ran: bool, wait_ms: float = 0.0) -> Answer:
@@ -235,6 +243,11 @@
         self.endpoints[name] = made
         return made
 
+    def limit_falls(self, part: float) -> None:
+        """It takes this part of its usual limit from now on; 1 is the usual one again."""
+        for limit in {id(e.limit): e.limit for e in self.endpoints.values() if e.limit}.values():
+            limit.falls_to(self.habit.limit_per_s * part)
+
     @property
     def rating(self) -> float:
         """Calls a second that it takes from everybody (a route's, where they are apart)."""
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -272,6 +272,7 @@
         if answer.end is End.DONE:
             body = json.dumps([{"id": id, "state": "done"} for id in ids]).encode() if bundle else b""
         was_open = place.open
+        self.checker.tally.throttled += answer.end is End.FULL
         if answer.end in (End.RESET, End.SPOILT):
             if was_open and answer.end is End.SPOILT:
                 place.sock.send(NONSENSE)
@@ -316,6 +317,8 @@
             after = change.condition.trouble is Trouble.REFUSING
             if before != after:
                 self._refuse(change.endpoint, after)
+        if change.limit is not None:
+            self._partners[self._group[change.endpoint]].limit_falls(change.limit)
         if change.state:
             self._at(self._now() + self.day.list_lag_ms, self._listed, change)
 
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -308,6 +308,7 @@
                 self.clearance.bar(call.link, answer.wait_ms)
         runs = [run for run in call.executions if run.number in out.waiting]
         ids = [run.id for run in runs]
+        self.town.checker.tally.throttled += answer.end is End.FULL
         if answer.end is End.DONE:
             self.town.checker.done(now, self.name, key, ids, "delivered", False)
         elif answer.end in (End.FAILED, End.RESET, End.SPOILT) and not answer.ran:
@@ -563,6 +564,8 @@
             endpoint.troubled(self.clock.now(), change.condition)
             if change.condition.trouble is not Trouble.NONE:
                 self.checker.troubled(change.endpoint)
+        if change.limit is not None:
+            self.partners[self._group[change.endpoint]].limit_falls(change.limit)
         if change.state:
             self.states[change.endpoint] = LinkState(change.state)
             self.version += 1
--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from queue import SimpleQueue
 from random import Random
+from threading import Event
 
 from springspread import interface as i
+from springspread.config import Limits, Names
+from springspread.net.discovery import Watcher
 from springspread.policy import Dispatcher
+from tests.peer import WAIT_S
 from tests.test_rules import SAFE, make_settings
+from tests.test_spoilt import Silent
+
+ENTRY = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, 20.0)
 
 
 class Bucket:
@@ -34,10 +43,11 @@
 ) -> tuple[int, int]:
     """Messages of a fleet that asks for ``demand`` a second meet one limit; calls taken and refused."""
     rng = Random(senders)
-    settings = make_settings(senders=senders, slots=5, max_held=120, classes=(SAFE,), fade=i.Fade.HALVING)
+    told = {"senders": senders, "slots": 5, "max_held": 120, "classes": (SAFE,), "fade": i.Fade.HALVING}
+    settings = make_settings(kinds=(i.KindSpec("plain"),), **told)
     bucket = Bucket(rate)
     fleet = [Dispatcher(settings, seed) for seed in range(senders)]
-    entry = i.RouteEntry(10, 0, 1, 1, i.RouteState.READY, rate)
+    entry = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, rate)
     for sender in fleet:
         sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (entry,))])
     due: list[list[tuple[float, i.Event]]] = [[] for _ in fleet]
@@ -77,3 +87,46 @@
     taken, refused = play(40, 36.0, 27.0, 20000.0, [20.0] + [1.0] * 39)
     assert taken >= 0.8 * 27 * 20
     assert refused <= 0.2 * taken
+
+
+def test_forty_list_requests_that_failed_together_are_not_made_again_together() -> None:
+    settings = make_settings(senders=40, must_ask=True)
+    asked = []
+    for seed in range(40):
+        sender = Dispatcher(settings, seed)
+        sender.handle(0.0, [i.Listed(i.ListScope.CACHED, 1, (ENTRY,))])
+        sender.handle(10.0, [i.Listed(i.ListScope.FAILED)])
+        now = 10.0
+        while not any(isinstance(action, i.Watch) for action in sender.handle(now, [i.Woken(0)])):
+            now += 50.0
+        asked.append(now)
+    assert max(sum(at <= other < at + 500.0 for other in asked) for at in asked) <= 15
+    assert max(asked) <= 5000.0
+
+
+def test_a_start_asks_discovery_once_and_for_a_long_watch() -> None:
+    asked: SimpleQueue[str] = SimpleQueue()
+
+    class Held:
+        def call(self, method: str, target: str, *_: object) -> None:
+            asked.put(target)
+            Event().wait()
+
+    watcher = Watcher(("127.0.0.1", 9), Names((), (), ()), 7, Limits(), lambda _: None, Silent())
+    watcher._caller = Held()  # type: ignore[assignment]
+    watcher.watch(True)
+    assert f"timeout_ms={Limits().watch_ms:.0f}" in asked.get(timeout=WAIT_S)
+
+
+def test_failures_of_endpoints_that_are_gone_throttle_nobody_who_takes_their_place() -> None:
+    sender = Dispatcher(make_settings(senders=3), 1)
+    old = [i.RouteEntry(number, 0, 1, 1, i.RouteState.READY, 50.0) for number in (10, 11)]
+    sender.handle(0.0, [i.Listed(i.ListScope.CACHED, 1, tuple(old))])
+    sends = [a for a in sender.handle(1.0, [i.Taken(1, 1, 0, 8001.0)]) if isinstance(a, i.Send)]
+    for attempt in range(2):
+        ended = i.Ended(1, attempt, sends[0].route, i.Outcome.CONNECT_FAILED, 2.0, over=False)
+        sends = [a for a in sender.handle(3.0 + attempt, [ended]) if isinstance(a, i.Send)] or sends
+    assert sender._ramps(sender.dests[1].shared)
+    gone = [replace(entry, state=i.RouteState.GONE) for entry in old]
+    sender.handle(1000.0, [i.Listed(i.ListScope.CHANGES, 2, (*gone, replace(old[0], route=12)))])
+    assert not sender._ramps(sender.dests[1].shared)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -446,7 +446,7 @@
 def cold_fleet(count: int, heavy: int) -> tuple[float, float]:
     """Play a fleet against one destination that is down, then cold.
 
-    Returns the most that it was sent of its budget, and what it was sent in parts of the limit as it warmed up.
+    Returns the most that it was sent of its budget, and of its limit as it warmed up.
     """
     settings_ = make_settings(senders=count, slots=6, max_held=40)
     limit = 20.0
--- a/tests/town/test_partner.py
+++ b/tests/town/test_partner.py
@@ -47,6 +47,25 @@
         assert taken <= max(per_s * 0.5, 1.0) + per_s * now / 1000 + 1e-6
 
 
+def test_refused_calls_use_a_limit_up_where_they_count() -> None:
+    served = {}
+    for counts in (False, True):
+        habit = replace(HABIT, places=50, limit_per_s=20.0, counts_refused=counts)
+        partner = Partner(1, habit, ["a"], "seed")
+        ends = [partner.endpoints["a"].arrive(25.0 * n).end for n in range(400)]  # 40 a second
+        served[counts] = ends.count(End.DONE)
+    assert served[False] >= 200 and served[True] <= 50
+
+
+def test_a_limit_falls_and_returns() -> None:
+    partner = Partner(1, replace(HABIT, places=50, limit_per_s=30.0), ["a", "b"], "seed")
+    limit = partner.endpoints["b"].limit
+    partner.limit_falls(1 / 3)
+    assert limit is not None and limit.per_s == 10.0
+    partner.limit_falls(1.0)
+    assert limit.per_s == 30.0
+
+
 def test_endpoints_share_a_limit_unless_they_are_routes_apart() -> None:
     habit = replace(HABIT, limit_per_s=1.0, span_ms=2000.0, places=50)
     for apart, served in ((False, 2), (True, 4)):
--- a/tests/town/test_town.py
+++ b/tests/town/test_town.py
@@ -52,6 +52,8 @@
     "addresses that pass on": {"drains": 10, "takeovers": 5},
     "senders killed": {"deaths": 4, "load": 1.2},
     "a directory that answers late and then all at once": {"drains": 6, "directory_outages": 3},
+    "most senders killed at once, limits that fall": {"senders": 12, "tight": True, "skew": 0.5, "falls": 3}
+    | {"killed": 0.7},
     "a platform that is away": {"load": 1.3, "platform_outages": 3},
     "all of it": {"troubles": 3, "drains": 5, "takeovers": 3, "deaths": 3, "clumps": 0.3}
     | {"directory_outages": 2, "platform_outages": 2},
