Count over a fleet from its senders' logs; the end of the program waits for the log's last line

`springspread lab tally LOGS` counts, by destination and span, what senders at level debug tell: messages taken, calls and their ends, handshakes, list queries, the limit and how much of it was left. Its test found that QueueLogger.flush could return while the log's own thread still held a line, so the last lines of a program that ends could be lost; it waits up to 0.2 s for them now.

--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -112,3 +112,30 @@
     found = paired(left, right, measure)
     word = "sure" if found.sure else "not told apart"
     click.echo(f"{measure}: {found.mean:+.4f} ± {found.half:.4f} over {found.count} days ({word})")
+
+
+@lab.command()
+@click.argument("logs", type=click.Path(path_type=Path, file_okay=False, exists=True))
+@click.option("--span", type=click.FloatRange(0.1, 3600.0), default=1.0, show_default=True, help="Seconds.")
+@click.option("--whole", is_flag=True, help="One line for the whole time.")
+@told
+def tally(logs: Path, span: float, whole: bool) -> None:
+    """Count over a fleet: what the senders whose logs (level debug) lie in LOGS did, by destination and span.
+
+    CSV; destination -1 is discovery. `limit` is in calls a second, `left` the mean share told to be left.
+    """
+    from springspread.lab import tally as counting
+
+    cells = counting.tally(sorted(logs.glob("*.log")), span)
+    if not cells:
+        raise click.ClickException(f"{logs}: no *.log with lines of level debug")
+    if whole:
+        counts = counting.total(cells)
+        click.echo(",".join(counting.COLUMNS))
+        click.echo(",".join(str(counts[column]) for column in counting.COLUMNS))
+        return
+    click.echo(",".join(("destination", "from_s", *counting.COLUMNS, "limit", "left")))
+    for (group, number), cell in sorted(cells.items()):
+        counted = [str(cell.counts[column]) for column in counting.COLUMNS]
+        left = f"{cell.left / cell.told:.3f}" if cell.told else ""
+        click.echo(",".join((str(group), f"{number * span:g}", *counted, f"{cell.limit:g}", left)))
--- a/springspread/logs.py
+++ b/springspread/logs.py
@@ -19,6 +19,7 @@
 
 LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 FORMATS = ("json", "text")
+FLUSH_S = 0.2  # how long the end of the program waits for the log's thread
 
 Line = dict[str, object]
 
@@ -44,6 +45,7 @@
     def _run(self) -> None:
         while True:
             self._write(self._lines.get())
+            self._lines.task_done()
 
     def _write(self, line: Line) -> None:
         with self._writing:
@@ -59,12 +61,15 @@
                 self._lost += 1  # nobody reads the log: the program goes on without one
 
     def flush(self) -> None:
-        """Write what is queued, from the calling thread."""
+        """Write what is queued, from the calling thread; wait a little for a line that is being written."""
         while True:
             try:
                 self._write(self._lines.get_nowait())
             except Empty:
-                return
+                break
+            self._lines.task_done()
+        with self._lines.all_tasks_done:
+            self._lines.all_tasks_done.wait_for(lambda: not self._lines.unfinished_tasks, FLUSH_S)
 
 
 def renderer(form: str) -> Callable[[Line], str]:
