Fees rank routes apart alone; a full line with room in the limit rests one endpoint

Ruled out: the limit, slots, connections. At fault in policy.py: _rank (a zone's fee counts for every kind, though it is taken for routes apart only: one sender loses nothing by it, forty queue up), and _judge (every refusal is taken for the limit's). Now a fee counts for routes apart, so that ties fall apart by chance; a refusal told with 0.6 of the limit left, while the destination serves, rests that endpoint and neither the part nor the gate.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -277,7 +277,13 @@
         # Guards healthy partners where connections break everywhere. Could harm as one resets all calls.
         telling = min(1.0, RESETS_USUAL / max(self.resets, 0.001)) if outcome is i.Outcome.RESET else 1.0
         sign *= telling
-        if outcome is i.Outcome.FULL:
+        left = event.report.left_share or 0.0 if event.report.limit_per_s else None
+        roomy = left is not None and left >= USED_UP and not event.wait_ms
+        if outcome is i.Outcome.FULL and roomy and recent:
+            # Its own line is full, and not the limit of all: others of the destination may have room.
+            route.rests_until = self.now + self._jitter(BACK_OFF_MS)
+            sign = 0.0
+        elif outcome is i.Outcome.FULL:
             own = self._own(route, route.dest.demand) / max(self._limit(gate), 0.01)
             own = max(own, 1.0 / self.set.senders)
             self._part_to(gate, min(gate.share, OWN_ROOM * own) * CUT)
@@ -287,7 +293,7 @@
             pause = event.wait_ms + (pause if gate.refusals > 1 else 0.0) if event.wait_ms else pause
             gate.shut_until = max(gate.shut_until, self.now + pause)
             # Likely the limit's own refusal, or too few senders to push it over by a call each.
-            used_up = event.report.limit_per_s and (event.report.left_share or 0.0) < USED_UP
+            used_up = left is not None and left < USED_UP
             budget = self._limit(gate) * rules.fall_multiple * rules.cold_share * RAMP_MARGIN
             few = self.set.senders * 1000 <= budget * rules.fall_ms
             shut = event.wait_ms > OUTAGE_WAIT_MS
@@ -398,7 +404,7 @@
         if route.state is not i.RouteState.READY or self._filled(route) >= int(route.window):
             return False
         self._fill(route)
-        return self.now >= route.gate.shut_until and route.gate.tokens >= 1.0
+        return self.now >= max(route.gate.shut_until, route.rests_until) and route.gate.tokens >= 1.0
 
     def _stuck_at(self, route: Route, call: Call) -> float:
         return call.sent_at + max(PATIENCE * (route.alone_ms or self.mean_ms), STUCK_MS)
@@ -425,7 +431,9 @@
         fastest = min((r.mean_ms for r in dest.routes if r.mean_ms), default=1.0)
 
         def suitability(route: Route) -> tuple[float, float]:
-            cost = round(5 - 4 * self.set.prices.fee_part(route.zone))
+            # Only routes apart have a fee. Guards the others: all senders would lead with the same endpoint.
+            fee = self.set.prices.fee_part(route.zone) if route.kind.separate_routes else 0.0
+            cost = round(5 - 4 * fee)
             served = round(1 + 4 * self._served(route, m))
             time = round(1 + 4 * fastest / (route.mean_ms or fastest))
             return (-(W_SERVED * served + W_TIME * time + W_COST * cost), route.tie)
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -86,6 +86,7 @@
     mean_ms: float | None = None
     alone_ms: float | None = None  # the same of calls that went out while no other was there
     used_at: float = 0.0  # when a call there last ended
+    rests_until: float = 0.0  # its own line was full
     window: float = 1.0
     calls: int = 0
     out: list[Call] = field(default_factory=list)
--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -130,3 +130,29 @@
     gone = [replace(entry, state=i.RouteState.GONE) for entry in old]
     sender.handle(1000.0, [i.Listed(i.ListScope.CHANGES, 2, (*gone, replace(old[0], route=12)))])
     assert not sender._ramps(sender.dests[1].shared)
+
+
+def test_endpoints_without_a_fee_are_not_all_led_by_one() -> None:
+    settings = make_settings(senders=40, prices=i.Prices(zone_fee=(0.0, 0.03)))
+    led = []
+    for seed in range(40):
+        sender = Dispatcher(settings, seed)
+        listed = tuple(i.RouteEntry(n, n - 10, 1, 1, i.RouteState.READY, 50.0) for n in (10, 11))
+        sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, listed)])
+        (send,) = [a for a in sender.handle(1.0, [i.Taken(1, 1, 0, 8001.0)]) if isinstance(a, i.Send)]
+        led.append(send.route)
+    assert 10 <= led.count(11) <= 30
+
+
+def test_a_full_line_with_much_of_the_limit_left_shuts_one_endpoint_not_all() -> None:
+    sender = Dispatcher(make_settings(senders=3), 1)
+    listed = tuple(i.RouteEntry(n, 0, 1, 1, i.RouteState.READY, 50.0) for n in (10, 11))
+    sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, listed)])
+    report, now = i.Report(0.9, 50.0), 1.0
+    for n, outcome in ((1, i.Outcome.SERVED), (2, i.Outcome.FULL)):
+        (send,) = [a for a in sender.handle(now, [i.Taken(n, 1, 0, 9000.0)]) if isinstance(a, i.Send)]
+        now += 100.0
+        over = outcome is i.Outcome.SERVED
+        ended = i.Ended(n, 0, send.route, outcome, 40.0, over, 0.0, report)
+        after = [a for a in sender.handle(now, [ended]) if isinstance(a, i.Send)]
+    assert [again.route for again in after] == [21 - send.route]
