--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -92,8 +92,11 @@
 @click.argument("theirs", type=FILE, required=False)
 @click.option("--arms", nargs=2, metavar="A B", help="Two arms of one table, in place of two tables.")
 @click.option("--measure", default="service", show_default=True)
+@click.option("--where", "wheres", multiple=True, metavar="COLUMN=VALUE", help="Only rows that hold it.")
 @told
-def compare(ours: Path, theirs: Path | None, arms: tuple[str, str] | None, measure: str) -> None:
+def compare(
+    ours: Path, theirs: Path | None, arms: tuple[str, str] | None, measure: str, wheres: tuple[str, ...]
+) -> None:
     """Tell how much more THEIRS (or arm B) has of a measure than OURS (or arm A), day by day.
 
     The difference is paired by seed and knobs, with its 95 % interval (Student's).
@@ -107,6 +110,11 @@
         raise click.ClickException(f"--measure: no such column: {measure}; there are {', '.join(COLUMNS)}")
     left = read_rows(ours)
     right = read_rows(theirs) if theirs is not None else left
+    for where in wheres:
+        column, _, value = where.partition("=")
+        if column not in COLUMNS:
+            raise click.ClickException(f"--where: no such column: {column}")
+        left, right = ([row for row in rows if row[column] == value] for rows in (left, right))
     if arms is not None:
         left, right = ([row for row in left if row["arm"] == arm] for arm in arms)
     found = paired(left, right, measure)
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -221,6 +221,7 @@
         (["lab", "compare", table], "give a second table, or --arms"),
         (["lab", "compare", table, table, "--measure", "luck"], "no such column: luck"),
         (["lab", "compare", table, "--arms", "plain", "none"], "stands in both"),
+        (["lab", "compare", table, table, "--where", "luck=1"], "--where: no such column: luck"),
         (["town", "play", "--set", "senders=0"], "senders: "),
         (["town", "play", "--set", "sendres=1"], "did you mean senders?"),
         (["town", "play", "--set", "senders"], "KNOB=VALUE"),
