--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -431,9 +431,7 @@
         fastest = min((r.mean_ms for r in dest.routes if r.mean_ms), default=1.0)
 
         def suitability(route: Route) -> tuple[float, float]:
-            # Only routes apart have a fee. Guards the others: all senders would lead with the same endpoint.
-            fee = self.set.prices.fee_part(route.zone) if route.kind.separate_routes else 0.0
-            cost = round(5 - 4 * fee)
+            cost = round(5 - 4 * self.set.prices.fee_part(route.zone))
             served = round(1 + 4 * self._served(route, m))
             time = round(1 + 4 * fastest / (route.mean_ms or fastest))
             return (-(W_SERVED * served + W_TIME * time + W_COST * cost), route.tie)
