--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -189,7 +189,8 @@
         # Guards other tenants against one's burst. Could harm one whose traffic moves to this sender.
         for number, use in enumerate(self.use):
             use.add(self.now, USE_MS, (number == tenant) / max(self.set.tenants[number].share, 0.01))
-        middle = max(sorted(use.count for use in self.use)[len(self.use) // 2], USE_LEAST)
+        counts = sorted(use.count for use in self.use)
+        middle = max((counts[(len(counts) - 1) // 2] + counts[len(counts) // 2]) / 2, USE_LEAST)
         within = min(USE_SLACK * middle / self.use[tenant].count, 1.0)
         return within + (1.0 - within) * self.set.over_share_worth
 
