--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -7,13 +7,17 @@
 from random import Random
 from threading import Event
 
+import pytest
+
 from springspread import interface as i
 from springspread.config import Limits, Names
 from springspread.net.discovery import Watcher
 from springspread.policy import Dispatcher
+from springspread.settings import SettingsError, parse_lines, read_settings
 from tests.peer import WAIT_S
 from tests.test_rules import SAFE, make_settings
 from tests.test_spoilt import Silent
+from tests.test_wire import SETTINGS as WIRE_SETTINGS
 
 ENTRY = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, 20.0)
 
@@ -166,3 +170,68 @@
 def test_a_flagged_route_is_rechecked_by_a_safe_message_and_not_by_an_unsafe_one() -> None:
     assert sent_to_a_flagged_route(0) == [1000]
     assert sent_to_a_flagged_route(2) == []
+
+
+def test_settings_that_name_no_number_of_senders_give_one_sender_the_whole_limit() -> None:
+    told = parse_lines(WIRE_SETTINGS)
+    alone = read_settings({key: value for key, value in told.items() if key != "balancers"})
+    assert alone.senders == 1 == read_settings({**told, "balancers": "1"}).senders
+    assert Dispatcher(alone, 1)._gate().share == 1.0
+    for odd in ("0", "-3", "many", "inf"):
+        with pytest.raises(SettingsError, match="^balancers:"):
+            read_settings({**told, "balancers": odd})
+
+
+def test_a_sender_with_one_message_in_ten_seconds_sends_each_at_once() -> None:
+    sender = Dispatcher(make_settings(senders=40), 1)
+    sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (ENTRY,))])
+    for number in range(1, 6):
+        now = number * 10000.0
+        actions = sender.handle(now, [i.Taken(number, 1, 0, now + 8000.0)])
+        sends = [a for a in actions if isinstance(a, i.Send)]
+        assert [send.message for send in sends] == [number]
+        sender.handle(now + 40.0, [i.Ended(number, 0, sends[0].route, i.Outcome.SERVED, 40.0, True)])
+
+
+def line(senders: int, room: int, demand: float, span_ms: float) -> tuple[int, int, int]:
+    """A line of ``room`` calls at once, 200 ms each, and a limit far off: offered, served, refused."""
+    rng = Random(senders)
+    settings = make_settings(kinds=(i.KindSpec("plain"),), senders=senders, slots=5, classes=(SAFE,))
+    fleet = [Dispatcher(settings, seed) for seed in range(senders)]
+    entry = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, 200.0)
+    for sender in fleet:
+        sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (entry,))])
+    due: list[list[tuple[float, i.Event]]] = [[] for _ in fleet]
+    busy: list[float] = []  # when the calls in the line end
+    offered = served = refused = 0
+    now, next_at = 0.0, 0.0
+    while now < span_ms:
+        now += 5.0
+        busy = [end for end in busy if end > now]
+        while next_at <= now:
+            offered += 1
+            due[rng.randrange(senders)].append((now, i.Taken(offered, 1, 0, now + SAFE.deadline_ms)))
+            next_at += rng.expovariate(demand / 1000)
+        for sender, waiting in zip(fleet, due, strict=True):
+            ready = [event for at, event in waiting if at <= now]
+            if not ready and not (sender.lines and round(now) % 50 == 0):
+                continue
+            waiting[:] = [(at, event) for at, event in waiting if at > now]
+            for action in sender.handle(now, ready):
+                if isinstance(action, i.Send):
+                    taken = len(busy) < room
+                    served, refused = served + taken, refused + (not taken)
+                    took = 200.0 if taken else 5.0
+                    busy += [now + took] * taken
+                    outcome = i.Outcome.SERVED if taken else i.Outcome.FULL
+                    attempt = sender.held[action.message].attempts - 1
+                    report = i.Report(0.9, 200.0)
+                    ended = i.Ended(action.message, attempt, 10, outcome, took, taken, 0.0, report)
+                    waiting.append((now + took, ended))
+    return offered, served, refused
+
+
+def test_a_destination_with_fewer_connections_than_senders_serves_what_its_line_can_hold() -> None:
+    offered, served, refused = line(40, 8, 25.0, 20000.0)  # the line holds 40 calls a second
+    assert served >= 0.9 * offered
+    assert refused <= 0.5 * served
