--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -446,9 +446,8 @@
         if unsafe and self._hushed(route):
             return False  # a safe one looks first whether the route still serves
         flags = [health for health in (route.health, route.classes[m.cls]) if health.flagged]
-        if not all(self.now >= h.recheck_at + (RECHECK_MS if unsafe else 0.0) for h in flags):
-            return False
-        # Guards unsafe messages at a flagged route: a recheck is made by a safe one, unless time runs out.
+        if flags:
+            return all(self.now >= h.recheck_at + (RECHECK_MS if unsafe else 0.0) for h in flags)
         healthy = not unsafe or self._served(route, m) >= UNSAFE_SHARE
         return healthy or self.now > m.deadline - m.spec.aim_ms
 
