--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from queue import SimpleQueue
 from random import Random
@@ -42,21 +43,29 @@
         return self.level / (self.rate / 4)
 
 
-def play(
-    senders: int, rate: float, demand: float, span_ms: float, weights: list[float] | None = None
-) -> tuple[int, int]:
-    """Messages of a fleet that asks for ``demand`` a second meet one limit; calls taken and refused."""
+Answer = Callable[
+    [float], tuple[bool, float, i.Report]
+]  # a call sent now: taken, how long it took, the report
+
+
+def drive(
+    senders: int,
+    rate: float,
+    demand: float,
+    span_ms: float,
+    answer: Answer,
+    weights: list[float] | None = None,
+) -> int:
+    """A fleet asks for ``demand`` messages a second of one destination, answered by ``answer``; how many."""
     rng = Random(senders)
     told = {"senders": senders, "slots": 5, "max_held": 120, "classes": (SAFE,), "fade": i.Fade.HALVING}
     settings = make_settings(kinds=(i.KindSpec("plain"),), **told)
-    bucket = Bucket(rate)
     fleet = [Dispatcher(settings, seed) for seed in range(senders)]
     entry = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, rate)
     for sender in fleet:
         sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (entry,))])
     due: list[list[tuple[float, i.Event]]] = [[] for _ in fleet]
-    taken = refused = number = 0
-    now, next_at = 0.0, 0.0
+    number, now, next_at = 0, 0.0, 0.0
     while now < span_ms:
         now += 5.0
         while next_at <= now:
@@ -71,14 +80,27 @@
             waiting[:] = [(at, event) for at, event in waiting if at > now]
             for action in sender.handle(now, ready):
                 if isinstance(action, i.Send):
-                    good = bucket.take(now)
-                    taken, refused = taken + good, refused + (not good)
+                    good, took, report = answer(now)
                     outcome = i.Outcome.SERVED if good else i.Outcome.FULL
-                    report = i.Report(bucket.left(), rate)
                     attempt = sender.held[action.message].attempts - 1
-                    ended = i.Ended(action.message, attempt, 10, outcome, 40.0, good, 0.0, report)
-                    waiting.append((now + 40.0, ended))
-    return taken, refused
+                    ended = i.Ended(action.message, attempt, 10, outcome, took, good, 0.0, report)
+                    waiting.append((now + took, ended))
+    return number
+
+
+def play(
+    senders: int, rate: float, demand: float, span_ms: float, weights: list[float] | None = None
+) -> tuple[int, int]:
+    """Messages of a fleet that asks for ``demand`` a second meet one limit; calls taken and refused."""
+    bucket, counts = Bucket(rate), [0, 0]
+
+    def answer(now: float) -> tuple[bool, float, i.Report]:
+        good = bucket.take(now)
+        counts[not good] += 1
+        return good, 40.0, i.Report(bucket.left(), rate)
+
+    drive(senders, rate, demand, span_ms, answer, weights)
+    return counts[0], counts[1]
 
 
 def test_forty_senders_that_meet_one_small_limit_in_the_same_second_are_rarely_refused() -> None:
@@ -173,40 +195,18 @@
 
 def line(senders: int, room: int, demand: float, span_ms: float) -> tuple[int, int, int]:
     """A line of ``room`` calls at once, 200 ms each, and a limit far off: offered, served, refused."""
-    rng = Random(senders)
-    settings = make_settings(kinds=(i.KindSpec("plain"),), senders=senders, slots=5, classes=(SAFE,))
-    fleet = [Dispatcher(settings, seed) for seed in range(senders)]
-    entry = i.RouteEntry(10, 0, 0, 1, i.RouteState.READY, 200.0)
-    for sender in fleet:
-        sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (entry,))])
-    due: list[list[tuple[float, i.Event]]] = [[] for _ in fleet]
     busy: list[float] = []  # when the calls in the line end
-    offered = served = refused = 0
-    now, next_at = 0.0, 0.0
-    while now < span_ms:
-        now += 5.0
-        busy = [end for end in busy if end > now]
-        while next_at <= now:
-            offered += 1
-            due[rng.randrange(senders)].append((now, i.Taken(offered, 1, 0, now + SAFE.deadline_ms)))
-            next_at += rng.expovariate(demand / 1000)
-        for sender, waiting in zip(fleet, due, strict=True):
-            ready = [event for at, event in waiting if at <= now]
-            if not ready and not (sender.lines and round(now) % 50 == 0):
-                continue
-            waiting[:] = [(at, event) for at, event in waiting if at > now]
-            for action in sender.handle(now, ready):
-                if isinstance(action, i.Send):
-                    taken = len(busy) < room
-                    served, refused = served + taken, refused + (not taken)
-                    took = 200.0 if taken else 5.0
-                    busy += [now + took] * taken
-                    outcome = i.Outcome.SERVED if taken else i.Outcome.FULL
-                    attempt = sender.held[action.message].attempts - 1
-                    report = i.Report(0.9, 200.0)
-                    ended = i.Ended(action.message, attempt, 10, outcome, took, taken, 0.0, report)
-                    waiting.append((now + took, ended))
-    return offered, served, refused
+    counts = [0, 0]
+
+    def answer(now: float) -> tuple[bool, float, i.Report]:
+        busy[:] = [end for end in busy if end > now]
+        good = len(busy) < room
+        counts[not good] += 1
+        busy.extend([now + 200.0] * good)
+        return good, 200.0 if good else 5.0, i.Report(0.9, 200.0)
+
+    offered = drive(senders, 200.0, demand, span_ms, answer)
+    return offered, counts[0], counts[1]
 
 
 def test_a_destination_with_fewer_connections_than_senders_serves_what_its_line_can_hold() -> None:
