The machine of a change of policy, and a search of its interleavings with planted faults

Cause: a fleet has no change of policy; instances drift apart when a file changes. Design: grants of a policy with absolute bounds; a yes gives up its grant from a cut, the decision holds from the latest end of any other grant. Not taken: two-phase commit that locks until the decision is heard (a dead daemon stops all), a look at the daemon per call (a centre in every call's way), quorums (one machine, one record).

No I/O in either machine. The search plays both with messages heard at any moment, any number of times or never, and with deaths between any two effects. Nothing drives the machines yet; the sender is unchanged.

--- /dev/null
+++ b/tests/rig/test_search.py
@@ -0,0 +1,26 @@
+import pytest
+
+from springspread.rig.planted import PLANTED
+from springspread.rig.search import Bounds, search
+
+SMALL = Bounds(1, moments=6, proposals=2, deaths=0, daemon_deaths=1, refusals=1)
+# Found by benchmarks.accord_search, which looks further.
+DEEP = {
+    "a proposal is not synced",
+    "votes on anything count",
+    "grants go on while it asks",
+    "a generation is not synced",
+}
+
+
+def test_no_interleaving_breaks_a_promise() -> None:
+    for bounds, running in ((Bounds(2), False), (SMALL, True)):
+        found = search(bounds, most=8_000, running=running)
+        assert not found.broken, found.trace
+        assert found.worlds == 8_000 and found.decided > 1_000
+
+
+@pytest.mark.parametrize("name", [name for name in PLANTED if name not in DEEP])
+def test_a_planted_fault_is_found(name: str) -> None:
+    found = search(SMALL, PLANTED[name], most=20_000, running=True)
+    assert found.broken and found.trace
