--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -8,13 +8,15 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
+from typing import TYPE_CHECKING
 
-from springspread.config import Config, ConfigError, load, load_again
+from springspread.config import Config, ConfigError, load, load_again, under_policy
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
 from springspread.core.journal import Journal
 from springspread.core.loop import Sender
-from springspread.core.types import HostGroups, Log, Scope, Shares, Stop
+from springspread.core.types import HostGroups, Log, Scope, Stop
 from springspread.logs import make_log
 from springspread.net.discovery import Watcher
 from springspread.net.door import Door
@@ -24,6 +26,9 @@
 from springspread.platform.catalog import Unreadable, read_groups
 from springspread.platform.intake import Intake
 
+if TYPE_CHECKING:
+    from springspread.fleet.client import FleetShares
+
 ENDS = (signal.SIGTERM, signal.SIGINT)
 LOOP_OVER = signal.SIGUSR1
 HEARD = (*ENDS, signal.SIGHUP, LOOP_OVER)
@@ -54,7 +59,7 @@
     return config
 
 
-def fleet_shares(log: Log) -> Shares | None:
+def fleet_shares(log: Log) -> FleetShares | None:
     """The part of the partners' limits that a fleet gives this instance; none where it stands alone."""
     if "SPRINGSPREAD_FLEET" not in os.environ:
         return None
@@ -71,13 +76,15 @@
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
     shares = fleet_shares(log)
     clearance = Clearance(journal, grace, shares=shares)
-    sender = Sender(config, journal, clearance, log, shares=shares)
+    sender = Sender(config, journal, clearance, log, shares=shares, policy=shares.policy if shares else 0)
     version = known.version if config.known is not None else None
     watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log)
     notices = Notices(config.discovery, limits, sender.put, log)
     workers = Workers(limits, settings.slots, config.names.report, clearance, sender.put, log)
     sender.attach(workers, watcher, notices)
     sender.restore(known)
+    if shares is not None:
+        shares.follow(partial(under_policy, config, journal), sender.put)
 
     def loop() -> None:
         sender.run()
@@ -94,7 +101,8 @@
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
     intake.ready = True
     listen = f"{door.address[0]}:{door.address[1]}"
-    log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections)
+    told = {"policy": shares.policy} if shares else {}
+    log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections, **told)
     while (heard := signal.sigwait(HEARD)) not in ENDS:
         if heard == signal.SIGHUP:
             config = reload(config, (watcher, notices), log)
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import socket
+import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -57,21 +58,26 @@
     sink.flush()
 
 
-def _order(file: Path, order: dict[str, Any], as_json: bool) -> None:
+def _ask(file: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
     path = _plan(file).folder / "control"
     try:
         with socket.socket(socket.AF_UNIX) as sock:
-            sock.settimeout(ANSWER_S)
+            sock.settimeout(ANSWER_S + wait_s)
             sock.connect(str(path))
             sock.sendall(json.dumps(order).encode() + b"\n")
             data = b""
             while more := sock.recv(65536):
                 data += more
-        answer = json.loads(data)
+        answer: dict[str, Any] = json.loads(data)
     except (OSError, ValueError) as exc:
         raise click.ClickException(f"no daemon answers at {path}: {exc}") from exc
     if not answer["ok"]:
         raise click.ClickException(answer["fault"])
+    return answer
+
+
+def _order(file: Path, order: dict[str, Any], as_json: bool) -> None:
+    answer = _ask(file, order)
     if as_json:
         click.echo(json.dumps(answer["instances"]))
     else:
@@ -81,7 +87,7 @@
 def _show(rows: list[dict[str, Any]]) -> None:
     from springspread.cli.live import columns
 
-    heads = ("name", "want", "pid", "epoch", "listen", "up_s", "in_fleet", "deaths")
+    heads = ("name", "want", "pid", "epoch", "listen", "up_s", "in_fleet", "deaths", "policy")
     for line in columns(heads, [[row[head] for head in heads] for row in rows]):
         click.echo(line)
 
@@ -130,3 +136,112 @@
 def roll(file: Path, as_json: bool) -> None:
     """Restart all instances, one after the other."""
     _order(file, {"do": "roll"}, as_json)
+
+
+@fleet.group()
+def policy() -> None:
+    """Change the settings and limits of all instances at one moment, or of none.
+
+    \b
+    Exit codes, beside those of every command:
+      5  refused: in force nowhere
+      6  not decided, or not in force, within the time; asking again gives the one answer
+    """
+
+
+def _wanted(file: Path) -> str:
+    plan = _plan(file)
+    try:
+        base = json.loads(plan.config.read_text())
+    except OSError as exc:
+        raise click.ClickException(f"{plan.config}: {exc.strerror}") from exc
+    except ValueError as exc:
+        raise click.ClickException(f"{plan.config}: not JSON: {exc}") from exc
+    if not isinstance(base, dict):
+        raise click.ClickException(f"{plan.config}: must hold an object")
+    return plan.policy(base).text
+
+
+def _proposed(file: Path, text: str, within: float, as_json: bool) -> None:
+    answer = _ask(file, {"do": "propose", "policy": text, "within": within}, within)
+    state, number, fault = answer["state"], answer["version"], answer["fault"]
+    if as_json:
+        click.echo(json.dumps({"state": state, "version": number, "fault": fault}))
+    elif state == "in force":
+        click.echo(f"policy {number} is in force")
+    elif state == "refused":
+        click.echo(f"refused, in force nowhere: {fault}", err=True)
+    else:
+        click.echo(f"policy {number} is not in force yet; it waits for {fault}", err=True)
+    sys.exit({"in force": 0, "refused": 5}.get(state, 6))
+
+
+WITHIN = click.option(
+    "--within", type=click.FloatRange(0.0, 600.0), default=30.0, show_default=True, help="Seconds to wait."
+)
+
+
+@policy.command()
+@click.argument("file", type=FILE)
+@WITHIN
+@JSON
+def propose(file: Path, within: float, as_json: bool) -> None:
+    """Propose FILE and the `config` that it names, as they stand now."""
+    _proposed(file, _wanted(file), within, as_json)
+
+
+@policy.command()
+@click.argument("file", type=FILE)
+@click.argument("version", type=int)
+@WITHIN
+@JSON
+def back(file: Path, version: int, within: float, as_json: bool) -> None:
+    """Propose what held under VERSION; it gets a number of its own."""
+    _proposed(file, _ask(file, {"do": "text", "version": version})["policy"], within, as_json)
+
+
+@policy.command()
+@click.argument("file", type=FILE)
+@JSON
+def check(file: Path, as_json: bool) -> None:
+    """Say what a proposal of FILE would change, and whether the daemon would refuse it. Changes nothing."""
+    answer = _ask(file, {"do": "check", "policy": _wanted(file)})
+    if as_json:
+        click.echo(json.dumps({key: answer[key] for key in ("usable", "fault", "changes")}))
+    elif answer["usable"]:
+        for line in answer["changes"] or ["nothing would change"]:
+            click.echo(line)
+    else:
+        click.echo(f"would be refused: {answer['fault']}", err=True)
+    sys.exit(0 if answer["usable"] else 5)
+
+
+@policy.command(name="status")
+@click.argument("file", type=FILE)
+@JSON
+def policy_status(file: Path, as_json: bool) -> None:
+    """Show which policy is in force, what is under way, and what each instance acts under."""
+    answer = _ask(file, {"do": "policy"})
+    told = {key: answer[key] for key in ("in_force", "pending", "instances")}
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    click.echo(f"policy {told['in_force']['version']} is in force, digest {told['in_force']['digest'][:12]}")
+    if told["pending"]:
+        waits = ", ".join(told["pending"]["waits_for"]) or "its moment"
+        click.echo(f"policy {told['pending']['version']} is on its way; it waits for {waits}")
+    for name, row in told["instances"].items():
+        click.echo(f"  {name}  {row['state']}  {row['version'] or '-'}")
+
+
+@policy.command()
+@click.argument("file", type=FILE)
+@JSON
+def history(file: Path, as_json: bool) -> None:
+    """Show every policy that was proposed, and what became of it."""
+    rows = _ask(file, {"do": "history"})["history"]
+    if as_json:
+        click.echo(json.dumps(rows))
+        return
+    for row in rows:
+        click.echo(f"{row['version']}  {row['digest'][:12]}  {row['state']}  {row['fault']}".rstrip())
--- a/springspread/cli/main.py
+++ b/springspread/cli/main.py
@@ -25,6 +25,8 @@
   2  a faulty option, or a configuration that can't be used
   3  the machine was too busy for a run to say anything
   4  stopped early; what was done is kept
+  5  a policy was refused and is in force nowhere
+  6  a policy is not decided, or not in force, within the time
 """
 
 
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -46,8 +46,9 @@
 
     def refuses(self, call: Call) -> tuple[Result, float] | None:
         """Why a call may not go out now, with the rest of the wait; else it is journalled as begun."""
-        # First, as it may wait: whatever came meanwhile is looked at after it.
-        if self._shares is not None and not self._shares.acquire(call.link):
+        # First, as these may wait: whatever came meanwhile is looked at after them.
+        shares = self._shares
+        if shares is not None and not (shares.enter(call.policy) and shares.acquire(call.link)):
             return Result.NOT_SENT, 0.0
         if call.cancelled.is_set():
             return Result.CANCELLED, 0.0
@@ -64,4 +65,7 @@
                 self._journal.begun(execution.number, execution.attempt)
         except OSError:  # not on record, so it may not go out
             return Result.NOT_SENT, 0.0
+        # Last: guards against a mixture of policies, also where this process was frozen until just now.
+        if shares is not None and not shares.may(call.policy):
+            return Result.NOT_SENT, 0.0
         return None
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -20,6 +20,7 @@
 BEGUN = Struct("<cIB")
 ENDING = Struct("<cIBd")
 OVER = Struct("<cI")
+POLICY = Struct("<I")
 PREFIX = "journal."
 BLOCK = 512  # what the disk's limit counts in
 FILES = 12  # the disk is shared out to about so many files
@@ -46,6 +47,7 @@
     not_run: set[int] = field(default_factory=set)
     ending: tuple[bool, float] | None = None  # deferred, again_ms
     file: int = 0  # where its *taken* stands
+    policy: int = 0  # of the fleet, that it was taken under; 0: the sender stands alone
 
     @property
     def may_have_run(self) -> bool:
@@ -64,7 +66,8 @@
         head = TAKEN.pack(
             b"T", self.number, self.deadline_wall, self.group, flags, len(cls), len(name), len(self.body)
         )
-        out = [_frame(head + cls + name + self.body)]
+        under = POLICY.pack(self.policy) if self.policy else b""  # a reader that knows none passes it over
+        out = [_frame(head + cls + name + self.body + under)]
         out += [_frame(BEGUN.pack(b"B", self.number, n)) for n in sorted(self.begun)]
         out += [_frame(BEGUN.pack(b"N", self.number, n)) for n in sorted(self.not_run)]
         if self.ending is not None:
@@ -151,14 +154,17 @@
             _, number, deadline, group, flags, cls, name, size = TAKEN.unpack_from(payload)
             at = TAKEN.size
             text, id_ = payload[at : at + cls].decode(), payload[at + cls : at + cls + name].decode("latin-1")
-            body = payload[at + cls + name : at + cls + name + size]
+            end = at + cls + name + size
+            body = payload[at + cls + name : end]
+            under = POLICY.unpack_from(payload, end)[0] if len(payload) >= end + POLICY.size else 0
             again, orphan = bool(flags & 1), bool(flags & 2)
             if number in self.owed:
                 # Written anew as its file was cleared away. Guards rule 2: what is known of its executions
                 # stays, as a kill may have cut off the records that follow.
                 self.owed[number].file = file
                 return
-            self._add(Owed(number, id_, text, group, deadline, body, again, orphan, file=file))
+            owed = Owed(number, id_, text, group, deadline, body, again, orphan, file=file, policy=under)
+            self._add(owed)
         elif kind in (b"B", b"N"):
             _, number, attempt = BEGUN.unpack(payload)
             self.last_number = max(self.last_number, number)
@@ -185,7 +191,7 @@
             self._live -= self._cost(owed)
 
     def _cost(self, owed: Owed) -> int:
-        fixed = HEAD.size + TAKEN.size + len(owed.cls.encode()) + len(owed.id)
+        fixed = HEAD.size + TAKEN.size + POLICY.size + len(owed.cls.encode()) + len(owed.id)
         return fixed + len(owed.body) + self._per_message
 
     def taken(self, owed: Owed) -> None:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -24,6 +24,7 @@
     HostGroups,
     LinkState,
     Log,
+    NewPolicy,
     Notice,
     NoticeHeard,
     NoticeSink,
@@ -80,8 +81,10 @@
         log: Log,
         clock: Clock = SYSTEM,
         shares: Shares | None = None,
+        policy: int = 0,
     ) -> None:
-        self._clock, self._shares = clock, shares
+        """``policy``: the number of the fleet's policy that ``config`` is of."""
+        self._clock, self._shares, self._policy = clock, shares, policy
         self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
         self._journal, self._clearance, self._log = journal, clearance, log
         self._module = Dispatcher(config.settings, config.seed)
@@ -202,10 +205,24 @@
             case NoticeHeard(numbers):
                 for number in numbers:
                     self._forget(number, delivered=False)
+            case NewPolicy(number, config):
+                return [self._new_policy(number, config)]
             case Stop():
                 self._stop_at = min(self._stop_at, self._clock.now())
         return []
 
+    def _new_policy(self, number: int, config: Config) -> i.Changed:
+        """Between two batches: calls decided from now on are of this policy, as are messages taken on."""
+        new, names = config.settings, {spec.name for spec in config.settings.classes}
+        # Guards what is held: a class keeps its place, and one that no client may use any more stays at it.
+        places = {spec.name: spec for spec in (*self._set.classes, *new.classes)}
+        self._set = replace(new, classes=tuple(places.values()))
+        self._classes = {name: n for n, name in enumerate(places) if name in names}
+        self._policy, self._second = number, config.second_copies
+        self._executor.grow(new.slots)
+        self._log.info("policy", version=number, slots=new.slots)
+        return i.Changed(self._set)
+
     def _query(self, query: Query) -> list[i.Event]:
         cls = self._classes.get(query.cls)
         if cls is None:
@@ -240,7 +257,15 @@
         left = query.deadline - self._clock.now()
         until = self._clock.wall() + left
         owed = Owed(
-            number, query.id, query.cls, query.group, until, query.body, query.again, query.orphan
+            number,
+            query.id,
+            query.cls,
+            query.group,
+            until,
+            query.body,
+            query.again,
+            query.orphan,
+            policy=self._policy,
         )
         try:
             self._journal.taken(owed)
@@ -253,9 +278,7 @@
         self._log.debug("taken", number=number, group=query.group, cls=query.cls)
         self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
-        return [
-            i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)
-        ]
+        return [i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)]
 
     def _gone(self, query: Query, refused: bool) -> list[i.Event]:
         number, query.number = query.number, 0
@@ -365,7 +388,8 @@
                     self._directory.fetch()
                 case i.Probe(route):
                     if route in self._links.by_number:
-                        self._executor.start(Call(self._links.by_number[route], (), now))
+                        link = self._links.by_number[route]
+                        self._executor.start(Call(link, (), now, policy=self._policy))
                 case i.CloseIdle(route):
                     if route in self._links.by_number:
                         self._executor.close_idle(self._links.by_number[route])
@@ -390,7 +414,7 @@
             last[send.route].append(run)
         for route, members in groups:
             link = self._links.by_number[route]
-            call = Call(link, tuple(members), now)
+            call = Call(link, tuple(members), now, policy=self._policy)
             if not self._second:
                 # Guards the ban on second copies: none of a call is given up while its connection stays open.
                 until = call.until
@@ -403,7 +427,9 @@
                     self._inbox.put(ExecutionEnd(call, run, Result.NOT_SENT, now))
                 continue
             self._calls[call] = len(call.executions)
-            self._log.debug("call", link=link.name, group=link.group, executions=len(call.executions))
+            self._log.debug(
+                "call", link=link.name, group=link.group, executions=len(call.executions), policy=self._policy
+            )
             self._executor.start(call)
 
     def _execution(self, now: float, send: i.Send) -> Execution | None:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from springspread.core.clock import SYSTEM
 
+if TYPE_CHECKING:
+    from springspread.config import Config
+
 
 def clock() -> float:
     """Milliseconds on the process's own clock, which never steps; for drivers, which live in real time."""
@@ -162,6 +165,7 @@
     executions: Sequence[Execution]
     sent_at: float
     cancelled: threading.Event = field(default_factory=threading.Event)
+    policy: int = 0  # that it was decided under
 
     @property
     def once(self) -> bool:
@@ -212,6 +216,14 @@
     numbers: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class NewPolicy:
+    """From now on the fleet acts under another policy: its number, and the configuration that it makes."""
+
+    number: int
+    config: Config
+
+
 @dataclass(frozen=True, slots=True)
 class Stop:
     """The process is asked to end."""
@@ -227,7 +239,7 @@
     again_ms: float = 0.0
 
 
-CoreEvent = Query | HostGroups | ExecutionEnd | ProbeEnd | Gone | NoticeHeard | Stop
+CoreEvent = Query | HostGroups | ExecutionEnd | ProbeEnd | Gone | NoticeHeard | NewPolicy | Stop
 
 
 class Executor(Protocol):
@@ -242,6 +254,9 @@
     def close_idle(self, link: ServerLink) -> None:
         """Close the kept connections to a link."""
 
+    def grow(self, slots: int) -> None:
+        """See to it that so many calls can be out at once."""
+
 
 class Directory(Protocol):
     """Discovery, as the core sees it."""
@@ -263,6 +278,12 @@
 class Shares(Protocol):
     """What a fleet's instance may use of its partners' limits."""
 
+    def enter(self, policy: int) -> bool:
+        """Whether a call that was decided under a policy may begin; may wait for it, a bounded time."""
+
+    def may(self, policy: int) -> bool:
+        """Whether it may begin at this very moment."""
+
     def acquire(self, link: ServerLink) -> bool:
         """The right to begin one call to a link; may wait for it, a bounded time."""
 
--- /dev/null
+++ b/springspread/fleet/change.py
@@ -0,0 +1,238 @@
+"""The driver of a change of policy in the daemon: one thread that owns the coordinator and its record.
+
+What others tell (who is there, votes, proposals) comes in through a queue; effects are carried out in
+order, and an entry that can't be put on record stops what would have followed it."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from queue import Empty, SimpleQueue
+
+from springspread.accord import coordinator
+from springspread.accord.coordinator import Coordinator, Step, Times
+from springspread.accord.document import Policy, PolicyFault, check, lead_ms
+from springspread.accord.record import Damaged, PolicyRecord
+from springspread.accord.terms import Decided, Owner, Prepare, Proposed, Refused, Vote, Write
+from springspread.core.clock import SYSTEM, Clock
+from springspread.core.types import Log
+from springspread.fleet.shares import Limit
+from springspread.fleet.wire import Document, Message
+from springspread.net.threads import spawn
+
+LOOK_MS = 20.0
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+
+
+class Refusal(Exception):
+    """A proposal that takes hold nowhere; the text says why, and who refused."""
+
+
+@dataclass(slots=True)
+class Proposal:
+    """One proposal on its way: its number as soon as there is one, and how it ended."""
+
+    policy: Policy
+    number: int = 0
+    fault: str = ""
+    taken: threading.Event = field(default_factory=threading.Event)  # it has a number, or a fault
+
+
+class Changes:
+    """Runs until ``close``. Raises ``Damaged`` or ``OSError`` where the record can't be followed."""
+
+    def __init__(
+        self, folder: Path, first: Policy, log: Log, clock: Clock = SYSTEM, times: Times | None = None
+    ) -> None:
+        """``first`` becomes policy 1 where there is no record yet; raises ``PolicyFault``."""
+        self._log, self._clock, self._times = log, clock, times or Times()
+        self.record = PolicyRecord(folder, BOOT_ID.read_text().strip())
+        if not self.record.history.in_force:
+            check(first, [])
+            self.record.keep(1, first)
+            if not self.record.history.last:
+                self.record.append(Proposed(1, first.digest))
+            self.record.append(Decided(1, clock.now()))
+        self._inbox: SimpleQueue[Callable[[float], Step]] = SimpleQueue()
+        self._state: Coordinator | None = None
+        self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
+        self._tell: Callable[[Owner, Message], None] = _nobody
+        self._limits: Callable[[dict[str, Limit], float], None] = _no_limits
+        self._over = threading.Event()
+
+    def begin(
+        self,
+        alive: Iterable[Owner],
+        tell: Callable[[Owner, Message], None],
+        limits: Callable[[dict[str, Limit], float], None],
+    ) -> None:
+        """Start deciding. ``alive``: whose processes may run; ``limits`` is told which hold from when."""
+        self._tell, self._limits = tell, limits
+        step = coordinator.begin(self._times, self.record.history, self._clock.now(), alive)
+        self._carry_out(step)
+        spawn("fleet-policy", self._run, self._log)
+
+    # Told by others, from any thread
+
+    def heard(self, owner: Owner, vote: Vote | None, here: bool) -> None:
+        """An owner has joined (or, not ``here``, left), or votes."""
+        if vote is not None:
+            self._inbox.put(lambda now: coordinator.voted(self._now_state, now, owner, vote))
+        elif here:
+            self._inbox.put(lambda now: self._joined(now, owner))
+        else:
+            self._inbox.put(lambda now: (coordinator.left(self._now_state, owner), []))
+
+    def died(self, owner: Owner) -> None:
+        """An owner's process is certainly over."""
+        self._inbox.put(lambda now: self._died(now, owner))
+
+    def propose(self, policy: Policy) -> Proposal:
+        """Ask for a policy to take hold; what becomes of it is told by ``outcome``."""
+        proposal = Proposal(policy)
+        self._inbox.put(lambda now: self._propose(now, proposal))
+        return proposal
+
+    # What is known
+
+    @property
+    def _now_state(self) -> Coordinator:
+        assert self._state is not None
+        return self._state
+
+    @property
+    def in_force(self) -> int:
+        """The policy that holds now."""
+        history = self._now_state.history
+        return history.in_force if self._now_state.settled(self._clock.now()) else history.before
+
+    def policy(self, number: int) -> Policy:
+        """A policy by its number."""
+        return self.record.policy(number)
+
+    def outcome(self, number: int) -> tuple[str, str]:
+        """One answer for ever: in force, refused (with the fault), or pending (with what it waits for)."""
+        for entry in list(self.record.entries):
+            if isinstance(entry, Refused) and entry.number == number:
+                return "refused", f"{entry.by}: {entry.fault}" if entry.by else entry.fault
+            if isinstance(entry, Decided) and entry.number == number:
+                left = entry.since - self._clock.now()
+                return (
+                    ("decided", f"the grants of those that are silent, {left / 1000:.1f} s")
+                    if left > 0
+                    else ("in force", "")
+                )
+        return "pending", ", ".join(sorted(name for name, _ in self.waits))
+
+    @property
+    def pending(self) -> int:
+        """The change that is under way; 0: none."""
+        state = self._now_state
+        if state.pending is not None:
+            return state.pending.number
+        return 0 if state.settled(self._clock.now()) else state.history.in_force
+
+    @property
+    def waits(self) -> list[Owner]:
+        """Whose votes, or the ends of whose grants, are waited for."""
+        state = self._now_state
+        if state.pending is not None:
+            return sorted(state.pending.waits)
+        if state.settled(self._clock.now()):
+            return []
+        return sorted(set(state.ends) - state.connected)
+
+    def acts(self, owner: Owner) -> bool:
+        """Whether an owner is connected and holds a grant, as far as is known here."""
+        state, now = self._now_state, self._clock.now()
+        return owner in state.connected and state.ends.get(owner, 0.0) > now
+
+    def close(self) -> None:
+        """Decide nothing more."""
+        self._over.set()
+
+    # The one thread
+
+    def _run(self) -> None:
+        while not self._over.is_set():
+            try:
+                event = self._inbox.get(timeout=LOOK_MS / 1000.0)
+            except Empty:
+                event = self._tick
+            try:
+                self._carry_out(event(self._clock.now()))
+                self._carry_out(self._tick(self._clock.now()))
+            except Damaged as exc:
+                # Guards what was told: nobody knows what is on record, so nobody is told anything any more.
+                self._log.error("policy record lost; nothing more is granted", error=str(exc))
+                return
+
+    def _tick(self, now: float) -> Step:
+        return coordinator.tick(self._now_state, now)
+
+    def _joined(self, now: float, owner: Owner) -> Step:
+        self._told[owner] = set()
+        return coordinator.joined(self._now_state, now, owner)
+
+    def _died(self, now: float, owner: Owner) -> Step:
+        self._told.pop(owner, None)
+        return coordinator.died(self._now_state, now, owner)
+
+    def _propose(self, now: float, proposal: Proposal) -> Step:
+        state = self._now_state
+        past = [self.record.policy(number) for number in self.record.decided]
+        try:
+            check(proposal.policy, past)
+            step = coordinator.propose(state, now, proposal.policy.digest, lead_ms(past[-1], proposal.policy))
+            proposal.number = step[0].history.last
+            self.record.keep(proposal.number, proposal.policy)
+        except (PolicyFault, ValueError, OSError) as exc:
+            proposal.number, proposal.fault = 0, str(exc)
+            step = (state, [])
+        proposal.taken.set()
+        return step
+
+    def _carry_out(self, step: Step) -> None:
+        before, (after, effects) = self._state, step
+        for effect in effects:
+            if isinstance(effect, Write):
+                try:
+                    self.record.append(effect.entry)
+                except OSError as exc:
+                    self._not_written(before, effect, str(exc))
+                    return
+                if isinstance(effect.entry, Decided):
+                    limits = self.record.policy(effect.entry.number).limits
+                    self._limits({key: Limit(*limit) for key, limit in limits.items()}, effect.entry.since)
+                self._log.info("policy record", entry=repr(effect.entry))
+                continue
+            message = effect.message
+            number = message.number if isinstance(message, Prepare) else message.version
+            told = self._told.setdefault(effect.owner, set())
+            if number not in told:
+                told.add(number)
+                self._tell(effect.owner, Document(number, self.record.policy(number).text))
+            self._tell(effect.owner, message)
+        self._state = after
+
+    def _not_written(self, before: Coordinator | None, effect: Write, fault: str) -> None:
+        """Guards what was told: the entry is not there, so a proposal that it belongs to is refused."""
+        self._log.error("not on record", entry=repr(effect.entry), error=fault)
+        if before is None:
+            raise Damaged(f"the daemon's start is not on record: {fault}")
+        number = getattr(effect.entry, "number", 0)
+        self.record.refused(number, f"not on record: {fault}")
+        history = self.record.history
+        self._state = coordinator.Coordinator(
+            before.times, history, before.count + 1, None, before.ends, before.connected
+        )
+
+
+def _nobody(owner: Owner, message: Message) -> None:
+    """Nothing is told before ``begin``."""
+
+
+def _no_limits(limits: dict[str, Limit], since: float) -> None:
+    """Nothing is told before ``begin``."""
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -8,20 +8,35 @@
 
 import socket
 import threading
-from collections.abc import Mapping
+from collections import deque
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
-from springspread.config import ConfigError
+from springspread.accord import participant
+from springspread.accord.participant import Participant
+from springspread.accord.terms import Grant, Prepare, Vote
+from springspread.config import Config, ConfigError
 from springspread.core.clock import SYSTEM, Clock
-from springspread.core.types import Load, Log, ServerLink
+from springspread.core.types import Load, Log, NewPolicy, ServerLink
 from springspread.fleet.wallet import Wallet
-from springspread.fleet.wire import Asking, Granted, Hello, Limited, Lines, Unreadable, write
+from springspread.fleet.wire import (
+    Asking,
+    Document,
+    Granted,
+    Hello,
+    Limited,
+    Lines,
+    Message,
+    Unreadable,
+    write,
+)
 from springspread.net.threads import spawn
 
 POLL_MS = 10.0
 IDLE_MS = 250.0
 AGAIN_MS = 100.0
 REPEAT_MS = 150.0
+POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -33,8 +48,16 @@
 class FleetShares:
     """Asked by ``core.clearance`` before each call, and by the loop for what to tell the decision module."""
 
-    def __init__(self, path: Path, name: str, epoch: int, log: Log, clock: Clock = SYSTEM) -> None:
+    def __init__(
+        self, path: Path, name: str, epoch: int, log: Log, clock: Clock = SYSTEM, policy: int = 0
+    ) -> None:
+        """``policy``: the number of the policy that this process was started with; 0: there is none."""
         self._path, self._hello, self._log, self._clock = path, Hello(name, epoch), log, clock
+        self.policy = policy
+        self._rights = Participant()
+        self._texts: dict[int, str] = {}
+        self._holding = False
+        self._votes: deque[Vote] = deque()
         self._wallet = Wallet()
         self._arrived = threading.Condition()
         self._ring = threading.Event()
@@ -42,8 +65,35 @@
         self._new: dict[str, float] = {}
         self._rates: dict[str, float] = {}
         self._open = True
+        self._usable: Callable[[str], Config] = _nobody_asked
+        self._put: Callable[[NewPolicy], None] = _nobody_hears
+        self._begun = threading.Event()
+        if not policy:
+            self._begun.set()
         spawn("fleet", self._run, log)
 
+    def follow(self, usable: Callable[[str], Config], put: Callable[[NewPolicy], None]) -> None:
+        """Begin to talk. ``usable`` makes a configuration of a policy's text, or raises ``ConfigError``.
+
+        ``put`` is told when another policy holds.
+        """
+        self._usable, self._put = usable, put
+        self._begun.set()
+
+    def enter(self, policy: int) -> bool:
+        """The right to begin a call that was decided under a policy, now or within ``POLICY_WAIT_MS``."""
+        until = self._clock.now() + POLICY_WAIT_MS
+        while not self.may(policy):
+            if self._clock.now() >= until or policy != self.policy:
+                return False
+            with self._arrived:
+                self._arrived.wait(POLL_MS / 1000.0)
+        return True
+
+    def may(self, policy: int) -> bool:
+        """Whether a call of a policy may begin at this moment."""
+        return policy == 0 or self._rights.may(policy, self._clock.now())
+
     def acquire(self, link: ServerLink) -> bool:
         """The right to one call now, or within ``LEASE_WAIT_MS``."""
         key, until = key_of(link), self._clock.now() + LEASE_WAIT_MS
@@ -70,6 +120,7 @@
         self._ring.set()
 
     def _run(self) -> None:
+        self._begun.wait()
         while self._open:
             try:
                 with socket.socket(socket.AF_UNIX) as sock:
@@ -79,9 +130,11 @@
                     self._talk(sock)
             except (OSError, Unreadable) as exc:
                 self._log.warning("no allotter", error=str(exc))
-            self._clock.sleep(AGAIN_MS)
+            # What was heard before the connection broke still takes hold at its moment.
+            self._clock.sleep(min(AGAIN_MS, self._turn(self._clock.now())))
 
     def _talk(self, sock: socket.socket) -> None:
+        self._votes.clear()  # of another connection: whoever asked has gone on
         sock.sendall(write(self._hello))
         self._new = dict(self._told)  # a new allotter knows none of it
         over = threading.Event()
@@ -91,6 +144,8 @@
         said_at = 0.0
         while self._open and not over.is_set():
             now = self._clock.now()
+            while self._votes:
+                sock.sendall(write(self._votes.popleft()))
             wants, reports = self._wallet.wants(now), self._wallet.done(now)
             told, self._new = self._new, {}
             # What waits is said again now and then: the allotter forgets who is silent.
@@ -100,9 +155,47 @@
                 sock.sendall(write(Asking({**gone, **wants}, reports, told)))
                 asked = wants
             busy = bool(wants) or self._wallet.holding
-            self._ring.wait((POLL_MS if busy else IDLE_MS) / 1000.0)
+            self._ring.wait(min(POLL_MS if busy else IDLE_MS, self._turn(now)) / 1000.0)
             self._ring.clear()
 
+    def _turn(self, now: float) -> float:
+        """Act under the policy that holds; how long until another one may (ms)."""
+        number = self._rights.version(now)
+        if number > self.policy and number in self._texts:
+            try:
+                config = self._usable(self._texts[number])
+            except ConfigError as exc:
+                self._log.error("policy can't be used here", version=number, fault=str(exc))
+                return IDLE_MS
+            self.policy = number
+            self._texts = {other: text for other, text in self._texts.items() if other > number}
+            self._put(NewPolicy(number, config))
+        holding = self.policy > 0 and number != self.policy
+        if holding != self._holding:
+            self._holding = holding
+            self._log.info("holding" if holding else "acting", version=self.policy)
+        since = self._rights.next_since(now)
+        return IDLE_MS if since is None else max(since - now, 0.0) + 0.2
+
+    def _policy(self, message: Message) -> None:
+        if isinstance(message, Document):
+            # Few at a time: the one that holds, the one that follows, and one that is asked about.
+            self._texts = dict(sorted({**self._texts, message.number: message.text}.items())[-3:])
+        elif isinstance(message, Grant):
+            self._rights = participant.granted(self._rights, message, self._clock.now())
+        elif isinstance(message, Prepare):
+            fault = ""
+            try:
+                self._usable(self._texts[message.number])
+            except KeyError:
+                fault = "its text did not arrive"
+            except ConfigError as exc:
+                fault = str(exc)
+            self._rights, vote = participant.prepared(self._rights, message, fault)
+            if vote is not None:
+                self._votes.append(vote)
+        self._ring.set()
+
     def _hear(self, sock: socket.socket, over: threading.Event) -> None:
         lines = Lines()
         try:
@@ -113,6 +206,8 @@
                     elif isinstance(message, Granted):
                         self._rates[message.lease.key] = message.per_s
                         self._wallet.received(message.lease, self._clock.now())
+                    else:
+                        self._policy(message)
                 with self._arrived:
                     self._arrived.notify_all()
         except (OSError, Unreadable) as exc:
@@ -121,13 +216,21 @@
         self._ring.set()
 
 
+def _nobody_asked(text: str) -> Config:
+    raise ConfigError("policy: this process does not follow any yet")
+
+
+def _nobody_hears(event: NewPolicy) -> None:
+    """Nothing is told before ``follow``."""
+
+
 def from_environment(env: Mapping[str, str], log: Log) -> FleetShares:
     """The shares of the fleet that started this process; raises ``ConfigError`` for a faulty variable."""
     try:
-        return FleetShares(
-            Path(env["SPRINGSPREAD_FLEET"]), env["SPRINGSPREAD_INSTANCE"], int(env["SPRINGSPREAD_EPOCH"]), log
-        )
+        path, name = Path(env["SPRINGSPREAD_FLEET"]), env["SPRINGSPREAD_INSTANCE"]
+        epoch, policy = int(env["SPRINGSPREAD_EPOCH"]), int(env.get("SPRINGSPREAD_POLICY", "0"))
+        return FleetShares(path, name, epoch, log, policy=policy)
     except KeyError as exc:
         raise ConfigError(f"{exc.args[0]}: not set, though SPRINGSPREAD_FLEET is") from exc
     except ValueError:
-        raise ConfigError("SPRINGSPREAD_EPOCH: must be a whole number") from None
+        raise ConfigError("SPRINGSPREAD_EPOCH, SPRINGSPREAD_POLICY: must be whole numbers") from None
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -23,16 +23,21 @@
 from pathlib import Path
 from typing import Any
 
+from springspread.accord.document import Policy, PolicyFault, check, differences, parsed
+from springspread.accord.record import Damaged
+from springspread.accord.terms import Proposed
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
 from springspread.core.types import Log
+from springspread.fleet.change import Changes
 from springspread.fleet.members import Row, Seen, Step, Want, died, scaled, step
 from springspread.fleet.plan import FleetPlan
 from springspread.fleet.server import AllotterServer
+from springspread.fleet.shares import Limit
 from springspread.net.threads import spawn
 
 LOOK_MS = 50.0
-ORDER_BYTES = 4096
+ORDER_BYTES = 1 << 18
 ORDER_S = 2.0
 MOST = 1000
 LOG_BYTES = 4 << 20
@@ -62,7 +67,12 @@
         self._rows = self._adopted()
         if not self._rows:
             self._rows = scaled({}, plan.instances)
-        self._server = AllotterServer(self.folder / "allot", self.folder, plan.shared, log, clock)
+        self._changes = self._policies()
+        shared = {key: Limit(*limit) for key, limit in self._policy.limits.items()}
+        heard = self._changes.heard
+        self._server = AllotterServer(self.folder / "allot", self.folder, shared, log, clock, heard)
+        alive = [(row.name, row.epoch) for row in self._rows.values() if row.pid]
+        self._changes.begin(alive, self._server.tell, self._server.follow)
         self._orders = socket.socket(socket.AF_UNIX)
         path = self.folder / "control"
         path.unlink(missing_ok=True)
@@ -76,6 +86,97 @@
         spawn("fleet-orders", self._listen, log)
         spawn("fleet-look", self._look_on, log)
 
+    # The policy
+
+    def _policies(self) -> Changes:
+        """The record of policies; raises ``Refused`` where it can't be followed."""
+        asked = self._plan.policy(self._base)
+        try:
+            changes = Changes(self.folder / "policy", asked, self._log, self._clock, self._plan.times)
+            history = changes.record.history
+            for name in self._rows:
+                if (started := self._started_with(name)) > history.in_force:
+                    raise Damaged(
+                        f"{self.folder / 'policy'}: an older copy was put back: its record ends at policy"
+                        f" {history.in_force}, and {name} was started with {started}; put the newer one back"
+                    )
+            held = changes.policy(history.in_force)
+        except (Damaged, PolicyFault) as exc:
+            raise Refused(str(exc)) from exc
+        if differing := differences(held, asked):
+            self._log.warning("files differ from the policy in force; propose them", differing=differing[:20])
+        return changes
+
+    def _started_with(self, name: str) -> int:
+        try:
+            return int(json.loads((self.folder / name / "config.json").read_text()).get("policy", 0))
+        except (OSError, ValueError, TypeError, AttributeError):
+            return 0
+
+    @property
+    def _policy(self) -> Policy:
+        return self._changes.policy(self._changes.record.history.in_force)
+
+    def propose(self, text: str, within_s: float) -> dict[str, Any]:
+        """Ask for a policy to take hold; waits until it does, is refused, or the time is over."""
+        try:
+            policy = parsed(text)
+        except PolicyFault as exc:
+            raise Refused(str(exc)) from exc
+        changes, end = self._changes, self._clock.now() + 1000.0 * within_s
+        history = changes.record.history
+        number = changes.pending if changes.pending else history.in_force
+        if not number or changes.policy(number).digest != policy.digest:  # asked again: the same answer
+            proposal = changes.propose(policy)
+            proposal.taken.wait(within_s)
+            if proposal.fault:
+                return {"state": "refused", "version": 0, "fault": proposal.fault}
+            number = proposal.number
+        while (told := changes.outcome(number))[0] != "in force" and self._clock.now() < end:
+            if told[0] == "refused":
+                break
+            self._clock.sleep(10.0)
+        return {"state": told[0], "version": number, "fault": told[1]}
+
+    def _known(self, number: int) -> Policy:
+        decided = self._changes.record.decided
+        if number not in decided:
+            raise Refused(f"no policy {number} held; there are {', '.join(map(str, decided))}")
+        return self._changes.policy(number)
+
+    def _checked(self, text: str) -> dict[str, Any]:
+        """What a proposal would change, and whether the daemon would refuse it; nothing is changed."""
+        try:
+            policy = parsed(text)
+            check(policy, [self._changes.policy(number) for number in self._changes.record.decided])
+        except PolicyFault as exc:
+            return {"usable": False, "fault": str(exc), "changes": []}
+        return {"usable": True, "fault": "", "changes": differences(self._policy, policy)}
+
+    def _policy_status(self) -> dict[str, Any]:
+        changes = self._changes
+        number, pending = changes.in_force, changes.pending
+        waits = [name for name, _ in changes.waits]
+        states = {}
+        for row in self._rows.values():
+            here = changes.acts((row.name, row.epoch))
+            state = "acting" if here else "holding" if row.pid and not row.emptying else "away"
+            states[row.name] = {"version": number if here else 0, "state": state}
+        return {
+            "in_force": {"version": number, "digest": changes.policy(number).digest},
+            "pending": {"version": pending, "waits_for": waits} if pending else None,
+            "instances": states,
+        }
+
+    def _policy_history(self) -> list[dict[str, Any]]:
+        record = self._changes.record
+        numbers = [entry.number for entry in record.entries if isinstance(entry, Proposed)]
+        outcomes = {number: self._changes.outcome(number) for number in numbers}
+        return [
+            {"version": n, "state": state, "fault": fault, "digest": record.policy(n).digest}
+            for n, (state, fault) in outcomes.items()
+        ]
+
     # Rows on disk
 
     def _adopted(self) -> dict[str, Row]:
@@ -122,6 +223,7 @@
         alive = row.pid != 0 and self._alive(row.pid)
         if row.pid and not alive:
             self._log.info("instance ended", instance=name, pid=row.pid)
+            self._changes.died((name, row.epoch))
             row = self._rows[name] = died(row, now, self._plan.pauses)
             self._save()
         leaving = row.want is Want.LEAVING
@@ -152,12 +254,15 @@
         raw = {**self._base, "name": row.name, "listen": f"{self._plan.host}:{port}"}
         seed = int(str(self._base.get("seed", "0")), 16) + number * 7919 + epoch
         raw |= {"state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
+        number = self._changes.in_force
+        raw |= {"settings": self._changes.policy(number).settings, "policy": number}
         file = place / "config.json"
         file.write_text(json.dumps(raw))
         own = ("RELAY_", "SPRINGSPREAD_")
-        env = {key: value for key, value in os.environ.items() if not key.startswith(own)}
+        env = {key: value for key, value in os.environ.items() if not key.startswith(own) or "_LOG_" in key}
         env |= {"RELAY_CONFIG": str(file), "SPRINGSPREAD_FLEET": str(self.folder / "allot")}
         env |= {"SPRINGSPREAD_INSTANCE": row.name, "SPRINGSPREAD_EPOCH": str(epoch)}
+        env |= {"SPRINGSPREAD_POLICY": str(number)}
         # On record first: a daemon that dies in between leaves an epoch unused, never one used twice.
         self._rows[row.name] = replace(row, epoch=epoch)
         self._save()
@@ -233,8 +338,24 @@
         """Carry an order out; raises ``Refused``."""
         if not isinstance(order, dict):
             raise Refused("an order must be an object")
+        match order:  # these wait for nobody's row
+            case {"do": "propose", "policy": str(text), "within": int() | float() as within} if (
+                0 <= within <= 600
+            ):
+                return self.propose(text, float(within))
+            case {"do": "check", "policy": str(text)}:
+                return self._checked(text)
+            case {"do": "outcome", "version": int(number)}:
+                state, fault = self._changes.outcome(number)
+                return {"state": state, "version": number, "fault": fault}
+            case {"do": "text", "version": int(number)}:
+                return {"policy": self._known(number).text}
         with self._lock:
             match order:
+                case {"do": "policy"}:
+                    return self._policy_status()
+                case {"do": "history"}:
+                    return {"history": self._policy_history()}
                 case {"do": "status"}:
                     return {"instances": self._status()}
                 case {"do": "scale", "count": int(count)} if 0 <= count <= MOST:
@@ -249,7 +370,7 @@
                 case {"do": "roll"}:
                     self._rolling = [row.name for row in self._rows.values() if row.want is Want.SERVING]
                 case _:
-                    raise Refused("no such order; there are status, scale, drain, restart and roll")
+                    raise Refused("no such order; there are status, scale, drain, restart, roll and policy")
             self._save()
             return {"instances": self._status()}
 
@@ -266,6 +387,7 @@
                 "up_s": round((now - row.started_at) / 1000.0, 1) if row.pid else 0.0,
                 "in_fleet": connected.get(row.name) == row.epoch,
                 "deaths": row.deaths,
+                "policy": self._changes.in_force if self._changes.acts((row.name, row.epoch)) else 0,
             }
             for row in self._rows.values()
         ]
@@ -289,6 +411,7 @@
         """End the daemon alone: a new one adopts what runs."""
         self._over.set()
         self._orders.close()
+        self._changes.close()
         self._server.close()
         self._held.close()
 
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 from pydantic import Field, ValidationError
 
+from springspread.accord.coordinator import Times
+from springspread.accord.document import Policy
 from springspread.fleet.members import Pauses
 from springspread.fleet.shares import Limit
 from springspread.lab.plan import PlanError, Strict, faults_of
@@ -31,6 +34,13 @@
     stop_ms: Annotated[float, Field(ge=3_500.0, le=60_000.0)] = 4_000.0
 
 
+class PolicyTimes(Strict):
+    """How long a right to act lasts while nobody renews it, and how long votes may take."""
+
+    lease_ms: Annotated[float, Field(ge=1_000.0, le=600_000.0)] = 5_000.0
+    vote_ms: Annotated[float, Field(ge=50.0, le=60_000.0)] = 300.0
+
+
 class FleetPlan(Strict):
     """A fleet: its folder, its size, the configuration that instances share, and the limits that bind all."""
 
@@ -41,6 +51,19 @@
     first_port: Annotated[int, Field(ge=0, le=65_000)] = 0
     limits: dict[Name, LimitEntry] = Field(default_factory=dict)
     restarts: Restarts = Restarts()
+    policy_times: PolicyTimes = PolicyTimes()
+
+    @property
+    def times(self) -> Times:
+        """As the machine of a change of policy takes them."""
+        told = self.policy_times
+        return Times(told.lease_ms, told.vote_ms, cut_ms=told.vote_ms + 200.0)
+
+    def policy(self, base: Mapping[str, Any]) -> Policy:
+        """What the files ask for, given the decoded configuration."""
+        settings = base.get("settings")
+        limits = {key: (entry.calls, entry.span_ms) for key, entry in self.limits.items()}
+        return Policy(settings if isinstance(settings, dict) else {}, limits)
 
     @property
     def pauses(self) -> Pauses:
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -7,12 +7,13 @@
 
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 
+from springspread.accord.terms import Vote
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
 from springspread.fleet.record import Record
@@ -38,13 +39,23 @@
     """Serves until ``close``. ``limits`` are the operator's; others are taken from what partners tell."""
 
     def __init__(
-        self, path: Path, folder: Path, limits: Mapping[str, Limit], log: Log, clock: Clock = SYSTEM
+        self,
+        path: Path,
+        folder: Path,
+        limits: Mapping[str, Limit],
+        log: Log,
+        clock: Clock = SYSTEM,
+        heard: Callable[[Owner, Vote | None, bool], None] | None = None,
     ) -> None:
-        """Raises ``OSError`` where the socket or the record can't be opened."""
+        """``heard`` is told who joined (true) or left (false), and votes.
+
+        Raises ``OSError`` where the socket or the record can't be opened."""
         self._log, self._clock = log, clock
         self._lock = threading.Lock()
         self._asked = threading.Event()
         self._members: dict[Owner, Member] = {}
+        self._heard = heard
+        self._next: tuple[float, Mapping[str, Limit]] | None = None
         self._fixed = set(limits)
         longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
@@ -87,8 +98,11 @@
             pass
         finally:
             with self._lock:
-                if member.owner is not None and self._members.get(member.owner) is member:
+                known = member.owner is not None and self._members.get(member.owner) is member
+                if known and member.owner is not None:
                     del self._members[member.owner]
+            if known and member.owner is not None and self._heard is not None:
+                self._heard(member.owner, None, False)
             member.sock.close()
 
     def _take(self, member: Member, message: Message) -> None:
@@ -100,11 +114,49 @@
                 member.owner = owner
                 self._members[owner] = member
                 self._send(member, Limited(self._allotter.keys))
+                if self._heard is not None:
+                    self._heard(owner, None, True)
+            elif isinstance(message, Vote) and member.owner is not None and self._heard is not None:
+                self._heard(member.owner, message, True)
             elif isinstance(message, Asking) and member.owner is not None:
                 self._asking(member.owner, message)
             else:
                 raise Unreadable(f"not expected: {type(message).__name__}")
 
+    def tell(self, owner: Owner, message: Message) -> None:
+        """Send a message to an instance, if it is connected. Never waits."""
+        with self._lock:
+            member = self._members.get(owner)
+            if member is not None:
+                self._send(member, message)
+
+    def follow(self, limits: Mapping[str, Limit], since: float) -> None:
+        """Other operators' limits hold from a moment on. Until then each key keeps the smaller one."""
+        with self._lock:
+            for key, limit in limits.items():
+                held = self._allotter.limit(key)
+                smaller = held is None or limit.calls * held.span_ms <= held.calls * limit.span_ms
+                if smaller:
+                    self._allotter.limited(key, limit)
+            self._next = (since, limits)
+            self._limits_told()
+        self._asked.set()
+
+    def _followed(self, now: float) -> None:
+        if self._next is None or now < self._next[0]:
+            return
+        limits, self._next = self._next[1], None
+        for key, limit in limits.items():
+            self._allotter.limited(key, limit)
+        for key in self._fixed - limits.keys():
+            self._allotter.unlimited(key)
+        self._fixed = set(limits)
+        self._limits_told()
+
+    def _limits_told(self) -> None:
+        for member in self._members.values():
+            self._send(member, Limited(self._allotter.keys))
+
     def _asking(self, owner: Owner, message: Asking) -> None:
         now = self._clock.now()
         for one in message.reports:
@@ -116,14 +168,14 @@
         for key, calls in message.wants.items():
             self._allotter.ask(now, owner, key, calls)
         if set(self._allotter.keys) != known:
-            for member in self._members.values():
-                self._send(member, Limited(self._allotter.keys))
+            self._limits_told()
         self._asked.set()
 
     def _allot(self) -> None:
         while self._open:
             with self._lock:
                 now = self._clock.now()
+                self._followed(now)
                 leases = self._allotter.allot(now)
                 try:
                     if leases:
@@ -137,7 +189,7 @@
                     if member is not None:
                         per_s = self._allotter.rate(now, lease.key, lease.owner)
                         self._send(member, Granted(lease, per_s))
-                waiting = self._allotter.waiting
+                waiting = self._allotter.waiting or self._next is not None
                 self._asked.clear()
             if waiting:
                 self._clock.sleep(TICK_MS)
--- a/springspread/fleet/shares.py
+++ b/springspread/fleet/shares.py
@@ -138,6 +138,10 @@
                 count.over_at += limit.span_ms - book.limit.span_ms
         book.limit = limit
 
+    def unlimited(self, key: str) -> None:
+        """A limit is there no more. Leases that are out are of no account from now on."""
+        self._books.pop(key, None)
+
     def limit(self, key: str) -> Limit | None:
         """The limit of a key, where one is known."""
         book = self._books.get(key)
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -10,10 +10,11 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+from springspread.accord.terms import Grant, Prepare, Vote
 from springspread.fleet.shares import Lease
 from springspread.fleet.wallet import Report
 
@@ -58,7 +59,15 @@
     per_s: float
 
 
-Message = Hello | Asking | Limited | Granted
+@dataclass(frozen=True, slots=True)
+class Document:
+    """The text of a policy, ahead of the first grant or proposal that names it."""
+
+    number: int
+    text: str
+
+
+Message = Hello | Asking | Limited | Granted | Document | Prepare | Grant | Vote
 
 
 def write(message: Message) -> bytes:
@@ -95,6 +104,8 @@
             wants = {_text(key): _whole(calls) for key, calls in _few(raw["wants"].items())}
             told = {_text(key): _number(rate) for key, rate in _few(raw["told"].items())}
             return Asking(wants, reports, told)
+        if kind in POLICY:
+            return POLICY[kind](raw)
         if kind == "limited":
             return Limited([_text(key) for key in raw["keys"]])
         if kind == "granted":
@@ -107,6 +118,34 @@
     raise Unreadable(f"no such kind: {kind!r}")
 
 
+def _serial(raw: Any) -> tuple[int, int]:
+    generation, count = raw
+    return _whole(generation), _whole(count)
+
+
+def _flag(value: object) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"not a yes or no: {value!r}")
+    return value
+
+
+def _long(value: object) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r}")
+    return value
+
+
+POLICY: Mapping[str, Callable[[Any], Message]] = {
+    "document": lambda raw: Document(_whole(raw["number"]), _long(raw["text"])),
+    "prepare": lambda raw: Prepare(_serial(raw["serial"]), _whole(raw["number"]), _number(raw["cut"])),
+    "grant": lambda raw: Grant(
+        _serial(raw["serial"]), _whole(raw["version"]), _number(raw["since"]), _number(raw["until"])
+    ),
+    "vote": lambda raw: Vote(_whole(raw["number"]), _flag(raw["yes"]), _long(raw["fault"])[:1000]),
+}
+"""What is said of policies, each read whole; the machines are in ``springspread.accord``."""
+
+
 def _few(values: Any) -> list[Any]:
     found = list(values)
     if len(found) > KEYS:
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -290,7 +290,14 @@
     data: bytes
 
 
-Event = Listed | Taken | Ended | Probed | Withdrawn | Woken | Began | Heard
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """New settings hold from this tick on. Classes keep their places, and new ones follow; kinds stay."""
+
+    settings: Settings
+
+
+Event = Changed | Listed | Taken | Ended | Probed | Withdrawn | Woken | Began | Heard
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -128,8 +128,14 @@
         self._kept = Kept(limits)
         self._lock = threading.Lock()
         self._open: dict[Call, Connection] = {}
-        for n in range(min(slots + 1, limits.workers + 1)):  # one more, so that a probe need not wait
-            spawn(f"worker-{n}", self._work, log)
+        self._threads = 0
+        self.grow(slots)
+
+    def grow(self, slots: int) -> None:
+        """Have as many workers as there are slots, and one more, so that a probe need not wait."""
+        while self._threads < min(slots, self._limits.workers) + 1:
+            spawn(f"worker-{self._threads}", self._work, self._log)
+            self._threads += 1
 
     def start(self, call: Call) -> None:
         """Begin a call, or a probe where it has no executions."""
@@ -222,6 +228,7 @@
         out = delivery.write_call(call, clock())
         clear = partial(self._clear, call) if call.once else None
         written = clock()
+        self._log.debug("begins", link=call.link.name, policy=call.policy, at=written)
         try:
             connection.write(out.method, out.target, out.headers, out.body, call.until, clear)
         except OSError:
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -106,11 +106,24 @@
                 self._finish(m)
             elif isinstance(event, i.Listed):
                 self._listed(event)
+            elif isinstance(event, i.Changed):
+                self._changed(event.settings)
         self._overdue()
         self._dispatch()
         self._timers()
         return self.out
 
+    def _changed(self, new: i.Settings) -> None:
+        """All that was learnt stays; what is held keeps the class that it was taken under."""
+        more = len(new.classes) - len(self.set.classes)
+        for route in self.routes.values():
+            route.classes += tuple(Health() for _ in range(more))
+        if len(new.tenants) != len(self.set.tenants):
+            self.use = [Fading(self.now, USE_LEAST) for _ in new.tenants]
+        self.set = new
+        for dest in self.dests.values():
+            dest.look_at = 0.0
+
     def _listed(self, event: i.Listed) -> None:
         if event.scope is i.ListScope.FAILED:
             # Guards discovery where many failed in the same moment: they come back over a span, not in step.
--- /dev/null
+++ b/springspread/rig/observer.py
@@ -0,0 +1,53 @@
+"""Judges promises on a change of policy by what processes wrote into their logs, knowing nothing of the
+machine.
+
+Each call's first byte stands in an instance's log (level debug) with its policy and its moment on the clock
+that all processes of the machine share. """
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+SLACK_MS = 20.0  # from the last look to the first byte: stated in the design, and given to the machine
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A call's first byte."""
+
+    instance: str
+    policy: int
+    at: float
+
+
+def begun(fleet: Path) -> list[Begun]:
+    """Every first byte in the logs of a fleet's folder, in order of time."""
+    found = []
+    for log in sorted(fleet.glob("n*/log*")):
+        for line in log.read_bytes().splitlines():
+            if b'"begins"' not in line:
+                continue
+            try:
+                raw = json.loads(line)
+                found.append(Begun(log.parent.name, int(raw["policy"]), float(raw["at"])))
+            except (ValueError, KeyError):
+                continue  # torn as its process was killed
+    return sorted(found, key=lambda one: one.at)
+
+
+def mixtures(calls: Iterable[Begun]) -> list[str]:
+    """Calls that began under an older policy after any began under a newer one."""
+    faults, newest = [], Begun("", 0, 0.0)
+    for call in calls:
+        if call.policy < newest.policy:
+            late = call.at - newest.at
+            faults.append(
+                f"{call.instance} began under {call.policy} {late:.1f} ms after"
+                f" {newest.instance} under {newest.policy}"
+            )
+        elif call.policy > newest.policy:
+            newest = call
+    return faults
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -231,6 +231,17 @@
             return
         self.start(call)
 
+    def enter(self, policy: int) -> bool:
+        """No policy changes in virtual time."""
+        return True
+
+    def may(self, policy: int) -> bool:
+        """No policy changes in virtual time."""
+        return True
+
+    def grow(self, slots: int) -> None:
+        """There are as many workers as calls."""
+
     def acquire(self, link: ServerLink) -> bool:
         """Asked by nobody: ``start`` waits in virtual time instead."""
         raise AssertionError(f"{link.name}: a wait in virtual time")
--- /dev/null
+++ b/tests/accord/test_fleet.py
@@ -0,0 +1,191 @@
+"""A change of policy on several processes of the program, with faults between them."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from springspread.fleet.daemon import Daemon, Refused
+from springspread.fleet.plan import read_fleet
+from springspread.rig.observer import begun, mixtures
+from tests.fleet.test_daemon import Place
+from tests.fleet.test_medium import Quiet
+from tests.peer import until
+
+TIMES = "[policy_times]\nlease_ms = 1500.0\n"
+
+
+class Fleet(Place):
+    """Three instances under load, their logs at debug."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.over = threading.Event()
+        self.handed: list[str] = []
+        until(lambda: len(self.serving()) == 3, "three serve")
+        self.loads = [threading.Thread(target=self.load, args=(n,), daemon=True) for n in range(3)]
+        for load in self.loads:
+            load.start()
+
+    def load(self, number: int) -> None:
+        count = 0
+        while not self.over.wait(0.03):
+            count += 1
+            id = f"m{number}-{count}"
+            try:
+                if self.hand_in(f"n{number:03}", id) in (200, 202):
+                    self.handed.append(id)
+            except (OSError, http.client.HTTPException, ValueError, KeyError):
+                continue  # killed, frozen or not yet back
+
+    def propose(self, within: float = 8.0, **settings: Any) -> dict[str, Any]:
+        base = json.loads((self.folder / "sender.json").read_text())
+        for key, value in settings.items():
+            old = base["settings"].get(key)
+            base["settings"][key] = {**old, **value} if isinstance(old, dict) else value
+        (self.folder / "sender.json").write_text(json.dumps(base))
+        return self.daemon.propose(read_fleet(self.file).policy(base).text, within)
+
+    def status(self) -> dict[str, Any]:
+        return self.daemon.order({"do": "policy"})
+
+    def all_act_under(self, version: int) -> bool:
+        states = self.status()["instances"].values()
+        return all(one == {"version": version, "state": "acting"} for one in states)
+
+    def acted_under(self, version: int) -> set[str]:
+        return {call.instance for call in begun(self.daemon.folder) if call.policy == version}
+
+    def settle(self) -> None:
+        """No more load; every message that was taken on has come to its partner."""
+        self.over.set()
+        for load in self.loads:
+            load.join(10.0)
+        until(lambda: set(self.handed) <= set(self.peer.ids()), "each message has its end")
+
+
+@pytest.fixture
+def fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Fleet]:
+    monkeypatch.setenv("RELAY_LOG_LEVEL", "debug")
+    monkeypatch.setattr(
+        "tests.fleet.test_daemon.TOML", f'folder = "fleet"\nconfig = "sender.json"\ninstances = 3\n{TIMES}'
+    )
+    made = Fleet(tmp_path)
+    yield made
+    made.over.set()
+    made.peer.hold.set()
+    for row in made.rows().values():
+        if row["pid"]:
+            os.kill(row["pid"], signal.SIGKILL)
+    made.daemon.stop()
+    made.peer.close()
+
+
+def callsout(number: int) -> dict[str, Any]:
+    return {"specifics": {"callsOut": number}}
+
+
+def test_a_change_takes_hold_everywhere_at_one_moment(fleet: Fleet) -> None:
+    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
+    until(lambda: len(fleet.acted_under(2)) == 3, "all act under it")
+    fleet.settle()
+    calls = begun(fleet.daemon.folder)
+    assert {call.policy for call in calls} == {1, 2} and mixtures(calls) == []
+    assert fleet.propose(**callsout(7))["version"] == 2  # asked again: the one answer
+    with pytest.raises(Refused, match="no policy 9 held; there are 1, 2"):
+        fleet.daemon.order({"do": "text", "version": 9})
+
+
+def test_a_policy_that_one_can_not_use_takes_hold_nowhere(fleet: Fleet) -> None:
+    fleet.peer.hold.clear()  # n000 holds a message of class pay
+    until(lambda: fleet.hand_in("n000", "paid", "pay") in (200, 202), "it is taken on")
+    base = json.loads((fleet.folder / "sender.json").read_text())
+    rest = [spec for spec in base["settings"]["classes"] if spec["name"] != "pay"]
+    told = fleet.propose(classes=rest)
+    assert told["state"] == "refused" and told["version"] == 2
+    assert told["fault"].startswith("n000: settings.classes: pay: messages of it are held here")
+    assert fleet.propose(kinds=["other"])["fault"].startswith("settings.kinds: serves a start")
+    fleet.peer.hold.set()
+    until(lambda: fleet.all_act_under(1), "all go on under what holds")
+    fleet.settle()
+    assert {call.policy for call in begun(fleet.daemon.folder)} == {1}
+
+
+def test_one_frozen_and_one_killed_hold_nobody_up_and_begin_under_what_holds(fleet: Fleet) -> None:
+    rows = fleet.rows()
+    os.kill(rows["n001"]["pid"], signal.SIGSTOP)
+    os.kill(rows["n002"]["pid"], signal.SIGKILL)
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**callsout(8))["state"] == "in force"
+    os.kill(rows["n001"]["pid"], signal.SIGCONT)
+    until(lambda: len(fleet.acted_under(3)) == 3, "all act under the latest")
+    fleet.settle()
+    calls = begun(fleet.daemon.folder)
+    assert mixtures(calls) == [] and "n001" not in fleet.acted_under(2)
+
+
+def test_the_daemon_dies_in_between_and_the_next_one_gives_the_one_answer(fleet: Fleet) -> None:
+    os.kill(fleet.rows()["n001"]["pid"], signal.SIGSTOP)  # so that the vote takes its time
+    told = fleet.propose(within=0.1, **callsout(7))
+    assert told["state"] == "pending" and "n001" in told["fault"]
+    frozen = fleet.rows()["n001"]["pid"]
+    fleet.daemon._changes.close()  # as dead: it decides nothing more
+    fleet.daemon.leave()
+    fleet.daemon = Daemon(read_fleet(fleet.file), Quiet())
+    assert fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "refused"
+    os.kill(frozen, signal.SIGCONT)
+    until(lambda: fleet.all_act_under(1), "all go on under what holds")
+    assert fleet.propose(**callsout(9)) == {"state": "in force", "version": 3, "fault": ""}
+    until(lambda: len(fleet.acted_under(3)) == 3, "all act under the next")
+    fleet.settle()
+    assert mixtures(begun(fleet.daemon.folder)) == [] and fleet.acted_under(2) == set()
+
+
+def test_two_proposals_at_once_never_interleave(fleet: Fleet) -> None:
+    base = json.loads((fleet.folder / "sender.json").read_text())
+    texts = []
+    for slots in (7, 8):
+        base["settings"]["specifics"] |= callsout(slots)["specifics"]
+        texts.append(read_fleet(fleet.file).policy(base).text)
+    told: list[dict[str, Any]] = []
+    asked = [
+        threading.Thread(target=lambda text=text: told.append(fleet.daemon.propose(text, 8.0)))
+        for text in texts
+    ]
+    for one in asked:
+        one.start()
+    for one in asked:
+        one.join()
+    assert sorted(one["state"] for one in told) == ["in force", "refused"]
+    assert "one change at a time" in next(one["fault"] for one in told if one["state"] == "refused")
+    fleet.settle()
+    assert mixtures(begun(fleet.daemon.folder)) == []
+
+
+def test_an_older_copy_of_the_record_is_refused(fleet: Fleet) -> None:
+    log = fleet.daemon.folder / "policy" / "log"
+    old = log.read_bytes()
+    fleet.propose(**callsout(7))
+    before = fleet.rows()["n000"]
+    os.kill(before["pid"], signal.SIGKILL)
+    until(lambda: fleet.rows()["n000"]["epoch"] > before["epoch"], "n000 starts under 2")
+    fleet.settle()
+    new = log.read_bytes()
+    fleet.daemon.leave()
+    log.write_bytes(old)
+    with pytest.raises(Refused, match="an older copy was put back: its record ends at policy 1"):
+        Daemon(read_fleet(fleet.file), Quiet())
+    log.write_bytes(new[:40] + b"x" + new[41:])
+    with pytest.raises(Refused, match="line 1 is damaged"):
+        Daemon(read_fleet(fleet.file), Quiet())
+    log.write_bytes(new + b"torn")
+    fleet.daemon = Daemon(read_fleet(fleet.file), Quiet())
+    until(lambda: fleet.all_act_under(2), "it goes on where the record ends")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -30,6 +30,9 @@
     def cancel(self, call: t.Call) -> None:
         self.cancelled.append(call)
 
+    def grow(self, slots: int) -> None:
+        self.slots = slots
+
     def close_idle(self, link: t.ServerLink) -> None:
         """Nothing is kept here."""
 
