A rig between the daemon and its instances: relays that lose, hold, double, replay or cut

Cause: no test lost, delayed, doubled or cut what processes of a fleet say to one another. Each instance of the real daemon now may meet it through a relay; the sender and the daemon know nothing of it but the path of their socket.

Five tests on real processes: one cut off, a decision that never arrives, old messages told again after two further changes, everything held back, a daemon replaced while one instance acts unheard. The observer judges the logs.

--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -260,7 +260,7 @@
         file.write_text(json.dumps(raw))
         own = ("RELAY_", "SPRINGSPREAD_")
         env = {key: value for key, value in os.environ.items() if not key.startswith(own) or "_LOG_" in key}
-        env |= {"RELAY_CONFIG": str(file), "SPRINGSPREAD_FLEET": str(self.folder / "allot")}
+        env |= {"RELAY_CONFIG": str(file), "SPRINGSPREAD_FLEET": str(self.meeting_point(row.name))}
         env |= {"SPRINGSPREAD_INSTANCE": row.name, "SPRINGSPREAD_EPOCH": str(epoch)}
         env |= {"SPRINGSPREAD_POLICY": str(number)}
         # On record first: a daemon that dies in between leaves an epoch unused, never one used twice.
@@ -278,6 +278,10 @@
         self._save()
         self._log.info("instance started", instance=row.name, pid=child.pid, epoch=epoch, emptying=emptying)
 
+    def meeting_point(self, name: str) -> Path:
+        """The socket at which an instance finds this daemon."""
+        return self.folder / "allot"
+
     def _alive(self, pid: int) -> bool:
         child = self._children.get(pid)
         if child is None:
--- /dev/null
+++ b/tests/accord/test_relay.py
@@ -0,0 +1,99 @@
+"""A change of policy while what the processes say to one another is lost, held, doubled, replayed or cut."""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from springspread.fleet.plan import read_fleet
+from springspread.rig.daemon import RelayedDaemon, relay_path
+from springspread.rig.observer import begun, mixtures
+from springspread.rig.relay import Fault, Relay, Way
+from tests.accord.test_fleet import TIMES, Fleet, callsout
+from tests.fleet.test_medium import Quiet
+from tests.peer import until
+
+
+class Relayed(Fleet):
+    """The same fleet, each instance behind a relay."""
+
+    relays: dict[str, Relay]
+
+
+@pytest.fixture
+def fleet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Relayed]:
+    folder = tmp_path / "fleet"
+    folder.mkdir()
+    names = [f"n{n:03}" for n in range(3)]
+    relays = {name: Relay(relay_path(folder, name), folder / "allot") for name in names}
+    monkeypatch.setenv("RELAY_LOG_LEVEL", "debug")
+    head = 'folder = "fleet"\nconfig = "sender.json"\ninstances = 3\n'
+    monkeypatch.setattr("tests.fleet.test_daemon.TOML", head + TIMES)
+    monkeypatch.setattr("tests.fleet.test_daemon.Daemon", RelayedDaemon)
+    made = Relayed(tmp_path)
+    made.relays = relays
+    yield made
+    made.over.set()
+    for relay in relays.values():
+        relay.close()
+    for row in made.rows().values():
+        if row["pid"]:
+            os.kill(row["pid"], signal.SIGKILL)
+    made.daemon.stop()
+    made.peer.close()
+
+
+def settled_under(fleet: Relayed, version: int) -> None:
+    until(lambda: len(fleet.acted_under(version)) == 3, f"all act under {version}")
+    fleet.settle()
+    assert mixtures(begun(fleet.daemon.folder)) == []
+
+
+def test_one_that_is_cut_off_acts_to_the_end_of_its_right_and_is_waited_for(fleet: Relayed) -> None:
+    fleet.relays["n001"].put(Fault.LOSE)
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    fleet.relays["n001"].cut(away=False)
+    fleet.relays["n001"].heal()
+    settled_under(fleet, 2)
+
+
+def test_one_that_says_yes_and_never_hears_the_decision_holds(fleet: Relayed) -> None:
+    relay = fleet.relays["n001"]
+    relay.seen = lambda way, line: relay.put(Fault.LOSE, Way.DOWN) if b'"vote"' in line else None
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    until(lambda: len(fleet.acted_under(2)) == 2, "the two others act under it")
+    relay.seen = lambda way, line: None
+    relay.cut(away=False)
+    relay.heal()
+    settled_under(fleet, 2)
+
+
+def test_what_was_said_before_two_further_changes_gives_no_right_when_it_comes_again(fleet: Relayed) -> None:
+    for relay in fleet.relays.values():
+        relay.put(Fault.DOUBLE)
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**callsout(8))["state"] == "in force"
+    assert all(relay.replay() >= 6 for relay in fleet.relays.values())
+    settled_under(fleet, 3)
+
+
+def test_lines_held_back_until_after_the_decision_come_too_late_to_matter(fleet: Relayed) -> None:
+    fleet.relays["n002"].put(Fault.HOLD)
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    fleet.relays["n002"].heal()
+    settled_under(fleet, 2)
+
+
+def test_a_daemon_that_dies_is_followed_by_one_that_waits_for_rights_it_never_gave(fleet: Relayed) -> None:
+    fleet.relays["n001"].put(Fault.LOSE)  # it acts on what the first daemon granted
+    fleet.daemon._changes.close()
+    fleet.daemon.leave()
+    fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    fleet.relays["n001"].cut(away=False)
+    fleet.relays["n001"].heal()
+    settled_under(fleet, 2)
