Chaos for changes of policy: a drawn schedule on a real fleet, and what the observer says of it

Cause: the tests play one fault at a time; faults drawn at random, the daemon's death among them, were not played at all. benchmarks.policy_chaos runs the daemon as a process of its own, each instance behind a relay, proposes one change after the other under load, and tells mixtures, answers that a later one contradicts, and messages without an end.

Each of three sabotaged builds (the silent not waited out, a yes that keeps its grant, a new daemon that waits for nobody) is convicted by a test on real processes; the third only since the tests let the others act for a while before the cut heals.

--- /dev/null
+++ b/benchmarks/policy_chaos.py
@@ -0,0 +1,91 @@
+"""One change of policy after the other on a real fleet, under load and random faults between its processes.
+
+    python -m benchmarks.policy_chaos [--seconds 120] [--instances 8] [--seed 1] [--calm] [--csv FILE]
+
+Tells mixtures, answers that were undone, messages without an end, and the time from a proposal until it is
+in force. Exits with 1 where any of the first three is not none. """
+
+from __future__ import annotations
+
+import argparse
+import csv
+import sys
+import tempfile
+from pathlib import Path
+
+import numpy as np
+
+from springspread.rig.chaos import Chaos
+from springspread.rig.schedule import drawn
+from tests.peer import Peer
+from tests.test_config import make
+
+TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n[policy_times]\nlease_ms = {}\n'
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--seconds", type=float, default=120.0)
+    parser.add_argument("--instances", type=int, default=8)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--each-s", type=float, default=1.0, help="mean time between two faults")
+    parser.add_argument("--lease-ms", type=float, default=1500.0)
+    parser.add_argument("--calm", action="store_true", help="no faults")
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    length_ms = 1000.0 * args.seconds
+    acts = () if args.calm else drawn(args.seed, args.instances, length_ms, 1000.0 * args.each_s)
+    peer = Peer()
+    with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as place:
+        folder = Path(place)
+        (folder / "fleet.toml").write_text(TOML.format(args.instances, args.lease_ms))
+        base = make(folder, discovery=f"127.0.0.1:{peer.port}", known=peer.members())
+        chaos = Chaos(folder / "fleet.toml", folder / "fleet", base, args.instances, dest=7)
+        try:
+            told = chaos.play(acts, length_ms)
+            ended = set(peer.ids()) | {notice["id"] for notice in peer.notices}
+        finally:
+            chaos.close()
+            peer.close()
+    times = np.array(told.in_force or [float("nan")])
+    row = {
+        "instances": args.instances,
+        "seconds": args.seconds,
+        "seed": "calm" if args.calm else args.seed,
+        "lease_ms": args.lease_ms,
+        "proposals": told.proposals,
+        "in_force": len(told.in_force),
+        "refused": sum(told.refused.values()),
+        "unheard": told.undecided,
+        "calls": told.calls,
+        "messages": len(told.handed),
+        "mixtures": len(told.mixtures),
+        "undone": len(told.undone),
+        "without_end": len(told.handed - ended),
+        "p50_s": round(float(np.percentile(times, 50)), 2),
+        "p99_s": round(float(np.percentile(times, 99)), 2),
+        "most_s": round(float(times.max()), 2),
+    }
+    for key, value in row.items():
+        print(f"{key:14} {value}")
+    for what, count in sorted(told.acts.items()):
+        print(f"  {what:24} {count}")
+    for line in [
+        *told.mixtures[:10],
+        *told.undone[:10],
+        *(f"{n} refused: {why}" for why, n in told.refused.items()),
+    ]:
+        print(f"  {line}")
+    if args.csv is not None:
+        new = not args.csv.exists()
+        with args.csv.open("a", newline="") as out:
+            writer = csv.DictWriter(out, list(row), lineterminator="\n")
+            if new:
+                writer.writeheader()
+            writer.writerow(row)
+    sys.exit(1 if told.mixtures or told.undone or row["without_end"] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -16,7 +15,6 @@
 
 FILE = click.Path(path_type=Path, dir_okay=False)
 ENDS = (signal.SIGTERM, signal.SIGINT)
-ANSWER_S = 5.0
 
 
 @click.group()
@@ -59,16 +57,11 @@
 
 
 def _ask(file: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
+    from springspread.fleet.orders import asked
+
     path = _plan(file).folder / "control"
     try:
-        with socket.socket(socket.AF_UNIX) as sock:
-            sock.settimeout(ANSWER_S + wait_s)
-            sock.connect(str(path))
-            sock.sendall(json.dumps(order).encode() + b"\n")
-            data = b""
-            while more := sock.recv(65536):
-                data += more
-        answer: dict[str, Any] = json.loads(data)
+        answer = asked(path, order, wait_s)
     except (OSError, ValueError) as exc:
         raise click.ClickException(f"no daemon answers at {path}: {exc}") from exc
     if not answer["ok"]:
--- /dev/null
+++ b/springspread/rig/chaos.py
@@ -0,0 +1,213 @@
+"""Plays a schedule of faults on a real fleet under load, with one change of policy after the other, and
+judges it.
+
+The daemon is a process of its own, and so is each instance; a stand-in partner and directory of the
+caller's takes their calls. What came of it is told in figures, and judged by the observer. """
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from springspread.fleet.orders import asked
+from springspread.rig.daemon import relay_path
+from springspread.rig.observer import begun, mixtures
+from springspread.rig.relay import Fault, Relay, Way
+from springspread.rig.schedule import Act, Kind
+
+READY_S = 30.0
+FAULTS = {
+    Kind.HALF_OPEN: (Fault.LOSE, (Way.UP, Way.DOWN)),
+    Kind.DEAF: (Fault.LOSE, (Way.DOWN,)),
+    Kind.MUTE: (Fault.LOSE, (Way.UP,)),
+    Kind.HOLD: (Fault.HOLD, (Way.UP, Way.DOWN)),
+    Kind.DOUBLE: (Fault.DOUBLE, (Way.UP, Way.DOWN)),
+}
+
+
+@dataclass(slots=True)
+class Told:
+    """What came of it. Times are seconds from a proposal until it is in force."""
+
+    proposals: int = 0
+    in_force: list[float] = field(default_factory=list)
+    refused: Counter[str] = field(default_factory=Counter)
+    undecided: int = 0
+    undone: list[str] = field(default_factory=list)  # answers that a later one contradicts
+    acts: Counter[str] = field(default_factory=Counter)
+    calls: int = 0
+    mixtures: list[str] = field(default_factory=list)
+    handed: set[str] = field(default_factory=set)
+
+
+class Chaos:
+    """One run; ``play`` it once, then ``close``."""
+
+    def __init__(self, file: Path, folder: Path, base: dict[str, Any], instances: int, dest: int) -> None:
+        """``base`` is the decoded configuration that ``file`` (the fleet's) names; ``folder`` is the
+        fleet's."""
+        self._file, self._folder, self._base, self._dest = file, folder, base, dest
+        self._names = [f"n{n:03}" for n in range(instances)]
+        self._config = file.parent / "sender.json"
+        self._config.write_text(json.dumps(base))
+        folder.mkdir(exist_ok=True)
+        self._relays = [Relay(relay_path(folder, name), folder / "allot") for name in self._names]
+        self._over = threading.Event()
+        self._lock = threading.Lock()
+        self._listens: dict[str, str] = {}
+        self._rows: dict[str, dict[str, Any]] = {}
+        self.told = Told()
+        self._daemon = self._start()
+        end = time.monotonic() + READY_S
+        while not all(self._rows.get(name, {}).get("in_fleet") for name in self._names):
+            if time.monotonic() > end:
+                raise TimeoutError("the fleet did not begin in time")
+            self._look()
+            time.sleep(0.1)
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        env = {**os.environ, "RELAY_LOG_LEVEL": "debug"}
+        log = (self._folder / "daemon.log").open("ab")
+        return subprocess.Popen(
+            [sys.executable, "-m", "springspread.rig.daemon", str(self._file)], env=env, stderr=log
+        )
+
+    def _look(self) -> None:
+        with suppress(OSError, ValueError):
+            rows = asked(self._folder / "control", {"do": "status"})["instances"]
+            with self._lock:
+                self._rows = {row["name"]: row for row in rows}
+                self._listens |= {row["name"]: row["listen"] for row in rows if row["listen"]}
+
+    # Load and changes
+
+    def _load(self, number: int) -> None:
+        count, name = 0, self._names[number]
+        while not self._over.wait(0.1):
+            count += 1
+            id = f"{name}-{count}"
+            host, _, port = self._listens.get(name, "127.0.0.1:1").rpartition(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=0.4)
+            head = {"X-Correlation-Id": id, "X-Service-Class": self._base["settings"]["classes"][0]["name"]}
+            head |= {"X-Consignee": f"dest={self._dest}", "X-Time-Left-Ms": "8000"}
+            with suppress(OSError, http.client.HTTPException):
+                connection.request("POST", "/api", b"hello", head)
+                if connection.getresponse().status in (200, 202):
+                    self.told.handed.add(id)
+            connection.close()
+
+    def _change(self) -> None:
+        slots = self._base["settings"]["specifics"]["callsOut"]
+        given: dict[int, str] = {}
+        while not self._over.is_set():
+            slots = 5 if slots >= 40 else slots + 1
+            self._base["settings"]["specifics"]["callsOut"] = slots
+            text = json.dumps({"settings": self._base["settings"], "limits": {}})
+            self.told.proposals += 1
+            begun_at, state, fault, number = time.monotonic(), "unheard", "", 0
+            with suppress(OSError, ValueError):
+                answer = asked(
+                    self._folder / "control", {"do": "propose", "policy": text, "within": 20.0}, 20.0
+                )
+                state, fault, number = answer["state"], answer["fault"], answer["version"]
+            if state == "in force":
+                self.told.in_force.append(time.monotonic() - begun_at)
+            elif state == "refused":
+                self.told.refused[fault] += 1
+            else:
+                self.told.undecided += 1
+            if number and state in ("in force", "refused"):
+                given[number] = state
+            with suppress(OSError, ValueError):
+                for row in asked(self._folder / "control", {"do": "history"})["history"]:
+                    was, now = given.get(row["version"]), row["state"]
+                    if was and was != now:
+                        self.told.undone.append(f"policy {row['version']} was {was} and is {now}")
+            self._over.wait(0.05)
+
+    # Faults
+
+    def _act(self, act: Act) -> Callable[[], None]:
+        """Begin one; what ends it."""
+        relay, name = self._relays[act.who], self._names[act.who]
+        pid = int(self._rows.get(name, {}).get("pid", 0))
+        self.told.acts[act.kind.value] += 1
+        if act.kind is Kind.DAEMON:
+            self._daemon.kill()
+            self._daemon.wait()
+            return self._again
+        if act.kind is Kind.REPLAY:
+            relay.replay()
+        elif act.kind is Kind.CUT:
+            relay.cut()
+        elif act.kind in FAULTS:
+            fault, ways = FAULTS[act.kind]
+            relay.put(fault, *ways)
+        elif pid:
+            with suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL if act.kind is Kind.KILL else signal.SIGSTOP)
+
+        def over() -> None:
+            if act.kind is Kind.FREEZE and pid:
+                with suppress(ProcessLookupError):
+                    os.kill(pid, signal.SIGCONT)
+            if act.kind in (Kind.HALF_OPEN, Kind.DEAF, Kind.MUTE):
+                relay.cut(away=False)  # lines are missing in it: it is of no use any more
+            relay.heal()
+
+        return over
+
+    def _again(self) -> None:
+        if self._daemon.poll() is not None:
+            self._daemon = self._start()
+
+    def play(self, acts: Sequence[Act], length_ms: float) -> Told:
+        """Play it to its end, heal everything, and judge."""
+        threads = [
+            threading.Thread(target=self._load, args=(n,), daemon=True) for n in range(len(self._names))
+        ]
+        threads.append(threading.Thread(target=self._change, daemon=True))
+        for thread in threads:
+            thread.start()
+        start, ends = time.monotonic(), list[tuple[float, Callable[[], None]]]()
+        todo = list(acts)
+        while (now := (time.monotonic() - start) * 1000.0) < length_ms or ends:
+            while todo and todo[0].at <= now:
+                act = todo.pop(0)
+                if act.kind is Kind.DAEMON and self._daemon.poll() is not None:
+                    continue
+                ends.append((now + act.lasts, self._act(act)))
+            for one in [one for one in ends if one[0] <= now]:
+                ends.remove(one)
+                one[1]()
+            self._look()
+            time.sleep(0.05)
+        self._again()
+        self._over.set()
+        for thread in threads:
+            thread.join(30.0)
+        found = begun(self._folder)
+        self.told.calls, self.told.mixtures = len(found), mixtures(found)
+        return self.told
+
+    def close(self) -> None:
+        """End every process that it started."""
+        self._over.set()
+        self._look()
+        self._daemon.terminate()
+        with suppress(subprocess.TimeoutExpired):
+            self._daemon.wait(15.0)
+        for relay in self._relays:
+            relay.close()
--- a/tests/accord/test_relay.py
+++ b/tests/accord/test_relay.py
@@ -47,6 +47,15 @@
     made.peer.close()
 
 
+def others_act_under(fleet: Relayed, version: int) -> None:
+    """For a while: whoever still acted under the one before would be seen to."""
+
+    def calls() -> int:
+        return sum(call.policy == version for call in begun(fleet.daemon.folder))
+
+    until(lambda: len(fleet.acted_under(version)) == 2 and calls() >= 10, f"the two others act under {version}")
+
+
 def settled_under(fleet: Relayed, version: int) -> None:
     until(lambda: len(fleet.acted_under(version)) == 3, f"all act under {version}")
     fleet.settle()
@@ -56,6 +65,7 @@
 def test_one_that_is_cut_off_acts_to_the_end_of_its_right_and_is_waited_for(fleet: Relayed) -> None:
     fleet.relays["n001"].put(Fault.LOSE)
     assert fleet.propose(**callsout(7))["state"] == "in force"
+    others_act_under(fleet, 2)
     fleet.relays["n001"].cut(away=False)
     fleet.relays["n001"].heal()
     settled_under(fleet, 2)
@@ -65,7 +75,7 @@
     relay = fleet.relays["n001"]
     relay.seen = lambda way, line: relay.put(Fault.LOSE, Way.DOWN) if b'"vote"' in line else None
     assert fleet.propose(**callsout(7))["state"] == "in force"
-    until(lambda: len(fleet.acted_under(2)) == 2, "the two others act under it")
+    others_act_under(fleet, 2)
     relay.seen = lambda way, line: None
     relay.cut(away=False)
     relay.heal()
@@ -84,6 +94,7 @@
 def test_lines_held_back_until_after_the_decision_come_too_late_to_matter(fleet: Relayed) -> None:
     fleet.relays["n002"].put(Fault.HOLD)
     assert fleet.propose(**callsout(7))["state"] == "in force"
+    others_act_under(fleet, 2)
     fleet.relays["n002"].heal()
     settled_under(fleet, 2)
 
@@ -94,6 +105,7 @@
     fleet.daemon.leave()
     fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
     assert fleet.propose(**callsout(7))["state"] == "in force"
+    others_act_under(fleet, 2)
     fleet.relays["n001"].cut(away=False)
     fleet.relays["n001"].heal()
     settled_under(fleet, 2)
