Checks of operator files stand below fleet and lab; tests of the record, limits at the border, the swap

Cause: fleet borrowed its checks from lab, against the direction of dependencies; and the record, a disk that fails under it, limits at the border and the swap in the decision module had no tests of their own.

springspread/checked.py holds them now; keys of a fleet file's tables are named with the nearest known one, too. A key of the settings that nobody knew before and that is near a known one is refused.

--- a/benchmarks/accord_search.py
+++ b/benchmarks/accord_search.py
@@ -24,6 +24,7 @@
     "1 instance, acting, deep": (Bounds(1, moments=8, proposals=2, daemon_deaths=2), True),
 }
 SMALL = Bounds(1, moments=6, proposals=2, deaths=0, daemon_deaths=1, refusals=1)
+OWN = {"a generation is not synced": Bounds(1, moments=4, proposals=1, deaths=0, daemon_deaths=2, refusals=0)}
 
 
 def look(job: tuple[str, int]) -> tuple[str, Found, float]:
@@ -33,7 +34,7 @@
     if name in SIZES:
         found = search(SIZES[name][0], most=most, running=SIZES[name][1])
     else:
-        found = search(SMALL, PLANTED[name], most, running=True)
+        found = search(OWN.get(name, SMALL), PLANTED[name], most, running=True)
     return name, found, time.monotonic() - begun
 
 
--- a/springspread/accord/document.py
+++ b/springspread/accord/document.py
@@ -87,8 +87,8 @@
             raise PolicyFault(f"settings.{key}: serves a start, and can't change while the fleet runs")
     roots = {key.split(".")[0] for key in known}
     for root in sorted({key.split(".")[0] for key in flat} - roots):
-        near = get_close_matches(root, roots, 1, 0.6)
-        if near and near[0] not in new.settings:
+        near = get_close_matches(root, roots, 1, 0.8)
+        if near:
             raise PolicyFault(f"settings.{root}: no such key; did you mean {near[0]}?")
 
 
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -23,8 +23,8 @@
 
 
 def _plan(file: Path) -> FleetPlan:
+    from springspread.checked import PlanError
     from springspread.fleet.plan import read_fleet
-    from springspread.lab.plan import PlanError
 
     try:
         return read_fleet(file)
--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -42,7 +42,8 @@
 
     Exits with 1 where a promise was broken, with 4 where a signal or the disk stopped it.
     """
-    from springspread.lab.plan import PlanError, read_plan
+    from springspread.checked import PlanError
+    from springspread.lab.plan import read_plan
     from springspread.lab.run import Table, run_plan
 
     try:
--- a/springspread/cli/town.py
+++ b/springspread/cli/town.py
@@ -52,7 +52,8 @@
 
 
 def _knobs(words: tuple[str, ...]) -> Knobs:
-    from springspread.lab.plan import PlanError, check_plan
+    from springspread.checked import PlanError
+    from springspread.lab.plan import check_plan
 
     values: dict[str, object] = {}
     for word in words:
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -11,9 +11,9 @@
 
 from springspread.accord.coordinator import Times
 from springspread.accord.document import Policy
+from springspread.checked import PlanError, Strict, faults_of
 from springspread.fleet.members import Pauses
 from springspread.fleet.shares import Limit
-from springspread.lab.plan import PlanError, Strict, faults_of
 
 Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
 
@@ -76,6 +76,10 @@
         return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
 
 
+PARTS = {"restarts": tuple(Restarts.model_fields), "policy_times": tuple(PolicyTimes.model_fields)}
+"""The keys of the file's tables, for whoever meant another one."""
+
+
 def read_fleet(path: Path) -> FleetPlan:
     """Read an operator file; raises ``PlanError``. Relative paths count from the file's folder."""
     try:
@@ -83,7 +87,7 @@
     except OSError as exc:
         raise PlanError(f"{path}: {exc.strerror}") from exc
     except ValidationError as exc:
-        lines = faults_of(exc, list(FleetPlan.model_fields)).splitlines()
+        lines = faults_of(exc, list(FleetPlan.model_fields), PARTS).splitlines()
         raise PlanError("\n".join(f"{path}: {line}" for line in lines)) from exc
     except ValueError as exc:
         raise PlanError(f"{path}: not TOML: {exc}") from exc
--- a/springspread/lab/plan.py
+++ b/springspread/lab/plan.py
@@ -6,16 +6,16 @@
 
 import json
 import tomllib
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
-from difflib import get_close_matches
 from itertools import product
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
+from pydantic import Field, ValidationError, field_validator, model_validator
 
 from springspread import policy
+from springspread.checked import PlanError, Strict, faults_of, meant
 from springspread.town.day import ANY, TROUBLES, Day, draw
 
 MOST_RUNS = 10_000
@@ -32,16 +32,6 @@
 """The decision module's numbers, which an arm may set."""
 
 
-class PlanError(Exception):
-    """A plan that can't be run; a line for each fault, which begins with its key."""
-
-
-class Strict(BaseModel):
-    """No unknown keys, no numbers in quotes."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
-
-
 class Knobs(Strict):
     """What a day is drawn with. Times are milliseconds, rates are per second, shares are 0 to 1."""
 
@@ -87,10 +77,14 @@
     def _constants(cls, module: dict[str, float]) -> dict[str, float]:
         for name in module:
             if name not in CONSTANTS:
-                raise ValueError(f"{name}: the decision module has no such number{_meant(name, CONSTANTS)}")
+                raise ValueError(f"{name}: the decision module has no such number{meant(name, CONSTANTS)}")
         return module
 
 
+PARTS = {"base": tuple(Knobs.model_fields), "arms": tuple(Arm.model_fields)}
+"""The keys of a plan's tables, for whoever meant another one."""
+
+
 class Plan(Strict):
     """An experiment: seeds, what all days share, what varies, and arms that are played on the same days."""
 
@@ -104,7 +98,7 @@
     def _varied(self) -> Plan:
         for key, values in self.vary.items():
             if key not in Knobs.model_fields:
-                raise ValueError(f"vary.{key}: no such key{_meant(key, Knobs.model_fields)}")
+                raise ValueError(f"vary.{key}: no such key{meant(key, Knobs.model_fields)}")
             if not values:
                 raise ValueError(f"vary.{key}: holds no value")
             for where in [where for where, knobs in self._sets() if key in knobs.model_fields_set]:
@@ -163,28 +157,4 @@
     try:
         return Plan.model_validate(raw)
     except ValidationError as exc:
-        raise PlanError(faults_of(exc, list(Plan.model_fields))) from exc
-
-
-def faults_of(exc: ValidationError, known: Sequence[str]) -> str:
-    """A line for each fault; ``known`` are the keys of the file's top."""
-    return "\n".join(_told(dict(fault), known) for fault in exc.errors())
-
-
-def _told(fault: Mapping[str, Any], known: Sequence[str]) -> str:
-    where = ".".join(str(part) for part in fault["loc"] if part != "[key]")
-    if fault["type"] == "value_error":
-        text = str(fault["ctx"]["error"])
-        return f"{where}: {text}" if where else text
-    if fault["type"] == "extra_forbidden":
-        parent, name = fault["loc"][:-1], str(fault["loc"][-1])
-        if parent and parent[0] in ("base", "arms"):
-            known = list(Arm.model_fields if parent[0] == "arms" else Knobs.model_fields)
-        elsewhere = parent and parent[0] not in ("base", "arms")
-        return f"{where}: no such key{'' if elsewhere else _meant(name, known)}"
-    return f"{where}: {fault['msg']}, not {fault['input']!r}"
-
-
-def _meant(name: str, known: Sequence[str] | Mapping[str, Any]) -> str:
-    near = get_close_matches(name, list(known), 1)
-    return f"; did you mean {near[0]}?" if near else f"; there are {', '.join(known)}"
+        raise PlanError(faults_of(exc, list(Plan.model_fields), PARTS)) from exc
--- /dev/null
+++ b/tests/accord/test_record.py
@@ -0,0 +1,122 @@
+"""The record of policies: what is synced, a disk that fails, damage; and what may change in a policy."""
+
+from __future__ import annotations
+
+import copy
+import errno
+import os
+from math import inf
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from springspread.accord.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
+from springspread.accord.record import Damaged, PolicyRecord
+from springspread.accord.terms import Begun, Decided, Proposed
+from tests.test_config import SETTINGS
+
+
+def policy(slots: int = 6, limits: dict[str, tuple[int, float]] | None = None, **changes: Any) -> Policy:
+    settings = copy.deepcopy(SETTINGS) | changes
+    settings["specifics"]["callsOut"] = slots
+    return Policy(settings, limits or {})
+
+
+def with_one(folder: Path, boot: str = "b1") -> PolicyRecord:
+    record = PolicyRecord(folder, boot)
+    record.keep(1, policy())
+    for entry in (Proposed(1, policy().digest), Decided(1, 500.0), Begun(1, 5000.0)):
+        record.append(entry)
+    return record
+
+
+def test_what_was_decided_is_read_again_and_lies_in_the_past_after_a_new_start(tmp_path: Path) -> None:
+    with_one(tmp_path).close()
+    again = PolicyRecord(tmp_path, "b1")
+    assert (again.history.in_force, again.history.since, again.history.lease_ms) == (1, 500.0, 5000.0)
+    assert again.policy(1) == policy()
+    again.close()
+    later = PolicyRecord(tmp_path, "b2")
+    assert (later.history.in_force, later.history.since, later.history.lease_ms) == (1, -inf, 0.0)
+
+
+@pytest.mark.parametrize("call", ["write", "fsync"])
+def test_an_entry_that_the_disk_refuses_is_not_there(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    record, real = with_one(tmp_path), getattr(os, call)
+    failing = [True]
+
+    def fails(*args: Any) -> Any:
+        if failing.pop() if failing else False:
+            raise OSError(errno.ENOSPC, "no space")
+        return real(*args)
+
+    monkeypatch.setattr(os, call, fails)
+    with pytest.raises(OSError, match="no space"):
+        record.append(Decided(2, 9.0))
+    record.append(Begun(2, 5000.0))
+    record.close()
+    history = PolicyRecord(tmp_path, "b1").history
+    assert (history.in_force, history.generation) == (1, 2)
+
+
+def test_a_disk_that_takes_nothing_back_either_stops_the_record(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    record = with_one(tmp_path)
+
+    def fails(file: int) -> None:
+        raise OSError(errno.EIO, "broken")
+
+    monkeypatch.setattr(os, "fsync", fails)
+    with pytest.raises(Damaged, match="broken after .*end the daemon and start it anew"):
+        record.append(Decided(2, 9.0))
+
+
+def test_damage_is_told_by_file_and_a_torn_end_is_cut(tmp_path: Path) -> None:
+    with_one(tmp_path).close()
+    log, text = tmp_path / "log", (tmp_path / "1").read_text()
+    good = log.read_bytes()
+    log.write_bytes(good + b"0123 {to")
+    assert PolicyRecord(tmp_path, "b1").history.in_force == 1 and log.read_bytes() == good
+    log.write_bytes(good.replace(b"decided", b"decidex"))
+    with pytest.raises(Damaged, match=r"log: line 2 is damaged"):
+        PolicyRecord(tmp_path, "b1")
+    log.write_bytes(good)
+    (tmp_path / "1").write_text(policy(slots=9).text)
+    with pytest.raises(Damaged, match="1: is not what was proposed"):
+        PolicyRecord(tmp_path, "b1")
+    (tmp_path / "1").write_text(text[:50])
+    with pytest.raises(Damaged, match="1: not a policy"):
+        PolicyRecord(tmp_path, "b1")
+
+
+def test_what_may_not_change_is_refused_with_its_key() -> None:
+    once = copy.deepcopy(SETTINGS["classes"])
+    once[0]["effect"] = "once"
+    for new, told in (
+        (policy(classes=once), "settings.classes.note.effect: is safe for ever"),
+        (policy(kinds=["portal"]), "settings.kinds: serves a start"),
+        (policy(zones=["b", "a"]), "settings.zones: serves a start"),
+        (policy(classes=[]), "settings.classes: at least one is needed"),
+        (policy(clases=[]), "settings.clases: no such key"),
+    ):
+        with pytest.raises(PolicyFault) as caught:
+            check(new, [policy()])
+        assert str(caught.value).startswith(told)
+    without = policy(classes=SETTINGS["classes"][1:])
+    check(without, [policy()])
+    with pytest.raises(PolicyFault, match="is safe for ever"):  # not by way of a policy without it, either
+        check(policy(classes=once), [policy(), without])
+
+
+def test_limits_that_shrink_bind_before_the_border() -> None:
+    old = policy(limits={"g1": (40, 2000.0), "g2": (10, 1000.0)})
+    new = policy(slots=7, limits={"g1": (8, 2000.0), "g2": (100, 1000.0), "g3": (5, 4000.0)})
+    assert shrunk(old, new) == {"g1": (8, 2000.0), "g3": (5, 4000.0)}
+    assert lead_ms(old, new) == 4300.0 and lead_ms(old, old) == 0.0
+    assert "limits.g1: 40 in 2000 ms -> 8 in 2000 ms" in differences(old, new)
+    assert "settings.specifics.callsOut: 6 -> 7" in differences(old, new)
+    assert parsed(new.text) == new and new.digest != old.digest
--- a/tests/accord/test_relay.py
+++ b/tests/accord/test_relay.py
@@ -53,7 +53,7 @@
     def calls() -> int:
         return sum(call.policy == version for call in begun(fleet.daemon.folder))
 
-    until(lambda: len(fleet.acted_under(version)) == 2 and calls() >= 10, f"the two others act under {version}")
+    until(lambda: len(fleet.acted_under(version)) == 2 and calls() >= 10, "the two others act under it")
 
 
 def settled_under(fleet: Relayed, version: int) -> None:
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -15,9 +15,9 @@
 
 import pytest
 
+from springspread.checked import PlanError
 from springspread.fleet.daemon import Daemon, Refused, process_start
 from springspread.fleet.plan import read_fleet
-from springspread.lab.plan import PlanError
 from tests.fleet.test_medium import Quiet
 from tests.peer import Peer, until
 from tests.test_config import make
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -17,9 +17,10 @@
 from click.testing import CliRunner
 
 from springspread import policy
+from springspread.checked import PlanError
 from springspread.cli.main import cli
 from springspread.lab.compare import mean_of, paired, rank_correlation
-from springspread.lab.plan import PlanError, check_plan, read_plan
+from springspread.lab.plan import check_plan, read_plan
 from springspread.lab.run import play, read_rows
 
 PLAN: dict[str, Any] = {
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -361,3 +361,34 @@
     assert rig.query("late", "pay").verdict is t.Verdict.TAKEN
     assert len(rig.drivers.calls) == 2
     assert not next(owed for owed in rig.journal.owed.values() if owed.id == "late").begun
+
+
+def test_a_new_policy_keeps_what_is_held_and_what_was_learnt(tmp_path: Path) -> None:
+    settings = make(tmp_path)["settings"]
+    before = config.read(make(tmp_path), {})
+    drivers, journal = Drivers(), Journal(tmp_path, before.limits.disk_bytes)
+    sender = Sender(before, journal, Clearance(journal, 450.0), drivers, policy=1)
+    sender.attach(drivers, drivers, drivers)
+    member = t.Member("s-1", "127.0.0.1", 1, 7, 0, 0, t.LinkState.READY, 100.0, 0.0)
+    sender.restore(t.HostGroups(t.Scope.WHOLE, 1, (member,)))
+
+    def query(id: str, cls: str) -> t.Query:
+        made = t.Query(id, cls, 7, SYSTEM.now() + 5000.0, b"x")
+        sender.step([made])
+        return made
+
+    assert query("a", "pay").verdict is t.Verdict.TAKEN
+    sender.step(
+        [t.ExecutionEnd(drivers.calls[0], drivers.calls[0].executions[0], t.Result.THROTTLED, 0.0, 900.0)]
+    )
+    (route,) = sender._module.routes.values()
+    learnt, window = route.health, route.window
+    settings["classes"] = [settings["classes"][0], {**settings["classes"][0], "name": "new"}]
+    after = config.read(make(tmp_path, settings=settings), {})
+    sender.step([t.NewPolicy(2, after)])
+    assert route.health is learnt and route.window == window and len(route.classes) == 3
+    assert query("b", "pay").verdict is t.Verdict.UNKNOWN_CLASS  # of the old policy alone
+    assert query("c", "new").verdict is t.Verdict.TAKEN
+    owed = {one.id: (one.cls, one.policy) for one in journal.owed.values()}
+    assert owed == {"a": ("pay", 1), "c": ("new", 2)}
+    assert sender._module.held[1].spec.name == "pay"  # still owed, as it was taken on
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -39,6 +39,18 @@
     assert again.last_number == 3
 
 
+def test_a_record_names_the_policy_that_its_message_was_taken_under(tmp_path: Path) -> None:
+    first = Journal(tmp_path, DISK)
+    alone, under = owed(1), owed(2)
+    under.policy = 5
+    first.taken(alone)
+    first.taken(under)
+    first.close()
+    again = Journal(tmp_path, DISK)
+    assert {number: one.policy for number, one in again.owed.items()} == {1: 0, 2: 5}
+    assert again.owed[2].body == under.body
+
+
 @pytest.mark.parametrize("cut", [1, 5, 20])
 def test_a_torn_tail_is_cut_and_later_records_are_kept(tmp_path: Path, cut: int) -> None:
     first = Journal(tmp_path, DISK)
