--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from springspread.config import Config, ConfigError, load, load_again, under_policy
+from springspread.config import Config, ConfigError, load, load_again
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
 from springspread.core.journal import Journal
@@ -84,6 +84,8 @@
     sender.attach(workers, watcher, notices)
     sender.restore(known)
     if shares is not None:
+        from springspread.fleet.fit import under_policy
+
         shares.follow(partial(under_policy, config, journal), sender.put)
 
     def loop() -> None:
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -163,7 +163,8 @@
     elif state == "in force":
         click.echo(f"policy {number} is in force")
     elif state == "refused":
-        click.echo(f"refused, in force nowhere: {fault}", err=True)
+        where = f"{_plan(file).config}: " if "settings" in fault else f"{file}: " if "limits" in fault else ""
+        click.echo(f"refused, in force nowhere: {where}{fault}", err=True)
     else:
         click.echo(f"policy {number} is not in force yet; it waits for {fault}", err=True)
     sys.exit({"in force": 0, "refused": 5}.get(state, 6))
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 
 from springspread import interface as i
-from springspread.core.journal import Journal
 from springspread.settings import Reader, SettingsError, flatten, read_settings, report_fields
 
 Address = tuple[str, int]
@@ -113,10 +112,11 @@
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
     """Read the environment and the file that it names."""
-    return read(_decoded(env), env)
+    return read(decoded(env), env)
 
 
-def _decoded(env: Mapping[str, str]) -> dict[str, object]:
+def decoded(env: Mapping[str, str]) -> dict[str, object]:
+    """The file that the environment names, decoded and not yet checked."""
     where = env.get("RELAY_CONFIG")
     if not where:
         raise ConfigError("RELAY_CONFIG: not set; it names the configuration file")
@@ -140,22 +140,6 @@
     return new
 
 
-def under_policy(running: Config, journal: Journal, text: str, env: Mapping[str, str] = os.environ) -> Config:
-    """The configuration that a fleet's policy makes of this process's own; raises ``ConfigError``."""
-    settings = json.loads(text)["settings"]
-    new = read({**_decoded(env), "settings": settings}, env)
-    for item in ("names", "limits"):
-        if getattr(new, item) != getattr(running, item):
-            raise ConfigError(f"settings: {item} of this process would change; they serve a start")
-    named = {spec.name for spec in new.settings.classes}
-    held = {owed.cls for owed in list(journal.owed.values()) if owed.ending is None}
-    if lost := sorted(held - named):
-        raise ConfigError(f"settings.classes: {', '.join(lost)}: messages of it are held here")
-    if new.settings.max_held < len(journal.owed):
-        raise ConfigError(f"settings.limits.mostHeld: {len(journal.owed)} messages are held here")
-    return replace(running, settings=new.settings, second_copies=new.second_copies)
-
-
 def read(raw: Mapping[str, object], env: Mapping[str, str]) -> Config:
     """Check the decoded configuration. The environment's own variables come first, but for discovery's.
 
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -101,8 +101,10 @@
                         f" {history.in_force}, and {name} was started with {started}; put the newer one back"
                     )
             held = changes.policy(history.in_force)
-        except (Damaged, PolicyFault) as exc:
+        except Damaged as exc:
             raise Refused(str(exc)) from exc
+        except PolicyFault as exc:
+            raise Refused(f"{self._plan.config}: {exc}") from exc
         if differing := differences(held, asked):
             self._log.warning("files differ from the policy in force; propose them", differing=differing[:20])
         return changes
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -48,6 +48,7 @@
     in_force: list[float] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)
     undecided: int = 0
+    unheard: int = 0  # no daemon was there, or it died before it answered
     undone: list[str] = field(default_factory=list)  # answers that a later one contradicts
     acts: Counter[str] = field(default_factory=Counter)
     calls: int = 0
@@ -136,6 +137,9 @@
                 self.told.in_force.append(time.monotonic() - begun_at)
             elif state == "refused":
                 self.told.refused[fault] += 1
+            elif state == "unheard":
+                self.told.unheard += 1
+                self._over.wait(0.5)
             else:
                 self.told.undecided += 1
             if number and state in ("in force", "refused"):
--- /dev/null
+++ b/tests/accord/test_cli.py
@@ -0,0 +1,94 @@
+"""The command line of a change of policy: what it says, and with which exit status."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from springspread import config
+from springspread.config import ConfigError
+from springspread.core.journal import Journal
+from springspread.fleet.fit import under_policy
+from tests.accord.test_fleet import Fleet, fleet
+from tests.peer import until
+from tests.test_config import make
+
+__all__ = ["fleet"]
+
+
+def said(place: Fleet, *words: str) -> tuple[int, str]:
+    line = [
+        sys.executable,
+        "-m",
+        "springspread.cli",
+        "fleet",
+        "policy",
+        words[0],
+        str(place.file),
+        *words[1:],
+    ]
+    done = subprocess.run(line, capture_output=True, text=True, timeout=30.0)
+    return done.returncode, done.stdout + done.stderr
+
+
+def write(place: Fleet, **settings: Any) -> None:
+    raw = json.loads((place.folder / "sender.json").read_text())
+    for key, value in settings.items():
+        old = raw["settings"].get(key)
+        raw["settings"][key] = {**old, **value} if isinstance(old, dict) else value
+    (place.folder / "sender.json").write_text(json.dumps(raw))
+
+
+def test_exit_status_and_words(fleet: Fleet) -> None:
+    write(fleet, specifics={"callsOut": 7})
+    assert said(fleet, "check") == (0, "settings.specifics.callsOut: 6 -> 7\n")
+    assert said(fleet, "propose") == (0, "policy 2 is in force\n")
+    write(fleet, clases=[])
+    code, text = said(fleet, "propose")
+    assert code == 5 and f"{fleet.folder / 'sender.json'}: settings.clases: no such key" in text
+    assert "did you mean classes?" in text
+    write(fleet, clases=None, specifics={"callsOut": 9})
+    pid = fleet.rows()["n001"]["pid"]
+    os.kill(pid, signal.SIGSTOP)
+    code, text = said(fleet, "propose", "--within", "0.1")
+    assert code == 6 and "policy 3 is not in force yet; it waits for n001" in text
+    os.kill(pid, signal.SIGCONT)
+    assert said(fleet, "propose") == (0, "policy 3 is in force\n")
+    assert said(fleet, "back", "1") == (0, "policy 4 is in force\n")
+    until(lambda: fleet.all_act_under(4), "all act under what held at first")
+    told = json.loads(said(fleet, "status", "--json")[1])
+    assert told["in_force"]["version"] == 4 and told["pending"] is None
+    assert told["instances"]["n002"] == {"version": 4, "state": "acting"}
+    rows = json.loads(said(fleet, "history", "--json")[1])
+    assert [(row["version"], row["state"]) for row in rows] == [(n, "in force") for n in (1, 2, 3, 4)]
+    assert rows[0]["digest"] == rows[3]["digest"] != rows[1]["digest"]
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "told"),
+    [
+        ("connIdleMs", 900.0, "settings.limits.connIdleMs: this process was started with another"),
+        ("attemptsCap", 9, "settings.limits.attemptsCap: above 8"),
+    ],
+)
+def test_a_process_refuses_what_it_was_not_started_for(
+    tmp_path: Path, key: str, value: float, told: str
+) -> None:
+    raw = make(tmp_path)
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    running, journal = config.read(raw, {}), Journal(tmp_path, 3_000_000)
+    env = {"RELAY_CONFIG": str(file)}
+    text = json.dumps({"settings": raw["settings"], "limits": {}})
+    assert under_policy(running, journal, text, env) == running
+    raw["settings"]["limits"][key] = value
+    with pytest.raises(ConfigError) as caught:
+        under_policy(running, journal, json.dumps({"settings": raw["settings"], "limits": {}}), env)
+    assert str(caught.value).startswith(told)
