--- a/benchmarks/policy_chaos.py
+++ b/benchmarks/policy_chaos.py
@@ -28,6 +28,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--each-s", type=float, default=1.0, help="mean time between two faults")
     parser.add_argument("--lease-ms", type=float, default=1500.0)
+    parser.add_argument("--load-s", type=float, default=0.1, help="time between an instance's messages")
     parser.add_argument("--calm", action="store_true", help="no faults")
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
@@ -35,7 +36,7 @@
     acts = () if args.calm else drawn(args.seed, args.instances, length_ms, 1000.0 * args.each_s)
     outside = Outside()
     with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as place:
-        chaos = Chaos(Path(place), outside, args.instances, args.lease_ms)
+        chaos = Chaos(Path(place), outside, args.instances, args.lease_ms, args.load_s)
         try:
             told = chaos.play(acts, length_ms)
         finally:
@@ -60,6 +61,10 @@
         "p50_s": round(float(np.percentile(times, 50)), 2),
         "p99_s": round(float(np.percentile(times, 99)), 2),
         "most_s": round(float(times.max()), 2),
+        "gap_p99_ms": round(float(np.percentile(told.within, 99)), 1),
+        "gap_most_ms": round(max(told.within), 1),
+        "change_p99_ms": round(float(np.percentile(told.across or [float("nan")], 99)), 1),
+        "change_most_ms": round(max(told.across, default=float("nan")), 1),
     }
     for key, value in row.items():
         print(f"{key:14} {value}")
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -48,15 +48,15 @@
     def __init__(
         self, folder: Path, first: Policy, log: Log, clock: Clock = SYSTEM, times: Times | None = None
     ) -> None:
-        """``first`` becomes policy 1 where there is no record yet; raises ``PolicyFault``."""
+        """``first`` holds at once where nothing is on record yet; raises ``PolicyFault``."""
         self._log, self._clock, self._times = log, clock, times or Times()
         self.record = PolicyRecord(folder, BOOT_ID.read_text().strip())
         if not self.record.history.in_force:
             check(first, [])
-            self.record.keep(1, first)
-            if not self.record.history.last:
-                self.record.append(Proposed(1, first.digest))
-            self.record.append(Decided(1, clock.now()))
+            number = self.record.history.last + 1  # an earlier first start may have died after its proposal
+            self.record.keep(number, first)
+            self.record.append(Proposed(number, first.digest))
+            self.record.append(Decided(number, clock.now()))
         self._inbox: SimpleQueue[Callable[[float], Step]] = SimpleQueue()
         self._state: Coordinator | None = None
         self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -1,8 +1,8 @@
 """The daemon: starts instances, looks after them, and takes orders on a socket that only its owner may open.
 
 What there is stands in ``members.json`` before it is done, so that a new daemon adopts what runs: the death
-of this one stops nobody. A process is known by its id together with the moment of its start. One daemon at a
-time holds the folder.
+of this one ends nobody, and stops calls only where it lasts longer than the instances' grants (``change``). A
+process is known by its id together with the moment of its start. One daemon at a time holds the folder.
 """
 
 from __future__ import annotations
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -23,7 +23,7 @@
 
 from springspread.fleet.orders import asked
 from springspread.rig.daemon import relay_path
-from springspread.rig.observer import begun, mixtures
+from springspread.rig.observer import begun, gaps, mixtures
 from springspread.rig.partner import GROUP, Outside
 from springspread.rig.relay import Fault, Relay, Way
 from springspread.rig.schedule import Act, Kind
@@ -53,6 +53,10 @@
     acts: Counter[str] = field(default_factory=Counter)
     calls: int = 0
     mixtures: list[str] = field(default_factory=list)
+    within: list[float] = field(
+        default_factory=list
+    )  # times between an instance's calls under one policy (ms)
+    across: list[float] = field(default_factory=list)  # and over a change
     handed: set[str] = field(default_factory=set)
     without_end: set[str] = field(default_factory=set)
 
@@ -65,8 +69,11 @@
 class Chaos:
     """One run; ``play`` it once, then ``close``."""
 
-    def __init__(self, place: Path, outside: Outside, instances: int, lease_ms: float = 1500.0) -> None:
-        """``place`` is an empty folder."""
+    def __init__(
+        self, place: Path, outside: Outside, instances: int, lease_ms: float = 1500.0, each_s: float = 0.1
+    ) -> None:
+        """``place`` is an empty folder; each instance is handed a message every ``each_s``."""
+        self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
         self._file.write_text(TOML.format(instances, lease_ms))
         self._outside, self._base = outside, outside.configuration()
@@ -106,7 +113,7 @@
 
     def _load(self, number: int) -> None:
         count, name = 0, self._names[number]
-        while not self._over.wait(0.1):
+        while not self._over.wait(self._each_s):
             count += 1
             id = f"{name}-{count}"
             host, _, port = self._listens.get(name, "127.0.0.1:1").rpartition(":")
@@ -231,6 +238,7 @@
         self.told.without_end = lost
         found = begun(self._folder)
         self.told.calls, self.told.mixtures = len(found), mixtures(found)
+        self.told.within, self.told.across = gaps(found)
         return self.told
 
     def close(self) -> None:
--- a/springspread/rig/observer.py
+++ b/springspread/rig/observer.py
@@ -38,6 +38,19 @@
     return sorted(found, key=lambda one: one.at)
 
 
+def gaps(calls: Iterable[Begun]) -> tuple[list[float], list[float]]:
+    """Times (ms) between an instance's first bytes: those under one policy, and those over a change."""
+    within: list[float] = []
+    across: list[float] = []
+    last: dict[str, Begun] = {}
+    for call in calls:
+        before = last.get(call.instance)
+        if before is not None:
+            (within if before.policy == call.policy else across).append(call.at - before.at)
+        last[call.instance] = call
+    return within, across
+
+
 def mixtures(calls: Iterable[Begun]) -> list[str]:
     """Calls that began under an older policy after any began under a newer one."""
     faults, newest = [], Begun("", 0, 0.0)
--- a/tests/accord/test_record.py
+++ b/tests/accord/test_record.py
@@ -14,6 +14,8 @@
 from springspread.accord.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
 from springspread.accord.record import Damaged, PolicyRecord
 from springspread.accord.terms import Begun, Decided, Proposed
+from springspread.fleet.change import Changes
+from tests.fleet.test_medium import Quiet
 from tests.test_config import SETTINGS
 
 
@@ -75,6 +77,18 @@
         record.append(Decided(2, 9.0))
 
 
+def test_a_first_start_that_died_after_its_proposal_is_begun_anew(tmp_path: Path) -> None:
+    record = PolicyRecord(tmp_path, "b1")
+    record.keep(1, policy(slots=5))
+    record.append(Proposed(1, policy(slots=5).digest))
+    record.close()
+    changes = Changes(tmp_path, policy(), Quiet())
+    changes.begin((), lambda owner, message: None, lambda limits, since: None)
+    assert changes.in_force == 2 and changes.policy(2) == policy()
+    assert changes.outcome(1) == ("refused", "the daemon ended before it was decided")
+    changes.close()
+
+
 def test_damage_is_told_by_file_and_a_torn_end_is_cut(tmp_path: Path) -> None:
     with_one(tmp_path).close()
     log, text = tmp_path / "log", (tmp_path / "1").read_text()
