A daemon that begins before a border keeps its limits to it; texts and unfit policies

Cause, found on reading the change again: a daemon that begins between a decision and its moment put raised limits in force at once; a longer span was not counted by the record of leases; a limit that a partner tells did not bind again when the operators' went; two threads of an instance could lose a policy's text; an instance that can't use a policy said that it acts, and logged it four times a second; close did not wait for what was being written; outcomes were searched for from the record's start each time; a class nobody used. balancers, by which the module's pauses are set at the start, is refused with its key.

Nothing on a lone sender's way was touched.

--- a/springspread/accord/document.py
+++ b/springspread/accord/document.py
@@ -16,7 +16,7 @@
 
 from springspread.settings import SettingsError, flatten, read_settings
 
-FIXED = ("kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
+FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
 FIXED_PARTS = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
 LEASE_MS = 200.0  # of a share of a limit: what was given out before a limit shrank is used or over by then
 SLACK_MS = 100.0
--- a/springspread/accord/record.py
+++ b/springspread/accord/record.py
@@ -38,6 +38,7 @@
         self._path = folder / "log"
         self.entries: list[Entry] = []
         self.history = History()
+        self.ends: dict[int, Decided | Refused] = {}  # what became of each proposal
         self._policies: dict[int, Policy] = {}
         good = self._read()
         self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
@@ -75,6 +76,8 @@
 
     def _note(self, entry: Entry) -> None:
         self.entries.append(entry)
+        if isinstance(entry, Decided | Refused):
+            self.ends[entry.number] = entry
         self.history = self.history.after(entry)
 
     def policy(self, number: int) -> Policy:
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -28,10 +28,6 @@
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
-class Refusal(Exception):
-    """A proposal that takes hold nowhere; the text says why, and who refused."""
-
-
 @dataclass(slots=True)
 class Proposal:
     """One proposal on its way: its number as soon as there is one, and how it ended."""
@@ -75,7 +71,7 @@
         self._tell, self._limits = tell, limits
         step = coordinator.begin(self._times, self.record.history, self._clock.now(), alive)
         self._carry_out(step)
-        spawn("fleet-policy", self._run, self._log)
+        self._thread = spawn("fleet-policy", self._run, self._log)
 
     # Told by others, from any thread
 
@@ -120,17 +116,14 @@
 
     def outcome(self, number: int) -> tuple[str, str]:
         """One answer for ever: in force, refused (with the fault), or pending (with what it waits for)."""
-        for entry in list(self.record.entries):
-            if isinstance(entry, Refused) and entry.number == number:
-                return "refused", f"{entry.by}: {entry.fault}" if entry.by else entry.fault
-            if isinstance(entry, Decided) and entry.number == number:
-                left = entry.since - self._clock.now()
-                return (
-                    ("decided", f"the grants of those that are silent, {left / 1000:.1f} s")
-                    if left > 0
-                    else ("in force", "")
-                )
-        return "pending", ", ".join(sorted(name for name, _ in self.waits))
+        match self.record.ends.get(number):
+            case Refused(_, by, fault):
+                return "refused", f"{by}: {fault}" if by else fault
+            case Decided(_, since) if since > (now := self._clock.now()):
+                return "decided", f"the grants of those that are silent, {(since - now) / 1000:.1f} s"
+            case Decided():
+                return "in force", ""
+        return "pending", ", ".join(name for name, _ in self.waits)
 
     @property
     def pending(self) -> int:
@@ -156,8 +149,12 @@
         return version if self._clock.now() < at + HEARD_MS else 0
 
     def close(self) -> None:
-        """Decide nothing more."""
+        """Decide nothing more; what is being written is finished first."""
+        if self._over.is_set():
+            return
         self._over.set()
+        self._thread.join()
+        self.record.close()
 
     # The one thread
 
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -57,7 +57,8 @@
         self.policy = policy
         self._rights = Participant()
         self._texts: dict[int, str] = {}
-        self._holding = False
+        self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
+        self._holding, self._unfit = False, 0
         self._votes: deque[Vote] = deque()
         self._wallet = Wallet()
         self._arrived = threading.Condition()
@@ -167,15 +168,20 @@
     def _turn(self, now: float) -> float:
         """Act under the policy that holds; how long until another one may (ms)."""
         number = self._rights.version(now)
-        if number > self.policy and number in self._texts:
+        with self._reading:
+            text = self._texts.get(number)
+        if number > self.policy and text is not None:
             try:
-                config = self._usable(self._texts[number])
+                config = self._usable(text)
             except ConfigError as exc:
-                self._log.error("policy can't be used here", version=number, fault=str(exc))
-                return IDLE_MS
-            self.policy = number
-            self._texts = {other: text for other, text in self._texts.items() if other > number}
-            self._put(NewPolicy(number, config))
+                if number != self._unfit:
+                    self._log.error("policy can't be used here", version=number, fault=str(exc))
+                self._unfit = number
+            else:
+                self.policy = number
+                with self._reading:
+                    self._texts = {other: kept for other, kept in self._texts.items() if other > number}
+                self._put(NewPolicy(number, config))
         holding = self.policy > 0 and number != self.policy
         if holding != self._holding:
             self._holding = holding
@@ -186,7 +192,8 @@
     def _policy(self, message: Message) -> None:
         if isinstance(message, Document):
             # Few at a time: the one that holds, the one that follows, and one that is asked about.
-            self._texts = dict(sorted({**self._texts, message.number: message.text}.items())[-3:])
+            with self._reading:
+                self._texts = dict(sorted({**self._texts, message.number: message.text}.items())[-3:])
         elif isinstance(message, Grant):
             self._rights = participant.granted(self._rights, message, self._clock.now())
         elif isinstance(message, Prepare):
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -68,11 +68,17 @@
         if not self._rows:
             self._rows = scaled({}, plan.instances)
         self._changes = self._policies()
-        shared = {key: Limit(*limit) for key, limit in self._policy.limits.items()}
-        heard = self._changes.heard
-        self._server = AllotterServer(self.folder / "allot", self.folder, shared, log, clock, heard)
+        history, heard = self._changes.record.history, self._changes.heard
+        coming = clock.now() < history.since
+        now = self._limits(history.before if coming else history.in_force)
+        self._server = AllotterServer(self.folder / "allot", self.folder, now, log, clock, heard)
+        if coming:  # decided by the daemon before, and not reached yet
+            self._server.follow(self._limits(history.in_force), history.since)
         alive = [(row.name, row.epoch) for row in self._rows.values() if row.pid]
-        self._changes.begin(alive, self._server.tell, self._server.follow)
+        try:
+            self._changes.begin(alive, self._server.tell, self._server.follow)
+        except Damaged as exc:
+            raise Refused(str(exc)) from exc
         self._orders = socket.socket(socket.AF_UNIX)
         path = self.folder / "control"
         path.unlink(missing_ok=True)
@@ -115,6 +121,10 @@
         except (OSError, ValueError, TypeError, AttributeError):
             return 0
 
+    def _limits(self, number: int) -> dict[str, Limit]:
+        policy = self._changes.policy(number)
+        return {key: Limit(*limit) for key, limit in policy.limits.items()}
+
     @property
     def _policy(self) -> Policy:
         return self._changes.policy(self._changes.record.history.in_force)
@@ -130,7 +140,7 @@
         number = changes.pending if changes.pending else history.in_force
         if not number or changes.policy(number).digest != policy.digest:  # asked again: the same answer
             proposal = changes.propose(policy)
-            proposal.taken.wait(within_s)
+            proposal.taken.wait(max(within_s, ORDER_S))  # so that there is a number to ask about
             if proposal.fault:
                 return {"state": "refused", "version": 0, "fault": proposal.fault}
             number = proposal.number
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -71,6 +71,10 @@
         os.write(self._file, b"".join(map(_pack, leases)))
         self._ends[self._turn] = max([self._ends[self._turn], *(lease.until for lease in leases)])
 
+    def counts_for(self, keep_ms: float) -> None:
+        """Leases may count for longer from now on."""
+        self._keep_ms = max(self._keep_ms, keep_ms)
+
     def close(self) -> None:
         """Let go of the file."""
         os.close(self._file)
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -57,6 +57,7 @@
         self._heard = heard
         self._next: tuple[float, Mapping[str, Limit]] | None = None
         self._fixed = set(limits)
+        self._partners: dict[str, Limit] = {}  # as partners told them, last
         longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
         self._allotter = Allotter(slack_ms=SLACK_MS)
@@ -139,6 +140,8 @@
                 if smaller:
                     self._allotter.limited(key, limit)
             self._next = (since, limits)
+            self._fixed |= limits.keys()
+            self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
             self._limits_told()
         self._asked.set()
 
@@ -149,7 +152,10 @@
         for key, limit in limits.items():
             self._allotter.limited(key, limit)
         for key in self._fixed - limits.keys():
-            self._allotter.unlimited(key)
+            if key in self._partners:  # what the partner told binds again
+                self._allotter.limited(key, self._partners[key])
+            else:
+                self._allotter.unlimited(key)
         self._fixed = set(limits)
         self._limits_told()
 
@@ -163,8 +169,10 @@
             self._allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
         known = set(self._allotter.keys)
         for key, per_s in message.told.items():
-            if key not in self._fixed and per_s > 0:
-                self._allotter.limited(key, Limit.of_rate(per_s, TOLD_SPAN_MS))
+            if per_s > 0:
+                self._partners[key] = Limit.of_rate(per_s, TOLD_SPAN_MS)
+                if key not in self._fixed:
+                    self._allotter.limited(key, self._partners[key])
         for key, calls in message.wants.items():
             self._allotter.ask(now, owner, key, calls)
         if set(self._allotter.keys) != known:
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -53,10 +53,9 @@
     acts: Counter[str] = field(default_factory=Counter)
     calls: int = 0
     mixtures: list[str] = field(default_factory=list)
-    within: list[float] = field(
-        default_factory=list
-    )  # times between an instance's calls under one policy (ms)
-    across: list[float] = field(default_factory=list)  # and over a change
+    # Times between an instance's calls (ms): under one policy, and over a change.
+    within: list[float] = field(default_factory=list)
+    across: list[float] = field(default_factory=list)
     handed: set[str] = field(default_factory=set)
     without_end: set[str] = field(default_factory=set)
 
@@ -97,10 +96,9 @@
 
     def _start(self) -> subprocess.Popen[bytes]:
         env = {**os.environ, "RELAY_LOG_LEVEL": "debug"}
-        log = (self._folder / "daemon.log").open("ab")
-        return subprocess.Popen(
-            [sys.executable, "-m", "springspread.rig.daemon", str(self._file)], env=env, stderr=log
-        )
+        line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file)]
+        with (self._folder / "daemon.log").open("ab") as log:
+            return subprocess.Popen(line, env=env, stderr=log)
 
     def _look(self) -> None:
         with suppress(OSError, ValueError):
--- a/tests/accord/test_fleet.py
+++ b/tests/accord/test_fleet.py
@@ -137,7 +137,6 @@
     told = fleet.propose(within=0.1, **callsout(7))
     assert told["state"] == "pending" and "n001" in told["fault"]
     frozen = fleet.rows()["n001"]["pid"]
-    fleet.daemon._changes.close()  # as dead: it decides nothing more
     fleet.daemon.leave()
     fleet.daemon = Daemon(read_fleet(fleet.file), Quiet())
     assert fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "refused"
--- a/tests/accord/test_relay.py
+++ b/tests/accord/test_relay.py
@@ -101,7 +101,6 @@
 
 def test_a_daemon_that_dies_is_followed_by_one_that_waits_for_rights_it_never_gave(fleet: Relayed) -> None:
     fleet.relays["n001"].put(Fault.LOSE)  # it acts on what the first daemon granted
-    fleet.daemon._changes.close()
     fleet.daemon.leave()
     fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
     assert fleet.propose(**callsout(7))["state"] == "in force"
--- a/tests/fleet/test_border.py
+++ b/tests/fleet/test_border.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
 
+from springspread.accord.record import PolicyRecord
+from springspread.accord.terms import Decided, Proposed
 from springspread.core.clock import SYSTEM
+from springspread.fleet.change import BOOT_ID
+from springspread.fleet.daemon import Daemon
+from springspread.fleet.plan import read_fleet
 from springspread.fleet.server import AllotterServer
 from springspread.fleet.shares import Limit
+from springspread.fleet.wire import Asking
 from tests.fleet.test_medium import Quiet
 from tests.peer import until
+from tests.test_config import make
 
 
 def test_limits_change_at_the_border_and_the_smaller_one_before(tmp_path: Path) -> None:
@@ -29,3 +37,37 @@
     assert SYSTEM.now() >= since
     assert allotter.limit("g1") == Limit(8, 2000.0) and allotter.limit("g2") == Limit(100, 1000.0)
     server.close()
+
+
+def test_a_daemon_that_begins_before_the_border_keeps_to_it(tmp_path: Path) -> None:
+    file, limit = tmp_path / "fleet.toml", "[limits.g1]\ncalls = {}\nspan_ms = 1000.0\n"
+    head = 'folder = "fleet"\nconfig = "sender.json"\ninstances = 0\n'
+    base = make(tmp_path)
+    (tmp_path / "sender.json").write_text(json.dumps(base))
+    file.write_text(head + limit.format(10))
+    first = Daemon(read_fleet(file), Quiet())
+    first.leave()
+    file.write_text(head + limit.format(100))
+    raised = read_fleet(file).policy(base)
+    record = PolicyRecord(first.folder / "policy", BOOT_ID.read_text().strip())
+    since = SYSTEM.now() + 600.0
+    record.keep(2, raised)
+    record.append(Proposed(2, raised.digest))
+    record.append(Decided(2, since))
+    record.close()
+    second = Daemon(read_fleet(file), Quiet())
+    allotter = second._server._allotter
+    before = allotter.limit("g1")
+    assert SYSTEM.now() < since and before == Limit(10, 1000.0)
+    until(lambda: allotter.limit("g1") == Limit(100, 1000.0), "the border is reached")
+    assert SYSTEM.now() >= since
+    second.leave()
+
+
+def test_what_a_partner_told_binds_again_when_the_operators_limit_goes(tmp_path: Path) -> None:
+    server = AllotterServer(tmp_path / "allot", tmp_path, {"g1": Limit(40, 2000.0)}, Quiet())
+    server._asking(("n000", 1), Asking(told={"g1": 5.0}))
+    assert server._allotter.limit("g1") == Limit(40, 2000.0)
+    server.follow({}, SYSTEM.now())
+    until(lambda: server._allotter.limit("g1") == Limit(10, 2000.0), "the partner's own limit binds")
+    server.close()
