--- a/springspread/accord/document.py
+++ b/springspread/accord/document.py
@@ -2,7 +2,8 @@
 
 It also says what may differ between one policy and the next. What numbers discovery's list (kinds, zones,
 report fields) and what a process is built with serve a start; a class keeps its effect for ever, as a
-message that was taken under one policy may be recovered under any later one."""
+message that was taken under one policy may be recovered under any later one.
+"""
 
 from __future__ import annotations
 
@@ -65,7 +66,8 @@
 
 def check(new: Policy, history: Iterable[Policy]) -> None:
     """Raise ``PolicyFault`` where it can't be used at all, or not after the policies of the history, oldest
-    first."""
+    first.
+    """
     try:
         specs = read_settings(flatten(new.settings)).classes
     except SettingsError as exc:
--- a/springspread/accord/record.py
+++ b/springspread/accord/record.py
@@ -6,7 +6,8 @@
 
 A torn last line was never told: it is cut off. Any other damage is told by file and line, and nothing is
 begun over it. A decision's moment is of a clock that starts with the machine: after another start it lies
-in the past."""
+in the past.
+"""
 
 from __future__ import annotations
 
--- a/springspread/accord/terms.py
+++ b/springspread/accord/terms.py
@@ -1,5 +1,6 @@
 """What coordinator, participants and the record exchange. Times are milliseconds of the clock that all
-share."""
+share.
+"""
 
 from __future__ import annotations
 
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -1,7 +1,8 @@
 """The driver of a change of policy in the daemon: one thread that owns the coordinator and its record.
 
 What others tell (who is there, votes, proposals) comes in through a queue; effects are carried out in
-order, and an entry that can't be put on record stops what would have followed it."""
+order, and an entry that can't be put on record stops what would have followed it.
+"""
 
 from __future__ import annotations
 
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -2,7 +2,8 @@
 judges it.
 
 The daemon is a process of its own, and so is each instance; a stand-in partner and directory of the
-caller's takes their calls. What came of it is told in figures, and judged by the observer."""
+caller's takes their calls. What came of it is told in figures, and judged by the observer.
+"""
 
 from __future__ import annotations
 
@@ -162,11 +163,13 @@
         """Begin one; what ends it."""
         relay, name = self._relays[act.who], self._names[act.who]
         pid = int(self._rows.get(name, {}).get("pid", 0))
-        self.told.acts[act.kind.value] += 1
         if act.kind is Kind.DAEMON:
             self._daemon.kill()
             self._daemon.wait()
+            self.told.acts[act.kind.value] += 1
             return self._again
+        if not pid:
+            return lambda: None
         if act.kind is Kind.REPLAY:
             relay.replay()
         elif act.kind is Kind.CUT:
@@ -174,9 +177,12 @@
         elif act.kind in FAULTS:
             fault, ways = FAULTS[act.kind]
             relay.put(fault, *ways)
-        elif pid:
-            with suppress(ProcessLookupError):
+        else:
+            try:
                 os.kill(pid, signal.SIGKILL if act.kind is Kind.KILL else signal.SIGSTOP)
+            except ProcessLookupError:  # dead already, and no daemon there to start it again
+                return lambda: None
+        self.told.acts[act.kind.value] += 1
 
         def over() -> None:
             if act.kind is Kind.FREEZE and pid:
@@ -201,7 +207,8 @@
         """Play it to its end, heal everything, and judge.
 
         ``show`` is told each second: the time (ms), the daemon's rows by name, and what is being done to
-        whom."""
+        whom.
+        """
         threads = [
             threading.Thread(target=self._load, args=(n,), daemon=True) for n in range(len(self._names))
         ]
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -1,5 +1,6 @@
 """The real daemon whose instances find it through relays: ``python -m springspread.rig.daemon
-FLEET.toml``."""
+FLEET.toml``.
+"""
 
 from __future__ import annotations
 
--- a/springspread/rig/observer.py
+++ b/springspread/rig/observer.py
@@ -2,7 +2,8 @@
 machine.
 
 Each call's first byte stands in an instance's log (level debug) with its policy and its moment on the clock
-that all processes of the machine share."""
+that all processes of the machine share.
+"""
 
 from __future__ import annotations
 
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -1,5 +1,6 @@
 """What a fleet under test meets outside: one partner, the directory and the platform, all on one loopback
-port."""
+port.
+"""
 
 from __future__ import annotations
 
--- a/springspread/rig/relay.py
+++ b/springspread/rig/relay.py
@@ -2,7 +2,8 @@
 say.
 
 It stands at a socket of its own, one for each instance, and connects to the daemon's for each connection
-that comes. Faults are put on while it runs; without any it passes lines as they are."""
+that comes. Faults are put on while it runs; without any it passes lines as they are.
+"""
 
 from __future__ import annotations
 
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -1,5 +1,6 @@
 """Faults drawn from a seed, written down before they are played: what happens to whom, when, and for how
-long."""
+long.
+"""
 
 from __future__ import annotations
 
@@ -26,7 +27,8 @@
 @dataclass(frozen=True, slots=True)
 class Act:
     """From ``at`` for ``lasts`` (milliseconds); ``who`` is an instance's number, of no account for the
-    daemon."""
+    daemon.
+    """
 
     at: float
     kind: Kind
--- a/springspread/rig/search.py
+++ b/springspread/rig/search.py
@@ -3,7 +3,8 @@
 Messages are never taken away once they are sent: each may be heard at any moment, any number of times, or
 never, so one set covers loss, delay, doubling, reordering and a process that is frozen. Processes die at any
 moment, the daemon also between any two of its effects. After each event every instance is taken to begin
-calls under whatever it may, and the promises are looked at."""
+calls under whatever it may, and the promises are looked at.
+"""
 
 from __future__ import annotations
 
