--- a/springspread/rig/planted.py
+++ b/springspread/rig/planted.py
@@ -49,7 +49,8 @@
 
 
 def _forgets_the_silent(real: Real, state: Coordinator, now: float, *rest: object) -> Step:
-    return real(replace(state, ends={}) if state.pending else state, now, *rest)  # type: ignore[no-any-return]
+    forgetful = replace(state, ends={}) if state.pending else state
+    return real(forgetful, now, *rest)  # type: ignore[no-any-return]
 
 
 def _grants_past_the_border(real: Real, state: Coordinator, now: float, *rest: object) -> Step:
