Changes of policy counted by kind of fault, with limits at the partner

Chaos drew its faults at random, so no figure said what one kind costs, and limits at the border were tested on the allotter alone. Rounds make one change after the other with the same kind of fault round each; the observer counts calls over the limit in every span at the partner, ends that come twice, and service in the second before a border and after it.

--- /dev/null
+++ b/benchmarks/policy_rounds.py
@@ -0,0 +1,95 @@
+"""Changes of policy on a real fleet under load, by kind of fault: time to force, and every promise counted.
+
+    python -m benchmarks.policy_rounds [--instances 20] [--changes 77] [--only NAME] [--csv FILE]
+
+Each arm makes ``--changes`` changes; round each of them ``--many`` instances meet the arm's fault. Exits with
+1 where a promise was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import sys
+import tempfile
+from pathlib import Path
+
+import numpy as np
+
+from springspread.rig.partner import Outside
+from springspread.rig.rounds import Arm, Rounds
+from springspread.rig.schedule import Kind
+
+MIXED = tuple(Kind)
+ARMS: dict[str, tuple[tuple[Kind, ...], bool]] = {
+    "none": ((), False),
+    "none, limits move": ((), True),
+    **{kind.value: ((kind,), False) for kind in Kind},
+    "any kind, limits move": (MIXED, True),
+}
+
+
+def row(arm: Arm) -> dict[str, object]:
+    """A line of the table; times to force in seconds, the stall in milliseconds."""
+    times = np.array(arm.seconds or [float("nan")])
+    before, after = (np.mean([pair[n] for pair in arm.service] or [float("nan")]) for n in (0, 1))
+    return {
+        "fault": arm.name,
+        "changes": arm.changes,
+        "faults": arm.acts,
+        "messages": arm.messages,
+        "calls": arm.calls,
+        "mixtures": len(arm.mixtures),
+        "undone": len(arm.undone),
+        "late": len(arm.late),
+        "without_end": len(arm.without_end),
+        "two_ends": len(arm.two_ends),
+        "over_limit": len(arm.over_limit),
+        "unheard": arm.unheard,
+        "p50_s": round(float(np.percentile(times, 50)), 2),
+        "p99_s": round(float(np.percentile(times, 99)), 2),
+        "most_s": round(float(times.max()), 2),
+        "stall_ms": round(arm.stall_ms, 1),
+        "before": round(float(before), 4),
+        "after": round(float(after), 4),
+    }
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--instances", type=int, default=20)
+    parser.add_argument("--many", type=int, default=5, help="instances that meet a fault at a time")
+    parser.add_argument("--changes", type=int, default=77)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--lease-ms", type=float, default=1000.0)
+    parser.add_argument("--load-s", type=float, default=0.1, help="time between an instance's messages")
+    parser.add_argument("--only", choices=list(ARMS))
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    outside, broken, rows = Outside(), 0, []
+    with tempfile.TemporaryDirectory(prefix="springspread-rounds-") as place:
+        rounds = Rounds(Path(place), outside, args.instances, args.lease_ms, args.load_s)
+        try:
+            for name, (kinds, limits) in ARMS.items():
+                if args.only in (None, name):
+                    arm = rounds.arm(name, kinds, args.changes, args.many, args.seed, limits)
+                    rows.append(row(arm))
+                    print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
+                    faults = [*arm.mixtures, *arm.undone, *arm.late, *arm.over_limit]
+                    for line in [*faults[:5], *sorted(arm.without_end)[:5], *sorted(arm.two_ends)[:5]]:
+                        print(f"  BROKEN {line}", flush=True)
+                    broken += arm.broken
+        finally:
+            rounds.close()
+            outside.close()
+    if args.csv is not None:
+        with args.csv.open("w", newline="") as out:
+            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
+            writer.writeheader()
+            writer.writerows(rows)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -19,6 +19,8 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -59,11 +61,12 @@
     across: list[float] = field(default_factory=list)
     handed: set[str] = field(default_factory=set)
     without_end: set[str] = field(default_factory=set)
+    two_ends: set[str] = field(default_factory=set)  # answered as delivered and told as not, or told as both
 
     @property
     def held(self) -> bool:
         """Whether every promise that is judged here was kept."""
-        return not (self.mixtures or self.undone or self.without_end)
+        return not (self.mixtures or self.undone or self.without_end or self.two_ends)
 
 
 class Chaos:
@@ -87,6 +90,10 @@
         self._listens: dict[str, str] = {}
         self._rows: dict[str, dict[str, Any]] = {}
         self.told = Told()
+        self._ids = count(1)
+        self.handed_at: dict[str, float] = {}
+        self._threads: list[threading.Thread] = []
+        self._answered: set[str] = set()
         self._daemon = self._start()
         end = time.monotonic() + READY_S
         while not all(self._rows.get(name, {}).get("in_fleet") for name in self._names):
@@ -111,18 +118,21 @@
     # Load and changes
 
     def _load(self, number: int) -> None:
-        count, name = 0, self._names[number]
+        name = self._names[number]
         while not self._over.wait(self._each_s):
-            count += 1
-            id = f"{name}-{count}"
+            id = f"{name}-{next(self._ids)}"
             host, _, port = self._listens.get(name, "127.0.0.1:1").rpartition(":")
             connection = http.client.HTTPConnection(host, int(port), timeout=0.4)
             head = {"X-Correlation-Id": id, "X-Service-Class": self._base["settings"]["classes"][0]["name"]}
             head |= {"X-Consignee": f"dest={GROUP}", "X-Time-Left-Ms": "8000"}
             with suppress(OSError, http.client.HTTPException):
                 connection.request("POST", "/api", b"hello", head)
-                if connection.getresponse().status in (200, 202):
+                status = connection.getresponse().status
+                if status in (200, 202):
                     self.told.handed.add(id)
+                    self.handed_at[id] = time.monotonic() * 1000.0
+                if status == 200:
+                    self._answered.add(id)
             connection.close()
 
     def _change(self) -> None:
@@ -159,7 +169,7 @@
 
     # Faults
 
-    def _act(self, act: Act) -> Callable[[], None]:
+    def befall(self, act: Act) -> Callable[[], None]:
         """Begin one; what ends it."""
         relay, name = self._relays[act.who], self._names[act.who]
         pid = int(self._rows.get(name, {}).get("pid", 0))
@@ -209,12 +219,8 @@
         ``show`` is told each second: the time (ms), the daemon's rows by name, and what is being done to
         whom.
         """
-        threads = [
-            threading.Thread(target=self._load, args=(n,), daemon=True) for n in range(len(self._names))
-        ]
-        threads.append(threading.Thread(target=self._change, daemon=True))
-        for thread in threads:
-            thread.start()
+        self.load()
+        self._spawn(self._change)
         start, ends = time.monotonic(), list[tuple[float, Callable[[], None], str]]()
         shown = 0.0
         todo = list(acts)
@@ -224,7 +230,7 @@
                 if act.kind is Kind.DAEMON and self._daemon.poll() is not None:
                     continue
                 who = "" if act.kind is Kind.DAEMON else f"{self._names[act.who]} "
-                ends.append((now + act.lasts, self._act(act), f"{who}{act.kind.value}"))
+                ends.append((now + act.lasts, self.befall(act), f"{who}{act.kind.value}"))
             for one in [one for one in ends if one[0] <= now]:
                 ends.remove(one)
                 one[1]()
@@ -233,18 +239,39 @@
                 shown = now + 1000.0
                 show(now, self._rows, [what for _, _, what in ends])
             time.sleep(0.05)
+        self.end_load()
+        found = begun(self._folder)
+        self.told.calls, self.told.mixtures = len(found), mixtures(found)
+        self.told.within, self.told.across = gaps(found)
+        return self.told
+
+    def load(self) -> None:
+        """Hand each instance its messages from now on."""
+        self._over.clear()
+        for number in range(len(self._names)):
+            self._spawn(partial(self._load, number))
+
+    def end_load(self) -> None:
+        """Hand in nothing more, and see what became of all of it."""
         self._again()
         self._over.set()
-        for thread in threads:
+        for thread in self._threads:
             thread.join(30.0)
+        self._threads.clear()
         end = time.monotonic() + ENDS_S
         while (lost := self.told.handed - self._outside.ended) and time.monotonic() < end:
             time.sleep(0.1)
         self.told.without_end = lost
-        found = begun(self._folder)
-        self.told.calls, self.told.mixtures = len(found), mixtures(found)
-        self.told.within, self.told.across = gaps(found)
-        return self.told
+        told = {
+            id: {*said, *(["delivered"] if id in self._answered else [])}
+            for id, said in self._outside.noticed.items()
+        }
+        self.told.two_ends = {id for id, said in told.items() if len(said) > 1}
+
+    def _spawn(self, what: Callable[[], None]) -> None:
+        thread = threading.Thread(target=what, daemon=True)
+        self._threads.append(thread)
+        thread.start()
 
     def close(self) -> None:
         """End every process that it started."""
--- a/springspread/rig/observer.py
+++ b/springspread/rig/observer.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
+import re
+from bisect import bisect_right
+from collections.abc import Iterable, Mapping, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 
+DECIDED = re.compile(r"Decided\(number=(\d+), since=([\d.]+)\)")
 SLACK_MS = 20.0  # from the last look to the first byte: stated in the design, and given to the machine
 
 
@@ -52,6 +56,40 @@
     return within, across
 
 
+def borders(fleet: Path) -> list[tuple[float, int]]:
+    """From when (ms) each policy holds, out of the daemon's log, in order of time."""
+    found = {}
+    for line in (fleet / "daemon.log").read_bytes().splitlines():
+        if b"Decided(" in line:
+            with suppress(ValueError, KeyError, AttributeError):
+                number, since = DECIDED.search(json.loads(line)["entry"]).groups()  # type: ignore[union-attr]
+                found[int(number)] = float(since)
+    return sorted((since, number) for number, since in found.items())
+
+
+def over_limit(
+    arrivals: Sequence[float], held: Sequence[tuple[float, int]], limits: Mapping[int, tuple[int, float]]
+) -> list[str]:
+    """Spans with more calls than the limit that holds at their last call; where none does, all may pass.
+
+    ``held``: from when each policy holds; ``limits``: calls and span (ms) by policy. Where a limit shrinks,
+    a span that ends after the border has to keep the smaller one.
+    """
+    faults, since = [], [at for at, _ in held]
+    for last, now in enumerate(arrivals):
+        place = bisect_right(since, now) - 1
+        number = held[place][1] if place >= 0 else 0
+        if number not in limits:
+            continue
+        most, span = limits[number]
+        first = bisect_right(arrivals, now - span, 0, last)
+        if last - first + 1 > most:
+            faults.append(
+                f"{last - first + 1} calls in {span:g} ms under policy {number}, which allows {most}"
+            )
+    return faults
+
+
 def mixtures(calls: Iterable[Begun]) -> list[str]:
     """Calls that began under an older policy after any began under a newer one."""
     faults, newest = [], Begun("", 0, 0.0)
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -6,7 +6,8 @@
 
 import json
 import threading
-from collections import Counter
+import time
+from collections import Counter, defaultdict
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
@@ -15,11 +16,16 @@
 
 
 class Outside:
-    """Serves until ``close``. ``applied`` counts calls by message, ``noticed`` the notices."""
+    """Serves until ``close``. ``applied`` counts calls by message; ``noticed`` has what notices said of one.
+
+    ``arrivals``: when each call was there (ms, the monotonic clock), in order; ``first``: by message.
+    """
 
     def __init__(self) -> None:
         self.applied: Counter[str] = Counter()
-        self.noticed: Counter[str] = Counter()
+        self.noticed: defaultdict[str, set[str]] = defaultdict(set)
+        self.arrivals: list[float] = []
+        self.first: dict[str, float] = {}
         self.lock = threading.Lock()
         self.over = threading.Event()
         self.server = ThreadingHTTPServer(("127.0.0.1", 0), type("Handler", (_Handler,), {"outside": self}))
@@ -103,11 +109,15 @@
             return
         if self.path == "/v2/finals":
             with self.outside.lock:
-                self.outside.noticed.update(json.loads(line)["id"] for line in body.splitlines())
+                for notice in map(json.loads, body.splitlines()):
+                    self.outside.noticed[notice["id"]].add(notice["status"])
             self._reply(204)
             return
+        id, now = self.headers.get("X-Correlation-Id", ""), time.monotonic() * 1000.0
         with self.outside.lock:
-            self.outside.applied[self.headers.get("X-Correlation-Id", "")] += 1
+            self.outside.applied[id] += 1
+            self.outside.arrivals.append(now)
+            self.outside.first.setdefault(id, now)
         self._reply(200)
 
     def log_message(self, format: str, *args: Any) -> None:
--- /dev/null
+++ b/springspread/rig/rounds.py
@@ -0,0 +1,187 @@
+"""One change of policy after the other on a real fleet, each with the same kind of fault round it.
+
+A round begins a change while some instances meet a fault (drawn from a seed: who, and when, from shortly
+before the proposal until shortly after the votes), asks until there is the one answer, heals, and goes on.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+from springspread.fleet.orders import asked
+from springspread.rig.chaos import Chaos
+from springspread.rig.observer import begun, borders, gaps, mixtures, over_limit
+from springspread.rig.partner import GROUP, Outside
+from springspread.rig.schedule import Act, Kind
+
+LIMITS = ((300, 500.0), (60, 500.0), (600, 500.0))  # cut to a fifth, raised tenfold, halved
+FORCE_S = 30.0  # no change may take longer
+IN_TIME_MS = 1_000.0  # the class's objective
+BORDER_MS = 1_000.0
+
+
+@dataclass(slots=True)
+class Arm:
+    """What came of one kind. Times to force are seconds; ``service``: before a border and after it."""
+
+    name: str
+    changes: int = 0
+    acts: int = 0
+    unheard: int = 0
+    seconds: list[float] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)  # changes without an answer
+    undone: list[str] = field(default_factory=list)
+    mixtures: list[str] = field(default_factory=list)
+    over_limit: list[str] = field(default_factory=list)
+    without_end: set[str] = field(default_factory=set)
+    two_ends: set[str] = field(default_factory=set)
+    messages: int = 0
+    calls: int = 0
+    stall_ms: float = 0.0  # the longest time between two calls of an instance that met no fault
+    service: list[tuple[float, float]] = field(default_factory=list)
+
+    @property
+    def broken(self) -> int:
+        """How many times a promise was broken."""
+        kinds = (self.late, self.undone, self.mixtures, self.over_limit, self.without_end, self.two_ends)
+        return sum(len(kind) for kind in kinds)
+
+
+class Rounds(Chaos):
+    """Made as ``Chaos``; any number of ``arm``, then ``close``."""
+
+    def __init__(
+        self, place: Path, outside: Outside, instances: int, lease_ms: float = 1500.0, each_s: float = 0.1
+    ) -> None:
+        super().__init__(place, outside, instances, lease_ms, each_s)
+        self._slots, self._turn, self._given = 20, 0, list[int]()
+
+    def arm(self, name: str, kinds: Sequence[Kind], count: int, many: int, seed: int, limits: bool) -> Arm:
+        """``count`` changes; round each of them ``many`` instances meet one of ``kinds``.
+
+        With ``limits`` each change moves the partner's limit, too.
+        """
+        arm, rng = Arm(name), Random(f"{seed}/{name}")
+        limited: dict[int, tuple[int, float]] = {}
+        self.told.handed.clear()
+        self.load()
+        begun_at = time.monotonic() * 1000.0
+        touched: set[str] = set()
+        for _ in range(count):
+            self._turn += 1
+            limit = LIMITS[self._turn % len(LIMITS)] if limits else None
+            acts = []
+            if kinds:
+                kind = rng.choice(list(kinds))
+                whose = [0] if kind is Kind.DAEMON else rng.sample(range(len(self._names)), many)
+                acts = [Act(rng.uniform(0.0, 800.0), kind, who, rng.uniform(50.0, 600.0)) for who in whose]
+                touched |= {self._names[act.who] for act in acts if kind is not Kind.DAEMON}
+            number = self._round(arm, sorted(acts, key=lambda act: act.at), limit)
+            if limit is not None:
+                limited[number] = limit
+            time.sleep(rng.uniform(0.05, 0.3))
+        self.end_load()
+        arm.without_end, arm.two_ends = self.told.without_end, self.told.two_ends
+        arm.messages = len(self.told.handed)
+        self._judge(arm, begun_at, touched, limited)
+        return arm
+
+    def _round(self, arm: Arm, acts: Sequence[Act], limit: tuple[int, float] | None) -> int:
+        """One change, its faults, its one answer; its number."""
+        self._slots = 5 if self._slots >= 40 else self._slots + 1
+        self._base["settings"]["specifics"]["callsOut"] = self._slots
+        limits = {f"g{GROUP}": limit} if limit else {}
+        text = json.dumps({"settings": self._base["settings"], "limits": limits})
+        start = time.monotonic()
+        over = threading.Event()
+        answer: list[int] = []
+
+        def change() -> None:
+            time.sleep(0.3)  # faults begin from 0.3 s before it
+            answer.append(self._settled(arm, text))
+            over.set()
+
+        thread = threading.Thread(target=change, daemon=True)
+        thread.start()
+        todo, ends = list(acts), list[tuple[float, Callable[[], None]]]()
+        while not over.is_set() or ends:
+            now = 1000.0 * (time.monotonic() - start)
+            while todo and todo[0].at <= now and not over.is_set():
+                act = todo.pop(0)
+                if act.kind is not Kind.DAEMON or self._daemon.poll() is None:
+                    ends.append((act.lasts, self.befall(act)))
+            for one in list(ends):
+                # A daemon comes back in its time; others are healed when the change has its answer.
+                if over.is_set() or (acts[0].kind is Kind.DAEMON and now >= acts[0].at + one[0]):
+                    ends.remove(one)
+                    one[1]()
+            self._look()
+            time.sleep(0.02)
+        thread.join()
+        self._again()
+        arm.changes += 1
+        arm.acts += len(acts) - len(todo)
+        return answer[0]
+
+    def _settled(self, arm: Arm, text: str) -> int:
+        """Propose until it is in force, as an operator does who heard nothing; its number."""
+        start, number, fault = time.monotonic(), 0, ""
+        order = {"do": "propose", "policy": text, "within": 20.0}
+        while time.monotonic() < start + FORCE_S:
+            state = "unheard"
+            with suppress(OSError, ValueError, KeyError):
+                answer = asked(self._folder / "control", order, 20.0)
+                state, number, fault = answer["state"], answer["version"], answer["fault"]
+            if state == "in force":
+                arm.seconds.append(time.monotonic() - start)
+                self._held(arm, number)
+                return number
+            arm.unheard += state == "unheard"
+            time.sleep(0.05)
+        arm.late.append(f"change {number}: no answer in {FORCE_S:g} s: {fault}")
+        return number
+
+    def _held(self, arm: Arm, number: int) -> None:
+        """What is in force stays so: history says the same of every change that was."""
+        self._given.append(number)
+        with suppress(OSError, ValueError, KeyError):
+            rows = asked(self._folder / "control", {"do": "history"})["history"]
+            states = {row["version"]: row["state"] for row in rows}
+            arm.undone += [
+                f"{one} is {states.get(one)}" for one in self._given if states.get(one) != "in force"
+            ]
+
+    def _judge(
+        self, arm: Arm, begun_at: float, touched: set[str], limited: dict[int, tuple[int, float]]
+    ) -> None:
+        found = [call for call in begun(self._folder) if call.at >= begun_at]
+        held = borders(self._folder)
+        arm.calls, arm.mixtures = len(found), mixtures(found)
+        calm = [call for call in found if call.instance not in touched]
+        within, across = gaps(calm)
+        arm.stall_ms = max([*within, *across], default=0.0)
+        with self._outside.lock:
+            arrivals = [at for at in self._outside.arrivals if at >= begun_at]
+            first = dict(self._outside.first)
+        arm.over_limit = over_limit(arrivals, held, limited)
+        for since, _ in held:
+            if since < begun_at + BORDER_MS:
+                continue
+            before, after = (
+                [
+                    first.get(id, float("inf")) <= at + IN_TIME_MS
+                    for id, at in self.handed_at.items()
+                    if since + shift <= at < since + shift + BORDER_MS
+                ]
+                for shift in (-BORDER_MS, 0.0)
+            )
+            if before and after:
+                arm.service.append((sum(before) / len(before), sum(after) / len(after)))
+        self.handed_at.clear()
--- a/tests/rig/test_chaos.py
+++ b/tests/rig/test_chaos.py
@@ -2,6 +2,7 @@
 
 from springspread.rig.chaos import Chaos
 from springspread.rig.partner import Outside
+from springspread.rig.rounds import Rounds
 from springspread.rig.schedule import Act, Kind, drawn
 
 
@@ -29,3 +30,17 @@
     assert first == again != other
     assert {act.kind for act in first + other} == set(Kind)
     assert all(act.at + act.lasts <= 28_000.0 and 0 <= act.who < 4 for act in first)
+
+
+def test_a_round_ends_in_one_answer_and_its_limits_are_counted_at_the_partner(tmp_path: Path) -> None:
+    outside = Outside()
+    rounds = Rounds(tmp_path, outside, 2, 1000.0)
+    try:
+        calm = rounds.arm("calm", (), 1, 0, 1, True)
+        killed = rounds.arm("killed", (Kind.KILL, Kind.DAEMON), 2, 1, 1, False)
+    finally:
+        rounds.close()
+        outside.close()
+    assert (calm.changes, killed.changes, killed.acts) == (1, 2, 2)
+    assert not calm.broken and not killed.broken, (calm, killed)
+    assert len(calm.seconds) == 1 and calm.service and calm.calls and killed.messages
--- a/tests/rig/test_observer.py
+++ b/tests/rig/test_observer.py
@@ -1,7 +1,7 @@
 import json
 from pathlib import Path
 
-from springspread.rig.observer import Begun, begun, gaps, mixtures
+from springspread.rig.observer import Begun, begun, borders, gaps, mixtures, over_limit
 
 
 def test_it_convicts_a_mixture_and_passes_over_torn_lines(tmp_path: Path) -> None:
@@ -24,3 +24,20 @@
         Begun("a", 2, 45.0),
     ]
     assert gaps(calls) == ([20.0], [30.0, 25.0])
+
+
+def test_it_counts_calls_over_the_limit_that_holds_at_the_last_of_a_span() -> None:
+    limits = {1: (4, 100.0), 2: (2, 100.0)}
+    held = [(0.0, 1), (200.0, 2), (400.0, 3)]
+    assert over_limit([10.0, 20.0, 30.0, 40.0, 111.0, 450.0, 451.0, 452.0], held, limits) == []
+    assert len(over_limit([10.0, 20.0, 30.0, 40.0, 109.0], held, limits)) == 1
+    # The smaller one binds a span that began before the border.
+    found = over_limit([150.0, 160.0, 201.0], held, limits)
+    assert found == ["3 calls in 100 ms under policy 2, which allows 2"]
+
+
+def test_borders_are_read_out_of_the_log_of_the_daemon(tmp_path: Path) -> None:
+    lines = [{"entry": f"Decided(number={n}, since={at})"} for n, at in ((2, 50.5), (1, 7.0), (2, 50.5))]
+    text = [json.dumps(line) for line in lines]
+    (tmp_path / "daemon.log").write_text("\n".join([*text, '{"entry": "Decided(number=']))
+    assert borders(tmp_path) == [(7.0, 1), (50.5, 2)]
