A real daemon dies, or meets a full disk, at each moment of a change

Real daemons died at random moments only; the search alone knew its steps. The rig's launcher now counts moments (before and after each write, sync and message, from the first proposal on) and ends the daemon, or fills its disk, at one of them; nothing of it is in the sender.

--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -95,16 +95,21 @@
         self._threads: list[threading.Thread] = []
         self._answered: set[str] = set()
         self._daemon = self._start()
+        self.until_whole()
+
+    def until_whole(self) -> None:
+        """Wait until every instance is in the fleet; raises ``TimeoutError``."""
         end = time.monotonic() + READY_S
+        self._look()
         while not all(self._rows.get(name, {}).get("in_fleet") for name in self._names):
             if time.monotonic() > end:
-                raise TimeoutError("the fleet did not begin in time")
+                raise TimeoutError("the fleet was not whole in time")
             self._look()
             time.sleep(0.1)
 
-    def _start(self) -> subprocess.Popen[bytes]:
+    def _start(self, *moment: str) -> subprocess.Popen[bytes]:
         env = {**os.environ, "RELAY_LOG_LEVEL": "debug"}
-        line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file)]
+        line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
         with (self._folder / "daemon.log").open("ab") as log:
             return subprocess.Popen(line, env=env, stderr=log)
 
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -1,5 +1,6 @@
-"""The real daemon whose instances find it through relays: ``python -m springspread.rig.daemon
-FLEET.toml``.
+"""The real daemon whose instances find it through relays: ``python -m springspread.rig.daemon FLEET.toml``.
+
+With ``AT DEED FILE`` behind it, it meets its end, or a full disk, at a named moment of a change (``steps``).
 """
 
 from __future__ import annotations
@@ -7,10 +8,17 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
+from springspread.accord import record
+from springspread.fleet import daemon as whole
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.plan import read_fleet
+from springspread.fleet.server import AllotterServer
+from springspread.fleet.shares import Owner
+from springspread.fleet.wire import Message
 from springspread.logs import make_log
+from springspread.rig.steps import Deed, Disk, Steps
 
 ENDS = (signal.SIGTERM, signal.SIGINT)
 
@@ -18,20 +26,45 @@
 class RelayedDaemon(Daemon):
     """All of it is the daemon's own, but for the socket that instances are told of."""
 
+    steps: Steps | None = None
+
     def meeting_point(self, name: str) -> Path:
         """The instance's relay."""
         return relay_path(self.folder, name)
 
+    def propose(self, text: str, within_s: float) -> dict[str, Any]:
+        """As the daemon's; moments are counted from the first one on."""
+        if self.steps is not None:
+            self.steps.arm()
+        return super().propose(text, within_s)
+
 
 def relay_path(folder: Path, name: str) -> Path:
     """Where an instance's relay stands."""
     return folder / f"relay.{name}"
 
 
+def install(steps: Steps) -> None:
+    """Put the moments in, for this process."""
+
+    class Server(AllotterServer):
+        def tell(self, owner: Owner, message: Message) -> None:
+            what = f"{type(message).__name__.lower()} to {owner[0]}"
+            steps.moment(f"before {what}", False)
+            super().tell(owner, message)
+            steps.moment(f"after {what}", False)
+
+    RelayedDaemon.steps = steps
+    vars(whole).update(AllotterServer=Server)
+    vars(record).update(os=Disk(steps))
+
+
 def main() -> None:
     """Run until SIGTERM."""
     signal.pthread_sigmask(signal.SIG_BLOCK, ENDS)
     log, sink = make_log("fleet", 1000)
+    if len(sys.argv) == 5:
+        install(Steps(int(sys.argv[2]), Deed(sys.argv[3]), Path(sys.argv[4])))
     daemon = RelayedDaemon(read_fleet(Path(sys.argv[1])), log)
     signal.sigwait(ENDS)
     daemon.stop()
--- a/springspread/rig/rounds.py
+++ b/springspread/rig/rounds.py
@@ -20,6 +20,7 @@
 from springspread.rig.observer import begun, borders, gaps, mixtures, over_limit
 from springspread.rig.partner import GROUP, Outside
 from springspread.rig.schedule import Act, Kind
+from springspread.rig.steps import Deed
 
 LIMITS = ((300, 500.0), (60, 500.0), (600, 500.0))  # cut to a fifth, raised tenfold, halved
 FORCE_S = 30.0  # no change may take longer
@@ -61,7 +62,8 @@
         self, place: Path, outside: Outside, instances: int, lease_ms: float = 1500.0, each_s: float = 0.1
     ) -> None:
         super().__init__(place, outside, instances, lease_ms, each_s)
-        self._slots, self._turn, self._given = 20, 0, list[int]()
+        self._slots, self._turn = 20, 0
+        self._given: dict[int, str] = {}  # what was answered of each change
 
     def arm(self, name: str, kinds: Sequence[Kind], count: int, many: int, seed: int, limits: bool) -> Arm:
         """``count`` changes; round each of them ``many`` instances meet one of ``kinds``.
@@ -141,22 +143,64 @@
                 state, number, fault = answer["state"], answer["version"], answer["fault"]
             if state == "in force":
                 arm.seconds.append(time.monotonic() - start)
-                self._held(arm, number)
+                self._held(arm, number, state)
                 return number
+            if state == "refused" and number:
+                self._held(arm, number, state)
             arm.unheard += state == "unheard"
             time.sleep(0.05)
         arm.late.append(f"change {number}: no answer in {FORCE_S:g} s: {fault}")
         return number
 
-    def _held(self, arm: Arm, number: int) -> None:
-        """What is in force stays so: history says the same of every change that was."""
-        self._given.append(number)
+    def _held(self, arm: Arm, number: int, state: str) -> None:
+        """What was answered of a change is its answer for ever."""
+        self._given[number] = state
         with suppress(OSError, ValueError, KeyError):
             rows = asked(self._folder / "control", {"do": "history"})["history"]
             states = {row["version"]: row["state"] for row in rows}
-            arm.undone += [
-                f"{one} is {states.get(one)}" for one in self._given if states.get(one) != "in force"
-            ]
+            for one, was in self._given.items():
+                if states.get(one) != was:
+                    arm.undone.append(f"policy {one} was {was} and is {states.get(one)}")
+
+    def moment(self, at: int, deed: Deed) -> tuple[str, Arm]:
+        """One change whose daemon meets its ``at``-th moment, and another daemon after it; the moment's name.
+
+        Empty: the change was over before. A daemon whose disk is full is ended, and the next one has room.
+        """
+        told = self._folder / "moment"
+        told.unlink(missing_ok=True)
+        self._daemon.kill()
+        self._daemon.wait()
+        self._daemon = self._start(str(at), deed.value, str(told))
+        self.until_whole()
+        arm = Arm(f"{deed.value} {at}")
+        begun_at = time.monotonic() * 1000.0
+        self.load()
+        over = threading.Event()
+        thread = threading.Thread(target=self._after_moment, args=(told, over), daemon=True)
+        thread.start()
+        self._slots = 5 if self._slots >= 40 else self._slots + 1
+        self._base["settings"]["specifics"]["callsOut"] = self._slots
+        self._settled(arm, json.dumps({"settings": self._base["settings"], "limits": {}}))
+        over.set()
+        thread.join()
+        arm.changes = 1
+        self.end_load()
+        arm.without_end, arm.two_ends = self.told.without_end, self.told.two_ends
+        arm.messages = len(self.told.handed)
+        self.told.handed.clear()
+        self._judge(arm, begun_at, set(), {})
+        return told.read_text() if told.exists() else "", arm
+
+    def _after_moment(self, told: Path, over: threading.Event) -> None:
+        """The next daemon, once this one has met its moment before the change was over."""
+        while not told.exists():
+            if over.wait(0.02):
+                return
+        time.sleep(0.5)  # what it refuses on a full disk is answered meanwhile
+        self._daemon.kill()
+        self._daemon.wait()
+        self._again()
 
     def _judge(
         self, arm: Arm, begun_at: float, touched: set[str], limited: dict[int, tuple[int, float]]
--- a/tests/rig/test_chaos.py
+++ b/tests/rig/test_chaos.py
@@ -4,6 +4,7 @@
 from springspread.rig.partner import Outside
 from springspread.rig.rounds import Rounds
 from springspread.rig.schedule import Act, Kind, drawn
+from springspread.rig.steps import Deed
 
 
 def test_changes_go_on_through_faults_between_processes(tmp_path: Path) -> None:
@@ -44,3 +45,17 @@
     assert (calm.changes, killed.changes, killed.acts) == (1, 2, 2)
     assert not calm.broken and not killed.broken, (calm, killed)
     assert len(calm.seconds) == 1 and calm.service and calm.calls and killed.messages
+
+
+def test_a_daemon_meets_its_end_or_a_full_disk_at_a_named_moment(tmp_path: Path) -> None:
+    outside = Outside()
+    rounds = Rounds(tmp_path, outside, 2, 1000.0, 0.05)
+    try:
+        met = [rounds.moment(at, deed) for at, deed in ((3, Deed.DIE), (1, Deed.FULL), (500, Deed.DIE))]
+    finally:
+        rounds.close()
+        outside.close()
+    (died, first), (full, second), (never, third) = met
+    assert died and full == "before sync of text" and never == ""
+    for arm in (first, second, third):
+        assert not arm.broken and len(arm.seconds) == 1 and arm.calls, arm
