policy check asks every instance; a change names whom it waits for once it is decided

Check asked the daemon alone, so an instance that holds messages of a class that goes was heard of only from a refused proposal; and a decided change said 'the grants of those that are silent'. Check now asks each running instance (a question of its own, from which nothing follows) and tells who would refuse and who gave no answer; status and outcome name the silent, with the time left. Tested on three processes, one frozen, one holding a message.

--- a/springspread/accord/coordinator.py
+++ b/springspread/accord/coordinator.py
@@ -117,6 +117,7 @@
     ends: Mapping[Owner, float] = field(default_factory=dict)  # of the latest grants
     connected: frozenset[Owner] = frozenset()
     renew_at: float = -inf
+    silent: frozenset[Owner] = field(default=frozenset(), compare=False)  # waited for since the last decision
 
     @property
     def serial(self) -> Serial:
@@ -218,7 +219,8 @@
     # Guards against a mixture: nobody's right to the old policy goes beyond this moment.
     over = max([now + times.lead_ms, *silent, *([pending.cut] if pending.yes else [])])
     made: list[Effect] = [Write(Decided(pending.number, over + times.slack_ms + pending.lead_ms))]
-    state = replace(_noted(state, made), pending=None)
+    waited = frozenset(owner for owner, end in state.ends.items() if owner not in pending.yes and end > now)
+    state = replace(_noted(state, made), pending=None, silent=waited)
     state, told = _grant(state, now, sorted(state.connected))
     return state, made + told
 
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -198,15 +198,20 @@
 @click.argument("file", type=FILE)
 @JSON
 def check(file: Path, as_json: bool) -> None:
-    """Say what a proposal of FILE would change, and whether the daemon would refuse it. Changes nothing."""
+    """Say what a proposal of FILE would change, and who would refuse it. Changes nothing."""
     answer = _ask(file, {"do": "check", "policy": _wanted(file)})
     if as_json:
-        click.echo(json.dumps({key: answer[key] for key in ("usable", "fault", "changes")}))
-    elif answer["usable"]:
-        for line in answer["changes"] or ["nothing would change"]:
-            click.echo(line)
+        click.echo(
+            json.dumps({key: answer[key] for key in ("usable", "fault", "changes", "refuse", "silent")})
+        )
     else:
-        click.echo(f"would be refused: {answer['fault']}", err=True)
+        for line in answer["changes"] or (["nothing would change"] if answer["usable"] else []):
+            click.echo(line)
+        own = {"the daemon": answer["fault"]} if answer["fault"] and not answer["refuse"] else {}
+        for who, why in {**own, **answer["refuse"]}.items():
+            click.echo(f"would be refused by {who}: {why}", err=True)
+        if answer["silent"]:
+            click.echo(f"no answer from {', '.join(answer['silent'])}", err=True)
     sys.exit(0 if answer["usable"] else 5)
 
 
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -9,6 +9,7 @@
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import count
 from math import inf
 from pathlib import Path
 from queue import Empty, SimpleQueue
@@ -21,7 +22,7 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
 from springspread.fleet.shares import Limit
-from springspread.fleet.wire import Document, Message
+from springspread.fleet.wire import Document, Fit, Message, Question
 from springspread.net.threads import spawn
 
 LOOK_MS = 20.0
@@ -56,6 +57,8 @@
             self.record.append(Decided(number, clock.now()))
         self._inbox: SimpleQueue[Callable[[float], Step]] = SimpleQueue()
         self._state: Coordinator | None = None
+        self._asked: dict[int, dict[Owner, str | None]] = {}  # what is open, and who said what of it
+        self._ids = count(1)
         self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
         self._acting: dict[Owner, tuple[int, float]] = {}
         self._tell: Callable[[Owner, Message], None] = _nobody
@@ -76,10 +79,14 @@
 
     # Told by others, from any thread
 
-    def heard(self, owner: Owner, said: Vote | Acting | None, here: bool) -> None:
-        """An owner has joined (or, not ``here``, left), votes, or says what it acts under."""
+    def heard(self, owner: Owner, said: Vote | Acting | Fit | None, here: bool) -> None:
+        """An owner has joined (or, not ``here``, left), votes, says what it acts under, or what would fit."""
         if isinstance(said, Acting):
             self._acting[owner] = (said.version, self._clock.now())
+        elif isinstance(said, Fit):
+            asked = self._asked.get(said.id)
+            if asked is not None and owner in asked:
+                asked[owner] = said.fault
         elif said is not None:
             vote = said
             self._inbox.put(lambda now: coordinator.voted(self._now_state, now, owner, vote))
@@ -98,6 +105,19 @@
         self._inbox.put(lambda now: self._propose(now, proposal))
         return proposal
 
+    def would_fit(self, policy: Policy, owners: Iterable[Owner]) -> dict[Owner, str | None]:
+        """Whether instances could use a policy; changes nothing. Their faults; ``None``: no answer."""
+        id = next(self._ids)
+        told: dict[Owner, str | None] = dict.fromkeys(owners)
+        self._asked[id] = told
+        for owner in list(told):
+            self._tell(owner, Question(id, policy.text))
+        end = self._clock.now() + self._times.vote_ms
+        while None in list(told.values()) and self._clock.now() < end:
+            self._clock.sleep(LOOK_MS / 2.0)
+        del self._asked[id]
+        return told
+
     # What is known
 
     @property
@@ -121,7 +141,8 @@
             case Refused(_, by, fault):
                 return "refused", f"{by}: {fault}" if by else fault
             case Decided(_, since) if since > (now := self._clock.now()):
-                return "decided", f"the grants of those that are silent, {(since - now) / 1000:.1f} s"
+                names = ", ".join(name for name, _ in self.waits) or "its moment"
+                return "decided", f"{names}, {(since - now) / 1000:.1f} s"
             case Decided():
                 return "in force", ""
         return "pending", ", ".join(name for name, _ in self.waits)
@@ -142,7 +163,7 @@
             return sorted(state.pending.waits)
         if state.settled(self._clock.now()):
             return []
-        return sorted(set(state.ends) - state.connected)
+        return sorted(state.silent)
 
     def acts_under(self, owner: Owner) -> int:
         """What an owner said lately that it acts under; 0: it holds, or nothing is heard of it."""
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -22,11 +22,13 @@
 from springspread.fleet.wire import (
     Asking,
     Document,
+    Fit,
     Granted,
     Hello,
     Limited,
     Lines,
     Message,
+    Question,
     Unreadable,
     write,
 )
@@ -59,7 +61,7 @@
         self._texts: dict[int, str] = {}
         self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
         self._holding, self._unfit = False, 0
-        self._votes: deque[Vote] = deque()
+        self._votes: deque[Vote | Fit] = deque()
         self._wallet = Wallet()
         self._arrived = threading.Condition()
         self._ring = threading.Event()
@@ -196,19 +198,24 @@
                 self._texts = dict(sorted({**self._texts, message.number: message.text}.items())[-3:])
         elif isinstance(message, Grant):
             self._rights = participant.granted(self._rights, message, self._clock.now())
+        elif isinstance(message, Question):
+            self._votes.append(Fit(message.id, self._fault(message.text)))
         elif isinstance(message, Prepare):
-            fault = ""
-            try:
-                self._usable(self._texts[message.number])
-            except KeyError:
-                fault = "its text did not arrive"
-            except ConfigError as exc:
-                fault = str(exc)
+            text = self._texts.get(message.number)
+            fault = "its text did not arrive" if text is None else self._fault(text)
             self._rights, vote = participant.prepared(self._rights, message, fault)
             if vote is not None:
                 self._votes.append(vote)
         self._ring.set()
 
+    def _fault(self, text: str) -> str:
+        """Why a policy can't be used here; empty if it can."""
+        try:
+            self._usable(text)
+        except ConfigError as exc:
+            return str(exc)
+        return ""
+
     def _hear(self, sock: socket.socket, over: threading.Event) -> None:
         lines = Lines()
         try:
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -157,13 +157,20 @@
         return self._changes.policy(number)
 
     def _checked(self, text: str) -> dict[str, Any]:
-        """What a proposal would change, and whether the daemon would refuse it; nothing is changed."""
+        """What a proposal would change, who would refuse it, and who is silent; nothing is changed."""
         try:
             policy = parsed(text)
             check(policy, [self._changes.policy(number) for number in self._changes.record.decided])
         except PolicyFault as exc:
-            return {"usable": False, "fault": str(exc), "changes": []}
-        return {"usable": True, "fault": "", "changes": differences(self._policy, policy)}
+            return {"usable": False, "fault": str(exc), "changes": [], "refuse": {}, "silent": []}
+        with self._lock:
+            running = [(row.name, row.epoch) for row in self._rows.values() if row.pid]
+        told = self._changes.would_fit(policy, running)
+        refuse = {name: fault for (name, _), fault in told.items() if fault}
+        changes = differences(self._policy, policy)
+        silent = [name for (name, _), fault in told.items() if fault is None]
+        fault = "; ".join(f"{name}: {why}" for name, why in refuse.items())
+        return {"usable": not refuse, "fault": fault, "changes": changes, "refuse": refuse, "silent": silent}
 
     def _policy_status(self) -> dict[str, Any]:
         changes = self._changes
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -18,7 +18,7 @@
 from springspread.core.types import Log
 from springspread.fleet.record import Record
 from springspread.fleet.shares import Allotter, Limit, Owner
-from springspread.fleet.wire import Asking, Granted, Hello, Limited, Lines, Message, Unreadable, write
+from springspread.fleet.wire import Asking, Fit, Granted, Hello, Limited, Lines, Message, Unreadable, write
 from springspread.net.threads import spawn
 
 TICK_MS = 5.0
@@ -45,7 +45,7 @@
         limits: Mapping[str, Limit],
         log: Log,
         clock: Clock = SYSTEM,
-        heard: Callable[[Owner, Vote | Acting | None, bool], None] | None = None,
+        heard: Callable[[Owner, Vote | Acting | Fit | None, bool], None] | None = None,
     ) -> None:
         """``heard`` is told who joined (true) or left (false), votes, and what they act under.
 
@@ -117,7 +117,11 @@
                 self._send(member, Limited(self._allotter.keys))
                 if self._heard is not None:
                     self._heard(owner, None, True)
-            elif isinstance(message, Vote | Acting) and member.owner is not None and self._heard is not None:
+            elif (
+                isinstance(message, Vote | Acting | Fit)
+                and member.owner is not None
+                and self._heard is not None
+            ):
                 self._heard(member.owner, message, True)
             elif isinstance(message, Asking) and member.owner is not None:
                 self._asking(member.owner, message)
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -67,7 +67,23 @@
     text: str
 
 
-Message = Hello | Asking | Limited | Granted | Document | Prepare | Grant | Vote | Acting
+@dataclass(frozen=True, slots=True)
+class Question:
+    """Could the instance use this policy? Nothing follows from it."""
+
+    id: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """The answer to a ``Question``; ``fault`` is empty where it could."""
+
+    id: int
+    fault: str
+
+
+Message = Hello | Asking | Limited | Granted | Document | Prepare | Grant | Vote | Acting | Question | Fit
 
 
 def write(message: Message) -> bytes:
@@ -141,6 +157,8 @@
     "grant": lambda raw: Grant(
         _serial(raw["serial"]), _whole(raw["version"]), _number(raw["since"]), _number(raw["until"])
     ),
+    "question": lambda raw: Question(_whole(raw["id"]), _long(raw["text"])),
+    "fit": lambda raw: Fit(_whole(raw["id"]), _long(raw["fault"])[:1000]),
     "acting": lambda raw: Acting(_whole(raw["version"])),
     "vote": lambda raw: Vote(_whole(raw["number"]), _flag(raw["yes"]), _long(raw["fault"])[:1000]),
 }
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -101,7 +101,7 @@
         """Wait until every instance is in the fleet; raises ``TimeoutError``."""
         end = time.monotonic() + READY_S
         self._look()
-        while not all(self._rows.get(name, {}).get("in_fleet") for name in self._names):
+        while not all(self._rows.get(n, {}).get("in_fleet") and self._listens.get(n) for n in self._names):
             if time.monotonic() > end:
                 raise TimeoutError("the fleet was not whole in time")
             self._look()
--- a/tests/accord/test_cli.py
+++ b/tests/accord/test_cli.py
@@ -59,6 +59,10 @@
     os.kill(pid, signal.SIGSTOP)
     code, text = said(fleet, "propose", "--within", "0.1")
     assert code == 6 and "policy 3 is not in force yet; it waits for n001" in text
+    until(lambda: fleet.daemon.order({"do": "outcome", "version": 3})["state"] == "decided", "it is decided")
+    assert fleet.daemon.order({"do": "outcome", "version": 3})["fault"].startswith("n001, ")
+    assert fleet.status()["pending"] == {"version": 3, "waits_for": ["n001"]}
+    assert "no answer from n001" in said(fleet, "check")[1]
     os.kill(pid, signal.SIGCONT)
     assert said(fleet, "propose") == (0, "policy 3 is in force\n")
     assert said(fleet, "back", "1") == (0, "policy 4 is in force\n")
--- a/tests/accord/test_fleet.py
+++ b/tests/accord/test_fleet.py
@@ -109,6 +109,11 @@
     until(lambda: fleet.hand_in("n000", "paid", "pay") in (200, 202), "it is taken on")
     base = json.loads((fleet.folder / "sender.json").read_text())
     rest = [spec for spec in base["settings"]["classes"] if spec["name"] != "pay"]
+    raw = {**base, "settings": {**base["settings"], "classes": rest}}
+    order = {"do": "check", "policy": read_fleet(fleet.file).policy(raw).text}
+    asked = fleet.daemon.order(order)
+    assert not asked["usable"] and asked["silent"] == [] and list(asked["refuse"]) == ["n000"]
+    assert asked["refuse"]["n000"].startswith("settings.classes: pay: messages of it are held here")
     told = fleet.propose(classes=rest)
     assert told["state"] == "refused" and told["version"] == 2
     assert told["fault"].startswith("n000: settings.classes: pay: messages of it are held here")
