A change of policy in virtual time: lines, bytes and time to force at any size

Nobody could say what a change costs 200 or 1,000 instances, or what being able to change costs while nothing changes. The real machine and real lines run on a virtual clock, with stated times for writing, way and sync. The rig's partner no longer prints a trace for a caller that was killed.

--- /dev/null
+++ b/benchmarks/policy_virtual.py
@@ -0,0 +1,88 @@
+"""What a change of policy, and being able to make one, costs fleets of any size, in virtual time.
+
+    python -m benchmarks.policy_virtual [--sizes 10 50 200 1000] [--csv FILE]
+
+A line's cost at the daemon is measured first, in this process. The version before said nothing of policies:
+its standing cost is none.
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import json
+import time
+from pathlib import Path
+
+import numpy as np
+
+from springspread.accord.document import Policy
+from springspread.accord.terms import Grant
+from springspread.fleet.wire import write
+from springspread.rig.virtual import Costs, Virtual
+
+IDLE_MS = 20_000.0
+CHANGES = 10
+
+
+def line_ms() -> float:
+    """What writing one grant takes here (ms), without the socket."""
+    grant = Grant((1, 2), 3, 123456.789, 234567.891)
+    start = time.perf_counter()
+    for _ in range(20_000):
+        write(grant)
+    return (time.perf_counter() - start) / 20.0
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--sizes", type=int, nargs="+", default=[10, 50, 200, 1000])
+    parser.add_argument("--socket-ms", type=float, default=0.02, help="for the daemon to hand a line over")
+    parser.add_argument("--config", type=Path, default=Path("deploy/sender.json"))
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    policy = Policy(json.loads(args.config.read_text())["settings"], {})
+    costs = Costs(line=line_ms() + args.socket_ms)
+    print(f"a line: {costs.line * 1000:.0f} microseconds; the policy: {len(policy.text)} bytes")
+    rows = []
+    for size in args.sizes:
+        for deaf in (0, size // 4):
+            fleet = Virtual(size, policy, deaf, costs=costs)
+            before = (fleet.said.lines, fleet.said.bytes, time.process_time())
+            fleet.run(IDLE_MS)
+            seconds = size * IDLE_MS / 1000.0
+            idle = (fleet.said.lines - before[0], fleet.said.bytes - before[1])
+            cpu_us = 1e6 * (time.process_time() - before[2])
+            start = (fleet.said.lines, fleet.said.bytes)
+            took, spent = [], 0.0
+            for _ in range(CHANGES):
+                at = fleet.now
+                took.append(fleet.change())
+                spent += fleet.now - at
+                most = max(fleet.acting())
+                assert fleet.acting()[most] == size - deaf, fleet.acting()
+            standing = [count / IDLE_MS * spent for count in idle]
+            rows.append(
+                {
+                    "instances": size,
+                    "deaf": deaf,
+                    "idle_lines_each_s": round(idle[0] / seconds, 2),
+                    "idle_bytes_each_s": round(idle[1] / seconds),
+                    "idle_cpu_us_each_s": round(cpu_us / seconds),
+                    "change_lines": round((fleet.said.lines - start[0] - standing[0]) / CHANGES),
+                    "change_bytes": round((fleet.said.bytes - start[1] - standing[1]) / CHANGES),
+                    "force_p50_ms": round(float(np.percentile(took, 50))),
+                    "force_most_ms": round(max(took)),
+                }
+            )
+            print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
+    if args.csv is not None:
+        with args.csv.open("w", newline="") as out:
+            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
+            writer.writeheader()
+            writer.writerows(rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import json
+import sys
 import threading
 import time
 from collections import Counter, defaultdict
@@ -28,7 +29,7 @@
         self.first: dict[str, float] = {}
         self.lock = threading.Lock()
         self.over = threading.Event()
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), type("Handler", (_Handler,), {"outside": self}))
+        self.server = _Server(("127.0.0.1", 0), type("Handler", (_Handler,), {"outside": self}))
         self.server.daemon_threads = True
         self.port = int(self.server.server_address[1])
         threading.Thread(target=self.server.serve_forever, name="outside", daemon=True).start()
@@ -78,6 +79,13 @@
         self.server.server_close()
 
 
+class _Server(ThreadingHTTPServer):
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """A caller that was killed is no fault of this one."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 class _Handler(BaseHTTPRequestHandler):
     outside: Outside
     protocol_version = "HTTP/1.1"
