A lease told twice gives its calls once; failing schedules are kept and made smaller

Chaos with a limit at the partner, as an operator would set one, counted 37 calls in spans that allow 30: a lease line that the relay doubles gave its calls twice, as the wallet knew no serials. It now forgets none before its end. Chaos keeps a failing schedule, plays it again and makes it smaller by leaving parts out, and plays a checkout from before policies.

--- a/benchmarks/policy_chaos.py
+++ b/benchmarks/policy_chaos.py
@@ -1,9 +1,12 @@
 """One change of policy after the other on a real fleet, under load and random faults between its processes.
 
     python -m benchmarks.policy_chaos [--seconds 120] [--instances 8] [--seed 1] [--calm] [--csv FILE]
+    python -m benchmarks.policy_chaos --replay FILE [--smaller TRIES] [--keep FILE]
 
 Tells mixtures, answers that were undone, messages without an end, and the time from a proposal until it is
-in force. Exits with 1 where any of the first three is not none."""
+in force. Exits with 1 where any of the first three is not none, or a span has more calls than ``--limit``;
+the schedule is kept then, and can be played again and made smaller. ``--old`` plays another checkout's fleet
+without relays and changes: faults of processes alone."""
 
 from __future__ import annotations
 
@@ -11,13 +14,30 @@
 import csv
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 import numpy as np
 
-from springspread.rig.chaos import Chaos
+from springspread.rig.chaos import Chaos, Told
 from springspread.rig.partner import Outside
-from springspread.rig.schedule import drawn
+from springspread.rig.schedule import Act, Kind, drawn, read, smaller, written
+
+LIMIT_MS = 1_000.0
+PROCESSES = (Kind.KILL, Kind.FREEZE, Kind.DAEMON)
+
+
+def play(args: argparse.Namespace, acts: Sequence[Act]) -> Told:
+    """One run on a new fleet."""
+    outside = Outside()
+    with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as place:
+        limit = (args.limit, LIMIT_MS) if args.limit else None
+        chaos = Chaos(Path(place), outside, args.instances, args.lease_ms, args.load_s, limit, args.old)
+        try:
+            return chaos.play(acts, 1000.0 * args.seconds)
+        finally:
+            chaos.close()
+            outside.close()
 
 
 def main() -> None:
@@ -30,20 +50,29 @@
     parser.add_argument("--lease-ms", type=float, default=1500.0)
     parser.add_argument("--load-s", type=float, default=0.1, help="time between an instance's messages")
     parser.add_argument("--calm", action="store_true", help="no faults")
+    parser.add_argument("--limit", type=int, default=0, help=f"calls in {LIMIT_MS:g} ms at the partner")
+    parser.add_argument("--processes", action="store_true", help="kills, freezes and daemon deaths alone")
+    parser.add_argument("--old", type=Path, help="a checkout from before there were policies")
+    parser.add_argument("--replay", type=Path, help="play this schedule")
+    parser.add_argument("--smaller", type=int, default=0, help="play so often to make a failing one smaller")
+    parser.add_argument("--keep", type=Path, default=Path("failing.json"), help="where a failing one is kept")
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
     length_ms = 1000.0 * args.seconds
     acts = () if args.calm else drawn(args.seed, args.instances, length_ms, 1000.0 * args.each_s)
-    outside = Outside()
-    with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as place:
-        chaos = Chaos(Path(place), outside, args.instances, args.lease_ms, args.load_s)
-        try:
-            told = chaos.play(acts, length_ms)
-        finally:
-            chaos.close()
-            outside.close()
+    if args.replay is not None:
+        acts = read(args.replay.read_text())
+    if args.processes or args.old:
+        acts = tuple(act for act in acts if act.kind in PROCESSES)
+    told = play(args, acts)
+    if not told.held:
+        if args.smaller:
+            acts = smaller(acts, lambda part: not play(args, part).held, args.smaller)
+        args.keep.write_text(written(acts))
+        print(f"{args.keep}: the schedule, {len(acts)} acts; play it again with --replay")
     times = np.array(told.in_force or [float("nan")])
     row = {
+        "program": "old" if args.old else "new",
         "instances": args.instances,
         "seconds": args.seconds,
         "seed": "calm" if args.calm else args.seed,
@@ -58,11 +87,14 @@
         "mixtures": len(told.mixtures),
         "undone": len(told.undone),
         "without_end": len(told.without_end),
+        "two_ends": len(told.two_ends),
+        "limit_ratio": round(told.limit_ratio, 3),
+        "delivered": told.delivered,
         "p50_s": round(float(np.percentile(times, 50)), 2),
         "p99_s": round(float(np.percentile(times, 99)), 2),
         "most_s": round(float(times.max()), 2),
-        "gap_p99_ms": round(float(np.percentile(told.within, 99)), 1),
-        "gap_most_ms": round(max(told.within), 1),
+        "gap_p99_ms": round(float(np.percentile(told.within or [float("nan")], 99)), 1),
+        "gap_most_ms": round(max(told.within, default=float("nan")), 1),
         "change_p99_ms": round(float(np.percentile(told.across or [float("nan")], 99)), 1),
         "change_most_ms": round(max(told.across, default=float("nan")), 1),
     }
@@ -83,7 +115,7 @@
             if new:
                 writer.writeheader()
             writer.writerow(row)
-    sys.exit(1 if told.mixtures or told.undone or told.without_end else 0)
+    sys.exit(0 if told.held else 1)
 
 
 if __name__ == "__main__":
--- a/springspread/fleet/wallet.py
+++ b/springspread/fleet/wallet.py
@@ -48,6 +48,7 @@
         self._held: dict[str, deque[Held]] = {}
         self._limited: set[str] | None = None
         self._wants: dict[str, deque[float]] = {}
+        self._known: dict[int, float] = {}  # serials of leases that are not over yet, and their ends
 
     def limited(self, keys: set[str]) -> None:
         """Which keys need a lease from now on."""
@@ -71,8 +72,12 @@
             return self._retry_ms
 
     def received(self, lease: Lease, now: float) -> None:
-        """A lease came in: so many calls wait no longer."""
+        """A lease came in: so many calls wait no longer. One that comes again gives nothing more."""
         with self._lock:
+            self._known = {serial: until for serial, until in self._known.items() if until > now}
+            if lease.until <= now or lease.serial in self._known:
+                return
+            self._known[lease.serial] = lease.until
             self._held.setdefault(lease.key, deque()).append(Held(lease, now))
             times = self._wants.get(lease.key, deque())
             for _ in range(min(lease.calls, len(times))):
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -26,7 +26,7 @@
 
 from springspread.fleet.orders import asked
 from springspread.rig.daemon import relay_path
-from springspread.rig.observer import begun, gaps, mixtures
+from springspread.rig.observer import begun, fullest, gaps, mixtures
 from springspread.rig.partner import GROUP, Outside
 from springspread.rig.relay import Fault, Relay, Way
 from springspread.rig.schedule import Act, Kind
@@ -34,6 +34,8 @@
 READY_S = 30.0
 ENDS_S = 15.0  # messages live for 8 s, and may be with a process that has to be started first
 TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n[policy_times]\nlease_ms = {}\n'
+OLD_TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n'
+LIMIT_TOML = "[limits.g{}]\ncalls = {}\nspan_ms = {}\n"
 FAULTS = {
     Kind.HALF_OPEN: (Fault.LOSE, (Way.UP, Way.DOWN)),
     Kind.DEAF: (Fault.LOSE, (Way.DOWN,)),
@@ -61,24 +63,42 @@
     across: list[float] = field(default_factory=list)
     handed: set[str] = field(default_factory=set)
     without_end: set[str] = field(default_factory=set)
+    delivered: int = 0
+    limit_ratio: float = 0.0  # the most calls in a span, over the limit
     two_ends: set[str] = field(default_factory=set)  # answered as delivered and told as not, or told as both
 
     @property
     def held(self) -> bool:
         """Whether every promise that is judged here was kept."""
-        return not (self.mixtures or self.undone or self.without_end or self.two_ends)
+        broken = self.mixtures or self.undone or self.without_end or self.two_ends
+        return not broken and self.limit_ratio <= 1.0
 
 
 class Chaos:
     """One run; ``play`` it once, then ``close``."""
 
     def __init__(
-        self, place: Path, outside: Outside, instances: int, lease_ms: float = 1500.0, each_s: float = 0.1
+        self,
+        place: Path,
+        outside: Outside,
+        instances: int,
+        lease_ms: float = 1500.0,
+        each_s: float = 0.1,
+        limit: tuple[int, float] | None = None,
+        program: Path | None = None,
     ) -> None:
-        """``place`` is an empty folder; each instance is handed a message every ``each_s``."""
+        """``place`` is an empty folder; each instance is handed a message every ``each_s``.
+
+        ``limit``: calls and span (ms) at the partner, under every policy. ``program``: another checkout's
+        daemon and instances, from before there were policies; without relays, and nothing is proposed.
+        """
+        self._limit, self._program = limit, program
         self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
-        self._file.write_text(TOML.format(instances, lease_ms))
+        toml = (TOML if program is None else OLD_TOML).format(instances, lease_ms)
+        if limit is not None:
+            toml += LIMIT_TOML.format(GROUP, *limit)
+        self._file.write_text(toml)
         self._outside, self._base = outside, outside.configuration()
         self._names = [f"n{n:03}" for n in range(instances)]
         self._config.write_text(json.dumps(self._base))
@@ -110,8 +130,11 @@
     def _start(self, *moment: str) -> subprocess.Popen[bytes]:
         env = {**os.environ, "RELAY_LOG_LEVEL": "debug"}
         line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
+        if self._program is not None:
+            line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
+            env["PYTHONPATH"] = str(self._program)
         with (self._folder / "daemon.log").open("ab") as log:
-            return subprocess.Popen(line, env=env, stderr=log)
+            return subprocess.Popen(line, env=env, stderr=log, cwd=self._program)
 
     def _look(self) -> None:
         with suppress(OSError, ValueError):
@@ -146,7 +169,8 @@
         while not self._over.is_set():
             slots = 5 if slots >= 40 else slots + 1
             self._base["settings"]["specifics"]["callsOut"] = slots
-            text = json.dumps({"settings": self._base["settings"], "limits": {}})
+            limits = {f"g{GROUP}": self._limit} if self._limit else {}
+            text = json.dumps({"settings": self._base["settings"], "limits": limits})
             self.told.proposals += 1
             begun_at, state, fault, number = time.monotonic(), "unheard", "", 0
             with suppress(OSError, ValueError):
@@ -225,7 +249,8 @@
         whom.
         """
         self.load()
-        self._spawn(self._change)
+        if self._program is None:
+            self._spawn(self._change)
         start, ends = time.monotonic(), list[tuple[float, Callable[[], None], str]]()
         shown = 0.0
         todo = list(acts)
@@ -248,6 +273,10 @@
         found = begun(self._folder)
         self.told.calls, self.told.mixtures = len(found), mixtures(found)
         self.told.within, self.told.across = gaps(found)
+        with self._outside.lock:
+            self.told.delivered = len(self._outside.applied)
+            if self._limit is not None:
+                self.told.limit_ratio = fullest(self._outside.arrivals, self._limit)
         return self.told
 
     def load(self) -> None:
--- a/springspread/rig/observer.py
+++ b/springspread/rig/observer.py
@@ -90,6 +90,13 @@
     return faults
 
 
+def fullest(arrivals: Sequence[float], limit: tuple[int, float]) -> float:
+    """The most calls in any span, over the limit (calls, span in ms)."""
+    most, span = limit
+    first = (bisect_right(arrivals, now - span, 0, last) for last, now in enumerate(arrivals))
+    return max((last - place + 1 for last, place in enumerate(first)), default=0) / most
+
+
 def mixtures(calls: Iterable[Begun]) -> list[str]:
     """Calls that began under an older policy after any began under a newer one."""
     faults, newest = [], Begun("", 0, 0.0)
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -48,3 +50,44 @@
             made.append(Act(at, kind, who, min(lasts, length_ms - at - 2_000.0)))
         at += rng.expovariate(1.0 / each_ms)
     return tuple(made)
+
+
+def written(acts: Sequence[Act]) -> str:
+    """As JSON, one act a line, to be kept and played again."""
+    lines = [json.dumps([act.at, act.kind.value, act.who, act.lasts]) for act in acts]
+    return "[\n" + ",\n".join(lines) + "\n]\n"
+
+
+def read(text: str) -> tuple[Act, ...]:
+    """What ``written`` made; raises ``ValueError`` that names the act."""
+    made = []
+    for number, raw in enumerate(json.loads(text), 1):
+        try:
+            at, kind, who, lasts = raw
+            made.append(Act(float(at), Kind(kind), int(who), float(lasts)))
+        except (TypeError, ValueError) as exc:
+            raise ValueError(f"act {number}: {exc}") from exc
+    return tuple(sorted(made, key=lambda act: act.at))
+
+
+def smaller(acts: Sequence[Act], fails: Callable[[tuple[Act, ...]], bool], tries: int) -> tuple[Act, ...]:
+    """A part of a failing schedule that still fails, of which no single act can go; at most ``tries`` plays.
+
+    Halves are left out first, then ever smaller parts (delta debugging, after Zeller and Hildebrandt).
+    """
+    left, parts = tuple(acts), 2
+    while len(left) >= 2 and tries > 0:
+        size = -(-len(left) // parts)
+        for begin in range(0, len(left), size):
+            rest = left[:begin] + left[begin + size :]
+            tries -= 1
+            if fails(rest):
+                left, parts = rest, max(parts - 1, 2)
+                break
+            if tries <= 0:
+                return left
+        else:
+            if size == 1:
+                return left
+            parts = min(2 * parts, len(left))
+    return left
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -310,3 +310,16 @@
     leases = allotter.allot(1.0)
     assert len(leases) == 20 and all(lease.calls == 1 for lease in leases)
     assert not allotter.waiting
+
+
+def test_a_lease_that_comes_twice_gives_its_calls_once() -> None:
+    wallet = Wallet()
+    lease = Lease(7, ("n00", 1), "g1", 2, 1_200.0)
+    for now in (1_000.0, 1_001.0, 1_030.0):
+        wallet.received(lease, now)
+        assert wallet.take("g1", now) == 0.0 if now < 1_030.0 else wallet.take("g1", now) > 0.0
+    assert [report.made for report in wallet.done(1_031.0)] == [2]
+    wallet.received(lease, 1_032.0)  # after it is reported, too
+    assert wallet.take("g1", 1_032.0) > 0.0
+    wallet.received(Lease(8, ("n00", 1), "g1", 1, 1_300.0), 1_201.0)
+    assert wallet.take("g1", 1_202.0) == 0.0
--- a/tests/rig/test_observer.py
+++ b/tests/rig/test_observer.py
@@ -1,7 +1,7 @@
 import json
 from pathlib import Path
 
-from springspread.rig.observer import Begun, begun, borders, gaps, mixtures, over_limit
+from springspread.rig.observer import Begun, begun, borders, fullest, gaps, mixtures, over_limit
 
 
 def test_it_convicts_a_mixture_and_passes_over_torn_lines(tmp_path: Path) -> None:
@@ -36,6 +36,11 @@
     assert found == ["3 calls in 100 ms under policy 2, which allows 2"]
 
 
+def test_the_fullest_span_is_told_as_a_part_of_the_limit() -> None:
+    assert fullest([0.0, 50.0, 99.0, 100.0, 300.0], (4, 100.0)) == 0.75
+    assert fullest([], (4, 100.0)) == 0.0
+
+
 def test_borders_are_read_out_of_the_log_of_the_daemon(tmp_path: Path) -> None:
     lines = [{"entry": f"Decided(number={n}, since={at})"} for n, at in ((2, 50.5), (1, 7.0), (2, 50.5))]
     text = [json.dumps(line) for line in lines]
--- /dev/null
+++ b/tests/rig/test_schedule.py
@@ -0,0 +1,26 @@
+import pytest
+
+from springspread.rig.schedule import Act, Kind, drawn, read, smaller, written
+
+ACTS = drawn(3, 6, 60_000.0, 1_000.0)
+
+
+def test_a_schedule_is_kept_and_read_again() -> None:
+    assert len(ACTS) > 30 and read(written(ACTS)) == ACTS
+    with pytest.raises(ValueError, match="act 2: 'melted' is not a valid Kind"):
+        read('[[1.0, "killed", 0, 5.0], [2.0, "melted", 0, 5.0]]')
+
+
+def test_a_failing_schedule_is_made_as_small_as_its_cause() -> None:
+    cause = {ACTS[4], ACTS[17], ACTS[-1]}
+    plays: list[tuple[Act, ...]] = []
+
+    def fails(part: tuple[Act, ...]) -> bool:
+        plays.append(part)
+        return cause <= set(part)
+
+    assert set(smaller(ACTS, fails, 500)) == cause and len(plays) < 120
+    plays.clear()
+    few = smaller(ACTS, fails, 5)
+    assert cause <= set(few) and len(plays) == 5
+    assert smaller((Act(0.0, Kind.KILL, 0, 1.0),), fails, 5) == (Act(0.0, Kind.KILL, 0, 1.0),)
