--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -104,6 +104,7 @@
     intake.ready = True
     listen = f"{door.address[0]}:{door.address[1]}"
     told = {"policy": shares.policy} if shares else {}
+    told |= {"pid": os.getpid()}
     log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections, **told)
     while (heard := signal.sigwait(HEARD)) not in ENDS:
         if heard == signal.SIGHUP:
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -273,6 +273,7 @@
         raw = {**self._base, "name": row.name, "listen": f"{self._plan.host}:{port}"}
         seed = int(str(self._base.get("seed", "0")), 16) + number * 7919 + epoch
         raw |= {"state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
+        raw |= self.given(row.name)
         number = self._changes.in_force
         raw |= {"settings": self._changes.policy(number).settings, "policy": number}
         file = place / "config.json"
@@ -297,6 +298,10 @@
         self._save()
         self._log.info("instance started", instance=row.name, pid=child.pid, epoch=epoch, emptying=emptying)
 
+    def given(self, name: str) -> dict[str, Any]:
+        """What an instance's configuration has beside the fleet's; all have the same."""
+        return {}
+
     def meeting_point(self, name: str) -> Path:
         """The socket at which an instance finds this daemon."""
         return self.folder / "allot"
@@ -406,7 +411,7 @@
                 "want": row.want.value,
                 "pid": row.pid,
                 "epoch": row.epoch,
-                "listen": _listens(self.folder / row.name / "log") if row.pid and not row.emptying else "",
+                "listen": _listens(self.folder / row.name / "log", row.pid) if not row.emptying else "",
                 "up_s": round((now - row.started_at) / 1000.0, 1) if row.pid else 0.0,
                 "in_fleet": connected.get(row.name) == row.epoch,
                 "deaths": row.deaths,
@@ -456,8 +461,8 @@
             os.truncate(log, 0)  # its process appends, and goes on at the beginning
 
 
-def _listens(log: Path) -> str:
-    """Where an instance listens, out of its log's latest ready line."""
+def _listens(log: Path, pid: int) -> str:
+    """Where an instance listens, out of its process's ready line; empty where it does not, or not yet."""
     try:
         with log.open("rb") as source:
             source.seek(max(log.stat().st_size - (1 << 18), 0))
@@ -467,5 +472,6 @@
     for line in reversed(lines):
         if b'"event": "ready"' in line:
             with suppress(ValueError, KeyError):
-                return str(json.loads(line)["listen"])
+                told = json.loads(line)
+                return str(told["listen"]) if told["pid"] == pid else ""
     return ""
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -1,10 +1,13 @@
 """The real daemon whose instances find it through relays: ``python -m springspread.rig.daemon FLEET.toml``.
 
+Each instance may be given a configuration of its own (its directory, say) in ``given.json``.
+
 With ``AT DEED FILE`` behind it, it meets its end, or a full disk, at a named moment of a change (``steps``).
 """
 
 from __future__ import annotations
 
+import json
 import signal
 import sys
 from pathlib import Path
@@ -29,8 +32,14 @@
     steps: Steps | None = None
 
     def meeting_point(self, name: str) -> Path:
-        """The instance's relay."""
-        return relay_path(self.folder, name)
+        """The instance's relay, where there is one."""
+        path = relay_path(self.folder, name)
+        return path if path.exists() else super().meeting_point(name)
+
+    def given(self, name: str) -> dict[str, Any]:
+        """What a file in the fleet's folder says of the instance."""
+        path = given_path(self.folder)
+        return dict(json.loads(path.read_text()).get(name, {})) if path.exists() else {}
 
     def propose(self, text: str, within_s: float) -> dict[str, Any]:
         """As the daemon's; moments are counted from the first one on."""
@@ -44,6 +53,11 @@
     return folder / f"relay.{name}"
 
 
+def given_path(folder: Path) -> Path:
+    """The file with what instances' configurations have of their own, by name."""
+    return folder / "given.json"
+
+
 def install(steps: Steps) -> None:
     """Put the moments in, for this process."""
 
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -22,24 +22,22 @@
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from math import inf
-from multiprocessing import get_context
-from multiprocessing.context import SpawnProcess as Process
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 from springspread.config import Limits
 from springspread.core.types import LinkState
-from springspread.fleet.server import AllotterServer
 from springspread.fleet.shares import Limit
 from springspread.http1.message import Malformed
 from springspread.http1.server import Request, ServerConnection
-from springspread.logs import make_log
 from springspread.net.exchange import FAILURES, Connection
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, Arrival, Change, Day, Death, Fate, Service
+from springspread.town.fleet import TownFleet
 from springspread.town.partner import Answer, End, Partner, Trouble
 
+SIGNALS = {Fate.KILL: signal.SIGKILL, Fate.TERM: signal.SIGTERM, Fate.FREEZE: signal.SIGSTOP}
 STATUS = {End.DONE: 200, End.FAILED: 500, End.FULL: 503}
 NONSENSE = b"HTTP/1.1 2OO fine\r\nContent-Length: -1\r\n\r\n"
 WORDS = {LinkState.READY: "Ready", LinkState.DRAINING: "Terminating", LinkState.GONE: "Gone"}
@@ -116,14 +114,11 @@
         self._addresses: dict[int, tuple[str, int]] = {}  # of the senders that are there
         self._directories: dict[int, int] = {}  # ports
         self._open = True
-        self._starts = 0
-        self._allotter: Process | None = None
+        self._fleet: TownFleet | None = None
         if day.shared:
             told = {self._limit_key(key): per_s for key, per_s in limits.items() if per_s < inf}
             shared = {key: Limit.of_rate(per_s, SPAN_MS) for key, per_s in told.items()}
-            # A process of its own, as in an installation: in this one it would make the town late.
-            self._allotter = get_context("spawn").Process(target=_allot, args=(folder, shared), daemon=True)
-            self._allotter.start()
+            self._fleet = TownFleet(folder, day.senders, shared)
         # Guards the polling thread's punctuality: clients' threads give way to it ten times as often.
         sys.setswitchinterval(0.0005)
         self._thread = threading.Thread(target=self._run, name="town", daemon=True)
@@ -390,29 +385,41 @@
 
     # Senders
 
-    def _start(self, index: int) -> None:
-        name, place = f"n{index}", self._folder / f"n{index}"
-        (place / "state").mkdir(parents=True, exist_ok=True)
-        directory = self._directories.get(index) or self._listen(self._directory(name))
-        self._directories[index] = directory
+    def _directory_of(self, index: int) -> int:
+        """The port at which a sender finds its directory."""
+        if index not in self._directories:
+            self._directories[index] = self._listen(self._directory(f"n{index}"))
+        return self._directories[index]
+
+    def _config(self, index: int) -> dict[str, Any]:
         names = [name for name, state in self._states.items() if state is LinkState.READY]
-        raw = {
-            "name": name,
-            "listen": "127.0.0.1:0",
-            "discovery": f"127.0.0.1:{directory}",
-            "state": str(place / "state"),
+        return {
+            "discovery": f"127.0.0.1:{self._directory_of(index)}",
             "seed": f"{self.day.seed * 1000 + index:x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 8},
             "known": {"index": 1, "snapshot": True, "endpoints": [self._line(n) for n in names]},
             "settings": self.day.settings(index),
         }
+
+    def _start_fleet(self, fleet: TownFleet) -> None:
+        directories = {index: self._directory_of(index) for index in range(self.day.senders)}
+        self._addresses = fleet.start(self._config(0), directories)
+        threading.Thread(target=self._follow, args=(fleet,), name="fleet", daemon=True).start()
+
+    def _follow(self, fleet: TownFleet) -> None:
+        """Who serves, and where: the daemon starts again whoever died."""
+        while self._open:
+            self._addresses = fleet.addresses()
+            time.sleep(0.05)
+
+    def _start(self, index: int) -> None:
+        place = self._folder / f"n{index}"
+        (place / "state").mkdir(parents=True, exist_ok=True)
+        raw = self._config(index) | {"name": f"n{index}", "listen": "127.0.0.1:0"}
+        raw |= {"state": str(place / "state")}
         file = place / "config.json"
         file.write_text(json.dumps(raw))
         env = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
-        if self.day.shared:
-            self._starts += 1
-            fleet = {"SPRINGSPREAD_FLEET": str(self._folder / "allot"), "SPRINGSPREAD_INSTANCE": name}
-            env |= {**fleet, "SPRINGSPREAD_EPOCH": str(self._starts)}
         log = (place / "log").open("wb")
         process = subprocess.Popen(
             [sys.executable, "-m", "springspread"], env={**env, "RELAY_CONFIG": str(file)}, stderr=log
@@ -422,14 +429,19 @@
         self._addresses[index] = _ready(process, place / "log")
 
     def _dies(self, death: Death) -> None:
-        process = self._processes[death.sender]
         self.checker.sender_away(f"n{death.sender}", death.at, death.back_at + RESTART_MS)
+        if self._fleet is not None:
+            self._fleet.send(death.sender, SIGNALS[death.fate])
+            if death.fate is Fate.FREEZE:
+                self._at(death.back_at, self._fleet.send, death.sender, signal.SIGCONT)
+            return
+        process = self._processes[death.sender]
         if death.fate is Fate.FREEZE:
             process.send_signal(signal.SIGSTOP)
             self._at(death.back_at, process.send_signal, signal.SIGCONT)
             return
         del self._addresses[death.sender]
-        process.send_signal(signal.SIGTERM if death.fate is Fate.TERM else signal.SIGKILL)
+        process.send_signal(SIGNALS[death.fate])
         self._at(death.back_at, self._returns, death.sender)
 
     def _returns(self, sender: int) -> None:
@@ -450,7 +462,8 @@
         if left <= 0:
             return
         turn = [(arrival.sender + n) % self.day.senders for n in range(self.day.senders)]
-        alive = [sender for sender in turn if sender in self._addresses]
+        addresses = self._addresses  # the fleet's are replaced whole
+        alive = [sender for sender in turn if sender in addresses]
         if not alive:
             self._at(self._now() + self.day.retry_ms, self._hand_in, arrival, tries, first_at, orphan, first)
             return
@@ -460,7 +473,7 @@
         repeat = "again" if orphan else "1" if tries < self.day.retries else ""
         now, group = self._now(), arrival.group
         self.checker.handed_in(now, f"n{sender}", id, spec.name, group, left, first_at, not first)
-        self._clients.submit(self._ask, id, arrival, left, self._addresses[sender], repeat)
+        self._clients.submit(self._ask, id, arrival, left, addresses[sender], repeat)
 
     def _ask(self, id: str, arrival: Arrival, left: float, address: tuple[str, int], repeat: str) -> None:
         headers = {
@@ -521,8 +534,11 @@
         ``tail_ms`` after the day are waited for what is still owed; what is not due by then is not judged.
         """
         self._errands: dict[str, tuple[Arrival, int, float]] = {}
-        for index in range(self.day.senders):
-            self._start(index)
+        if self._fleet is not None:
+            self._start_fleet(self._fleet)
+        else:
+            for index in range(self.day.senders):
+                self._start(index)
         self._begun = time.monotonic() + 0.5
         for arrival in self.day.arrivals:
             self._at(arrival.at, self._hand_in, arrival, self.day.retries, arrival.at)
@@ -563,19 +579,10 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
-        if self._allotter is not None:
-            self._allotter.terminate()
-            self._allotter.join()
-        self._clients.shutdown()
         self._open = False
-
-
-def _allot(folder: Path, limits: dict[str, Limit]) -> None:
-    """The fleet's allotter, until it is ended."""
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
-    log, _ = make_log("allotter", 1000)
-    AllotterServer(folder / "allot", folder, limits, log)
-    threading.Event().wait()
+        if self._fleet is not None:
+            self._fleet.close()
+        self._clients.shutdown()
 
 
 def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
