A status reads each instance's address once, not 256 KB of its log every time

Fifty instances under a status every 50 ms kept half a core of the daemon busy, reading the end of every log for the ready line. The address is kept by process; an instance of the version before, whose line names no process, is taken at its word.

--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -64,6 +64,7 @@
         self._children: dict[int, subprocess.Popen[bytes]] = {}
         self._since: dict[int, str] = {}  # of processes that another daemon started
         self._rolling: list[str] = []
+        self._listens: dict[int, str] = {}  # by process
         self._rows = self._adopted()
         if not self._rows:
             self._rows = scaled({}, plan.instances)
@@ -404,6 +405,8 @@
 
     def _status(self) -> list[dict[str, Any]]:
         connected = dict(self._server.members)
+        running = {row.pid for row in self._rows.values()}
+        self._listens = {pid: listen for pid, listen in self._listens.items() if pid in running}
         now = self._clock.now()
         return [
             {
@@ -411,7 +414,7 @@
                 "want": row.want.value,
                 "pid": row.pid,
                 "epoch": row.epoch,
-                "listen": _listens(self.folder / row.name / "log", row.pid) if not row.emptying else "",
+                "listen": self._address(row) if row.pid and not row.emptying else "",
                 "up_s": round((now - row.started_at) / 1000.0, 1) if row.pid else 0.0,
                 "in_fleet": connected.get(row.name) == row.epoch,
                 "deaths": row.deaths,
@@ -420,6 +423,15 @@
             for row in self._rows.values()
         ]
 
+    def _address(self, row: Row) -> str:
+        """Where an instance listens: read once out of its log, as a status may be asked for often."""
+        if row.pid not in self._listens:
+            found = _listens(self.folder / row.name / "log", row.pid)
+            if not found:
+                return ""
+            self._listens[row.pid] = found
+        return self._listens[row.pid]
+
     def stop(self) -> None:
         """End every instance in order, within the time that one has, and then the daemon."""
         self._over.set()
@@ -473,5 +485,5 @@
         if b'"event": "ready"' in line:
             with suppress(ValueError, KeyError):
                 told = json.loads(line)
-                return str(told["listen"]) if told["pid"] == pid else ""
+                return str(told["listen"]) if told.get("pid", pid) == pid else ""
     return ""
