Sabotaged builds of the real fleet for the promises, each for the observer to convict

The rig's launchers now install one of nine faults in the daemon or in every instance; the observer also judges calls under what never held and changes that interleave, out of the record; a rival proposes what nobody can use, all along.

--- /dev/null
+++ b/benchmarks/policy_sabotage.py
@@ -0,0 +1,75 @@
+"""Each sabotaged build of the fleet under changes and faults: the observer must convict it, not the true one.
+
+    python -m benchmarks.policy_sabotage [--seconds 40] [--only NAME] [--csv FILE]
+
+Exits with 1 where a sabotage is not convicted, or the true build is.
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import sys
+import tempfile
+from pathlib import Path
+
+from springspread.rig.chaos import Chaos, Told
+from springspread.rig.partner import Outside
+from springspread.rig.sabotage import SABOTAGES
+from springspread.rig.schedule import drawn
+
+INSTANCES = 5
+LIMIT = (40, 1_000.0)  # a little less than what is handed in, so that there is always something owed
+
+
+def play(sabotage: str, seconds: float, seed: int) -> Told:
+    """One run of a build."""
+    outside = Outside()
+    with tempfile.TemporaryDirectory(prefix="springspread-sabotage-") as place:
+        chaos = Chaos(Path(place), outside, INSTANCES, 1500.0, limit=LIMIT, sabotage=sabotage)
+        try:
+            return chaos.play(drawn(seed, INSTANCES, 1000.0 * seconds, 700.0), 1000.0 * seconds, rival=True)
+        finally:
+            chaos.close()
+            outside.close()
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--seconds", type=float, default=40.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--only", choices=["", *SABOTAGES])
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    rows = []
+    for name in ("", *SABOTAGES):
+        if args.only in (None, name):
+            told = play(name, args.seconds, args.seed)
+            rows.append(
+                {
+                    "build": name or "the true one",
+                    "promise": SABOTAGES[name].promise if name else "",
+                    "broken": " ".join(map(str, sorted(told.broken))),
+                    "changes": len(told.in_force),
+                    "calls": told.calls,
+                    "nowhere": len(told.nowhere),
+                    "mixtures": len(told.mixtures),
+                    "limit_ratio": round(told.limit_ratio, 3),
+                    "undone": len(told.undone),
+                    "without_end": len(told.without_end),
+                    "interleaved": len(told.interleaved),
+                    "right": bool(told.broken) == bool(name),
+                }
+            )
+            print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
+    if args.csv is not None:
+        with args.csv.open("w", newline="") as out:
+            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
+            writer.writeheader()
+            writer.writerows(rows)
+    sys.exit(0 if all(row["right"] for row in rows) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -50,6 +50,8 @@
 class Daemon:
     """Runs a fleet until ``stop``. Raises ``Refused`` or ``OSError`` where its folder can't be used."""
 
+    program = "springspread"  # what each instance runs
+
     def __init__(self, plan: FleetPlan, log: Log, clock: Clock = SYSTEM) -> None:
         self._plan, self._log, self._clock = plan, log, clock
         self.folder = plan.folder
@@ -288,7 +290,7 @@
         self._rows[row.name] = replace(row, epoch=epoch)
         self._save()
         with (place / "log").open("ab") as log:
-            args = [sys.executable, "-m", "springspread"]
+            args = [sys.executable, "-m", self.program]
             none = subprocess.DEVNULL
             child = subprocess.Popen(args, env=env, stdin=none, stderr=log, start_new_session=True)
         self._children[child.pid] = child
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -26,14 +26,16 @@
 
 from springspread.fleet.orders import asked
 from springspread.rig.daemon import relay_path
-from springspread.rig.observer import begun, fullest, gaps, mixtures
+from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
 from springspread.rig.partner import GROUP, Outside
 from springspread.rig.relay import Fault, Relay, Way
+from springspread.rig.sabotage import VARIABLE
 from springspread.rig.schedule import Act, Kind
 
 READY_S = 30.0
 ENDS_S = 15.0  # messages live for 8 s, and may be with a process that has to be started first
 TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n[policy_times]\nlease_ms = {}\n'
+RIVAL_S = 0.9
 OLD_TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n'
 LIMIT_TOML = "[limits.g{}]\ncalls = {}\nspan_ms = {}\n"
 FAULTS = {
@@ -64,14 +66,27 @@
     handed: set[str] = field(default_factory=set)
     without_end: set[str] = field(default_factory=set)
     delivered: int = 0
+    nowhere: list[str] = field(default_factory=list)
+    interleaved: list[str] = field(default_factory=list)
     limit_ratio: float = 0.0  # the most calls in a span, over the limit
     two_ends: set[str] = field(default_factory=set)  # answered as delivered and told as not, or told as both
 
     @property
     def held(self) -> bool:
         """Whether every promise that is judged here was kept."""
-        broken = self.mixtures or self.undone or self.without_end or self.two_ends
-        return not broken and self.limit_ratio <= 1.0
+        return not self.broken
+
+    @property
+    def broken(self) -> set[int]:
+        """The promises that were broken, by number (``docs/design/policy-change.md``)."""
+        found = {
+            1: self.nowhere,
+            2: self.mixtures or self.limit_ratio > 1.0,
+            4: self.undone,
+            5: self.without_end or self.two_ends,
+            7: self.interleaved,
+        }
+        return {promise for promise, broken in found.items() if broken}
 
 
 class Chaos:
@@ -86,13 +101,15 @@
         each_s: float = 0.1,
         limit: tuple[int, float] | None = None,
         program: Path | None = None,
+        sabotage: str = "",
     ) -> None:
         """``place`` is an empty folder; each instance is handed a message every ``each_s``.
 
         ``limit``: calls and span (ms) at the partner, under every policy. ``program``: another checkout's
         daemon and instances, from before there were policies; without relays, and nothing is proposed.
+        ``sabotage``: the fault that is put into it.
         """
-        self._limit, self._program = limit, program
+        self._limit, self._program, self._sabotage = limit, program, sabotage
         self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
         toml = (TOML if program is None else OLD_TOML).format(instances, lease_ms)
@@ -128,7 +145,7 @@
             time.sleep(0.1)
 
     def _start(self, *moment: str) -> subprocess.Popen[bytes]:
-        env = {**os.environ, "RELAY_LOG_LEVEL": "debug"}
+        env = {**os.environ, "RELAY_LOG_LEVEL": "debug", VARIABLE: self._sabotage}
         line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
         if self._program is not None:
             line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
@@ -196,6 +213,14 @@
                         self.told.undone.append(f"policy {row['version']} was {was} and is {now}")
             self._over.wait(0.05)
 
+    def _rival(self) -> None:
+        settings = {**self._base["settings"]}
+        settings["limits"] = {**settings["limits"], "connIdleMs": settings["limits"]["connIdleMs"] / 2}
+        text = json.dumps({"settings": settings, "limits": {}})
+        while not self._over.wait(RIVAL_S):
+            with suppress(OSError, ValueError):
+                asked(self._folder / "control", {"do": "propose", "policy": text, "within": 2.0}, 4.0)
+
     # Faults
 
     def befall(self, act: Act) -> Callable[[], None]:
@@ -242,15 +267,18 @@
         acts: Sequence[Act],
         length_ms: float,
         show: Callable[[float, dict[str, dict[str, Any]], list[str]], None] | None = None,
+        rival: bool = False,
     ) -> Told:
         """Play it to its end, heal everything, and judge.
 
         ``show`` is told each second: the time (ms), the daemon's rows by name, and what is being done to
-        whom.
+        whom. A ``rival`` proposes, all along, what no instance can use.
         """
         self.load()
         if self._program is None:
             self._spawn(self._change)
+        if rival:
+            self._spawn(self._rival)
         start, ends = time.monotonic(), list[tuple[float, Callable[[], None], str]]()
         shown = 0.0
         todo = list(acts)
@@ -272,6 +300,9 @@
         self.end_load()
         found = begun(self._folder)
         self.told.calls, self.told.mixtures = len(found), mixtures(found)
+        if self._program is None:
+            record = recorded(self._folder)
+            self.told.nowhere, self.told.interleaved = nowhere(found, record), interleaved(record)
         self.told.within, self.told.across = gaps(found)
         with self._outside.lock:
             self.told.delivered = len(self._outside.applied)
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import sys
 from pathlib import Path
@@ -21,6 +22,7 @@
 from springspread.fleet.shares import Owner
 from springspread.fleet.wire import Message
 from springspread.logs import make_log
+from springspread.rig.sabotage import SABOTAGES, VARIABLE
 from springspread.rig.steps import Deed, Disk, Steps
 
 ENDS = (signal.SIGTERM, signal.SIGINT)
@@ -77,6 +79,11 @@
     """Run until SIGTERM."""
     signal.pthread_sigmask(signal.SIG_BLOCK, ENDS)
     log, sink = make_log("fleet", 1000)
+    if sabotage := SABOTAGES.get(os.environ.get(VARIABLE, "")):
+        if sabotage.sender:
+            RelayedDaemon.program = "springspread.rig.sender"
+        else:
+            sabotage.install()
     if len(sys.argv) == 5:
         install(Steps(int(sys.argv[2]), Deed(sys.argv[3]), Path(sys.argv[4])))
     daemon = RelayedDaemon(read_fleet(Path(sys.argv[1])), log)
--- a/springspread/rig/observer.py
+++ b/springspread/rig/observer.py
@@ -14,6 +14,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 DECIDED = re.compile(r"Decided\(number=(\d+), since=([\d.]+)\)")
 SLACK_MS = 20.0  # from the last look to the first byte: stated in the design, and given to the machine
@@ -67,6 +68,35 @@
     return sorted((since, number) for number, since in found.items())
 
 
+def recorded(fleet: Path) -> list[dict[str, Any]]:
+    """What is on record of policies, in order."""
+    lines = (fleet / "policy" / "log").read_bytes().splitlines()
+    return [json.loads(line.partition(b" ")[2]) for line in lines]
+
+
+def nowhere(calls: Iterable[Begun], record: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Calls under a policy that was refused, or never decided."""
+    held = {entry["number"] for entry in record if entry["kind"] == "decided"}
+    return [
+        f"{call.instance} began under {call.policy}, which never held"
+        for call in calls
+        if call.policy not in held
+    ]
+
+
+def interleaved(record: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Changes that began before the one before them had its end."""
+    faults, under_way = [], 0
+    for entry in record:
+        if entry["kind"] == "proposed":
+            if under_way:
+                faults.append(f"change {entry['number']} began while {under_way} was under way")
+            under_way = entry["number"]
+        elif entry["kind"] in ("decided", "refused") and entry["number"] == under_way:
+            under_way = 0
+    return faults
+
+
 def over_limit(
     arrivals: Sequence[float], held: Sequence[tuple[float, int]], limits: Mapping[int, tuple[int, float]]
 ) -> list[str]:
--- /dev/null
+++ b/springspread/rig/sabotage.py
@@ -0,0 +1,124 @@
+"""Builds of the real program with one fault each, for the observer to convict.
+
+A fault is put into the daemon's process or into each instance's, by ``RIG_SABOTAGE``; the rig's launchers
+install it. The search plants its own faults in the machine alone (``planted``).
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from springspread.accord import coordinator, participant
+from springspread.accord.participant import Participant
+from springspread.accord.record import PolicyRecord
+from springspread.accord.terms import Decided, Entry, Grant, Prepare, Vote
+from springspread.config import decoded
+from springspread.fleet.client import FleetShares
+from springspread.fleet.server import AllotterServer
+from springspread.fleet.shares import Limit
+
+VARIABLE = "RIG_SABOTAGE"
+FOR_MS = 5_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sabotage:
+    """``promise``: the number of the one that it breaks; ``sender``: whether it is put into instances."""
+
+    promise: int
+    sender: bool
+    install: Callable[[], None]
+
+
+def _acts_on_a_proposal() -> None:
+    real = participant.prepared
+
+    def prepared(state: Participant, prepare: Prepare, fault: str) -> tuple[Participant, Vote | None]:
+        after, vote = real(state, prepare, fault)
+        grant = Grant(prepare.serial, prepare.number, 0.0, prepare.cut + FOR_MS)
+        return replace(after, grants=(*after.grants, grant)), vote
+
+    vars(participant).update(prepared=prepared)
+
+
+def _keeps_its_grant() -> None:
+    real = participant.prepared
+
+    def prepared(state: Participant, prepare: Prepare, fault: str) -> tuple[Participant, Vote | None]:
+        return state, real(state, prepare, fault)[1]
+
+    vars(participant).update(prepared=prepared)
+
+
+def _looks_no_more() -> None:
+    setattr(FleetShares, "may", lambda self, policy: True)  # noqa: B010
+
+
+def _forgets_what_it_took() -> None:
+    shutil.rmtree(str(decoded(os.environ)["state"]), ignore_errors=True)
+
+
+def _forgets_the_silent() -> None:
+    real = coordinator._decide
+
+    def decide(state: coordinator.Coordinator, now: float) -> coordinator.Step:
+        return real(replace(state, ends={}), now)
+
+    vars(coordinator).update(_decide=decide)
+
+
+def _begins_without_waiting() -> None:
+    real = coordinator.begin
+
+    def begin(times: Any, history: coordinator.History, now: float, alive: Any) -> coordinator.Step:
+        return real(times, replace(history, lease_ms=0.0), now, alive)
+
+    vars(coordinator).update(begin=begin)
+
+
+def _decides_off_the_record() -> None:
+    real = PolicyRecord.append
+
+    def append(self: PolicyRecord, entry: Entry) -> None:
+        if isinstance(entry, Decided) and self.history.in_force:
+            self._note(entry)
+        else:
+            real(self, entry)
+
+    setattr(PolicyRecord, "append", append)  # noqa: B010
+
+
+def _changes_two_at_a_time() -> None:
+    real = coordinator.propose
+
+    def propose(state: coordinator.Coordinator, *rest: Any) -> coordinator.Step:
+        return real(replace(state, pending=None), *rest)
+
+    vars(coordinator).update(propose=propose)
+
+
+def _raises_limits_at_once() -> None:
+    real = AllotterServer.follow
+
+    def follow(self: AllotterServer, limits: Mapping[str, Limit], since: float) -> None:
+        real(self, {key: Limit(limit.calls * 2, limit.span_ms) for key, limit in limits.items()}, since)
+
+    setattr(AllotterServer, "follow", follow)  # noqa: B010
+
+
+SABOTAGES = {
+    "acts on a proposal": Sabotage(1, True, _acts_on_a_proposal),
+    "a yes keeps its grant": Sabotage(2, True, _keeps_its_grant),
+    "gives out more than the limit": Sabotage(2, False, _raises_limits_at_once),
+    "the silent are not waited out": Sabotage(3, False, _forgets_the_silent),
+    "no last look": Sabotage(3, True, _looks_no_more),
+    "a new daemon waits for nobody": Sabotage(3, False, _begins_without_waiting),
+    "a decision is not on record": Sabotage(4, False, _decides_off_the_record),
+    "an instance forgets what it took": Sabotage(5, True, _forgets_what_it_took),
+    "two changes at a time": Sabotage(7, False, _changes_two_at_a_time),
+}
+"""By name. Promise 6 (nothing learnt is lost) is not to be seen from outside; the core's tests hold it."""
--- /dev/null
+++ b/springspread/rig/sender.py
@@ -0,0 +1,12 @@
+"""A sabotaged instance: ``python -m springspread.rig.sender``, as the rig's daemon starts it."""
+
+from __future__ import annotations
+
+import os
+
+from springspread.__main__ import main
+from springspread.rig.sabotage import SABOTAGES, VARIABLE
+
+if __name__ == "__main__":
+    SABOTAGES[os.environ[VARIABLE]].install()
+    os._exit(main())  # as the program itself ends
--- a/tests/rig/test_observer.py
+++ b/tests/rig/test_observer.py
@@ -1,7 +1,18 @@
 import json
 from pathlib import Path
 
-from springspread.rig.observer import Begun, begun, borders, fullest, gaps, mixtures, over_limit
+from springspread.rig.observer import (
+    Begun,
+    begun,
+    borders,
+    fullest,
+    gaps,
+    interleaved,
+    mixtures,
+    nowhere,
+    over_limit,
+    recorded,
+)
 
 
 def test_it_convicts_a_mixture_and_passes_over_torn_lines(tmp_path: Path) -> None:
@@ -41,6 +52,19 @@
     assert fullest([], (4, 100.0)) == 0.0
 
 
+def test_it_convicts_calls_under_what_never_held_and_changes_that_interleave(tmp_path: Path) -> None:
+    (tmp_path / "policy").mkdir()
+    kinds = [("proposed", 1), ("decided", 1), ("proposed", 2), ("refused", 2), ("proposed", 3)]
+    lines = [json.dumps({"kind": kind, "number": number}) for kind, number in kinds]
+    (tmp_path / "policy" / "log").write_text("".join(f"0a0b0c0d {line}\n" for line in lines))
+    record = recorded(tmp_path)
+    calls = [Begun("a", policy, 1.0) for policy in (1, 2, 3)]
+    assert nowhere(calls, record) == [f"a began under {n}, which never held" for n in (2, 3)]
+    assert interleaved(record) == []
+    more = [*record, {"kind": "proposed", "number": 4}, {"kind": "begun", "generation": 2}]
+    assert interleaved(more) == ["change 4 began while 3 was under way"]
+
+
 def test_borders_are_read_out_of_the_log_of_the_daemon(tmp_path: Path) -> None:
     lines = [{"entry": f"Decided(number={n}, since={at})"} for n, at in ((2, 50.5), (1, 7.0), (2, 50.5))]
     text = [json.dumps(line) for line in lines]
