Tests: a change while the fleet scales, rolls and loses one, and with one full disk

Two hard cases of the issue had no test on processes: scale, roll and a kill at once with two changes, and an instance whose files may not grow. The rig asks the daemon for its status ten times a second at most: at fifty, with 50 instances, it kept the daemon busy and slowed what it measured.

--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -36,6 +36,7 @@
 ENDS_S = 15.0  # messages live for 8 s, and may be with a process that has to be started first
 TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n[policy_times]\nlease_ms = {}\n'
 RIVAL_S = 0.9
+LOOK_S = 0.1
 OLD_TOML = 'folder = "fleet"\nconfig = "sender.json"\ninstances = {}\n'
 LIMIT_TOML = "[limits.g{}]\ncalls = {}\nspan_ms = {}\n"
 FAULTS = {
@@ -129,6 +130,7 @@
         self.told = Told()
         self._ids = count(1)
         self.handed_at: dict[str, float] = {}
+        self._looked = 0.0
         self._threads: list[threading.Thread] = []
         self._answered: set[str] = set()
         self._daemon = self._start()
@@ -154,6 +156,10 @@
             return subprocess.Popen(line, env=env, stderr=log, cwd=self._program)
 
     def _look(self) -> None:
+        """Ask the daemon who is there; not again for a while, as its answer costs it time."""
+        if time.monotonic() < self._looked + LOOK_S:
+            return
+        self._looked = time.monotonic()
         with suppress(OSError, ValueError):
             rows = asked(self._folder / "control", {"do": "status"})["instances"]
             with self._lock:
--- a/tests/accord/test_fleet.py
+++ b/tests/accord/test_fleet.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import threading
 from collections.abc import Iterator
@@ -193,3 +194,34 @@
     log.write_bytes(new + b"torn")
     fleet.daemon = Daemon(read_fleet(fleet.file), Quiet())
     until(lambda: fleet.all_act_under(2), "it goes on where the record ends")
+
+
+def test_scaling_rolling_and_a_death_while_the_policy_changes(fleet: Fleet) -> None:
+    order = fleet.daemon.order
+    order({"do": "scale", "count": 4})
+    order({"do": "roll"})
+    os.kill(fleet.rows()["n002"]["pid"], signal.SIGKILL)
+    epochs = {name: row["epoch"] for name, row in fleet.rows().items()}
+    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
+    assert fleet.propose(**callsout(8))["state"] == "in force"
+    until(lambda: len(fleet.rows()) == 4 and fleet.all_act_under(3), "four act under the latest")
+    until(
+        lambda: all(fleet.rows()[name]["epoch"] > epochs[name] for name in ("n000", "n001")),
+        "the roll went on through it",
+    )
+    until(lambda: fleet.all_act_under(3), "all act under it after the roll")
+    fleet.settle()
+    assert mixtures(begun(fleet.daemon.folder)) == []
+
+
+def test_one_with_a_full_disk_refuses_or_follows_and_holds_up_nobody(fleet: Fleet) -> None:
+    """Its journal takes nothing more: it takes no messages on, and goes with the others."""
+    pid = fleet.rows()["n001"]["pid"]
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, 0))
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    until(lambda: fleet.acted_under(2) >= {"n000", "n002"}, "the others act under it")
+    assert fleet.status()["instances"]["n001"]["version"] in (0, 2)
+    os.kill(pid, signal.SIGKILL)  # its disk is mended with it
+    until(lambda: len(fleet.acted_under(2)) == 3, "all act under it")
+    fleet.settle()
+    assert mixtures(begun(fleet.daemon.folder)) == []
