Tests: deaths after a yes and on hearing a decision; all die before it is told; 50 votes

Hard cases of the issue that had no test on several processes: an instance killed as its yes goes out, one killed as it hears the decision, the whole fleet and the daemon killed with the decision on record and told to nobody; and in the machine alone, fifty instances of which the last refuses.

--- /dev/null
+++ b/tests/accord/test_coordinator.py
@@ -0,0 +1,26 @@
+"""The daemon's machine by itself, where a fleet of processes would be too large for a test."""
+
+from springspread.accord import coordinator
+from springspread.accord.coordinator import History, Times
+from springspread.accord.terms import Decided, Grant, Proposed, Refused, Tell, Vote, Write
+
+OWNERS = [(f"n{n:03}", 1) for n in range(50)]
+
+
+def test_the_last_of_fifty_refuses_and_nobody_ever_acts_on_it() -> None:
+    history = History().after(Proposed(1, "a")).after(Decided(1, 0.0))
+    state, _ = coordinator.begin(Times(), history, 10.0, [])
+    for owner in OWNERS:
+        state, _ = coordinator.joined(state, 10.0, owner)
+    state, _ = coordinator.propose(state, 20.0, "b")
+    for owner in OWNERS[:-1]:
+        state, effects = coordinator.voted(state, 30.0, owner, Vote(2, True))
+        assert effects == []
+    state, effects = coordinator.voted(state, 30.0, OWNERS[-1], Vote(2, False, "why"))
+    assert effects[0] == Write(Refused(2, "n049", "why"))
+    granted = {one.owner: one.message for one in effects if isinstance(one, Tell)}
+    assert set(granted) == set(OWNERS)
+    assert all(isinstance(grant, Grant) and grant.version == 1 for grant in granted.values())
+    assert state.pending is None and state.history.in_force == 1
+    state, effects = coordinator.propose(state, 40.0, "c")  # its number is never used again
+    assert effects[0] == Write(Proposed(3, "c"))
--- a/tests/accord/test_relay.py
+++ b/tests/accord/test_relay.py
@@ -108,3 +108,39 @@
     fleet.relays["n001"].cut(away=False)
     fleet.relays["n001"].heal()
     settled_under(fleet, 2)
+
+
+@pytest.mark.parametrize(("way", "line"), [(Way.UP, b'"vote"'), (Way.DOWN, b'"grant"')])
+def test_one_that_dies_after_its_yes_or_as_it_hears_the_decision(
+    fleet: Relayed, way: Way, line: bytes
+) -> None:
+    pid, relay = fleet.rows()["n001"]["pid"], fleet.relays["n001"]
+    met: list[bytes] = []
+
+    def dies(heard: Way, said: bytes) -> None:
+        if not met and heard is way and line in said and (way is Way.UP or b'"version":2' in said):
+            met.append(said)
+            os.kill(pid, signal.SIGKILL)
+
+    relay.seen = dies
+    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert met
+    settled_under(fleet, 2)
+
+
+def test_all_die_with_the_decision_on_record_and_told_to_nobody(fleet: Relayed) -> None:
+    for relay in fleet.relays.values():
+        relay.put(Fault.LOSE, Way.DOWN)
+    assert fleet.propose(within=0.1, **callsout(7))["state"] == "pending"
+    until(lambda: fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "decided", "it is decided")
+    pids = [row["pid"] for row in fleet.rows().values()]
+    fleet.daemon.leave()
+    for pid in pids:
+        os.kill(pid, signal.SIGKILL)
+    for relay in fleet.relays.values():
+        relay.cut(away=False)
+        relay.heal()
+    fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
+    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
+    settled_under(fleet, 2)
+    assert fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "in force"
