A daemon knows its members by all that survived; epochs never repeat; no second process

A table without I/O now decides from the file (checksum, synced with its folder), epochs in leases and configurations, and processes that say what they are; where the file is lost, epochs go on above a floor that the policy record's synced generation gives. Tests on processes: file emptied, flipped, gone; without the look at processes the adoption tests fail.

--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -17,7 +17,7 @@
 import sys
 import threading
 from contextlib import suppress
-from dataclasses import asdict, replace
+from dataclasses import replace
 from functools import partial
 from math import inf
 from pathlib import Path
@@ -30,10 +30,20 @@
 from springspread.core.journal import Journal
 from springspread.core.types import Log
 from springspread.fleet.change import Changes
+from springspread.fleet.folder import (
+    Unusable,
+    config_epochs,
+    process_start,
+    read_members,
+    running,
+    write_members,
+)
 from springspread.fleet.members import Row, Seen, Step, Want, died, scaled, step
 from springspread.fleet.plan import FleetPlan
+from springspread.fleet.record import leased_epochs
 from springspread.fleet.server import AllotterServer
 from springspread.fleet.shares import Limit
+from springspread.fleet.survey import Found, believed, highest, raised
 from springspread.net.threads import spawn
 
 LOOK_MS = 50.0
@@ -68,9 +78,11 @@
         self._rolling: list[str] = []
         self._listens: dict[int, str] = {}  # by process
         self._rows = self._adopted()
-        if not self._rows:
-            self._rows = scaled({}, plan.instances)
+        if not self._rows or (self._lost and len(self._rows) < plan.instances):
+            self._rows = scaled(self._rows, plan.instances)
         self._changes = self._policies()
+        if self._lost:
+            self._rows = raised(self._rows, self._changes.record.history.generation + 1)
         history, heard = self._changes.record.history, self._changes.heard
         coming = clock.now() < history.since
         now = self._limits(history.before if coming else history.in_force)
@@ -202,32 +214,31 @@
     # Rows on disk
 
     def _adopted(self) -> dict[str, Row]:
-        file = self.folder / "members.json"
-        if not file.exists():
-            return {}
-        rows = {}
-        for raw in json.loads(file.read_text()):
-            started = raw.pop("started")
-            row = Row(**{**raw, "want": Want(raw["want"])})
-            if row.pid and started and process_start(row.pid) == started:
-                self._since[row.pid] = started
-                rows[row.name] = replace(row, started_at=self._clock.now(), told_at=inf)
-                self._log.info("adopted", instance=row.name, pid=row.pid)
-            else:
-                rows[row.name] = replace(row, pid=0, started_at=inf, told_at=inf, emptying=False)
-        return rows
+        """Who there is, out of all that survived (``survey``); whoever must hold nothing is ended."""
+        path, rows = self.folder / "members.json", None
+        try:
+            rows = read_members(path)
+        except Unusable as exc:
+            aside = path.with_suffix(".damaged")
+            path.replace(aside)
+            self._log.error("members lost; told by what survived", file=str(aside), fault=str(exc))
+        leased = highest({name: epoch} for name, epoch in leased_epochs(self.folder))
+        found = Found(rows, (leased, config_epochs(self.folder)), running(self.meeting_point))
+        told = believed(found)
+        for one in told.astray:
+            self._log.warning("astray, ended", instance=one.name, pid=one.pid, epoch=one.epoch)
+            with suppress(ProcessLookupError):
+                os.kill(one.pid, signal.SIGKILL)
+        self._lost = told.lost and bool(told.rows)
+        made = dict(told.rows)
+        for name, holder in told.holders.items():
+            self._since[holder.pid] = holder.started
+            made[name] = replace(made[name], started_at=self._clock.now(), told_at=inf)
+            self._log.info("adopted", instance=name, pid=holder.pid)
+        return made
 
     def _save(self) -> None:
-        rows = []
-        for row in self._rows.values():
-            start = process_start(row.pid) if row.pid else ""
-            raw = {**asdict(row), "want": row.want.value, "started": start}
-            for moment in ("started_at", "told_at", "died_at"):
-                raw.pop(moment)  # of a clock that the next daemon may not share
-            rows.append(raw)
-        fresh = self.folder / "members.new"
-        fresh.write_text(json.dumps(rows))
-        fresh.replace(self.folder / "members.json")
+        write_members(self.folder / "members.json", self._rows.values())
 
     # Looking after them
 
@@ -275,7 +286,7 @@
         port = self._plan.first_port + number if self._plan.first_port and not emptying else 0
         raw = {**self._base, "name": row.name, "listen": f"{self._plan.host}:{port}"}
         seed = int(str(self._base.get("seed", "0")), 16) + number * 7919 + epoch
-        raw |= {"state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
+        raw |= {"epoch": epoch, "state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
         raw |= self.given(row.name)
         number = self._changes.in_force
         raw |= {"settings": self._changes.policy(number).settings, "policy": number}
@@ -458,15 +469,6 @@
         self._held.close()
 
 
-def process_start(pid: int) -> str:
-    """The moment of a process's start in the system's ticks; empty for one that is dead."""
-    try:
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    except (FileNotFoundError, ProcessLookupError):
-        return ""
-    return "" if fields[0] in "ZX" else fields[19]
-
-
 def _cut(log: Path) -> None:
     """Guards the disk: a log that is long enough becomes the one before, and begins anew."""
     with suppress(FileNotFoundError):
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -27,10 +27,10 @@
 
     def __init__(self, folder: Path, keep_ms: float) -> None:
         """``keep_ms``: how long after its end a lease still counts, at most."""
-        self._paths = [folder / f"leases.{n}" for n in (0, 1)]
+        self._paths = _paths(folder)
         self._keep_ms = keep_ms
         self._boot = _boot_id()
-        found = [self._read(path) for path in self._paths]
+        found = [_read(path, self._boot) for path in self._paths]
         self.before = [lease for leases, _ in found for lease in leases]
         self._ends = [max((lease.until for lease in leases), default=0.0) for leases, _ in found]
         self._file = -1
@@ -48,21 +48,6 @@
             self._ends[turn] = 0.0
             os.write(self._file, self._boot)
 
-    def _read(self, path: Path) -> tuple[list[Lease], int]:
-        """The leases of a file, and how many of its bytes hold them."""
-        data = path.read_bytes() if path.exists() else b""
-        if data[:BOOT_BYTES] != self._boot:
-            return [], 0
-        leases, at = [], BOOT_BYTES
-        while at + HEAD.size <= len(data):
-            size, check = HEAD.unpack_from(data, at)
-            body = data[at + HEAD.size : at + HEAD.size + size]
-            if len(body) < size or crc32(body) != check:
-                break  # torn as the process was killed: it was not told
-            leases.append(_unpack(body))
-            at += HEAD.size + size
-        return leases, at
-
     def append(self, leases: Sequence[Lease], now: float) -> None:
         """Put leases on record; raises ``OSError``, and then none of them may be told."""
         other = 1 - self._turn
@@ -80,6 +65,35 @@
         os.close(self._file)
 
 
+def _read(path: Path, boot: bytes) -> tuple[list[Lease], int]:
+    """The leases of a file of one start of the machine, and how many of its bytes hold them."""
+    data = path.read_bytes() if path.exists() else b""
+    if data[:BOOT_BYTES] != boot:
+        return [], 0
+    leases, at = [], BOOT_BYTES
+    while at + HEAD.size <= len(data):
+        size, check = HEAD.unpack_from(data, at)
+        body = data[at + HEAD.size : at + HEAD.size + size]
+        if len(body) < size or crc32(body) != check:
+            break  # torn as the process was killed: it was not told
+        leases.append(_unpack(body))
+        at += HEAD.size + size
+    return leases, at
+
+
+def leased_epochs(folder: Path) -> list[tuple[str, int]]:
+    """Whom leases were given to, of whichever start of the machine: name and epoch."""
+    found = []
+    for path in _paths(folder):
+        boot = path.read_bytes()[:BOOT_BYTES] if path.exists() else b""
+        found += [lease.owner for lease in _read(path, boot)[0]]
+    return found
+
+
+def _paths(folder: Path) -> list[Path]:
+    return [folder / f"leases.{n}" for n in (0, 1)]
+
+
 def _pack(lease: Lease) -> bytes:
     name, key = lease.owner[0].encode(), lease.key.encode()
     body = BODY.pack(lease.serial, lease.owner[1], lease.calls, lease.until, len(name), len(key)) + name + key
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -16,7 +16,8 @@
 import pytest
 
 from springspread.checked import PlanError
-from springspread.fleet.daemon import Daemon, Refused, process_start
+from springspread.fleet.daemon import Daemon, Refused
+from springspread.fleet.folder import process_start
 from springspread.fleet.plan import read_fleet
 from tests.fleet.test_medium import Quiet
 from tests.peer import Peer, until
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_shares.py
@@ -189,9 +189,7 @@
     assert sum(got.values()) == min(free, sum(want for _, want in wants.values()))
     for owner, (had, want) in wants.items():
         if got[owner] < want:  # nobody who was raised stands more than one call above one that waits
-            assert all(
-                wants[other][0] + got[other] <= had + got[owner] + 1 for other in wants if got[other]
-            )
+            assert all(wants[other][0] + got[other] <= had + got[owner] + 1 for other in wants if got[other])
 
 
 class Clocked:
--- /dev/null
+++ b/tests/fleet/test_survey.py
@@ -0,0 +1,159 @@
+"""What a daemon believes as it begins: the table by itself, and on real processes with its file spoilt."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from springspread.fleet.daemon import Daemon
+from springspread.fleet.folder import Unusable, read_members, running, write_members
+from springspread.fleet.members import Row, Want
+from springspread.fleet.plan import read_fleet
+from springspread.fleet.survey import EPOCHS, Found, Running, believed, raised
+from tests.fleet.test_daemon import Place, place
+from tests.fleet.test_medium import Quiet
+from tests.peer import until
+
+__all__ = ["place"]
+NAMES = ("n000", "n001", "n002")
+
+
+def process(name: str, epoch: int, pid: int) -> Running:
+    return Running(name, epoch, pid, f"{pid}0")
+
+
+def test_a_process_that_was_started_and_not_put_on_record_is_adopted() -> None:
+    rows = (Row("n000", epoch=3), Row("n001", epoch=5, pid=50))
+    told = believed(Found(rows, running=(process("n000", 4, 40), process("n001", 5, 50))))
+    assert {name: (row.epoch, row.pid) for name, row in told.rows.items()} == {
+        "n000": (4, 40),
+        "n001": (5, 50),
+    }
+    assert told.astray == () and not told.lost
+
+
+def test_of_two_on_one_journal_the_later_one_keeps_it() -> None:
+    old, new, stale = process("n000", 4, 41), process("n000", 5, 42), process("n001", 2, 43)
+    told = believed(Found((Row("n000", epoch=5), Row("n001", epoch=3)), running=(new, old, stale)))
+    assert told.rows["n000"].pid == 42 and told.rows["n001"].pid == 0
+    assert set(told.astray) == {old, stale} and set(told.holders) == {"n000"}
+
+
+def test_one_without_a_row_leaves_and_a_lost_file_is_told_by_what_survived() -> None:
+    orphan = process("n002", 7, 70)
+    told = believed(Found((Row("n000", epoch=1),), running=(orphan,)))
+    assert told.rows["n002"].want is Want.LEAVING and told.rows["n002"].pid == 70
+    told = believed(Found(None, ({"n000": 9}, {"n000": 2, "n001": 1}), (orphan,)))
+    assert {name: row.epoch for name, row in told.rows.items()} == {"n000": 9, "n001": 1, "n002": 7}
+    assert told.lost and all(row.want is Want.SERVING for row in told.rows.values())
+    floored = raised(told.rows, 3)
+    assert {name: row.epoch for name, row in floored.items()} == {
+        "n000": 3 * EPOCHS,
+        "n001": 3 * EPOCHS,
+        "n002": 7,
+    }
+
+
+epochs = st.dictionaries(st.sampled_from(NAMES), st.integers(0, 50))
+processes = st.lists(
+    st.builds(process, st.sampled_from(NAMES), st.integers(1, 50), st.integers(2, 99)),
+    unique_by=lambda one: one.pid,
+)
+members = st.lists(
+    st.builds(Row, st.sampled_from(NAMES), epoch=st.integers(0, 50)), unique_by=lambda row: row.name
+)
+
+
+@given(st.none() | members.map(tuple), epochs, epochs, processes)
+def test_no_epoch_falls_and_each_name_has_one_process(
+    rows: tuple[Row, ...] | None, leased: dict[str, int], written: dict[str, int], found: list[Running]
+) -> None:
+    told = believed(Found(rows, (leased, written), tuple(found)))
+    known = [(row.name, row.epoch) for row in rows or ()]
+    known += [(one.name, one.epoch) for one in found]
+    known += [
+        pair for one in (leased, written) for pair in one.items() if rows is None or pair[0] in told.rows
+    ]
+    assert all(told.rows[name].epoch >= epoch for name, epoch in known)
+    held = {row.pid for row in told.rows.values() if row.pid}
+    assert held.isdisjoint(one.pid for one in told.astray)
+    assert held | {one.pid for one in told.astray} == {one.pid for one in found}
+    assert all(row.epoch == told.holders[name].epoch for name, row in told.rows.items() if row.pid)
+
+
+def _emptied(path: Path) -> None:
+    path.write_bytes(b"")
+
+
+def _half(path: Path) -> None:
+    path.write_bytes(path.read_bytes()[: path.stat().st_size // 2])
+
+
+def _flipped(path: Path) -> None:
+    data = bytearray(path.read_bytes())
+    at = data.index(b'"epoch": ') + 9
+    data[at] ^= 1  # still JSON, and another epoch
+    path.write_bytes(data)
+
+
+def test_a_members_file_is_read_as_written_and_not_when_it_is_spoilt(tmp_path: Path) -> None:
+    path = tmp_path / "members.json"
+    assert read_members(path) is None
+    rows = (Row("n000", epoch=3, pid=9, deaths=1), Row("n001", Want.LEAVING, 4, emptying=True))
+    write_members(path, rows)
+    assert read_members(path) == rows
+    good = path.read_bytes()
+    for spoil in (_emptied, _half, _flipped):
+        path.write_bytes(good)
+        spoil(path)
+        with pytest.raises(Unusable):
+            read_members(path)
+    path.write_text(json.dumps([{"name": "n000", "want": "serving", "epoch": 2, "pid": 0, "started": ""}]))
+    assert read_members(path) == (Row("n000", epoch=2),)  # of the version before
+
+
+@pytest.mark.parametrize("spoil", [_emptied, _flipped, Path.unlink])
+def test_a_new_daemon_knows_its_instances_without_their_file(
+    place: Place, spoil: Callable[[Path], None]
+) -> None:
+    before = {name: (row["pid"], row["epoch"]) for name, row in place.rows().items()}
+    place.daemon.leave()
+    spoil(place.daemon.folder / "members.json")
+    place.daemon = Daemon(read_fleet(place.file), Quiet())
+    until(lambda: place.serving() == ["n000", "n001"], "both are in the fleet again")
+    assert {name: (row["pid"], row["epoch"]) for name, row in place.rows().items()} == before
+    for pid, _ in before.values():
+        os.kill(pid, signal.SIGKILL)
+    until(
+        lambda: all(row["in_fleet"] and row["epoch"] > before[n][1] for n, row in place.rows().items()),
+        "both are back, under epochs that nobody had",
+    )
+
+
+def test_all_dead_and_the_members_file_lost_no_epoch_comes_again(place: Place) -> None:
+    folder, before = place.daemon.folder, {name: row["epoch"] for name, row in place.rows().items()}
+    place.daemon.stop()
+    (folder / "members.json").unlink()
+    for name in before:
+        (folder / name / "config.json").unlink()
+    place.daemon = Daemon(read_fleet(place.file), Quiet())
+    until(lambda: place.serving() == ["n000", "n001"], "both serve")
+    assert all(row["epoch"] > EPOCHS > before[name] for name, row in place.rows().items())
+
+
+def test_a_daemon_that_died_before_it_noted_a_process_starts_no_second_one(place: Place) -> None:
+    place.daemon.leave()
+    path = place.daemon.folder / "members.json"
+    rows = read_members(path) or ()
+    write_members(path, [Row(row.name, epoch=row.epoch) for row in rows])  # as it was before their start
+    place.daemon = Daemon(read_fleet(place.file), Quiet())
+    until(lambda: place.serving() == ["n000", "n001"], "both are in the fleet again")
+    assert {row["pid"] for row in place.rows().values()} == {row.pid for row in rows}
+    assert len(running(place.daemon.meeting_point)) == 2
