--- a/benchmarks/policy_sabotage.py
+++ b/benchmarks/policy_sabotage.py
@@ -22,11 +22,13 @@
 LIMIT = (40, 1_000.0)  # a little less than what is handed in, so that there is always something owed
 
 
-def play(sabotage: str, seconds: float, seed: int) -> Told:
+def play(sabotage: str, limited: bool, seconds: float, seed: int) -> Told:
     """One run of a build."""
     outside = Outside()
     with tempfile.TemporaryDirectory(prefix="springspread-sabotage-") as place:
-        chaos = Chaos(Path(place), outside, INSTANCES, 1500.0, limit=LIMIT, sabotage=sabotage)
+        chaos = Chaos(
+            Path(place), outside, INSTANCES, 1500.0, limit=LIMIT if limited else None, sabotage=sabotage
+        )
         try:
             return chaos.play(drawn(seed, INSTANCES, 1000.0 * seconds, 700.0), 1000.0 * seconds, rival=True)
         finally:
@@ -43,12 +45,14 @@
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
     rows = []
-    for name in ("", *SABOTAGES):
+    builds = [("", False), ("", True), *((name, one.limited) for name, one in SABOTAGES.items())]
+    for name, limited in builds:
         if args.only in (None, name):
-            told = play(name, args.seconds, args.seed)
+            told = play(name, limited, args.seconds, args.seed)
             rows.append(
                 {
                     "build": name or "the true one",
+                    "limit": limited,
                     "promise": SABOTAGES[name].promise if name else "",
                     "broken": " ".join(map(str, sorted(told.broken))),
                     "changes": len(told.in_force),
--- a/springspread/cli/journal.py
+++ b/springspread/cli/journal.py
@@ -77,13 +77,23 @@
     files: list[dict[str, object]] = []
     for n, (name, readable) in enumerate(seen.files.items(), 1):
         rest = max((folder / name).stat().st_size - readable, 0) if (folder / name).exists() else 0
-        files.append({"file": name, "readable": readable, "rest": rest, "newest": n == len(seen.files)})
-    damaged = [entry for entry in files if entry["rest"] and not entry["newest"]]
+        ranges = seen.damaged.get(name, [])
+        entry: dict[str, object] = {"file": name, "readable": readable - sum(r.end - r.start for r in ranges)}
+        entry |= {"rest": rest, "newest": n == len(seen.files)}
+        entry["damaged"] = [{"from": r.start, "to": r.end, "ids": list(r.ids)} for r in ranges]
+        entry["after"] = seen.doubted.get(name, [])
+        files.append(entry)
+    damaged = [entry for entry in files if entry["damaged"] or (entry["rest"] and not entry["newest"])]
     if as_json:
         click.echo(json.dumps({"files": files, "owed": len(seen.owed), "damaged": len(damaged)}))
     else:
         for entry in files:
             tail = f", {entry['rest']} bytes that cannot be read" if entry["rest"] else ""
             click.echo(f"{entry['file']}: {entry['readable']} bytes{tail}")
+            for one in seen.damaged.get(str(entry["file"]), []):
+                ids = f", of {', '.join(one.ids)}" if one.ids else ""
+                click.echo(f"  bytes {one.start} to {one.end} are damaged{ids}")
+            for id in seen.doubted.get(str(entry["file"]), []):
+                click.echo(f"  may have run, as a record of it may be lost: {id}")
         click.echo(f"{len(damaged)} damaged files, {len(seen.owed)} messages owed")
     sys.exit(bool(damaged))
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -1,5 +1,9 @@
 """The journal: what this sender owes, in append-only files that outlast the process.
 
+A file that is damaged in the middle loses the damaged records alone (``salvage``): they are set aside, all
+that is owed is written anew, and each message that was on record before the damage counts as one that may
+have run, as its *begun* may have been there.
+
 Records: *taken* (the message itself), *begun* (an execution is about to write its first byte), *not run*
 (proof that one never ran), *ending* (the final answer that was decided) and *over*. Each carries its length
 and a checksum, so that a torn tail is found and cut. Deadlines are wall-clock times.
@@ -15,13 +19,14 @@
 from struct import error as StructError
 from zlib import crc32
 
-HEAD = Struct("<II")
-TAKEN = Struct("<cIdiBBHI")
+from springspread.core.salvage import HEAD, TAKEN, Range, Reader
+
 BEGUN = Struct("<cIB")
 ENDING = Struct("<cIBd")
 OVER = Struct("<cI")
 POLICY = Struct("<I")
 PREFIX = "journal."
+ASIDE = "damaged."  # and the file's number: what could not be read in it
 BLOCK = 512  # what the disk's limit counts in
 FILES = 12  # the disk is shared out to about so many files
 LIVE_PART = 0.8  # of the disk, for live records; with more, clearing away would gain little
@@ -98,24 +103,30 @@
         """Read what the folder holds; ``read_only`` writes nothing, also beside a running sender."""
         self._folder = folder
         self._per_message = 2 * max_attempts * (HEAD.size + BEGUN.size) + HEAD.size + ENDING.size
-        longest = body_bytes + self._per_message + 1024
+        longest = self._longest = body_bytes + self._per_message + 1024
         self._file_bytes = disk_bytes // FILES
         # While a file is cleared away, what is owed in it stands twice: its length stays free at all times.
-        self._budget = disk_bytes - self._file_bytes - longest - BLOCK * 3 * FILES
-        self._most_live = min(LIVE_PART * disk_bytes, self._budget - longest)
+        self._disk, self._whole = disk_bytes, disk_bytes - self._file_bytes - longest - BLOCK * 3 * FILES
+        self._budget = self._whole
+        self._most_live = min(LIVE_PART * disk_bytes, self._whole - longest)
         self._lock = threading.Lock()
         self.owed: dict[int, Owed] = {}
         self.last_number = 0
         self.cut_bytes = self.failures = 0
+        self.damaged: dict[str, list[Range]] = {}  # by file
+        self.doubted: dict[str, list[str]] = {}  # ids that are owed and were on record before it, by file
         self._live = 0
         self._sizes: dict[int, int] = {}  # by file, the oldest first
         suffixes = [entry.name[len(PREFIX) :] for entry in folder.glob(PREFIX + "*")]
         numbers = sorted(int(suffix) for suffix in suffixes if suffix.isdecimal())
         self._file = -1
         for number in numbers:
-            self._restore(number)
+            self._restore(number, number == numbers[-1])
         if not read_only:
             self._open(numbers[-1] if numbers else 1)
+            if self.damaged:
+                self._renew()
+            self._keep_room()
 
     @property
     def files(self) -> dict[str, int]:
@@ -133,20 +144,58 @@
         # Guards against a tail torn by SIGKILL: later records must not follow the stump.
         os.ftruncate(self._file, self._sizes.setdefault(number, 0))
 
-    def _restore(self, number: int) -> None:
-        data, at = self._path(number).read_bytes(), 0
-        while at + HEAD.size <= len(data):
-            size, check = HEAD.unpack_from(data, at)
-            payload = data[at + HEAD.size : at + HEAD.size + size]
-            if len(payload) < size or crc32(payload) != check:
-                break
-            try:
-                self._apply(payload, number)
-            except (StructError, UnicodeDecodeError):
-                break
-            at += HEAD.size + size
-        self.cut_bytes += len(data) - at
-        self._sizes[number] = at
+    def _restore(self, number: int, newest: bool) -> None:
+        path = self._path(number)
+        data = path.read_bytes()
+        reader, ranges, doubted = Reader(data), list[Range](), list[str]()
+        for item in reader:
+            if not isinstance(item, Range):
+                at, payload = item
+                try:
+                    self._apply(payload, number)
+                    continue
+                except (StructError, UnicodeDecodeError):  # of no kind that is known: as good as damaged
+                    item = Range(at, reader.end)
+            ranges.append(item)
+            doubted += self._doubt()
+        if reader.end < len(data) and not newest:  # nobody writes there any more: no process tore it
+            ranges.append(Range(reader.end, len(data)))
+            doubted += self._doubt()
+        if ranges:
+            self.damaged[path.name], self.doubted[path.name] = ranges, doubted
+        self.cut_bytes += len(data) - reader.end
+        self._sizes[number] = reader.end
+
+    def _doubt(self) -> list[str]:
+        """A record may be lost here: a *begun* of anything that is owed by now, perhaps. Their ids."""
+        doubted = [owed for owed in self.owed.values() if not owed.may_have_run]
+        for owed in doubted:
+            owed.begun.add(owed.attempts)
+        return [owed.id for owed in doubted]
+
+    def _renew(self) -> None:
+        """Leave no damaged file behind: what can't be read is set aside, what is owed is written anew."""
+        try:
+            for name, ranges in self.damaged.items():
+                data = (self._folder / name).read_bytes()
+                aside = self._folder / (ASIDE + name[len(PREFIX) :])
+                aside.write_bytes(b"".join(data[one.start : one.end] for one in ranges))
+            self._keep_room()
+            old = set(self._sizes)
+            while old & set(self._sizes):
+                self._clear_oldest()
+        except OSError:
+            self.failures += 1  # the disk is full, say: the damaged files stay, and the next start finds them
+
+    def _keep_room(self) -> None:
+        """What was set aside counts towards the disk's limit; of more than a file's part the oldest go."""
+        aside = sorted(self._folder.glob(ASIDE + "*"))
+        sizes = [-(-path.stat().st_size // BLOCK) * BLOCK for path in aside]
+        while sum(sizes) > self._file_bytes and len(sizes) > 1:
+            aside.pop(0).unlink()
+            sizes.pop(0)
+        self._budget = self._whole - sum(sizes)
+        self._most_live = min(LIVE_PART * self._disk, self._budget - self._longest)
 
     def _apply(self, payload: bytes, file: int) -> None:
         kind = payload[:1]
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -135,6 +135,10 @@
                         attempts=owed.attempts,
                     )
                 )
+        for name, ranges in self._journal.damaged.items():
+            places = [f"{one.start}-{one.end}" for one in ranges[:20]]
+            ids = [id for one in ranges for id in one.ids][:20]
+            self._log.error("journal damaged; set aside", file=name, ranges=places, ids=ids)
         if self._journal.owed or self._journal.cut_bytes:
             self._log.info("restored", owed=len(self._journal.owed), cut_bytes=self._journal.cut_bytes)
         self._decide(now, events)
--- a/springspread/rig/sabotage.py
+++ b/springspread/rig/sabotage.py
@@ -27,11 +27,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Sabotage:
-    """``promise``: the number of the one that it breaks; ``sender``: whether it is put into instances."""
+    """``promise``: the number of the one that it breaks; ``sender``: whether it is put into instances.
+
+    ``limited``: whether it shows under a limit; without leases a cut-off instance makes no calls there.
+    """
 
     promise: int
     sender: bool
     install: Callable[[], None]
+    limited: bool = False
 
 
 def _acts_on_a_proposal() -> None:
@@ -113,12 +117,12 @@
 SABOTAGES = {
     "acts on a proposal": Sabotage(1, True, _acts_on_a_proposal),
     "a yes keeps its grant": Sabotage(2, True, _keeps_its_grant),
-    "gives out more than the limit": Sabotage(2, False, _raises_limits_at_once),
+    "gives out more than the limit": Sabotage(2, False, _raises_limits_at_once, True),
     "the silent are not waited out": Sabotage(3, False, _forgets_the_silent),
     "no last look": Sabotage(3, True, _looks_no_more),
     "a new daemon waits for nobody": Sabotage(3, False, _begins_without_waiting),
     "a decision is not on record": Sabotage(4, False, _decides_off_the_record),
-    "an instance forgets what it took": Sabotage(5, True, _forgets_what_it_took),
+    "an instance forgets what it took": Sabotage(5, True, _forgets_what_it_took, True),
     "two changes at a time": Sabotage(7, False, _changes_two_at_a_time),
 }
 """By name. Promise 6 (nothing learnt is lost) is not to be seen from outside; the core's tests hold it."""
