Durability power: a 202, an unsafe first byte and a notice wait for a sync that many share

The choice stands in the configuration, process being the default as before; syncs are shared by a leader among those who wait, and a failed one is never made good.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -11,7 +11,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from springspread.config import Config, ConfigError, load, load_again
+from springspread.config import Config, ConfigError, Durability, load, load_again
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
 from springspread.core.journal import Journal
@@ -72,14 +72,15 @@
     """Serve until a signal ends it."""
     known = known_groups(config)
     limits, settings = config.limits, config.settings
-    journal = Journal(config.state, limits.disk_bytes, settings.max_attempts, limits.body_bytes)
+    most, durable = settings.max_attempts, config.durability is Durability.POWER
+    journal = Journal(config.state, limits.disk_bytes, most, limits.body_bytes, durable=durable)
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
     shares = fleet_shares(log)
     clearance = Clearance(journal, grace, shares=shares)
     sender = Sender(config, journal, clearance, log, shares=shares, policy=shares.policy if shares else 0)
     version = known.version if config.known is not None else None
     watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log)
-    notices = Notices(config.discovery, limits, sender.put, log)
+    notices = Notices(config.discovery, limits, sender.put, log, journal.settle)
     workers = Workers(limits, settings.slots, config.names.report, clearance, sender.put, log)
     sender.attach(workers, watcher, notices)
     sender.restore(known)
@@ -115,7 +116,8 @@
     door.close()
     running.join((limits.stop_ms - limits.accept_after_stop_ms + 100.0) / 1000.0)
     clearance.stop()
-    log.info("stopped", owed=len(journal.owed))
+    told = {"syncs": journal.commit.syncs} if journal.commit else {}
+    log.info("stopped", owed=len(journal.owed), **told)
     flush()
     return 0
 
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -6,6 +6,7 @@
 import os
 from collections.abc import Mapping
 from dataclasses import dataclass, fields, replace
+from enum import Enum
 from pathlib import Path
 
 from springspread import interface as i
@@ -86,6 +87,13 @@
     report: tuple[str, ...]
 
 
+class Durability(Enum):
+    """What a message that was taken on outlasts: the death of the process, or a power loss as well."""
+
+    PROCESS = "process"
+    POWER = "power"
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What a sender is told at its start, checked."""
@@ -100,6 +108,7 @@
     second_copies: bool
     known: object
     limits: Limits
+    durability: Durability = Durability.PROCESS
 
 
 def parse_address(text: object, key: str, *, least: int = 1) -> Address:
@@ -176,9 +185,18 @@
         second_copies=second,
         known=raw.get("known"),
         limits=limits,
+        durability=_durability(raw.get("durability", Durability.PROCESS.value)),
     )
 
 
+def _durability(value: object) -> Durability:
+    try:
+        return Durability(value)
+    except ValueError:
+        words = ", ".join(one.value for one in Durability)
+        raise ConfigError(f"durability: must be one of {words}: {value!r}") from None
+
+
 def _seed(value: object) -> int:
     if value is None:
         return int.from_bytes(os.urandom(8), "little")
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -63,6 +63,8 @@
         try:
             for execution in call.executions:
                 self._journal.begun(execution.number, execution.attempt)
+            if call.once:  # guards rule 2 over a power loss
+                self._journal.settle()
         except OSError:  # not on record, so it may not go out
             return Result.NOT_SENT, 0.0
         # Last: guards against a mixture of policies, also where this process was frozen until just now.
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -19,6 +19,7 @@
 from struct import error as StructError
 from zlib import crc32
 
+from springspread.core.commit import Commit
 from springspread.core.salvage import HEAD, TAKEN, Range, Reader
 
 BEGUN = Struct("<cIB")
@@ -99,8 +100,13 @@
         max_attempts: int = 8,
         body_bytes: int = 65536,
         read_only: bool = False,
+        durable: bool = False,
     ) -> None:
-        """Read what the folder holds; ``read_only`` writes nothing, also beside a running sender."""
+        """Read what the folder holds; ``read_only`` writes nothing, also beside a running sender.
+
+        ``durable``: records outlast a power loss, once ``settle`` has returned.
+        """
+        self.commit = Commit(self._sync) if durable else None
         self._folder = folder
         self._per_message = 2 * max_attempts * (HEAD.size + BEGUN.size) + HEAD.size + ENDING.size
         longest = self._longest = body_bytes + self._per_message + 1024
@@ -133,13 +139,38 @@
         """How many readable bytes each file held as it was read, the oldest first."""
         return {self._path(number).name: size for number, size in self._sizes.items()}
 
+    def settle(self) -> None:
+        """Wait until all that is on record is on disk; raises ``OSError``. Not ``durable``: at once."""
+        if self.commit is not None:
+            self.commit.settle()
+
+    def _sync_file(self) -> None:
+        """The file that is written, where it is to outlast a power loss; the lock is held."""
+        if self.commit is not None:
+            try:
+                os.fdatasync(self._file)
+            except OSError as exc:
+                self.commit.fault = str(exc)
+                raise
+
+    def _sync(self) -> None:
+        with self._lock:  # the file may be left for the next one meanwhile: that syncs it, too
+            file = os.dup(self._file)
+        try:
+            os.fdatasync(file)
+        finally:
+            os.close(file)
+
     def _path(self, number: int) -> Path:
         return self._folder / f"{PREFIX}{number:08d}"
 
     def _open(self, number: int) -> None:
         if self._file >= 0:
+            self._sync_file()
             os.close(self._file)
         self._file = os.open(self._path(number), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        if self.commit is not None:
+            sync_folder(self._folder)
         self._last = number
         # Guards against a tail torn by SIGKILL: later records must not follow the stump.
         os.ftruncate(self._file, self._sizes.setdefault(number, 0))
@@ -248,6 +279,8 @@
         with self._lock:
             if self._live + self._cost(owed) > self._most_live:
                 raise JournalFull
+            if self.commit is not None and self.commit.fault:
+                raise OSError(self.commit.fault)
             self._append(owed.records())
             owed.file = self._last
             self._add(owed)
@@ -304,6 +337,8 @@
             os.ftruncate(self._file, self._sizes[self._last])
             raise
         self._sizes[self._last] += len(record)
+        if self.commit is not None:
+            self.commit.wrote()
 
     def _clear_oldest(self) -> None:
         oldest = min(self._sizes)
@@ -312,6 +347,7 @@
         for owed in [owed for owed in self.owed.values() if owed.file == oldest]:
             self._write(owed.records())
             owed.file = self._last
+        self._sync_file()  # the copies are on disk before what they are of is gone
         self._path(oldest).unlink()
         del self._sizes[oldest]
 
@@ -324,6 +360,15 @@
             os.close(self._file)
 
 
+def sync_folder(folder: Path) -> None:
+    """Put a folder's names on disk; raises ``OSError``."""
+    place = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(place)
+    finally:
+        os.close(place)
+
+
 def _write_all(file: int, data: bytes) -> None:
     view = memoryview(data)
     while view:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -96,6 +96,7 @@
         self._recent: OrderedDict[str, bool] = OrderedDict()  # lately over: whether it was delivered
         self._calls: dict[Call, int] = {}
         self._groups = Groups(config.limits.group_kept_ms, clock)
+        self._unconfirmed: list[Query] = []  # taken on in this batch, and not told before it is on disk
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
         self._last = 0.0
@@ -172,11 +173,34 @@
         events: list[i.Event] = []
         for event in batch:
             events += self._take_in(event)
+        events += self._confirm()
         while self._timers and self._timers[0][0] <= now:
             events.append(i.Woken(heappop(self._timers)[1]))
         if events:
             self._decide(now, events)
 
+    def _confirm(self) -> list[i.Event]:
+        """Tell whoever handed in that it is taken on, after one sync for all of the batch."""
+        waiting, self._unconfirmed = self._unconfirmed, []
+        verdict, events = Verdict.TAKEN, list[i.Event]()
+        if waiting:
+            try:
+                self._journal.settle()
+            except OSError as exc:
+                self._log.error("not on disk; nothing more is taken on", reason=str(exc))
+                verdict = Verdict.REFUSED
+        for query in waiting:
+            query.answer(verdict)
+            if verdict is Verdict.REFUSED:
+                events += self._gone(query, refused=True)
+        return events
+
+    def _taken_on(self, query: Query) -> None:
+        if self._journal.commit is None:
+            query.answer(Verdict.TAKEN)
+        else:
+            self._unconfirmed.append(query)
+
     def _next(self) -> CoreEvent | None:
         due = self.due
         if self._stop_at < float("inf"):
@@ -242,7 +266,7 @@
             query.number = number
             if number in self._held:
                 self._held[number].speakers += 1
-            query.answer(Verdict.TAKEN)
+            self._taken_on(query)
         elif self._recent.get(query.id):
             query.answer(Verdict.DELIVERED)
         elif not self._groups.knows(query.group):
@@ -278,7 +302,7 @@
             query.answer(Verdict.REFUSED)
             return []
         query.number = number
-        query.answer(Verdict.TAKEN)
+        self._taken_on(query)
         self._log.debug("taken", number=number, group=query.group, cls=query.cls)
         self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
--- a/springspread/net/notices.py
+++ b/springspread/net/notices.py
@@ -18,8 +18,15 @@
     """One thread; what the platform did not take goes to the end of the line, alone."""
 
     def __init__(
-        self, address: Address, limits: Limits, put: Callable[[CoreEvent], None], log: Log
+        self,
+        address: Address,
+        limits: Limits,
+        put: Callable[[CoreEvent], None],
+        log: Log,
+        settle: Callable[[], None],
     ) -> None:
+        """``settle`` waits until what is on record is on disk, or raises ``OSError``."""
+        self._settle = settle
         self._caller = Caller(address, limits)
         self._limits, self._put, self._log = limits, put, log
         self._line: SimpleQueue[Notice] = SimpleQueue()
@@ -63,6 +70,10 @@
     def _post(self, batch: list[Notice]) -> bool:
         headers = {"Content-Type": "application/x-ndjson"}
         body = finals.write_notices(batch)
+        try:
+            self._settle()  # guards an end against another one after a power loss
+        except OSError as exc:
+            self._log.warning("told before it is on disk", count=len(batch), error=str(exc))
         try:
             answer = self._call(headers, body)
         except FAILURES as exc:
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -146,7 +146,10 @@
         tree: Path | None = None,
         known: dict[str, Any] | None = None,
         slots: int = 6,
+        module: str = "springspread",
+        durability: str = "process",
     ) -> None:
+        self.module = module
         self.tree = tree  # the checkout whose program is started; else this one
         self.state = folder / "state"
         self.state.mkdir(exist_ok=True)
@@ -154,13 +157,14 @@
         raw = make(self.state, discovery=f"127.0.0.1:{peer.port}", known=known or peer.members())
         raw["settings"]["specifics"]["callsOut"] = slots
         raw["limits"]["sockets"] = sockets
+        raw["durability"] = durability
         self.file.write_text(json.dumps(raw))
         self.start()
 
     def start(self) -> None:
         env = {**os.environ, "RELAY_CONFIG": str(self.file)}
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "springspread"],
+            [sys.executable, "-m", self.module],
             env=env,
             cwd=self.tree,
             stderr=subprocess.PIPE,
