--- /dev/null
+++ b/springspread/core/files.py
@@ -0,0 +1,67 @@
+"""The files of one folder, as whatever keeps something there uses them: a narrow layer over the system's.
+
+All that is kept goes through here, so that the rig may put another one in its place: one that holds back what
+was not synced, or one in memory. Raises ``OSError`` as the system does.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+
+class Files:
+    """The system's. Names are of files in the folder; an open file is a number."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+
+    def names(self) -> list[str]:
+        """What there is."""
+        return [entry.name for entry in self._folder.iterdir()]
+
+    def read(self, name: str) -> bytes:
+        """All of a file."""
+        return (self._folder / name).read_bytes()
+
+    def size(self, name: str) -> int:
+        """A file's length, in bytes."""
+        return (self._folder / name).stat().st_size
+
+    def open(self, name: str) -> int:
+        """Open a file to append to it; it is made where there is none."""
+        return os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def append(self, file: int, data: bytes) -> None:
+        """Write all of it at the end; on ``OSError`` a part may be there."""
+        view = memoryview(data)
+        while view:
+            view = view[os.write(file, view) :]
+
+    def truncate(self, file: int, size: int) -> None:
+        """Cut a file off."""
+        os.ftruncate(file, size)
+
+    def sync(self, file: int) -> None:
+        """Put on disk what was written to a file."""
+        os.fdatasync(file)
+
+    def sync_folder(self) -> None:
+        """Put on disk which files there are."""
+        place = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(place)
+        finally:
+            os.close(place)
+
+    def twin(self, file: int) -> int:
+        """The same open file once more, for a sync while the first one may be closed."""
+        return os.dup(file)
+
+    def close(self, file: int) -> None:
+        """Let go of it."""
+        os.close(file)
+
+    def unlink(self, name: str) -> None:
+        """Remove a file."""
+        (self._folder / name).unlink()
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import os
 import threading
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +19,7 @@
 from zlib import crc32
 
 from springspread.core.commit import Commit
+from springspread.core.files import Files
 from springspread.core.salvage import HEAD, TAKEN, Range, Reader
 
 BEGUN = Struct("<cIB")
@@ -101,13 +101,14 @@
         body_bytes: int = 65536,
         read_only: bool = False,
         durable: bool = False,
+        files: Files | None = None,
     ) -> None:
         """Read what the folder holds; ``read_only`` writes nothing, also beside a running sender.
 
         ``durable``: records outlast a power loss, once ``settle`` has returned.
         """
         self.commit = Commit(self._sync) if durable else None
-        self._folder = folder
+        self._files = files or Files(folder)
         self._per_message = 2 * max_attempts * (HEAD.size + BEGUN.size) + HEAD.size + ENDING.size
         longest = self._longest = body_bytes + self._per_message + 1024
         self._file_bytes = disk_bytes // FILES
@@ -123,7 +124,7 @@
         self.doubted: dict[str, list[str]] = {}  # ids that are owed and were on record before it, by file
         self._live = 0
         self._sizes: dict[int, int] = {}  # by file, the oldest first
-        suffixes = [entry.name[len(PREFIX) :] for entry in folder.glob(PREFIX + "*")]
+        suffixes = [name[len(PREFIX) :] for name in self._files.names() if name.startswith(PREFIX)]
         numbers = sorted(int(suffix) for suffix in suffixes if suffix.isdecimal())
         self._file = -1
         for number in numbers:
@@ -137,7 +138,7 @@
     @property
     def files(self) -> dict[str, int]:
         """How many readable bytes each file held as it was read, the oldest first."""
-        return {self._path(number).name: size for number, size in self._sizes.items()}
+        return {_name(number): size for number, size in self._sizes.items()}
 
     def settle(self) -> None:
         """Wait until all that is on record is on disk; raises ``OSError``. Not ``durable``: at once."""
@@ -148,36 +149,33 @@
         """The file that is written, where it is to outlast a power loss; the lock is held."""
         if self.commit is not None:
             try:
-                os.fdatasync(self._file)
+                self._files.sync(self._file)
             except OSError as exc:
                 self.commit.fault = str(exc)
                 raise
 
     def _sync(self) -> None:
         with self._lock:  # the file may be left for the next one meanwhile: that syncs it, too
-            file = os.dup(self._file)
+            file = self._files.twin(self._file)
         try:
-            os.fdatasync(file)
+            self._files.sync(file)
         finally:
-            os.close(file)
-
-    def _path(self, number: int) -> Path:
-        return self._folder / f"{PREFIX}{number:08d}"
+            self._files.close(file)
 
     def _open(self, number: int) -> None:
         if self._file >= 0:
             self._sync_file()
-            os.close(self._file)
-        self._file = os.open(self._path(number), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+            self._files.close(self._file)
+        self._file = self._files.open(_name(number))
         if self.commit is not None:
-            sync_folder(self._folder)
+            self._files.sync_folder()
         self._last = number
         # Guards against a tail torn by SIGKILL: later records must not follow the stump.
-        os.ftruncate(self._file, self._sizes.setdefault(number, 0))
+        self._files.truncate(self._file, self._sizes.setdefault(number, 0))
 
     def _restore(self, number: int, newest: bool) -> None:
-        path = self._path(number)
-        data = path.read_bytes()
+        name = _name(number)
+        data = self._files.read(name)
         reader, ranges, doubted = Reader(data), list[Range](), list[str]()
         for item in reader:
             if not isinstance(item, Range):
@@ -193,7 +191,7 @@
             ranges.append(Range(reader.end, len(data)))
             doubted += self._doubt()
         if ranges:
-            self.damaged[path.name], self.doubted[path.name] = ranges, doubted
+            self.damaged[name], self.doubted[name] = ranges, doubted
         self.cut_bytes += len(data) - reader.end
         self._sizes[number] = reader.end
 
@@ -208,9 +206,11 @@
         """Leave no damaged file behind: what can't be read is set aside, what is owed is written anew."""
         try:
             for name, ranges in self.damaged.items():
-                data = (self._folder / name).read_bytes()
-                aside = self._folder / (ASIDE + name[len(PREFIX) :])
-                aside.write_bytes(b"".join(data[one.start : one.end] for one in ranges))
+                data = self._files.read(name)
+                aside = self._files.open(ASIDE + name[len(PREFIX) :])
+                self._files.truncate(aside, 0)
+                self._files.append(aside, b"".join(data[one.start : one.end] for one in ranges))
+                self._files.close(aside)
             self._keep_room()
             old = set(self._sizes)
             while old & set(self._sizes):
@@ -220,10 +220,10 @@
 
     def _keep_room(self) -> None:
         """What was set aside counts towards the disk's limit; of more than a file's part the oldest go."""
-        aside = sorted(self._folder.glob(ASIDE + "*"))
-        sizes = [-(-path.stat().st_size // BLOCK) * BLOCK for path in aside]
+        aside = sorted(name for name in self._files.names() if name.startswith(ASIDE))
+        sizes = [-(-self._files.size(name) // BLOCK) * BLOCK for name in aside]
         while sum(sizes) > self._file_bytes and len(sizes) > 1:
-            aside.pop(0).unlink()
+            self._files.unlink(aside.pop(0))
             sizes.pop(0)
         self._budget = self._whole - sum(sizes)
         self._most_live = min(LIVE_PART * self._disk, self._budget - self._longest)
@@ -331,10 +331,10 @@
         if self._sizes[self._last] >= self._file_bytes:
             self._open(self._last + 1)
         try:
-            _write_all(self._file, record)
+            self._files.append(self._file, record)
         except OSError:
             # Guards what follows: a record written in part would hide all later ones.
-            os.ftruncate(self._file, self._sizes[self._last])
+            self._files.truncate(self._file, self._sizes[self._last])
             raise
         self._sizes[self._last] += len(record)
         if self.commit is not None:
@@ -348,7 +348,7 @@
             self._write(owed.records())
             owed.file = self._last
         self._sync_file()  # the copies are on disk before what they are of is gone
-        self._path(oldest).unlink()
+        self._files.unlink(_name(oldest))
         del self._sizes[oldest]
 
     def _used(self) -> int:
@@ -357,19 +357,8 @@
     def close(self) -> None:
         """Let go of the file."""
         with self._lock:
-            os.close(self._file)
-
-
-def sync_folder(folder: Path) -> None:
-    """Put a folder's names on disk; raises ``OSError``."""
-    place = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(place)
-    finally:
-        os.close(place)
+            self._files.close(self._file)
 
 
-def _write_all(file: int, data: bytes) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(file, view) :]
+def _name(number: int) -> str:
+    return f"{PREFIX}{number:08d}"
--- a/springspread/rig/power.py
+++ b/springspread/rig/power.py
@@ -1,46 +1,42 @@
 """A power loss that can be produced: what a process did not sync is lost as it is killed.
 
-``HeldBack`` stands for ``os`` in the journal. What is written stays in memory until it is synced, so a
-SIGKILL drops it, as the loss of power drops what the system had not put on disk yet. Removals and truncations
-take hold at once, which is the worst that may happen to them. ``python -m springspread.rig.power`` runs the
-sender so.
+``HeldBack`` stands for the journal's files. What is written stays in memory until it is synced, so a SIGKILL
+drops it, as the loss of power drops what the system had not put on disk yet. Removals and truncations take
+hold at once, which is the worst that may happen to them. ``python -m springspread.rig.power`` runs the sender
+so.
 """
 
 from __future__ import annotations
 
 import os
 import threading
-from typing import Any
+from pathlib import Path
 
 from springspread.__main__ import main
 from springspread.core import journal
+from springspread.core.files import Files
 
 
-class HeldBack:
-    """Its own but for what is told here; safe from any thread."""
+class HeldBack(Files):
+    """The system's own but for appends and syncs; safe from any thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
         self._lock = threading.Lock()
         self._pending: dict[int, bytearray] = {}  # by file on disk
 
-    def __getattr__(self, name: str) -> Any:
-        return getattr(os, name)
-
-    def write(self, file: int, data: bytes) -> int:
+    def append(self, file: int, data: bytes) -> None:
         """Hold it back."""
         with self._lock:
             self._pending.setdefault(os.fstat(file).st_ino, bytearray()).extend(data)
-        return len(data)
 
-    def fdatasync(self, file: int) -> None:
+    def sync(self, file: int) -> None:
         """Put on disk what was held back."""
         with self._lock:
-            data = self._pending.pop(os.fstat(file).st_ino, bytearray())
-            while data:
-                del data[: os.write(file, data)]
-            os.fdatasync(file)
+            super().append(file, bytes(self._pending.pop(os.fstat(file).st_ino, b"")))
+            super().sync(file)
 
 
 if __name__ == "__main__":
-    vars(journal).update(os=HeldBack())
+    vars(journal).update(Files=HeldBack)
     os._exit(main())
