--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -349,6 +349,9 @@
             owed.file = self._last
         self._sync_file()  # the copies are on disk before what they are of is gone
         self._files.unlink(_name(oldest))
+        if self.commit is not None:
+            # Guards the order over a power loss: a message whose *over* is gone must not come back.
+            self._files.sync_folder()
         del self._sizes[oldest]
 
     def _used(self) -> int:
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -164,7 +164,8 @@
             rows = asked(self._folder / "control", {"do": "status"})["instances"]
             with self._lock:
                 self._rows = {row["name"]: row for row in rows}
-                self._listens |= {row["name"]: row["listen"] for row in rows if row["listen"]}
+                # Not the address of one that is dead: a stranger may have its port by now.
+                self._listens = {row["name"]: row["listen"] for row in rows if row["listen"]}
 
     # Load and changes
 
