Leases of a lost, damaged or earlier record count as given out; limits hold over it

A record of leases that was removed, damaged in the middle, or of another start of the machine was read as if nothing had been given out, so the next allotter gave a whole limit again within the same span. Each limit now counts as used up from the daemon's start for its span, once; a torn tail, which was never told, does not count as damage.

--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -86,7 +86,8 @@
         history, heard = self._changes.record.history, self._changes.heard
         coming = clock.now() < history.since
         now = self._limits(history.before if coming else history.in_force)
-        self._server = AllotterServer(self.folder / "allot", self.folder, now, log, clock, heard)
+        before = any(row.epoch for row in self._rows.values())
+        self._server = AllotterServer(self.folder / "allot", self.folder, now, log, clock, heard, before)
         if coming:  # decided by the daemon before, and not reached yet
             self._server.follow(self._limits(history.in_force), history.since)
         alive = [(row.name, row.epoch) for row in self._rows.values() if row.pid]
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -23,7 +23,11 @@
 
 
 class Record:
-    """Append leases; read what an earlier process appended."""
+    """Append leases; read what an earlier process appended.
+
+    ``whole``: nothing of that is missing; one of another start of the machine is, as its moments say nothing.
+    ``found``: there was any.
+    """
 
     def __init__(self, folder: Path, keep_ms: float) -> None:
         """``keep_ms``: how long after its end a lease still counts, at most."""
@@ -31,8 +35,13 @@
         self._keep_ms = keep_ms
         self._boot = _boot_id()
         found = [_read(path, self._boot) for path in self._paths]
-        self.before = [lease for leases, _ in found for lease in leases]
-        self._ends = [max((lease.until for lease in leases), default=0.0) for leases, _ in found]
+        self.whole = all(whole for _, _, whole in found)
+        self.found = any(path.exists() for path in self._paths)
+        for path in self._paths:
+            if path.exists() and path.read_bytes()[:BOOT_BYTES] != self._boot:
+                path.unlink()  # of no account any more, and not to be met again by the next daemon
+        self.before = [lease for leases, _, _ in found for lease in leases]
+        self._ends = [max((lease.until for lease in leases), default=0.0) for leases, _, _ in found]
         self._file = -1
         # The newer file goes on, without a torn tail; where none is of this start of the machine, it is anew.
         newer = self._ends.index(max(self._ends))
@@ -65,20 +74,22 @@
         os.close(self._file)
 
 
-def _read(path: Path, boot: bytes) -> tuple[list[Lease], int]:
-    """The leases of a file of one start of the machine, and how many of its bytes hold them."""
+def _read(path: Path, boot: bytes) -> tuple[list[Lease], int, bool]:
+    """The leases of a file of one start of the machine, how many bytes hold them, and if that is all."""
     data = path.read_bytes() if path.exists() else b""
     if data[:BOOT_BYTES] != boot:
-        return [], 0
-    leases, at = [], BOOT_BYTES
+        return [], 0, not path.exists()
+    leases, at = list[Lease](), BOOT_BYTES
     while at + HEAD.size <= len(data):
         size, check = HEAD.unpack_from(data, at)
         body = data[at + HEAD.size : at + HEAD.size + size]
-        if len(body) < size or crc32(body) != check:
+        if len(body) < size:
             break  # torn as the process was killed: it was not told
+        if crc32(body) != check:
+            return leases, at, False
         leases.append(_unpack(body))
         at += HEAD.size + size
-    return leases, at
+    return leases, at, True
 
 
 def leased_epochs(folder: Path) -> list[tuple[str, int]]:
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -46,8 +46,10 @@
         log: Log,
         clock: Clock = SYSTEM,
         heard: Callable[[Owner, Vote | Acting | Fit | None, bool], None] | None = None,
+        began_before: bool = False,
     ) -> None:
         """``heard`` is told who joined (true) or left (false), votes, and what they act under.
+        ``began_before``: there were instances before, so that no record is a lost one.
 
         Raises ``OSError`` where the socket or the record can't be opened."""
         self._log, self._clock = log, clock
@@ -62,6 +64,10 @@
         self._record = Record(folder, longest + SLACK_MS)
         self._allotter = Allotter(slack_ms=SLACK_MS)
         self._allotter.restore(self._record.before)
+        if not self._record.whole or (began_before and not self._record.found):
+            # Guards limits after a power loss, or a record that is lost: anything may have been given out.
+            log.warning("leases not known; limits count as used up")
+            self._allotter.presume(clock.now())
         for key, limit in limits.items():
             self._allotter.limited(key, limit)
         path.unlink(missing_ok=True)
@@ -96,7 +102,7 @@
         except Unreadable as exc:
             self._log.warning("instance not understood", owner=member.owner, fault=str(exc))
         except OSError:
-            pass
+            self._allotter.presume(clock.now())
         finally:
             with self._lock:
                 known = member.owner is not None and self._members.get(member.owner) is member
--- a/springspread/fleet/shares.py
+++ b/springspread/fleet/shares.py
@@ -105,6 +105,9 @@
         return sum(count.calls for count in self.counts.values())
 
 
+NOBODY: Owner = ("", 0)
+
+
 class Allotter:
     """Gives out leases. ``ask`` and ``report`` as messages come in, ``allot`` every few milliseconds."""
 
@@ -122,6 +125,14 @@
         self._before: list[Lease] = []
         self._epochs: dict[str, int] = {}
         self._serial = 0
+        self._presumed: float | None = None
+
+    def presume(self, now: float) -> None:
+        """What was given out before this moment is not known: each limit counts as used up by then.
+
+        Before any limit is told. It costs a limit's span, once.
+        """
+        self._presumed = now
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
@@ -131,6 +142,9 @@
             for lease in [lease for lease in self._before if lease.key == key]:
                 over_at = lease.until + limit.span_ms + self._slack_ms
                 book.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
+            if self._presumed is not None:
+                over_at = self._presumed + limit.span_ms + self._slack_ms
+                book.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
             return
         if limit.span_ms > book.limit.span_ms:
             # Guards the longer span: calls that the shorter one had let go of still fall into it.
--- a/tests/fleet/test_medium.py
+++ b/tests/fleet/test_medium.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from bisect import bisect_left
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
@@ -152,3 +152,32 @@
     earlier = place.join("n0", epoch=4)
     assert later.acquire(LINK)
     assert not earlier.acquire(LINK)
+
+
+def _another_boot(path: Path) -> None:
+    path.write_bytes(b"0" * 36 + path.read_bytes()[36:])
+
+
+def _flipped(path: Path) -> None:
+    data = bytearray(path.read_bytes())
+    data[50] ^= 1  # in the first lease
+    path.write_bytes(data)
+
+
+@pytest.mark.parametrize("spoil", [_another_boot, _flipped, Path.unlink])
+def test_the_limit_holds_over_an_allotter_whose_record_is_lost(
+    place: Place, spoil: Callable[[Path], None]
+) -> None:
+    callers = Callers([place.join(f"n{n}") for n in range(3)])
+    for count in (10, 20):
+        until(lambda count=count: len(callers.made) >= count, "calls")  # type: ignore[misc]
+        place.server.close()
+        for path in place.folder.glob("leases.*"):
+            if path.stat().st_size > 60:
+                spoil(path)
+        place.server = AllotterServer(
+            place.path, place.folder, place.limits, Quiet(), began_before=spoil is Path.unlink
+        )
+    until(lambda: len(callers.made) >= 35, "calls with the last one")
+    callers.stop()
+    assert callers.most() <= 8
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -98,3 +98,24 @@
     for path in tmp_path.iterdir():
         path.write_bytes(b"0" * 36 + path.read_bytes()[36:])
     assert Record(tmp_path, 2_000.0).before == []
+
+
+def test_a_record_says_whether_anything_of_it_is_missing(tmp_path: Path) -> None:
+    record = Record(tmp_path, 2_000.0)
+    assert record.whole and not record.found
+    record.append([lease(1), lease(2)], 0.0)
+    record.close()
+    (file,) = [path for path in tmp_path.iterdir() if path.stat().st_size]
+    good = file.read_bytes()
+    file.write_bytes(good[:-3])
+    torn = Record(tmp_path, 2_000.0)
+    assert torn.whole and torn.found and torn.before == [lease(1)]
+    torn.close()
+    for spoilt in (good[:60] + b"?" + good[61:], b"0" * 36 + good[36:], b""):
+        file.write_bytes(spoilt)
+        found = Record(tmp_path, 2_000.0)
+        assert not found.whole and found.found
+        found.close()
+        again = Record(tmp_path, 2_000.0)
+        assert again.whole  # it is told once
+        again.close()
