--- a/benchmarks/policy_sabotage.py
+++ b/benchmarks/policy_sabotage.py
@@ -16,7 +16,7 @@
 from springspread.rig.chaos import Chaos, Told
 from springspread.rig.partner import Outside
 from springspread.rig.sabotage import SABOTAGES
-from springspread.rig.schedule import drawn
+from springspread.rig.schedule import pressed
 
 INSTANCES = 5
 LIMIT = (40, 1_000.0)  # a little less than what is handed in, so that there is always something owed
@@ -30,7 +30,7 @@
             Path(place), outside, INSTANCES, 1500.0, limit=LIMIT if limited else None, sabotage=sabotage
         )
         try:
-            return chaos.play(drawn(seed, INSTANCES, 1000.0 * seconds, 700.0), 1000.0 * seconds, rival=True)
+            return chaos.play(pressed(seed, INSTANCES, 1000.0 * seconds), 1000.0 * seconds, rival=True)
         finally:
             chaos.close()
             outside.close()
--- a/springspread/rig/crashes.py
+++ b/springspread/rig/crashes.py
@@ -24,6 +24,7 @@
 
 DISK_BYTES = 32_000  # files of 2,700 bytes, and room for three of them: they turn over often
 BODY_BYTES = 300
+MOST_OWED = 8  # of the room that there is: a refusal for want of it is another matter
 NOWHERE = Path("/nowhere")
 
 
@@ -58,6 +59,7 @@
     out: dict[int, int] = {}  # attempts of what is owed and not ended
     for _ in range(steps):
         what = rng.choice(("take", "take", "begin", "begin", "prove", "end", "over", "over"))
+        what = "over" if len(out) >= MOST_OWED else what
         if what == "take" or not out:
             number += 1
             body = bytes([number % 251]) * rng.randrange(BODY_BYTES)
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -52,6 +52,25 @@
     return tuple(made)
 
 
+def pressed(seed: int, instances: int, length_ms: float) -> tuple[Act, ...]:
+    """Faults where they hurt a change most, round after round.
+
+    One instance is not heard, so that each vote lasts its whole time; others go deaf while it does, and every
+    second time the daemon is killed right after that; one is frozen, one killed.
+    """
+    rng, made, round_ms = Random(f"{seed}/pressed"), list[Act](), 6_000.0
+    for turn in range(int((length_ms - 4_000.0) / round_ms)):
+        begin = 1_000.0 + turn * round_ms
+        who = rng.sample(range(instances), instances)
+        made.append(Act(begin, Kind.MUTE, who[0], 5_000.0))
+        for one, kind in zip(who[1:], (Kind.DEAF, Kind.DEAF, Kind.FREEZE, Kind.KILL), strict=False):
+            made.append(Act(begin + rng.uniform(300.0, 2_500.0), kind, one, 2_000.0))
+        if turn % 2:
+            at = made[-min(4, instances - 1)].at + 100.0
+            made.append(Act(at, Kind.DAEMON, 0, 150.0))
+    return tuple(sorted(made, key=lambda act: act.at))
+
+
 def written(acts: Sequence[Act]) -> str:
     """As JSON, one act a line, to be kept and played again."""
     lines = [json.dumps([act.at, act.kind.value, act.who, act.lasts]) for act in acts]
--- a/tests/rig/test_schedule.py
+++ b/tests/rig/test_schedule.py
@@ -1,6 +1,6 @@
 import pytest
 
-from springspread.rig.schedule import Act, Kind, drawn, read, smaller, written
+from springspread.rig.schedule import Act, Kind, drawn, pressed, read, smaller, written
 
 ACTS = drawn(3, 6, 60_000.0, 1_000.0)
 
@@ -11,6 +11,16 @@
         read('[[1.0, "killed", 0, 5.0], [2.0, "melted", 0, 5.0]]')
 
 
+def test_a_pressed_schedule_hurts_each_round_and_nobody_twice_at_a_time() -> None:
+    acts = pressed(1, 5, 40_000.0)
+    assert acts == pressed(1, 5, 40_000.0) != pressed(2, 5, 40_000.0)
+    assert {act.kind for act in acts} == {Kind.MUTE, Kind.DEAF, Kind.FREEZE, Kind.KILL, Kind.DAEMON}
+    assert all(act.at + act.lasts <= 38_000.0 for act in acts)
+    for who in range(5):
+        mine = [act for act in acts if act.who == who and act.kind is not Kind.DAEMON]
+        assert all(one.at + one.lasts <= two.at for one, two in zip(mine, mine[1:], strict=False))
+
+
 def test_a_failing_schedule_is_made_as_small_as_its_cause() -> None:
     cause = {ACTS[4], ACTS[17], ACTS[-1]}
     plays: list[tuple[Act, ...]] = []
