A lost connection of an instance ends its thread quietly again

While the tests of lost leases were seen to fail without their fix, the line that passes over a broken connection was overwritten by mistake; the thread of a member whose connection broke ended with a NameError.

--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -102,7 +102,7 @@
         except Unreadable as exc:
             self._log.warning("instance not understood", owner=member.owner, fault=str(exc))
         except OSError:
-            self._allotter.presume(clock.now())
+            pass
         finally:
             with self._lock:
                 known = member.owner is not None and self._members.get(member.owner) is member
