Power cuts of a whole fleet: daemon and instances at once, and what they did not sync

Power losses were played on one process alone. The rig now cuts the power of a real daemon and all its instances at a moment drawn from a seed, drops what the journals did not sync, and starts the daemon again, sometimes in the middle of the return; half of the messages may run once only.

--- /dev/null
+++ b/benchmarks/power_cuts.py
@@ -0,0 +1,79 @@
+"""Power cuts of a whole fleet under load: the daemon and all instances at once, and what they did not sync.
+
+    python -m benchmarks.power_cuts [--instances 6] [--cuts 60] [--durability power] [--csv FILE]
+
+Half of the messages may be carried once only. Tells messages that were answered 202 and have no end, unsafe
+ones that ran twice, and messages with two ends. With durability ``power`` it exits with 1 where there is any;
+with ``process`` where there is none, as the rig should find what it takes away.
+"""
+
+from __future__ import annotations
+
+import argparse
+import csv
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+
+from springspread.rig.chaos import Chaos
+from springspread.rig.partner import Outside
+
+LIMIT = (100, 1_000.0)  # so that there is always something held
+
+
+def main() -> None:
+    """Play and tell."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--instances", type=int, default=6)
+    parser.add_argument("--cuts", type=int, default=60)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--durability", choices=["process", "power"], default="power")
+    parser.add_argument("--csv", type=Path)
+    args = parser.parse_args()
+    rng, outside = Random(f"{args.seed}/cuts"), Outside()
+    with tempfile.TemporaryDirectory(prefix="springspread-power-") as place:
+        chaos = Chaos(Path(place), outside, args.instances, 1000.0, 0.05, LIMIT, power=args.durability)
+        try:
+            chaos.load()
+            for _ in range(args.cuts):
+                # Some come while the fleet returns from the one before.
+                end = time.monotonic() + rng.choice((0.2, 1.0, 2.0, 3.0))
+                while time.monotonic() < end:
+                    chaos.look()
+                    time.sleep(0.05)
+                chaos.power_cut()
+            chaos.until_whole()
+            chaos.end_load()
+        finally:
+            chaos.close()
+            outside.close()
+    twice = [id for id in chaos.unsafe if outside.applied[id] > 1]
+    ran_and_told = [id for id in chaos.unsafe if outside.applied[id] and outside.noticed.get(id)]
+    row = {
+        "durability": args.durability,
+        "instances": args.instances,
+        "cuts": args.cuts,
+        "messages": len(chaos.told.handed),
+        "unsafe": len(chaos.unsafe),
+        "without_end": len(chaos.told.without_end),
+        "unsafe_twice": len(twice),
+        "two_ends": len(chaos.told.two_ends),
+        "ran_and_told_as_not": len(ran_and_told),  # an answer that was on its way, or on record nowhere yet
+    }
+    for key, value in row.items():
+        print(f"{key:20} {value}")
+    if args.csv is not None:
+        new = not args.csv.exists()
+        with args.csv.open("a", newline="") as out:
+            writer = csv.DictWriter(out, list(row), lineterminator="\n")
+            if new:
+                writer.writeheader()
+            writer.writerow(row)
+    found = bool(chaos.told.without_end or twice or chaos.told.two_ends)
+    sys.exit(found if args.durability == "power" else not found)
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -24,10 +24,11 @@
 from pathlib import Path
 from typing import Any
 
+from springspread.fleet.folder import process_start
 from springspread.fleet.orders import asked
-from springspread.rig.daemon import relay_path
+from springspread.rig.daemon import PROGRAM, relay_path
 from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
-from springspread.rig.partner import GROUP, Outside
+from springspread.rig.partner import GROUP, UNSAFE, Outside
 from springspread.rig.relay import Fault, Relay, Way
 from springspread.rig.sabotage import VARIABLE
 from springspread.rig.schedule import Act, Kind
@@ -103,14 +104,17 @@
         limit: tuple[int, float] | None = None,
         program: Path | None = None,
         sabotage: str = "",
+        power: str = "",
     ) -> None:
         """``place`` is an empty folder; each instance is handed a message every ``each_s``.
 
         ``limit``: calls and span (ms) at the partner, under every policy. ``program``: another checkout's
         daemon and instances, from before there were policies; without relays, and nothing is proposed.
-        ``sabotage``: the fault that is put into it.
+        ``sabotage``: the fault that is put into it. ``power``: instances lose what they did not sync as they
+        are killed, and have this durability; every other message may be carried once only.
         """
         self._limit, self._program, self._sabotage = limit, program, sabotage
+        self._power = power
         self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
         toml = (TOML if program is None else OLD_TOML).format(instances, lease_ms)
@@ -119,6 +123,8 @@
         self._file.write_text(toml)
         self._outside, self._base = outside, outside.configuration()
         self._names = [f"n{n:03}" for n in range(instances)]
+        if power:
+            self._base["durability"] = power
         self._config.write_text(json.dumps(self._base))
         folder = self._folder
         folder.mkdir(exist_ok=True)
@@ -129,6 +135,7 @@
         self._rows: dict[str, dict[str, Any]] = {}
         self.told = Told()
         self._ids = count(1)
+        self.unsafe: set[str] = set()
         self.handed_at: dict[str, float] = {}
         self._looked = 0.0
         self._threads: list[threading.Thread] = []
@@ -139,23 +146,25 @@
     def until_whole(self) -> None:
         """Wait until every instance is in the fleet; raises ``TimeoutError``."""
         end = time.monotonic() + READY_S
-        self._look()
+        self.look()
         while not all(self._rows.get(n, {}).get("in_fleet") and self._listens.get(n) for n in self._names):
             if time.monotonic() > end:
                 raise TimeoutError("the fleet was not whole in time")
-            self._look()
+            self.look()
             time.sleep(0.1)
 
     def _start(self, *moment: str) -> subprocess.Popen[bytes]:
         env = {**os.environ, "RELAY_LOG_LEVEL": "debug", VARIABLE: self._sabotage}
         line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
+        if self._power:
+            env[PROGRAM] = "springspread.rig.power"
         if self._program is not None:
             line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
             env["PYTHONPATH"] = str(self._program)
         with (self._folder / "daemon.log").open("ab") as log:
             return subprocess.Popen(line, env=env, stderr=log, cwd=self._program)
 
-    def _look(self) -> None:
+    def look(self) -> None:
         """Ask the daemon who is there; not again for a while, as its answer costs it time."""
         if time.monotonic() < self._looked + LOOK_S:
             return
@@ -172,10 +181,12 @@
     def _load(self, number: int) -> None:
         name = self._names[number]
         while not self._over.wait(self._each_s):
-            id = f"{name}-{next(self._ids)}"
+            number = next(self._ids)
+            cls = UNSAFE if self._power and number % 2 else self._base["settings"]["classes"][0]["name"]
+            id = f"{name}-{number}"
             host, _, port = self._listens.get(name, "127.0.0.1:1").rpartition(":")
             connection = http.client.HTTPConnection(host, int(port), timeout=0.4)
-            head = {"X-Correlation-Id": id, "X-Service-Class": self._base["settings"]["classes"][0]["name"]}
+            head = {"X-Correlation-Id": id, "X-Service-Class": cls}
             head |= {"X-Consignee": f"dest={GROUP}", "X-Time-Left-Ms": "8000"}
             with suppress(OSError, http.client.HTTPException):
                 connection.request("POST", "/api", b"hello", head)
@@ -183,6 +194,8 @@
                 if status in (200, 202):
                     self.told.handed.add(id)
                     self.handed_at[id] = time.monotonic() * 1000.0
+                    if cls == UNSAFE:
+                        self.unsafe.add(id)
                 if status == 200:
                     self._answered.add(id)
             connection.close()
@@ -299,7 +312,7 @@
             for one in [one for one in ends if one[0] <= now]:
                 ends.remove(one)
                 one[1]()
-            self._look()
+            self.look()
             if show is not None and now >= shown:
                 shown = now + 1000.0
                 show(now, self._rows, [what for _, _, what in ends])
@@ -340,6 +353,19 @@
         }
         self.told.two_ends = {id for id, said in told.items() if len(said) > 1}
 
+    def power_cut(self) -> None:
+        """The daemon and all instances are gone at once; what they synced is left. The daemon runs again."""
+        pids = [row["pid"] for row in self._rows.values() if row["pid"]]
+        for pid in [self._daemon.pid, *pids]:
+            with suppress(ProcessLookupError):
+                os.kill(pid, signal.SIGKILL)
+        self._daemon.wait()
+        for pid in pids:  # children of nobody who waits for them: the system does
+            while process_start(pid):
+                time.sleep(0.005)
+        self._listens.clear()
+        self._daemon = self._start()
+
     def _spawn(self, what: Callable[[], None]) -> None:
         thread = threading.Thread(target=what, daemon=True)
         self._threads.append(thread)
@@ -348,7 +374,7 @@
     def close(self) -> None:
         """End every process that it started."""
         self._over.set()
-        self._look()
+        self.look()
         self._daemon.terminate()
         with suppress(subprocess.TimeoutExpired):
             self._daemon.wait(15.0)
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -25,6 +25,7 @@
 from springspread.rig.sabotage import SABOTAGES, VARIABLE
 from springspread.rig.steps import Deed, Disk, Steps
 
+PROGRAM = "RIG_PROGRAM"  # what instances run, in place of the program
 ENDS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -84,6 +85,7 @@
             RelayedDaemon.program = "springspread.rig.sender"
         else:
             sabotage.install()
+    RelayedDaemon.program = os.environ.get(PROGRAM, RelayedDaemon.program)
     if len(sys.argv) == 5:
         install(Steps(int(sys.argv[2]), Deed(sys.argv[3]), Path(sys.argv[4])))
     daemon = RelayedDaemon(read_fleet(Path(sys.argv[1])), log)
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 GROUP = 7
+UNSAFE = "payment"  # the class whose calls may run once
 WATCH_S = 5.0  # an unchanged list is told after this
 
 
@@ -51,7 +52,14 @@
                     "deadlineMs": 8000,
                     "effect": "repeatable",
                     "points": 1,
-                }
+                },
+                {
+                    "name": UNSAFE,
+                    "objectiveMs": 1000,
+                    "deadlineMs": 8000,
+                    "effect": "once",
+                    "points": 1,
+                },
             ],
             "kinds": ["portal"],
             "zones": ["a"],
