--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -29,7 +29,7 @@
 from springspread.rig.daemon import PROGRAM, relay_path
 from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
 from springspread.rig.partner import GROUP, UNSAFE, Outside
-from springspread.rig.relay import Fault, Relay, Way
+from springspread.rig.relay import Fault, Relay, Way, unseen
 from springspread.rig.sabotage import VARIABLE
 from springspread.rig.schedule import Act, Kind
 
@@ -261,6 +261,8 @@
         elif act.kind in FAULTS:
             fault, ways = FAULTS[act.kind]
             relay.put(fault, *ways)
+        elif act.kind is Kind.VOTED:
+            relay.seen = lambda _, line: relay.put(Fault.LOSE, Way.DOWN) if b'"vote"' in line else None
         else:
             try:
                 os.kill(pid, signal.SIGKILL if act.kind is Kind.KILL else signal.SIGSTOP)
@@ -272,7 +274,8 @@
             if act.kind is Kind.FREEZE and pid:
                 with suppress(ProcessLookupError):
                     os.kill(pid, signal.SIGCONT)
-            if act.kind in (Kind.HALF_OPEN, Kind.DEAF, Kind.MUTE):
+            relay.seen = unseen
+            if act.kind in (Kind.HALF_OPEN, Kind.DEAF, Kind.MUTE, Kind.VOTED):
                 relay.cut(away=False)  # lines are missing in it: it is of no use any more
             relay.heal()
 
--- a/springspread/rig/relay.py
+++ b/springspread/rig/relay.py
@@ -45,7 +45,7 @@
         self._changed = threading.Condition()
         self._pairs: list[tuple[socket.socket, socket.socket]] = []
         self._past: deque[bytes] = deque(maxlen=KEPT)
-        self.seen: Callable[[Way, bytes], None] = _unseen
+        self.seen: Callable[[Way, bytes], None] = unseen
         path.unlink(missing_ok=True)
         self._listener = socket.socket(socket.AF_UNIX)
         self._listener.bind(str(path))
@@ -138,5 +138,5 @@
         sink.sendall(line * (2 if fault is Fault.DOUBLE else 1))
 
 
-def _unseen(way: Way, line: bytes) -> None:
-    """Nobody looks."""
+def unseen(way: Way, line: bytes) -> None:
+    """Nobody looks at what passes."""
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -23,6 +23,7 @@
     HOLD = "held back"
     DOUBLE = "doubled"
     REPLAY = "told old things again"
+    VOTED = "deaf once it has voted"
     DAEMON = "daemon killed"
 
 
@@ -55,19 +56,20 @@
 def pressed(seed: int, instances: int, length_ms: float) -> tuple[Act, ...]:
     """Faults where they hurt a change most, round after round.
 
-    One instance is not heard, so that each vote lasts its whole time; others go deaf while it does, and every
-    second time the daemon is killed right after that; one is frozen, one killed.
+    One instance goes deaf as soon as it has voted; later another goes deaf, and every second time the daemon
+    is killed right after that; one is frozen, one killed, one not heard.
     """
     rng, made, round_ms = Random(f"{seed}/pressed"), list[Act](), 6_000.0
     for turn in range(int((length_ms - 4_000.0) / round_ms)):
         begin = 1_000.0 + turn * round_ms
         who = rng.sample(range(instances), instances)
-        made.append(Act(begin, Kind.MUTE, who[0], 5_000.0))
-        for one, kind in zip(who[1:], (Kind.DEAF, Kind.DEAF, Kind.FREEZE, Kind.KILL), strict=False):
-            made.append(Act(begin + rng.uniform(300.0, 2_500.0), kind, one, 2_000.0))
+        made.append(Act(begin, Kind.VOTED, who[0], 2_000.0))
+        deaf_at = begin + 2_500.0 + rng.uniform(0.0, 500.0)
+        made.append(Act(deaf_at, Kind.DEAF, who[1 % instances], 2_000.0))
         if turn % 2:
-            at = made[-min(4, instances - 1)].at + 100.0
-            made.append(Act(at, Kind.DAEMON, 0, 150.0))
+            made.append(Act(deaf_at + 100.0, Kind.DAEMON, 0, 150.0))
+        for one, kind in zip(who[2:], (Kind.FREEZE, Kind.KILL, Kind.MUTE), strict=False):
+            made.append(Act(deaf_at + rng.uniform(500.0, 1_000.0), kind, one, 1_000.0))
     return tuple(sorted(made, key=lambda act: act.at))
 
 
--- a/tests/rig/test_schedule.py
+++ b/tests/rig/test_schedule.py
@@ -14,7 +14,14 @@
 def test_a_pressed_schedule_hurts_each_round_and_nobody_twice_at_a_time() -> None:
     acts = pressed(1, 5, 40_000.0)
     assert acts == pressed(1, 5, 40_000.0) != pressed(2, 5, 40_000.0)
-    assert {act.kind for act in acts} == {Kind.MUTE, Kind.DEAF, Kind.FREEZE, Kind.KILL, Kind.DAEMON}
+    assert {act.kind for act in acts} == {
+        Kind.VOTED,
+        Kind.DEAF,
+        Kind.FREEZE,
+        Kind.KILL,
+        Kind.MUTE,
+        Kind.DAEMON,
+    }
     assert all(act.at + act.lasts <= 38_000.0 for act in acts)
     for who in range(5):
         mine = [act for act in acts if act.who == who and act.kind is not Kind.DAEMON]
