Where an instance listens stands on record; a new daemon no longer looks for it in a log

A daemon that adopts an instance looked for its ready line in the last 256 KB of its log; with a long log the status had no address for good (50 instances at debug, daemon killed: some were never addressed again). The address is put with the member as soon as it is said. Test: a log of 380 KB behind the ready line and a new daemon. The sabotage of a daemon that waits for nobody is given a half-open instance.

--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -47,6 +47,7 @@
 from springspread.net.threads import spawn
 
 LOOK_MS = 50.0
+LISTENS_MS = 60_000.0  # an instance says where it listens within this, or its log is not looked at again
 ORDER_BYTES = 1 << 18
 ORDER_S = 2.0
 MOST = 1000
@@ -76,7 +77,6 @@
         self._children: dict[int, subprocess.Popen[bytes]] = {}
         self._since: dict[int, str] = {}  # of processes that another daemon started
         self._rolling: list[str] = []
-        self._listens: dict[int, str] = {}  # by process
         self._rows = self._adopted()
         if not self._rows or (self._lost and len(self._rows) < plan.instances):
             self._rows = scaled(self._rows, plan.instances)
@@ -260,6 +260,11 @@
             self._changes.died((name, row.epoch))
             row = self._rows[name] = died(row, now, self._plan.pauses)
             self._save()
+        unknown = alive and not (row.listen or row.emptying) and now < row.started_at + LISTENS_MS
+        if unknown and (listen := _listens(self.folder / name / "log", row.pid)):
+            # On record, as its log may be long or cut off by the time that another daemon begins.
+            row = self._rows[name] = replace(row, listen=listen)
+            self._save()
         leaving = row.want is Want.LEAVING
         seen = Seen(alive, self._owed(name) if leaving else 0)
         match step(row, seen, now, self._plan.pauses):
@@ -419,8 +424,6 @@
 
     def _status(self) -> list[dict[str, Any]]:
         connected = dict(self._server.members)
-        running = {row.pid for row in self._rows.values()}
-        self._listens = {pid: listen for pid, listen in self._listens.items() if pid in running}
         now = self._clock.now()
         return [
             {
@@ -428,7 +431,7 @@
                 "want": row.want.value,
                 "pid": row.pid,
                 "epoch": row.epoch,
-                "listen": self._address(row) if row.pid and not row.emptying else "",
+                "listen": row.listen,
                 "up_s": round((now - row.started_at) / 1000.0, 1) if row.pid else 0.0,
                 "in_fleet": connected.get(row.name) == row.epoch,
                 "deaths": row.deaths,
@@ -437,15 +440,6 @@
             for row in self._rows.values()
         ]
 
-    def _address(self, row: Row) -> str:
-        """Where an instance listens: read once out of its log, as a status may be asked for often."""
-        if row.pid not in self._listens:
-            found = _listens(self.folder / row.name / "log", row.pid)
-            if not found:
-                return ""
-            self._listens[row.pid] = found
-        return self._listens[row.pid]
-
     def stop(self) -> None:
         """End every instance in order, within the time that one has, and then the daemon."""
         self._over.set()
--- a/springspread/fleet/members.py
+++ b/springspread/fleet/members.py
@@ -64,6 +64,7 @@
     deaths: int = 0  # one after the other, each soon after its start
     restart: bool = False  # it is to end once, and to be started again
     emptying: bool = False  # its present process takes no clients
+    listen: str = ""  # where that process serves, as soon as it has said so
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/fleet/survey.py
+++ b/springspread/fleet/survey.py
@@ -80,10 +80,11 @@
             astray.append(holder)  # a later start than it was on record
             holder = None
         if holder is None:
-            made[name] = replace(row, pid=0, emptying=False)
+            made[name] = replace(row, pid=0, emptying=False, listen="")
         else:
-            emptying = row.emptying and holder.pid == row.pid
-            made[name] = replace(row, pid=holder.pid, epoch=holder.epoch, emptying=emptying)
+            if holder.pid != row.pid:
+                row = replace(row, emptying=False, listen="")
+            made[name] = replace(row, pid=holder.pid, epoch=holder.epoch)
     holders = {name: one for name, one in latest.items() if made[name].pid}
     return Believed(made, tuple(astray), found.rows is None, holders)
 
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -56,7 +56,7 @@
 def pressed(seed: int, instances: int, length_ms: float) -> tuple[Act, ...]:
     """Faults where they hurt a change most, round after round.
 
-    One instance goes deaf as soon as it has voted; later another goes deaf, and every second time the daemon
+    One instance goes deaf as soon as it has voted; later one is half-open, and every second time the daemon
     is killed right after that; one is frozen, one killed, one not heard.
     """
     rng, made, round_ms = Random(f"{seed}/pressed"), list[Act](), 6_000.0
@@ -64,12 +64,12 @@
         begin = 1_000.0 + turn * round_ms
         who = rng.sample(range(instances), instances)
         made.append(Act(begin, Kind.VOTED, who[0], 2_000.0))
-        deaf_at = begin + 2_500.0 + rng.uniform(0.0, 500.0)
-        made.append(Act(deaf_at, Kind.DEAF, who[1 % instances], 2_000.0))
+        half_at = begin + 2_500.0 + rng.uniform(0.0, 500.0)
+        made.append(Act(half_at, Kind.HALF_OPEN, who[1 % instances], 2_000.0))
         if turn % 2:
-            made.append(Act(deaf_at + 100.0, Kind.DAEMON, 0, 150.0))
+            made.append(Act(half_at + 100.0, Kind.DAEMON, 0, 150.0))
         for one, kind in zip(who[2:], (Kind.FREEZE, Kind.KILL, Kind.MUTE), strict=False):
-            made.append(Act(deaf_at + rng.uniform(500.0, 1_000.0), kind, one, 1_000.0))
+            made.append(Act(half_at + rng.uniform(500.0, 1_000.0), kind, one, 1_000.0))
     return tuple(sorted(made, key=lambda act: act.at))
 
 
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -237,3 +237,14 @@
 
     until(all_serve, "four instances act under policy 1")
     daemon.stop()
+
+
+def test_a_new_daemon_knows_where_an_instance_with_a_long_log_listens(place: Place) -> None:
+    before = {name: row["listen"] for name, row in place.rows().items()}
+    place.daemon.leave()
+    for name in before:
+        with (place.daemon.folder / name / "log").open("ab") as log:
+            log.write(b'{"event": "other"}\n' * 20_000)
+    place.daemon = Daemon(read_fleet(place.file), Quiet())
+    until(lambda: place.serving() == ["n000", "n001"], "both are in the fleet again")
+    assert {name: row["listen"] for name, row in place.rows().items()} == before
