Pressed rounds: nobody else is silent as the daemon dies, so that its own waiting shows

The build whose new daemon waits for nobody was not convicted: in each round another instance was silent too, and waiting for that one hid the fault. With the half-open instance alone the observer finds it.

--- a/benchmarks/policy_sabotage.py
+++ b/benchmarks/policy_sabotage.py
@@ -19,7 +19,7 @@
 from springspread.rig.schedule import pressed
 
 INSTANCES = 5
-LEASE_MS = 3_000.0  # longer than a new daemon takes to begin and to decide
+LEASE_MS = 5_000.0  # longer than a new daemon takes to begin and to decide
 LIMIT = (40, 1_000.0)  # a little less than what is handed in, so that there is always something owed
 
 
--- a/springspread/rig/schedule.py
+++ b/springspread/rig/schedule.py
@@ -56,18 +56,19 @@
 def pressed(seed: int, instances: int, length_ms: float) -> tuple[Act, ...]:
     """Faults where they hurt a change most, round after round.
 
-    One instance goes deaf as soon as it has voted; later one is half-open, and every second time the daemon
-    is killed right after that; one is frozen, one killed, one not heard.
+    One instance goes deaf as soon as it has voted; later one is half-open, and right after that the daemon
+    is killed, or, every second time, one instance is frozen, one killed and one not heard.
     """
-    rng, made, round_ms = Random(f"{seed}/pressed"), list[Act](), 6_000.0
+    rng, made, round_ms = Random(f"{seed}/pressed"), list[Act](), 9_000.0
     for turn in range(int((length_ms - 4_000.0) / round_ms)):
         begin = 1_000.0 + turn * round_ms
         who = rng.sample(range(instances), instances)
         made.append(Act(begin, Kind.VOTED, who[0], 2_000.0))
         half_at = begin + 2_500.0 + rng.uniform(0.0, 500.0)
-        made.append(Act(half_at, Kind.HALF_OPEN, who[1 % instances], 2_000.0))
-        if turn % 2:
+        made.append(Act(half_at, Kind.HALF_OPEN, who[1 % instances], 4_000.0))
+        if turn % 2 == 0:  # nobody else is silent then: waiting for another would be waiting for this one
             made.append(Act(half_at + 100.0, Kind.DAEMON, 0, 150.0))
+            continue
         for one, kind in zip(who[2:], (Kind.FREEZE, Kind.KILL, Kind.MUTE), strict=False):
             made.append(Act(half_at + rng.uniform(500.0, 1_000.0), kind, one, 1_000.0))
     return tuple(sorted(made, key=lambda act: act.at))
--- a/tests/rig/test_schedule.py
+++ b/tests/rig/test_schedule.py
@@ -12,8 +12,8 @@
 
 
 def test_a_pressed_schedule_hurts_each_round_and_nobody_twice_at_a_time() -> None:
-    acts = pressed(1, 5, 40_000.0)
-    assert acts == pressed(1, 5, 40_000.0) != pressed(2, 5, 40_000.0)
+    acts = pressed(1, 5, 60_000.0)
+    assert acts == pressed(1, 5, 60_000.0) != pressed(2, 5, 60_000.0)
     assert {act.kind for act in acts} == {
         Kind.VOTED,
         Kind.HALF_OPEN,
@@ -22,7 +22,7 @@
         Kind.MUTE,
         Kind.DAEMON,
     }
-    assert all(act.at + act.lasts <= 38_000.0 for act in acts)
+    assert all(act.at + act.lasts <= 58_000.0 for act in acts)
     for who in range(5):
         mine = [act for act in acts if act.who == who and act.kind is not Kind.DAEMON]
         assert all(one.at + one.lasts <= two.at for one, two in zip(mine, mine[1:], strict=False))
