A message's time runs from its request's first byte, however long its pieces take

A message whose pieces took longer than the 20 ms of margin could be delivered after the client's time, with no notice, or ended too late. The door now tells when a request began. The test fails without it.

--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -303,7 +303,7 @@
             return []
         query.number = number
         self._taken_on(query)
-        self._log.debug("taken", number=number, group=query.group, cls=query.cls)
+        self._log.debug("taken", id=query.id, number=number, group=query.group, cls=query.cls)
         self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
         return [i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)]
--- a/springspread/door/admission.py
+++ b/springspread/door/admission.py
@@ -95,6 +95,7 @@
     since: float
     requests: int = 0
     held: int = 0
+    begun: float = 0.0  # the first byte of the request that is being read
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,13 +189,17 @@
         del self._lines[place.standing][place]
         if standing in (Standing.WAITING, Standing.LEAVING):
             self.keep(place, 0)
+        if standing is Standing.READING:
+            place.begun = now
         place.standing, place.since = standing, now
         self._lines[standing][place] = None
 
-    def heard(self, place: Place, now: float) -> None:
-        """A whole request was read: the core has it, or its answer is about to be written."""
+    def heard(self, place: Place, now: float) -> float:
+        """A whole request was read: the core has it, or its answer is about to be written. When it began."""
+        begun = place.begun if place.standing in (Standing.READING, Standing.LAGGING) else now
         place.requests += 1
         self.step(place, Standing.WAITING, now)
+        return begun
 
     def rests(self, place: Place, now: float) -> None:
         """Its answer was written whole, and nothing of another request has come."""
--- a/springspread/net/door.py
+++ b/springspread/net/door.py
@@ -31,8 +31,11 @@
 class Front(Protocol):
     """What answers requests."""
 
-    def respond(self, request: Request, told: Callable[[Query], None]) -> Reply | Query:
-        """Answer one request, or name its query: ``told`` is called, from any thread, at the verdict."""
+    def respond(self, request: Request, begun: float, told: Callable[[Query], None]) -> Reply | Query:
+        """Answer one request, or name its query: ``told`` is called, from any thread, at the verdict.
+
+        ``begun``: when its first byte was here (ms).
+        """
 
     def verdict(self, query: Query) -> Reply:
         """The answer to a query whose verdict has come; without one, the client's time is up."""
@@ -256,8 +259,8 @@
         """A request has come whole, or more of one; several may have come at once."""
         place = client.place
         while request is not None:
-            self._admission.heard(place, clock())
-            answer = self._front.respond(request, partial(self._told, client))
+            begun = self._admission.heard(place, clock())
+            answer = self._front.respond(request, begun, partial(self._told, client))
             if isinstance(answer, Query):
                 client.query = answer
                 return
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from springspread.core.types import CoreEvent, Gone, Query, Verdict, clock
+from springspread.core.types import CoreEvent, Gone, Query, Verdict
 from springspread.http1.message import Headers
 from springspread.http1.server import Request
 
@@ -31,8 +31,8 @@
     """A request whose headers can't be used."""
 
 
-def read_query(headers: Headers, body: bytes, now: float) -> Query:
-    """The message that a request hands in."""
+def read_query(headers: Headers, body: bytes, begun: float) -> Query:
+    """The message that a request hands in; its time runs from when the request began."""
     for name in (ID, CLASS, LEFT, CONSIGNEE, REPEAT):
         if name.lower() in headers.doubled:
             raise Faulty(f"{name} came twice")
@@ -43,7 +43,7 @@
             raise Faulty(f"{name} is missing or makes no sense")
     assert dest is not None
     repeat = headers.get(REPEAT)
-    return Query(id, cls, int(dest[1]), now + int(left), body, repeat == "1", repeat == "again")
+    return Query(id, cls, int(dest[1]), begun + int(left), body, repeat == "1", repeat == "again")
 
 
 class Intake:
@@ -53,9 +53,8 @@
         self._put = put
         self.ready = False
 
-    def respond(self, request: Request, told: Callable[[Query], None]) -> Reply | Query:
+    def respond(self, request: Request, begun: float, told: Callable[[Query], None]) -> Reply | Query:
         """Answer one request, or hand its query to the core, which calls ``told`` at the verdict."""
-        now = clock()
         path = request.path.partition("?")[0]
         if path not in METHODS:
             return Reply(404)
@@ -64,7 +63,8 @@
         if path == "/_health":
             return Reply(200 if self.ready else 503)
         try:
-            query = read_query(request.headers, request.body, now)
+            # Guards the message's end: its time runs from when it was sent, however long its pieces take.
+            query = read_query(request.headers, request.body, begun)
         except Faulty as exc:
             return Reply(400, {"X-Fault": str(exc)})
         if not self.ready:
--- a/tests/door/test_admission.py
+++ b/tests/door/test_admission.py
@@ -231,3 +231,14 @@
 
 Crowd.TestCase.settings = settings(derandomize=True, deadline=None, max_examples=80, stateful_step_count=60)
 TestCrowd = Crowd.TestCase
+
+
+def test_a_request_began_with_its_first_byte_however_long_its_pieces_take() -> None:
+    door = Admission(LIMITS)
+    (place,) = fill(door, 1)
+    door.step(place, Standing.READING, 10.0)
+    door.step(place, Standing.LAGGING, 310.0)
+    assert door.heard(place, 500.0) == 10.0
+    door.step(place, Standing.ANSWERED, 501.0)
+    door.rests(place, 502.0)
+    assert door.heard(place, 600.0) == 600.0  # one that came whole
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -272,3 +272,16 @@
     )
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=WAIT_S)
     assert run.returncode == 0 and run.stdout.split() == [b"unreadable"] * 2
+
+
+def test_a_message_in_pieces_is_ended_in_its_client_s_time(program: Program, peer: Peer) -> None:
+    peer.hold.clear()
+    head = b"POST /api HTTP/1.1\r\nX-Correlation-Id: slow\r\nX-Service-Class: note\r\nX-Consignee: dest=7\r\n"
+    begun = time.monotonic()
+    with socket.create_connection(program.address, timeout=WAIT_S) as sock:
+        sock.sendall(head)
+        time.sleep(0.7)  # a client that writes slowly
+        sock.sendall(b"X-Time-Left-Ms: 1000\r\nContent-Length: 0\r\n\r\n")
+        assert sock.recv(64).startswith(b"HTTP/1.1 202 ")
+    until(lambda: [line["id"] for line in peer.notices] == ["slow"], "its end is told")
+    assert time.monotonic() - begun < 1.5  # 0.7 s later where its time ran from its last byte
