--- a/benchmarks/crash_points.py
+++ b/benchmarks/crash_points.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
 from pathlib import Path
 
+from benchmarks.tables import tell, write_table
 from springspread.rig.crashes import planted, real, search
 
 
@@ -33,12 +33,8 @@
                 break
         right &= bool(broken) == bool(name)
         rows.append({"journal": name or "as it is", "points": points, "states": states, "broken": broken})
-        print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+        tell(rows[-1])
+    write_table(args.csv, rows)
     sys.exit(0 if right else 1)
 
 
--- a/benchmarks/durability.py
+++ b/benchmarks/durability.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import http.client
 import json
 import os
@@ -24,6 +23,7 @@
 
 import numpy as np
 
+from benchmarks.tables import tell, write_table
 from springspread.rig.partner import GROUP, Outside
 
 READY_S = 20.0
@@ -111,12 +111,8 @@
         for _ in range(args.repeats):
             for durability in ("process", "power"):
                 rows.append(play(durability, takers, args.seconds))
-                print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+                tell(rows[-1])
+    write_table(args.csv, rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_chaos.py
+++ b/benchmarks/fleet_chaos.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import resource
 import sys
 import tempfile
@@ -18,6 +17,7 @@
 from pathlib import Path
 from random import Random
 
+from benchmarks.tables import add, tell_long
 from springspread.town.day import Day, Death, Fate, draw
 from springspread.town.sockets import SocketTown
 
@@ -93,15 +93,8 @@
         shared=not args.apart,
     )
     row = play(replace(day, deaths=fates(args.seed, args.senders, length_ms, 1000.0 * args.each_s)))
-    for key, value in row.items():
-        print(f"{key:16} {value}")
-    if args.csv is not None:
-        new = not args.csv.exists()
-        with args.csv.open("a", newline="") as out:
-            writer = csv.DictWriter(out, list(row), lineterminator="\n")
-            if new:
-                writer.writeheader()
-            writer.writerow(row)
+    tell_long(row)
+    add(args.csv, row)
     over = not args.apart and float(str(row["limit_ratio"])) > 1.0
     sys.exit(1 if row["broken"] or over else 3 if float(str(row["late_ms_p99"])) > 25.0 else 0)
 
--- a/benchmarks/policy_chaos.py
+++ b/benchmarks/policy_chaos.py
@@ -11,16 +11,14 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
-import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
 import numpy as np
 
-from springspread.rig.chaos import Chaos, Told
-from springspread.rig.partner import Outside
+from benchmarks.tables import add, tell_long
+from springspread.rig.chaos import Chaos, Told, fleet_of
 from springspread.rig.schedule import Act, Kind, drawn, read, smaller, written
 
 LIMIT_MS = 1_000.0
@@ -29,15 +27,10 @@
 
 def play(args: argparse.Namespace, acts: Sequence[Act]) -> Told:
     """One run on a new fleet."""
-    outside = Outside()
-    with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as place:
-        limit = (args.limit, LIMIT_MS) if args.limit else None
-        chaos = Chaos(Path(place), outside, args.instances, args.lease_ms, args.load_s, limit, args.old)
-        try:
-            return chaos.play(acts, 1000.0 * args.seconds)
-        finally:
-            chaos.close()
-            outside.close()
+    limit = (args.limit, LIMIT_MS) if args.limit else None
+    made = {"lease_ms": args.lease_ms, "each_s": args.load_s, "limit": limit, "program": args.old}
+    with fleet_of(Chaos, args.instances, **made) as (chaos, _):
+        return chaos.play(acts, 1000.0 * args.seconds)
 
 
 def main() -> None:
@@ -99,8 +92,7 @@
         "change_p99_ms": round(float(np.percentile(told.across or [float("nan")], 99)), 1),
         "change_most_ms": round(max(told.across, default=float("nan")), 1),
     }
-    for key, value in row.items():
-        print(f"{key:14} {value}")
+    tell_long(row)
     for what, count in sorted(told.acts.items()):
         print(f"  {what:24} {count}")
     for line in [
@@ -109,13 +101,7 @@
         *(f"{n} refused: {why}" for why, n in told.refused.items()),
     ]:
         print(f"  {line}")
-    if args.csv is not None:
-        new = not args.csv.exists()
-        with args.csv.open("a", newline="") as out:
-            writer = csv.DictWriter(out, list(row), lineterminator="\n")
-            if new:
-                writer.writeheader()
-            writer.writerow(row)
+    add(args.csv, row)
     sys.exit(0 if told.held else 1)
 
 
--- a/benchmarks/policy_rounds.py
+++ b/benchmarks/policy_rounds.py
@@ -9,15 +9,14 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
-import tempfile
 from pathlib import Path
 
 import numpy as np
 
-from springspread.rig.partner import Outside
-from springspread.rig.rounds import Arm, Rounds
+from benchmarks.tables import tell, write_table
+from springspread.rig.chaos import fleet_of
+from springspread.rig.rounds import Arm, Rounds, tell_broken
 from springspread.rig.schedule import Kind
 
 MIXED = tuple(Kind)
@@ -67,27 +66,17 @@
     parser.add_argument("--only", choices=list(ARMS))
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
-    outside, broken, rows = Outside(), 0, []
-    with tempfile.TemporaryDirectory(prefix="springspread-rounds-") as place:
-        rounds = Rounds(Path(place), outside, args.instances, args.lease_ms, args.load_s)
-        try:
-            for name, (kinds, limits) in ARMS.items():
-                if args.only in (None, name):
-                    arm = rounds.arm(name, kinds, args.changes, args.many, args.seed, limits)
-                    rows.append(row(arm))
-                    print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
-                    faults = [*arm.mixtures, *arm.undone, *arm.late, *arm.over_limit]
-                    for line in [*faults[:5], *sorted(arm.without_end)[:5], *sorted(arm.two_ends)[:5]]:
-                        print(f"  BROKEN {line}", flush=True)
-                    broken += arm.broken
-        finally:
-            rounds.close()
-            outside.close()
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+    broken, rows = 0, []
+    made = {"lease_ms": args.lease_ms, "each_s": args.load_s}
+    with fleet_of(Rounds, args.instances, **made) as (rounds, _):
+        for name, (kinds, limits) in ARMS.items():
+            if args.only in (None, name):
+                arm = rounds.arm(name, kinds, args.changes, args.many, args.seed, limits)
+                rows.append(row(arm))
+                tell(rows[-1])
+                tell_broken(arm)
+                broken += arm.broken
+    write_table(args.csv, rows)
     sys.exit(1 if broken else 0)
 
 
--- a/benchmarks/policy_sabotage.py
+++ b/benchmarks/policy_sabotage.py
@@ -8,13 +8,11 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
-import tempfile
 from pathlib import Path
 
-from springspread.rig.chaos import Chaos, Told
-from springspread.rig.partner import Outside
+from benchmarks.tables import tell, write_table
+from springspread.rig.chaos import Chaos, Told, fleet_of
 from springspread.rig.sabotage import SABOTAGES
 from springspread.rig.schedule import pressed
 
@@ -25,18 +23,11 @@
 
 def play(sabotage: str, limited: bool, seconds: float, seed: int) -> Told:
     """One run of a build."""
-    outside = Outside()
-    with tempfile.TemporaryDirectory(prefix="springspread-sabotage-") as place:
-        chaos = Chaos(
-            Path(place), outside, INSTANCES, LEASE_MS, limit=LIMIT if limited else None, sabotage=sabotage
-        )
-        try:
-            own = SABOTAGES[sabotage].acts if sabotage else ()
-            acts = own or pressed(seed, INSTANCES, 1000.0 * seconds)
-            return chaos.play(acts, 1000.0 * seconds, rival=not own)
-        finally:
-            chaos.close()
-            outside.close()
+    own = SABOTAGES[sabotage].acts if sabotage else ()
+    acts = own or pressed(seed, INSTANCES, 1000.0 * seconds)
+    limit = LIMIT if limited else None
+    with fleet_of(Chaos, INSTANCES, lease_ms=LEASE_MS, limit=limit, sabotage=sabotage) as (chaos, _):
+        return chaos.play(acts, 1000.0 * seconds, rival=not own)
 
 
 def main() -> None:
@@ -69,12 +60,8 @@
                     "right": bool(told.broken) == bool(name),
                 }
             )
-            print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+            tell(rows[-1])
+    write_table(args.csv, rows)
     sys.exit(0 if all(row["right"] for row in rows) else 1)
 
 
--- a/benchmarks/policy_steps.py
+++ b/benchmarks/policy_steps.py
@@ -9,13 +9,12 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
-import tempfile
 from pathlib import Path
 
-from springspread.rig.partner import Outside
-from springspread.rig.rounds import Rounds
+from benchmarks.tables import tell, write_table
+from springspread.rig.chaos import fleet_of
+from springspread.rig.rounds import Rounds, tell_broken
 from springspread.rig.steps import Deed
 
 MOST = 200
@@ -27,38 +26,20 @@
     parser.add_argument("--instances", type=int, default=3)
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
-    outside, rows, broken = Outside(), [], 0
-    with tempfile.TemporaryDirectory(prefix="springspread-steps-") as place:
-        rounds = Rounds(Path(place), outside, args.instances, 1000.0, 0.05)
-        try:
-            for deed in Deed:
-                for at in range(1, MOST):
-                    name, arm = rounds.moment(at, deed)
-                    if not name:
-                        break
-                    seconds = round(max(arm.seconds, default=float("nan")), 2)
-                    row = {
-                        "deed": deed.value,
-                        "at": at,
-                        "moment": name,
-                        "seconds": seconds,
-                        "calls": arm.calls,
-                    }
-                    row |= {"messages": arm.messages, "broken": arm.broken}
-                    rows.append(row)
-                    print("  ".join(map(str, row.values())), flush=True)
-                    faults = [*arm.mixtures, *arm.undone, *arm.late, *sorted(arm.without_end)]
-                    for line in faults[:5]:
-                        print(f"  BROKEN {line}", flush=True)
-                    broken += arm.broken
-        finally:
-            rounds.close()
-            outside.close()
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+    rows, broken = [], 0
+    with fleet_of(Rounds, args.instances, lease_ms=1000.0, each_s=0.05) as (rounds, _):
+        for deed in Deed:
+            for at in range(1, MOST):
+                name, arm = rounds.moment(at, deed)
+                if not name:
+                    break
+                seconds = round(max(arm.seconds, default=float("nan")), 2)
+                row = {"deed": deed.value, "at": at, "moment": name, "seconds": seconds, "calls": arm.calls}
+                rows.append({**row, "messages": arm.messages, "broken": arm.broken})
+                tell(rows[-1])
+                tell_broken(arm)
+                broken += arm.broken
+    write_table(args.csv, rows)
     sys.exit(1 if broken else 0)
 
 
--- a/benchmarks/policy_virtual.py
+++ b/benchmarks/policy_virtual.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import json
 import time
 from pathlib import Path
 
 import numpy as np
 
+from benchmarks.tables import tell, write_table
 from springspread.accord.document import Policy
 from springspread.accord.terms import Grant
 from springspread.fleet.wire import write
@@ -76,12 +76,8 @@
                     "force_most_ms": round(max(took)),
                 }
             )
-            print("  ".join(f"{key} {value}" for key, value in rows[-1].items()), flush=True)
-    if args.csv is not None:
-        with args.csv.open("w", newline="") as out:
-            writer = csv.DictWriter(out, list(rows[0]), lineterminator="\n")
-            writer.writeheader()
-            writer.writerows(rows)
+            tell(rows[-1])
+    write_table(args.csv, rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/power_cuts.py
+++ b/benchmarks/power_cuts.py
@@ -10,15 +10,13 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import sys
-import tempfile
 import time
 from pathlib import Path
 from random import Random
 
-from springspread.rig.chaos import Chaos
-from springspread.rig.partner import Outside
+from benchmarks.tables import add, tell_long
+from springspread.rig.chaos import Chaos, fleet_of
 
 LIMIT = (100, 1_000.0)  # so that there is always something held
 
@@ -32,23 +30,19 @@
     parser.add_argument("--durability", choices=["process", "power"], default="power")
     parser.add_argument("--csv", type=Path)
     args = parser.parse_args()
-    rng, outside = Random(f"{args.seed}/cuts"), Outside()
-    with tempfile.TemporaryDirectory(prefix="springspread-power-") as place:
-        chaos = Chaos(Path(place), outside, args.instances, 1000.0, 0.05, LIMIT, power=args.durability)
-        try:
-            chaos.load()
-            for _ in range(args.cuts):
-                # Some come while the fleet returns from the one before.
-                end = time.monotonic() + rng.choice((0.2, 1.0, 2.0, 3.0))
-                while time.monotonic() < end:
-                    chaos.look()
-                    time.sleep(0.05)
-                chaos.power_cut()
-            chaos.until_whole()
-            chaos.end_load()
-        finally:
-            chaos.close()
-            outside.close()
+    rng = Random(f"{args.seed}/cuts")
+    made = {"lease_ms": 1000.0, "each_s": 0.05, "limit": LIMIT, "power": args.durability}
+    with fleet_of(Chaos, args.instances, **made) as (chaos, outside):
+        chaos.load()
+        for _ in range(args.cuts):
+            # Some come while the fleet returns from the one before.
+            end = time.monotonic() + rng.choice((0.2, 1.0, 2.0, 3.0))
+            while time.monotonic() < end:
+                chaos.look()
+                time.sleep(0.05)
+            chaos.power_cut()
+        chaos.until_whole()
+        chaos.end_load()
     twice = [id for id in chaos.unsafe if outside.applied[id] > 1]
     ran_and_told = [id for id in chaos.unsafe if outside.applied[id] and outside.noticed.get(id)]
     row = {
@@ -62,15 +56,8 @@
         "two_ends": len(chaos.told.two_ends),
         "ran_and_told_as_not": len(ran_and_told),  # an answer that was on its way, or on record nowhere yet
     }
-    for key, value in row.items():
-        print(f"{key:20} {value}")
-    if args.csv is not None:
-        new = not args.csv.exists()
-        with args.csv.open("a", newline="") as out:
-            writer = csv.DictWriter(out, list(row), lineterminator="\n")
-            if new:
-                writer.writeheader()
-            writer.writerow(row)
+    tell_long(row)
+    add(args.csv, row)
     found = bool(chaos.told.without_end or twice or chaos.told.two_ends)
     sys.exit(found if args.durability == "power" else not found)
 
--- a/springspread/accord/record.py
+++ b/springspread/accord/record.py
@@ -21,6 +21,7 @@
 from springspread.accord.coordinator import History
 from springspread.accord.document import Policy, PolicyFault, parsed
 from springspread.accord.terms import Begun, Decided, Entry, Proposed, Refused
+from springspread.core.files import sync_folder
 
 KINDS: dict[str, type[Entry]] = {kind.__name__.lower(): kind for kind in (Proposed, Decided, Refused, Begun)}
 
@@ -46,7 +47,7 @@
         self._size = good
         os.ftruncate(self._file, good)
         os.fsync(self._file)
-        self._sync_folder()
+        sync_folder(self._folder)
 
     def _read(self) -> int:
         data = self._path.read_bytes() if self._path.exists() else b""
@@ -103,7 +104,7 @@
             file.write(policy.text.encode())
             file.flush()
             os.fsync(file.fileno())
-        self._sync_folder()
+        sync_folder(self._folder)
         self._policies[number] = policy
 
     def append(self, entry: Entry) -> None:
@@ -130,13 +131,6 @@
         """A proposal is refused as the disk takes nothing more: the next daemon refuses what has no end."""
         self._note(Refused(number, "", fault))
 
-    def _sync_folder(self) -> None:
-        place = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(place)
-        finally:
-            os.close(place)
-
     def close(self) -> None:
         """Let go of the file."""
         os.close(self._file)
--- a/springspread/cli/demo.py
+++ b/springspread/cli/demo.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import tempfile
-from pathlib import Path
 from typing import Any
 
 import click
@@ -11,23 +9,16 @@
 
 def fleet_demo(instances: int, seconds: float, seed: int) -> int:
     """Play it; 0 where every promise held, else 1."""
-    from springspread.rig.chaos import Chaos
-    from springspread.rig.partner import Outside
+    from springspread.rig.chaos import Chaos, fleet_of
     from springspread.rig.schedule import drawn
 
     def show(now: float, rows: dict[str, dict[str, Any]], acts: list[str]) -> None:
         each = "  ".join(f"{name}:{row['policy'] or '-'}" for name, row in sorted(rows.items()))
         click.echo(f"{now / 1000:5.1f} s  {each}  {', '.join(acts)}".rstrip())
 
-    outside = Outside()
     click.echo("which instance acts under which policy (-: none), and what befalls whom")
-    with tempfile.TemporaryDirectory(prefix="springspread-demo-") as place:
-        chaos = Chaos(Path(place), outside, instances)
-        try:
-            told = chaos.play(drawn(seed, instances, 1000 * seconds, 1500.0), 1000 * seconds, show)
-        finally:
-            chaos.close()
-            outside.close()
+    with fleet_of(Chaos, instances) as (chaos, _):
+        told = chaos.play(drawn(seed, instances, 1000 * seconds, 1500.0), 1000 * seconds, show)
     for line in (*told.mixtures, *told.undone, *(f"{id}: no end" for id in sorted(told.without_end))):
         click.echo(f"BROKEN {line}")
     held = "every promise held" if told.held else "a promise was broken"
--- a/springspread/core/files.py
+++ b/springspread/core/files.py
@@ -48,11 +48,7 @@
 
     def sync_folder(self) -> None:
         """Put on disk which files there are."""
-        place = os.open(self._folder, os.O_RDONLY)
-        try:
-            os.fsync(place)
-        finally:
-            os.close(place)
+        sync_folder(self._folder)
 
     def twin(self, file: int) -> int:
         """The same open file once more, for a sync while the first one may be closed."""
@@ -65,3 +61,12 @@
     def unlink(self, name: str) -> None:
         """Remove a file."""
         (self._folder / name).unlink()
+
+
+def sync_folder(folder: Path) -> None:
+    """Put on disk which files a folder has; raises ``OSError``."""
+    place = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(place)
+    finally:
+        os.close(place)
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -14,18 +14,13 @@
 import threading
 from dataclasses import dataclass, field
 from pathlib import Path
-from struct import Struct
 from struct import error as StructError
 from zlib import crc32
 
 from springspread.core.commit import Commit
 from springspread.core.files import Files
-from springspread.core.salvage import HEAD, TAKEN, Range, Reader
+from springspread.core.salvage import BEGUN, ENDING, HEAD, OVER, POLICY, TAKEN, Range, Reader
 
-BEGUN = Struct("<cIB")
-ENDING = Struct("<cIBd")
-OVER = Struct("<cI")
-POLICY = Struct("<I")
 PREFIX = "journal."
 ASIDE = "damaged."  # and the file's number: what could not be read in it
 BLOCK = 512  # what the disk's limit counts in
--- a/springspread/core/salvage.py
+++ b/springspread/core/salvage.py
@@ -1,4 +1,4 @@
-"""Which parts of a damaged journal file are still records. Bytes in, ranges out; no I/O.
+"""How a journal's records are laid out, and which parts of a damaged file still are some. No I/O.
 
 Theory of operation. A file is frames, one after the other: a length, a checksum, a payload. Reading goes on
 from a frame that can't be read by the first of these that holds:
@@ -25,8 +25,11 @@
 
 HEAD = Struct("<II")
 TAKEN = Struct("<cIdiBBHI")
-SIZES = {ord("B"): 6, ord("N"): 6, ord("E"): 14, ord("O"): 5}
-POLICY_BYTES = 4
+BEGUN = Struct("<cIB")  # and *not run*
+ENDING = Struct("<cIBd")
+OVER = Struct("<cI")
+POLICY = Struct("<I")
+SIZES = {ord("B"): BEGUN.size, ord("N"): BEGUN.size, ord("E"): ENDING.size, ord("O"): OVER.size}
 SEARCH_BYTES = 64 << 20
 
 
@@ -92,7 +95,7 @@
     if at + HEAD.size + TAKEN.size > len(data):
         return True
     *_, cls, name, body = TAKEN.unpack_from(data, at + HEAD.size)
-    return size - TAKEN.size - int(cls) - int(name) - int(body) in (0, POLICY_BYTES)
+    return size - TAKEN.size - int(cls) - int(name) - int(body) in (0, POLICY.size)
 
 
 def _behind(data: bytes, at: int, budget: list[int]) -> int:
--- a/springspread/fleet/folder.py
+++ b/springspread/fleet/folder.py
@@ -17,6 +17,7 @@
 from typing import Any
 from zlib import crc32
 
+from springspread.core.files import sync_folder
 from springspread.fleet.members import Row, Want
 from springspread.fleet.survey import Running
 
@@ -65,11 +66,7 @@
         file.flush()
         os.fsync(file.fileno())
     fresh.replace(path)
-    place = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(place)
-    finally:
-        os.close(place)
+    sync_folder(path.parent)
 
 
 def _check(rows: Any) -> str:
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -13,16 +13,17 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Sequence
-from contextlib import suppress
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from springspread.fleet.folder import process_start
 from springspread.fleet.orders import asked
@@ -385,3 +386,21 @@
             self._daemon.wait(15.0)
         for relay in self._relays:
             relay.close()
+
+
+Kept = TypeVar("Kept", bound=Chaos)
+
+
+@contextmanager
+def fleet_of(kind: type[Kept], instances: int, **made: Any) -> Iterator[tuple[Kept, Outside]]:
+    """A fleet under test with its outside, in a folder of its own; ``made`` as ``Chaos`` takes it."""
+    outside = Outside()
+    with tempfile.TemporaryDirectory(prefix="springspread-fleet-") as place:
+        try:
+            chaos = kind(Path(place), outside, instances, **made)
+            try:
+                yield chaos, outside
+            finally:
+                chaos.close()
+        finally:
+            outside.close()
--- a/springspread/rig/rounds.py
+++ b/springspread/rig/rounds.py
@@ -229,3 +229,10 @@
             if before and after:
                 arm.service.append((sum(before) / len(before), sum(after) / len(after)))
         self.handed_at.clear()
+
+
+def tell_broken(arm: Arm) -> None:
+    """The first faults of an arm, a line for each."""
+    ends = [*sorted(arm.without_end)[:5], *sorted(arm.two_ends)[:5]]
+    for line in [*arm.mixtures, *arm.undone, *arm.late, *arm.over_limit][:5] + ends:
+        print(f"  BROKEN {line}", flush=True)
