--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -30,6 +30,7 @@
 from springspread.rig.daemon import PROGRAM, relay_path
 from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
 from springspread.rig.partner import GROUP, UNSAFE, Outside
+from springspread.rig.power import WRITE_BACK
 from springspread.rig.relay import Fault, Relay, Way, unseen
 from springspread.rig.sabotage import VARIABLE
 from springspread.rig.schedule import Act, Kind
@@ -108,6 +109,7 @@
         sabotage: str = "",
         power: str = "",
         instance: str = "",
+        write_back: str = "",
     ) -> None:
         """``place`` is an empty folder; each instance is handed a message every ``each_s``.
 
@@ -115,10 +117,11 @@
         daemon and instances, from before there were policies; without relays, and nothing is proposed.
         ``sabotage``: the fault that is put into it. ``power``: instances lose what they did not sync as they
         are killed, and have this durability; every other message may be carried once only. ``instance``: the
-        rig's module that instances run in place of the program.
+        rig's module that instances run in place of the program. ``write_back``: the seed by which some of
+        what was not synced is on disk all the same (``rig.power``).
         """
         self._limit, self._program, self._sabotage = limit, program, sabotage
-        self._power = power
+        self._power, self._write_back = power, write_back
         self._instance = "springspread.rig.power" if power else instance
         self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
@@ -163,6 +166,8 @@
         line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
         if self._instance:
             env[PROGRAM] = self._instance
+        if self._write_back:
+            env[WRITE_BACK] = self._write_back
         if self._program is not None:
             line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
             env["PYTHONPATH"] = str(self._program)
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 
 import pytest
 
@@ -14,6 +15,7 @@
 from springspread.config import ConfigError, Durability
 from springspread.core.commit import Commit
 from springspread.core.journal import Journal
+from springspread.rig.power import HeldBack
 from tests.peer import WAIT_S, Peer, Program, until
 from tests.test_config import make
 from tests.test_salvage import owed
@@ -155,3 +157,20 @@
     program.process.kill()
     program.process.wait(WAIT_S)
     peer.close()
+
+
+def test_what_the_system_writes_back_by_itself_stands_where_it_belongs(tmp_path: Path) -> None:
+    for seed in range(40):
+        place = tmp_path / str(seed)
+        place.mkdir()
+        files = HeldBack(place, Random(seed))
+        book = Journal(place, 1 << 20, durable=True, files=files)
+        for n in range(1, 60):
+            book.taken(owed(n))
+            if n == 20:
+                book.settle()
+        lost = Journal(place, 1 << 20, read_only=True)  # what a power loss leaves
+        assert set(range(1, 21)) <= set(lost.owed) <= set(range(1, 60))
+        book.settle()
+        kept = Journal(place, 1 << 20, read_only=True)
+        assert set(kept.owed) == set(range(1, 60)) and not kept.damaged
