A start goes through gates: clock, policy, list, what is owed, then new clients

Need: after a power loss every instance served at once, on whatever its clock said. A fleet's file sets the waits (recovery); a sender alone waits at none. Clients are refused meanwhile with a time to come back. The daemon starts at most at_once processes at a time, those with the most urgent debts first; fleet recovery shows each one's gate.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -28,10 +28,12 @@
 
 if TYPE_CHECKING:
     from springspread.fleet.client import FleetShares
+    from springspread.fleet.wire import Returning
 
 ENDS = (signal.SIGTERM, signal.SIGINT)
 LOOP_OVER = signal.SIGUSR1
 HEARD = (*ENDS, signal.SIGHUP, LOOP_OVER)
+GATE_S = 0.02  # how often a start looks whether it may let clients in
 
 
 def known_groups(config: Config) -> HostGroups:
@@ -68,6 +70,18 @@
     return from_environment(os.environ, log)
 
 
+def standing(sender: Sender, journal: Journal) -> Returning | None:
+    """How far the start has come, for the fleet's daemon; nothing where it waits at no gate."""
+    from springspread.fleet.wire import Returning
+
+    start = sender.start
+    if not start.gated:
+        return None
+    now = start.standing
+    damaged = sum(map(len, journal.damaged.values()))
+    return Returning(now.gate.value, round(now.since, 1), start.owed, start.owed_at_start, damaged)
+
+
 def serve(config: Config, log: Log, flush: Callable[[], None]) -> int:
     """Serve until a signal ends it."""
     known = known_groups(config)
@@ -87,7 +101,7 @@
     if shares is not None:
         from springspread.fleet.fit import under_policy
 
-        shares.follow(partial(under_policy, config, journal), sender.put)
+        shares.follow(partial(under_policy, config, journal), sender.put, partial(standing, sender, journal))
 
     def loop() -> None:
         sender.run()
@@ -97,17 +111,25 @@
     # Guards deadlines: where a start's processor time is charged to the clock, it may be ahead of the world
     # until a wait has ended, and whatever is taken on before that would be given up too late.
     SYSTEM.sleep(limits.settle_ms)
-    intake = Intake(sender.put)
+    intake = Intake(sender.put, limits.return_after_s)
     try:
         door = Door(config.listen, intake, limits, log)
     except OSError as exc:
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
-    intake.ready = True
+    heard = None
+    while not sender.open and heard not in ENDS:  # clients are refused meanwhile, with a time to come back
+        if (told_by := signal.sigtimedwait(HEARD, GATE_S)) is not None:
+            heard = told_by.si_signo
+            if heard == signal.SIGHUP:
+                config = reload(config, (watcher, notices), log)
+    intake.ready = sender.open
     listen = f"{door.address[0]}:{door.address[1]}"
     told = {"policy": shares.policy} if shares else {}
     told |= {"pid": os.getpid()}
-    log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections, **told)
-    while (heard := signal.sigwait(HEARD)) not in ENDS:
+    if intake.ready:
+        log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections, **told)
+    while heard not in ENDS:
+        heard = signal.sigwait(HEARD)
         if heard == signal.SIGHUP:
             config = reload(config, (watcher, notices), log)
     log.info("stopping")
--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -96,6 +96,22 @@
     _order(file, {"do": "status"}, as_json)
 
 
+@fleet.command()
+@click.argument("file", type=FILE)
+@JSON
+def recovery(file: Path, as_json: bool) -> None:
+    """Show how far each instance's return to service has come, and what it waits for."""
+    from springspread.cli.live import columns
+
+    rows = _ask(file, {"do": "recovery"})["recovery"]
+    if as_json:
+        click.echo(json.dumps(rows))
+        return
+    heads = ("name", "want", "gate", "for_s", "owed", "ended", "damaged", "expected_s")
+    for line in columns(heads, [["-" if row[head] is None else row[head] for head in heads] for row in rows]):
+        click.echo(line)
+
+
 @fleet.command()
 @click.argument("file", type=FILE)
 @click.argument("count", type=int)
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -42,6 +42,7 @@
     recent_ends: int = 2048
     notices_in_call: int = 64
     log_lines: int = 1000
+    return_after_s: float = 1.0  # a client that comes before they are let in is told to come back after this
     settle_ms: float = 1.0  # waited out between a start and the first client
     client_new_ms: float = 1_300.0  # a connection that has sent nothing is ended after this
     client_speak_ms: float = 50.0  # and is not asked to make room before this
@@ -94,6 +95,16 @@
     POWER = "power"
 
 
+@dataclass(frozen=True, slots=True)
+class Waits:
+    """The longest wait at each gate of a start (ms, ``core.gates``); 0: it is not waited for."""
+
+    clock_ms: float = 0.0
+    policy_ms: float = 0.0
+    list_ms: float = 0.0
+    owed_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What a sender is told at its start, checked."""
@@ -109,6 +120,7 @@
     known: object
     limits: Limits
     durability: Durability = Durability.PROCESS
+    waits: Waits = Waits()
 
 
 def parse_address(text: object, key: str, *, least: int = 1) -> Address:
@@ -186,9 +198,23 @@
         known=raw.get("known"),
         limits=limits,
         durability=_durability(raw.get("durability", Durability.PROCESS.value)),
+        waits=_waits(raw.get("recovery", {})),
     )
 
 
+def _waits(raw: object) -> Waits:
+    """How long a start waits at each gate; a sender that no fleet started waits at none."""
+    if not isinstance(raw, dict):
+        raise ConfigError("recovery: must be an object")
+    known = [item.name for item in fields(Waits)]
+    for key, value in raw.items():
+        if key not in known:
+            raise ConfigError(f"recovery.{key}: no such key; there are {', '.join(known)}")
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= 600_000:
+            raise ConfigError(f"recovery.{key}: must be a number from 0 to 600000: {value!r}")
+    return Waits(**raw)
+
+
 def _durability(value: object) -> Durability:
     try:
         return Durability(value)
--- a/springspread/core/files.py
+++ b/springspread/core/files.py
@@ -28,6 +28,10 @@
         """A file's length, in bytes."""
         return (self._folder / name).stat().st_size
 
+    def changed(self, name: str) -> float:
+        """When a file was last written, by the machine's clock of then (Unix time, ms)."""
+        return (self._folder / name).stat().st_mtime * 1000.0
+
     def open(self, name: str) -> int:
         """Open a file to append to it; it is made where there is none."""
         return os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
--- /dev/null
+++ b/springspread/core/gates.py
@@ -0,0 +1,88 @@
+"""The order in which a sender returns to service. No I/O, no clock; times are milliseconds.
+
+Theory of operation. A start goes through gates, in this order. Each opens as soon as what it names is so, or
+when its longest wait is over; a gate that has opened stays open, and a start that is cut off begins anew at
+the first one, as nothing is kept of it.
+
+    gate    opens when                                  its longest wait over    held back until it opens
+    clock   nothing is owed, or the world's time is     the best that is known   what is owed: neither sent
+            known                                       (``core.worldtime``)     nor given up
+    policy  this process may act under the policy       goes on: each call       what is owed
+            that holds; at once where it stands alone   asks for itself
+    list    discovery has told its whole list           the list as last held    what is owed
+    owed    of what was owed at the start no more is    they compete             new clients: they are refused
+            left than there are slots                                            at once, with a time to
+                                                                                 come back
+    open    (never left)
+
+What was decided before, and what may have run and may not be repeated, waits for none of them: it is told at
+once. With no waits (a sender that no fleet started) all are open from the first moment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from springspread.config import Waits
+
+
+class Gate(Enum):
+    """What a start waits for."""
+
+    CLOCK = "clock"
+    POLICY = "policy"
+    LIST = "list"
+    OWED = "owed"
+    OPEN = "open"
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What there is at a moment. ``owed``: of what was owed at the start, how many have no end yet."""
+
+    owed: int
+    slots: int
+    world: bool  # the world's time is known
+    policy: bool
+    listed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """A gate that is open: when it opened, and whether that was for what it names."""
+
+    gate: Gate
+    at: float
+    met: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """Before which gate a start stands, and since when."""
+
+    gate: Gate
+    since: float
+    passed: tuple[Passed, ...] = ()
+
+
+TABLE: tuple[tuple[Gate, Callable[[Seen], bool], Callable[[Waits], float]], ...] = (
+    (Gate.CLOCK, lambda seen: not seen.owed or seen.world, lambda waits: waits.clock_ms),
+    (Gate.POLICY, lambda seen: seen.policy, lambda waits: waits.policy_ms),
+    (Gate.LIST, lambda seen: seen.listed, lambda waits: waits.list_ms),
+    (Gate.OWED, lambda seen: seen.owed <= seen.slots, lambda waits: waits.owed_ms),
+)
+
+
+def step(standing: Standing, seen: Seen, waits: Waits, now: float) -> Standing:
+    """Through as many gates as are open."""
+    for n, (gate, met, longest) in enumerate(TABLE):
+        if gate is not standing.gate:
+            continue
+        if not met(seen) and now < standing.since + longest(waits):
+            return standing
+        after = TABLE[n + 1][0] if n + 1 < len(TABLE) else Gate.OPEN
+        passed = (*standing.passed, Passed(gate, now, met(seen)))
+        standing = Standing(after, now, passed)
+    return standing
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -117,6 +117,7 @@
         self.cut_bytes = self.failures = 0
         self.damaged: dict[str, list[Range]] = {}  # by file
         self.doubted: dict[str, list[str]] = {}  # ids that are owed and were on record before it, by file
+        self.written_wall = 0.0  # when its files were last written, before this process (Unix time, ms)
         self._live = 0
         self._sizes: dict[int, int] = {}  # by file, the oldest first
         suffixes = [name[len(PREFIX) :] for name in self._files.names() if name.startswith(PREFIX)]
@@ -170,6 +171,7 @@
 
     def _restore(self, number: int, newest: bool) -> None:
         name = _name(number)
+        self.written_wall = max(self.written_wall, self._files.changed(name))
         data = self._files.read(name)
         reader, ranges, doubted = Reader(data), list[Range](), list[str]()
         for item in reader:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -13,6 +13,7 @@
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal, JournalFull, Owed
+from springspread.core.start import Start
 from springspread.core.types import (
     Call,
     CoreEvent,
@@ -100,6 +101,7 @@
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
         self._last = 0.0
+        self.start = Start(config.waits, log, clock, journal.written_wall)
 
     def attach(self, executor: Executor, directory: Directory, notices: NoticeSink) -> None:
         """Name the drivers that carry out what the module decides."""
@@ -111,8 +113,9 @@
 
     def restore(self, known: HostGroups) -> None:
         """Take up what the last process owed; only then may a client be told that this one is ready."""
+        now = self._clock.now()
         events: list[i.Event] = [self._listed(known)]
-        now, now_wall = self._clock.now(), self._clock.wall()
+        waiting: list[tuple[Owed, float]] = []
         for owed in list(self._journal.owed.values()):
             self._numbers[owed.id] = owed.number
             cls = self._classes.get(owed.cls)
@@ -123,26 +126,44 @@
                 # Guards rule 2: an execution that was out at the end may have run, and nothing tells.
                 self._end(owed.number, deferred=False)
             else:
-                deadline = now + owed.deadline_wall - now_wall
-                self._held[owed.number] = Held(owed, spec, deadline)
-                events.append(
-                    i.Taken(
-                        owed.number,
-                        owed.group,
-                        cls,
-                        deadline,
-                        again=owed.again,
-                        orphan=owed.orphan,
-                        attempts=owed.attempts,
-                    )
-                )
+                waiting.append((owed, spec.deadline_ms))
+        self.start.begin(now, waiting)
         for name, ranges in self._journal.damaged.items():
             places = [f"{one.start}-{one.end}" for one in ranges[:20]]
             ids = [id for one in ranges for id in one.ids][:20]
             self._log.error("journal damaged; set aside", file=name, ranges=places, ids=ids)
         if self._journal.owed or self._journal.cut_bytes:
             self._log.info("restored", owed=len(self._journal.owed), cut_bytes=self._journal.cut_bytes)
-        self._decide(now, events)
+        self._decide(now, events + self._through(now))
+
+    @property
+    def open(self) -> bool:
+        """Whether new clients may be let in; asked from any thread."""
+        return self.start.open
+
+    def _through(self, now: float) -> list[i.Event]:
+        """Through the gates that are open by now; what that sets free goes on."""
+        if self.start.open:
+            return []
+        if self.start.asks(now, self._groups.told):
+            self._directory.fetch()
+        acts = self._shares is None or self._shares.may(self._policy)
+        events = list[i.Event]()
+        for owed, left in self.start.through(now, self._set.slots, acts, self._groups.told):
+            cls, deadline = self._classes[owed.cls], now + left
+            self._held[owed.number] = Held(owed, self._set.classes[cls], deadline)
+            events.append(
+                i.Taken(
+                    owed.number,
+                    owed.group,
+                    cls,
+                    deadline,
+                    again=owed.again,
+                    orphan=owed.orphan,
+                    attempts=owed.attempts,
+                )
+            )
+        return events
 
     def run(self) -> None:
         """Handle batches until a stop is through."""
@@ -176,6 +197,7 @@
         events += self._confirm()
         while self._timers and self._timers[0][0] <= now:
             events.append(i.Woken(heappop(self._timers)[1]))
+        events += self._through(now)
         if events:
             self._decide(now, events)
 
@@ -203,8 +225,8 @@
 
     def _next(self) -> CoreEvent | None:
         due = self.due
-        if self._stop_at < float("inf"):
-            due = min(due, self._clock.now() + 20.0)  # the stop's own conditions are looked at this often
+        if self._stop_at < float("inf") or not self.open:
+            due = min(due, self._clock.now() + 20.0)  # a stop's conditions and a gate's are looked at
         try:
             if due == float("inf"):
                 return self._inbox.get()
@@ -225,6 +247,7 @@
             case ExecutionEnd():
                 return self._execution_end(event)
             case HostGroups():
+                self.start.told(event.date, event.told_at)
                 return [self._listed(event)]
             case ProbeEnd():
                 return [translate.probed(event)]
@@ -283,7 +306,7 @@
     def _admit(self, query: Query, cls: int) -> list[i.Event]:
         number = self._journal.last_number + 1
         left = query.deadline - self._clock.now()
-        until = self._clock.wall() + left
+        until = self.start.wall() + left
         owed = Owed(
             number,
             query.id,
@@ -377,6 +400,7 @@
         return listed
 
     def _forget(self, number: int, *, delivered: bool) -> None:
+        self.start.ended(number)
         owed = self._journal.owed.get(number)
         if owed is None:
             return
@@ -392,6 +416,7 @@
         owed = self._journal.owed.get(number)
         self._held.pop(number, None)
         if owed is not None and owed.ending is None:
+            self.start.ended(number)
             self._log.debug("ending", number=number, deferred=deferred, again_ms=again_ms)
             self._journal.ending(number, deferred, again_ms)
             self._notices.tell(Notice(number, owed.id, deferred, again_ms))
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -114,6 +114,7 @@
     version: int = 0
     members: tuple[Member, ...] = ()
     told_at: float = 0.0
+    date: str = ""  # the world's time as the answer told it, at ``told_at``
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -30,6 +30,7 @@
     Lines,
     Message,
     Question,
+    Returning,
     Unreadable,
     write,
 )
@@ -41,7 +42,7 @@
 SAY_MS = 1_000.0  # what it acts under is said this often, and when that changes
 REPEAT_MS = 150.0
 POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
-RIGHT_MS = 40.0  # a right is good for so long; with the way to the partner less than the allotter's slack
+RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allotter's slack
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -73,17 +74,24 @@
         self._open = True
         self._usable: Callable[[str], Config] = _nobody_asked
         self._put: Callable[[NewPolicy], None] = _nobody_hears
+        self._returning: Callable[[], Returning | None] = _nothing_told
         self._begun = threading.Event()
         if not policy:
             self._begun.set()
         spawn("fleet", self._run, log)
 
-    def follow(self, usable: Callable[[str], Config], put: Callable[[NewPolicy], None]) -> None:
+    def follow(
+        self,
+        usable: Callable[[str], Config],
+        put: Callable[[NewPolicy], None],
+        returning: Callable[[], Returning | None] | None = None,
+    ) -> None:
         """Begin to talk. ``usable`` makes a configuration of a policy's text, or raises ``ConfigError``.
 
-        ``put`` is told when another policy holds.
+        ``put`` is told when another policy holds; ``returning`` is asked how far the start has come.
         """
         self._usable, self._put = usable, put
+        self._returning = returning or _nothing_told
         self._begun.set()
 
     def enter(self, policy: int) -> bool:
@@ -149,6 +157,7 @@
         asked: Mapping[str, int] = {}
         said_at = 0.0
         said = (-1, 0.0)  # what it acts under, and when that was said
+        told_of: Returning | None = None
         while self._open and not over.is_set():
             now = self._clock.now()
             while self._votes:
@@ -157,6 +166,9 @@
             if self.policy and (acting != said[0] or now >= said[1] + SAY_MS):
                 said = (acting, now)
                 sock.sendall(write(Acting(acting)))
+            if (start := self._returning()) is not None and start != told_of:
+                told_of = start
+                sock.sendall(write(start))
             wants, reports = self._wallet.wants(now), self._wallet.done(now)
             told, self._new = self._new, {}
             # What waits is said again now and then: the allotter forgets who is silent.
@@ -238,6 +250,10 @@
         self._ring.set()
 
 
+def _nothing_told() -> None:
+    return None
+
+
 def _nobody_asked(text: str) -> Config:
     raise ConfigError("policy: this process does not follow any yet")
 
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -38,7 +38,7 @@
     running,
     write_members,
 )
-from springspread.fleet.members import Row, Seen, Step, Want, died, scaled, step
+from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
 from springspread.fleet.plan import FleetPlan
 from springspread.fleet.record import leased_epochs
 from springspread.fleet.server import AllotterServer
@@ -47,6 +47,7 @@
 from springspread.net.threads import spawn
 
 LOOK_MS = 50.0
+STARTS_MS = 5_000.0  # one that has not said hello by then is no longer counted as starting
 LISTENS_MS = 60_000.0  # an instance says where it listens within this, or its log is not looked at again
 ORDER_BYTES = 1 << 18
 ORDER_S = 2.0
@@ -80,6 +81,8 @@
         self._rows = self._adopted()
         if not self._rows or (self._lost and len(self._rows) < plan.instances):
             self._rows = scaled(self._rows, plan.instances)
+        # Those that have been away go first where what they owe is most urgent.
+        self._urgent = {name: self._first_end(name) for name, row in self._rows.items() if not row.pid}
         self._changes = self._policies()
         if self._lost:
             self._rows = raised(self._rows, self._changes.record.history.generation + 1)
@@ -246,7 +249,7 @@
     def _look_on(self) -> None:
         while not self._over.is_set():
             with self._lock:
-                for name in list(self._rows):
+                for name in returning_first(self._rows, self._urgent):
                     self._look(name)
                     _cut(self.folder / name / "log")
                 self._roll()
@@ -268,10 +271,9 @@
         leaving = row.want is Want.LEAVING
         seen = Seen(alive, self._owed(name) if leaving else 0)
         match step(row, seen, now, self._plan.pauses):
-            case Step.START:
-                self._start(row, emptying=False)
-            case Step.EMPTY:
-                self._start(row, emptying=True)
+            case Step.START | Step.EMPTY as what:
+                if self._starting() < self._plan.recovery.at_once:
+                    self._start(row, emptying=what is Step.EMPTY)
             case Step.TERM:
                 self._signal(row, signal.SIGTERM)
                 self._rows[name] = replace(row, told_at=now)
@@ -284,6 +286,14 @@
                 self._save()
                 shutil.rmtree(self.folder / name, ignore_errors=True)
 
+    def _starting(self) -> int:
+        """How many processes have been started and have not said hello yet."""
+        here, now = set(self._server.members), self._clock.now()
+        return sum(
+            row.pid != 0 and (row.name, row.epoch) not in here and now < row.started_at + STARTS_MS
+            for row in self._rows.values()
+        )
+
     def _start(self, row: Row, emptying: bool) -> None:
         place = self.folder / row.name
         (place / "state").mkdir(parents=True, exist_ok=True)
@@ -293,6 +303,7 @@
         raw = {**self._base, "name": row.name, "listen": f"{self._plan.host}:{port}"}
         seed = int(str(self._base.get("seed", "0")), 16) + number * 7919 + epoch
         raw |= {"epoch": epoch, "state": str(place / "state"), "seed": f"{seed % (1 << 63):x}"}
+        raw |= {"recovery": self._plan.recovery.waits}
         raw |= self.given(row.name)
         number = self._changes.in_force
         raw |= {"settings": self._changes.policy(number).settings, "policy": number}
@@ -339,13 +350,41 @@
         with suppress(ProcessLookupError):
             os.kill(row.pid, number)
 
+    def _journal(self, name: str) -> Journal | None:
+        """What an instance's folder says now; nothing where its process clears files away meanwhile."""
+        with suppress(OSError):
+            return Journal(self.folder / name / "state", 1 << 40, read_only=True)
+        return None
+
     def _owed(self, name: str) -> int:
-        state = self.folder / name / "state"
-        if not state.is_dir():
+        if not (self.folder / name / "state").is_dir():
             return 0
-        with suppress(FileNotFoundError):  # its process clears files away
-            return len(Journal(state, 1 << 40, read_only=True).owed)
-        return 1
+        journal = self._journal(name)
+        return 1 if journal is None else len(journal.owed)
+
+    def _first_end(self, name: str) -> float:
+        """When the first of an instance's messages is to have its end (Unix time, ms); inf: it owes none."""
+        journal = self._journal(name)
+        return min((owed.deadline_wall for owed in journal.owed.values()), default=inf) if journal else inf
+
+    def _recovery(self) -> list[dict[str, Any]]:
+        """How far each instance's return has come."""
+        now, rows = self._clock.now(), []
+        for row in self._rows.values():
+            said = self._server.returning((row.name, row.epoch))
+            up_ms = now - row.started_at if row.pid else 0.0
+            told: dict[str, Any] = {"name": row.name, "want": row.want.value, "damaged": None}
+            if not row.pid or said is None:
+                gate, since = ("starting", up_ms) if row.pid else ("away", 0.0)
+                told |= {"gate": gate, "for_s": round(since / 1000.0, 1), "owed": self._owed(row.name)}
+                rows.append(told | {"ended": 0, "expected_s": None})
+                continue
+            ended = said.at_start - said.owed
+            expected = 0.0 if not said.owed else said.owed * up_ms / ended / 1000.0 if ended else None
+            told |= {"gate": said.gate, "for_s": round((now - said.since) / 1000.0, 1), "owed": said.owed}
+            told |= {"ended": ended, "damaged": said.damaged}
+            rows.append(told | {"expected_s": None if expected is None else round(expected, 1)})
+        return rows
 
     def _roll(self) -> None:
         """One after the other: the next one ends when all others serve again."""
@@ -404,6 +443,8 @@
                     return self._policy_status()
                 case {"do": "history"}:
                     return {"history": self._policy_history()}
+                case {"do": "recovery"}:
+                    return {"recovery": self._recovery()}
                 case {"do": "status"}:
                     return {"instances": self._status()}
                 case {"do": "scale", "count": int(count)} if 0 <= count <= MOST:
@@ -418,7 +459,8 @@
                 case {"do": "roll"}:
                     self._rolling = [row.name for row in self._rows.values() if row.want is Want.SERVING]
                 case _:
-                    raise Refused("no such order; there are status, scale, drain, restart, roll and policy")
+                    known = "status, recovery, scale, drain, restart, roll and policy"
+                    raise Refused(f"no such order; there are {known}")
             self._save()
             return {"instances": self._status()}
 
--- a/springspread/fleet/members.py
+++ b/springspread/fleet/members.py
@@ -126,3 +126,11 @@
             made[name] = Row(name)
         number += 1
     return made
+
+
+def returning_first(rows: Mapping[str, Row], urgent: Mapping[str, float]) -> list[str]:
+    """The order in which rows are looked at: who owes what ends first comes first, then by name.
+
+    ``urgent``: when the first message of each has its end, as found at the daemon's start.
+    """
+    return sorted(rows, key=lambda name: (urgent.get(name, inf), name))
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -41,6 +41,21 @@
     vote_ms: Annotated[float, Field(ge=50.0, le=60_000.0)] = 300.0
 
 
+class Recovery(Strict):
+    """The longest wait at each gate of an instance's start (``core.gates``), and how many start at once."""
+
+    clock_ms: Annotated[float, Field(ge=0.0, le=600_000.0)] = 2_000.0
+    policy_ms: Annotated[float, Field(ge=0.0, le=600_000.0)] = 3_000.0
+    list_ms: Annotated[float, Field(ge=0.0, le=600_000.0)] = 2_000.0
+    owed_ms: Annotated[float, Field(ge=0.0, le=600_000.0)] = 3_000.0
+    at_once: Annotated[int, Field(ge=1, le=1_000)] = 8
+
+    @property
+    def waits(self) -> dict[str, float]:
+        """As an instance's configuration has them."""
+        return {key: value for key, value in self.model_dump().items() if key != "at_once"}
+
+
 class FleetPlan(Strict):
     """A fleet: its folder, its size, the configuration that instances share, and the limits that bind all."""
 
@@ -52,6 +67,7 @@
     limits: dict[Name, LimitEntry] = Field(default_factory=dict)
     restarts: Restarts = Restarts()
     policy_times: PolicyTimes = PolicyTimes()
+    recovery: Recovery = Recovery()
 
     @property
     def times(self) -> Times:
@@ -76,7 +92,11 @@
         return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
 
 
-PARTS = {"restarts": tuple(Restarts.model_fields), "policy_times": tuple(PolicyTimes.model_fields)}
+PARTS = {
+    "restarts": tuple(Restarts.model_fields),
+    "policy_times": tuple(PolicyTimes.model_fields),
+    "recovery": tuple(Recovery.model_fields),
+}
 """The keys of the file's tables, for whoever meant another one."""
 
 
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/server.py
@@ -18,7 +18,18 @@
 from springspread.core.types import Log
 from springspread.fleet.record import Record
 from springspread.fleet.shares import Allotter, Limit, Owner
-from springspread.fleet.wire import Asking, Fit, Granted, Hello, Limited, Lines, Message, Unreadable, write
+from springspread.fleet.wire import (
+    Asking,
+    Fit,
+    Granted,
+    Hello,
+    Limited,
+    Lines,
+    Message,
+    Returning,
+    Unreadable,
+    write,
+)
 from springspread.net.threads import spawn
 
 TICK_MS = 5.0
@@ -57,6 +68,7 @@
         self._asked = threading.Event()
         self._members: dict[Owner, Member] = {}
         self._heard = heard
+        self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
         self._next: tuple[float, Mapping[str, Limit]] | None = None
         self._fixed = set(limits)
         self._partners: dict[str, Limit] = {}  # as partners told them, last
@@ -85,6 +97,11 @@
         with self._lock:
             return sorted(self._members)
 
+    def returning(self, owner: Owner) -> Returning | None:
+        """How far an instance's start has come, as it last said."""
+        epoch, said = self._returning.get(owner[0], (-1, None))
+        return said if epoch == owner[1] else None
+
     def _accept(self) -> None:
         while self._open:
             try:
@@ -129,6 +146,8 @@
                 and self._heard is not None
             ):
                 self._heard(member.owner, message, True)
+            elif isinstance(message, Returning) and member.owner is not None:
+                self._returning[member.owner[0]] = (member.owner[1], message)
             elif isinstance(message, Asking) and member.owner is not None:
                 self._asking(member.owner, message)
             else:
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -83,7 +83,35 @@
     fault: str
 
 
-Message = Hello | Asking | Limited | Granted | Document | Prepare | Grant | Vote | Acting | Question | Fit
+@dataclass(frozen=True, slots=True)
+class Returning:
+    """How far an instance's start has come. No decision uses it.
+
+    ``gate``: before which it stands (``core.gates``), since when (ms); ``owed``: of ``at_start`` messages
+    that it owed, how many have no end yet; ``damaged``: ranges of its journal that could not be read.
+    """
+
+    gate: str
+    since: float
+    owed: int
+    at_start: int
+    damaged: int
+
+
+Message = (
+    Hello
+    | Asking
+    | Limited
+    | Granted
+    | Document
+    | Prepare
+    | Grant
+    | Vote
+    | Acting
+    | Question
+    | Fit
+    | Returning
+)
 
 
 def write(message: Message) -> bytes:
@@ -160,6 +188,13 @@
     "question": lambda raw: Question(_whole(raw["id"]), _long(raw["text"])),
     "fit": lambda raw: Fit(_whole(raw["id"]), _long(raw["fault"])[:1000]),
     "acting": lambda raw: Acting(_whole(raw["version"])),
+    "returning": lambda raw: Returning(
+        _text(raw["gate"]),
+        _number(raw["since"]),
+        _whole(raw["owed"]),
+        _whole(raw["at_start"]),
+        _whole(raw["damaged"]),
+    ),
     "vote": lambda raw: Vote(_whole(raw["number"]), _flag(raw["yes"]), _long(raw["fault"])[:1000]),
 }
 """What is said of policies, each read whole; the machines are in ``springspread.accord``."""
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from springspread.config import Address, Limits, Names
 from springspread.core.types import CoreEvent, HostGroups, Log, Scope, clock
@@ -79,4 +80,4 @@
         # Guards the list against a service that counts anew, as another may: what it left out is not known.
         self._fetching |= since is not None and news.version < since
         self._version = news.version
-        return news
+        return replace(news, date=answer.headers.get("Date"))
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -49,8 +49,9 @@
 class Intake:
     """Answers requests; for a message it asks the core for its verdict."""
 
-    def __init__(self, put: Callable[[CoreEvent], None]) -> None:
-        self._put = put
+    def __init__(self, put: Callable[[CoreEvent], None], return_after_s: float = 1.0) -> None:
+        """``return_after_s``: when a client is to come back that comes before this sender is ready."""
+        self._put, self._return = put, f"{return_after_s:g}"
         self.ready = False
 
     def respond(self, request: Request, begun: float, told: Callable[[Query], None]) -> Reply | Query:
@@ -68,7 +69,7 @@
         except Faulty as exc:
             return Reply(400, {"X-Fault": str(exc)})
         if not self.ready:
-            return Reply(503)
+            return Reply(503, {"Retry-After": self._return})
         query.told = told
         self._put(query)
         return query
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -30,7 +30,7 @@
 from springspread.rig.daemon import PROGRAM, relay_path
 from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
 from springspread.rig.partner import GROUP, UNSAFE, Outside
-from springspread.rig.power import WRITE_BACK
+from springspread.rig.power import CLOCK, WRITE_BACK
 from springspread.rig.relay import Fault, Relay, Way, unseen
 from springspread.rig.sabotage import VARIABLE
 from springspread.rig.schedule import Act, Kind
@@ -110,6 +110,7 @@
         power: str = "",
         instance: str = "",
         write_back: str = "",
+        recovery: str = "",
     ) -> None:
         """``place`` is an empty folder; each instance is handed a message every ``each_s``.
 
@@ -118,7 +119,8 @@
         ``sabotage``: the fault that is put into it. ``power``: instances lose what they did not sync as they
         are killed, and have this durability; every other message may be carried once only. ``instance``: the
         rig's module that instances run in place of the program. ``write_back``: the seed by which some of
-        what was not synced is on disk all the same (``rig.power``).
+        what was not synced is on disk all the same (``rig.power``). ``recovery``: lines of that table of the
+        fleet's file.
         """
         self._limit, self._program, self._sabotage = limit, program, sabotage
         self._power, self._write_back = power, write_back
@@ -128,7 +130,10 @@
         toml = (TOML if program is None else OLD_TOML).format(instances, lease_ms)
         if limit is not None:
             toml += LIMIT_TOML.format(GROUP, *limit)
+        if recovery:
+            toml += f"[recovery]\n{recovery}\n"
         self._file.write_text(toml)
+        self._clock_s = 0.0
         self._outside, self._base = outside, outside.configuration()
         self._names = [f"n{n:03}" for n in range(instances)]
         if power:
@@ -166,6 +171,8 @@
         line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
         if self._instance:
             env[PROGRAM] = self._instance
+        if self._clock_s:
+            env[CLOCK] = str(self._clock_s)
         if self._write_back:
             env[WRITE_BACK] = self._write_back
         if self._program is not None:
@@ -186,6 +193,17 @@
                 # Not the address of one that is dead: a stranger may have its port by now.
                 self._listens = {row["name"]: row["listen"] for row in rows if row["listen"]}
 
+    @property
+    def listening(self) -> dict[str, str]:
+        """Where instances that serve are, by name."""
+        return dict(self._listens)
+
+    def recovery(self) -> list[dict[str, Any]]:
+        """How far each instance's return has come, as the daemon tells it; nothing where none answers."""
+        with suppress(OSError, ValueError, KeyError):
+            return list(asked(self._folder / "control", {"do": "recovery"})["recovery"])
+        return []
+
     # Load and changes
 
     def _load(self, number: int) -> None:
@@ -367,8 +385,12 @@
         }
         self.told.two_ends = {id for id, said in told.items() if len(said) > 1}
 
-    def power_cut(self) -> None:
-        """The daemon and all instances are gone at once; what they synced is left. The daemon runs again."""
+    def power_cut(self, clock_s: float = 0.0) -> None:
+        """The daemon and all instances are gone at once; what they synced is left. The daemon runs again.
+
+        ``clock_s``: by how much the machine's clock is wrong from then on.
+        """
+        self._clock_s = clock_s
         pids = [row["pid"] for row in self._rows.values() if row["pid"]]
         for pid in [self._daemon.pid, *pids]:
             with suppress(ProcessLookupError):
--- a/springspread/rig/disk.py
+++ b/springspread/rig/disk.py
@@ -85,6 +85,10 @@
         """As the system's."""
         return len(self.disk.seen[name].seen)
 
+    def changed(self, name: str) -> float:
+        """Nothing here has a time."""
+        return 0.0
+
     def open(self, name: str) -> int:
         """As the system's."""
         self.before("open")
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -21,6 +21,7 @@
     """Serves until ``close``. ``applied`` counts calls by message; ``noticed`` has what notices said of one.
 
     ``arrivals``: when each call was there (ms, the monotonic clock), in order; ``first``: by message.
+    While ``shut`` is set the partner turns every call away.
     """
 
     def __init__(self) -> None:
@@ -29,7 +30,7 @@
         self.arrivals: list[float] = []
         self.first: dict[str, float] = {}
         self.lock = threading.Lock()
-        self.over = threading.Event()
+        self.over, self.shut = threading.Event(), threading.Event()
         self.server = _Server(("127.0.0.1", 0), type("Handler", (_Handler,), {"outside": self}))
         self.server.daemon_threads = True
         self.port = int(self.server.server_address[1])
@@ -129,6 +130,9 @@
                     self.outside.noticed[notice["id"]].add(notice["status"])
             self._reply(204)
             return
+        if self.outside.shut.is_set():
+            self._reply(429)
+            return
         id, now = self.headers.get("X-Correlation-Id", ""), time.monotonic() * 1000.0
         with self.outside.lock:
             self.outside.applied[id] += 1
--- a/springspread/rig/power.py
+++ b/springspread/rig/power.py
@@ -17,9 +17,11 @@
 
 from springspread.__main__ import main
 from springspread.core import journal
+from springspread.core.clock import SYSTEM, SystemClock
 from springspread.core.files import Files
 
 WRITE_BACK = "RIG_WRITE_BACK"
+CLOCK = "RIG_CLOCK_S"  # by how much the machine's clock is wrong, as it came up
 BLOCK = 512
 PREFIX_PART, BLOCK_PART = 0.1, 0.05  # of all appends
 
@@ -75,6 +77,16 @@
             super().sync(file)
 
 
+class WrongClock(SystemClock):
+    """A machine's clock that came up wrong, by so many seconds."""
+
+    def wall(self) -> float:
+        """Unix time in milliseconds, as the machine believes it."""
+        return super().wall() + 1000.0 * float(os.environ[CLOCK])
+
+
 if __name__ == "__main__":
+    if CLOCK in os.environ:
+        SYSTEM.__class__ = WrongClock
     vars(journal).update(Files=HeldBack)
     os._exit(main())
--- /dev/null
+++ b/tests/rig/test_return.py
@@ -0,0 +1,95 @@
+"""The return of a whole fleet from a power loss: real processes, and the pure parts."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from springspread.config import Waits
+from springspread.core.gates import TABLE, Gate, Seen, Standing, step
+from springspread.core.worldtime import DOUBT_MS, offset, read
+from springspread.rig.chaos import Chaos, fleet_of
+from springspread.rig.partner import UNSAFE
+from tests.peer import until
+
+HOUR = 3_600_000.0
+MET = Seen(owed=0, slots=5, world=True, policy=True, listed=True)
+NOTHING = Seen(owed=9, slots=5, world=False, policy=False, listed=False)
+WAITS = Waits(100.0, 200.0, 300.0, 400.0)
+SEEN = st.builds(Seen, st.integers(0, 9), st.just(5), st.booleans(), st.booleans(), st.booleans())
+
+
+@given(st.lists(st.tuples(SEEN, st.floats(0.0, 150.0)), max_size=60))
+def test_gates_open_in_their_order_each_when_it_may_or_at_its_longest_wait(
+    looks: list[tuple[Seen, float]],
+) -> None:
+    now, standing = 0.0, Standing(Gate.CLOCK, 0.0)
+    order = [gate for gate, _, _ in TABLE]
+    for seen, pause in [*looks, (NOTHING, 1_000.0)]:
+        now += pause
+        before, standing = standing, step(standing, seen, WAITS, now)
+        assert [one.gate for one in standing.passed] == order[: len(standing.passed)]
+        assert standing.passed[: len(before.passed)] == before.passed
+        since = before.since
+        for one in standing.passed[len(before.passed) :]:
+            met, longest = next((met, longest) for gate, met, longest in TABLE if gate is one.gate)
+            assert one.met == met(seen) and (one.met or now >= since + longest(WAITS))
+            since = one.at
+        if standing.gate is not Gate.OPEN:
+            met, longest = next((met, longest) for gate, met, longest in TABLE if gate is standing.gate)
+            assert not met(seen) and now < standing.since + longest(WAITS)
+
+
+def test_nothing_is_waited_for_by_who_has_no_waits_and_nothing_for_ever() -> None:
+    assert step(Standing(Gate.CLOCK, 5.0), NOTHING, Waits(), 5.0).gate is Gate.OPEN
+    assert step(Standing(Gate.CLOCK, 5.0), MET, WAITS, 5.0).gate is Gate.OPEN
+    standing, now = Standing(Gate.CLOCK, 0.0), 0.0
+    while standing.gate is not Gate.OPEN:
+        now += 50.0
+        standing = step(standing, NOTHING, WAITS, now)
+    assert now == 1_000.0 and not any(one.met for one in standing.passed)
+
+
+def test_the_time_that_counts_is_the_worlds_then_the_machines_but_never_before_the_record() -> None:
+    noon = 1_800_000_000_000.0
+    assert offset(noon + HOUR, noon, noon - 5.0) == -HOUR
+    assert offset(0.0, noon, noon - 5.0) == noon
+    assert offset(noon + DOUBT_MS, noon, noon) == 0.0  # it tells whole seconds: the machine's is finer
+    assert offset(0.0, None, noon) == noon
+    assert offset(noon, None, noon - HOUR) == 0.0
+    assert read("Fri, 15 Jan 2027 08:00:00 GMT") == noon + 500.0
+    assert read("") is read("yesterday") is None
+
+
+def test_a_fleet_whose_clock_comes_up_an_hour_late_gives_up_nothing_that_has_time_left() -> None:
+    with fleet_of(Chaos, 3, lease_ms=1000.0, each_s=0.05, power="power") as (chaos, outside):
+        outside.shut.set()
+        chaos.load()
+        until(lambda: len(chaos.told.handed) > 40, "messages are owed")
+        chaos.power_cut(3600.0)
+        before = set(chaos.told.handed) - chaos.unsafe
+        outside.shut.clear()
+        chaos.until_whole()
+        rows = chaos.recovery()
+        chaos.end_load()
+    assert UNSAFE and len(before) > 15
+    assert not before - set(outside.applied) and not chaos.told.without_end
+    assert {row["name"] for row in rows} == {"n000", "n001", "n002"}
+    assert sum(row["ended"] + row["owed"] for row in rows) >= len(before) / 2
+
+
+def test_clients_are_refused_with_a_time_to_come_back_until_what_is_owed_goes_on() -> None:
+    own = "owed_ms = 600000.0"
+    with fleet_of(Chaos, 1, lease_ms=1000.0, each_s=0.02, power="power", recovery=own) as (chaos, outside):
+        outside.shut.set()
+        chaos.load()
+        until(lambda: len(chaos.told.handed) > 20, "more is owed than there are slots")
+        chaos.power_cut()
+        until(lambda: any(row["gate"] == "owed" for row in chaos.recovery()), "it stands before clients")
+        (row,) = chaos.recovery()
+        assert row["owed"] > 5 and not chaos.listening  # it serves nobody
+        outside.shut.clear()
+        chaos.until_whole()
+        assert [row["gate"] for row in chaos.recovery()] == ["open"]
+        chaos.end_load()
+    assert not chaos.told.without_end
