--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -150,6 +150,7 @@
         self._ids = count(1)
         self.unsafe: set[str] = set()
         self.handed_at: dict[str, float] = {}
+        self.offered: dict[str, tuple[float, int]] = {}  # when (ms), and the status; 0: none
         self._looked = 0.0
         self._threads: list[threading.Thread] = []
         self._answered: set[str] = set()
@@ -214,6 +215,7 @@
             id = f"{name}-{number}"
             host, _, port = self._listens.get(name, "127.0.0.1:1").rpartition(":")
             connection = http.client.HTTPConnection(host, int(port), timeout=0.4)
+            began, status = time.monotonic() * 1000.0, 0
             head = {"X-Correlation-Id": id, "X-Service-Class": cls}
             head |= {"X-Consignee": f"dest={GROUP}", "X-Time-Left-Ms": "8000"}
             with suppress(OSError, http.client.HTTPException):
@@ -226,6 +228,7 @@
                         self.unsafe.add(id)
                 if status == 200:
                     self._answered.add(id)
+            self.offered[id] = (began, status)
             connection.close()
 
     def _change(self) -> None:
--- a/springspread/rig/partner.py
+++ b/springspread/rig/partner.py
@@ -18,7 +18,8 @@
 
 
 class Outside:
-    """Serves until ``close``. ``applied`` counts calls by message; ``noticed`` has what notices said of one.
+    """Serves until ``close``. ``applied`` counts calls by message; ``noticed`` has what notices said of one,
+    ``noticed_at`` when the first of them came (ms, the monotonic clock).
 
     ``arrivals``: when each call was there (ms, the monotonic clock), in order; ``first``: by message.
     While ``shut`` is set the partner turns every call away.
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.applied: Counter[str] = Counter()
         self.noticed: defaultdict[str, set[str]] = defaultdict(set)
+        self.noticed_at: dict[str, float] = {}
         self.arrivals: list[float] = []
         self.first: dict[str, float] = {}
         self.lock = threading.Lock()
@@ -36,9 +38,9 @@
         self.port = int(self.server.server_address[1])
         threading.Thread(target=self.server.serve_forever, name="outside", daemon=True).start()
 
-    def members(self) -> dict[str, Any]:
-        """The list: one endpoint of one destination."""
-        line = {"name": "s-1", "address": f"127.0.0.1:{self.port}", "zone": "a", "type": "portal"}
+    def members(self, name: str = "s-1", port: int = 0) -> dict[str, Any]:
+        """The list: one endpoint of one destination, the partner's own or another."""
+        line = {"name": name, "address": f"127.0.0.1:{port or self.port}", "zone": "a", "type": "portal"}
         line |= {"group": str(GROUP), "status": "Ready"}
         full: dict[str, Any] = {**line, "group": GROUP, "weight": 1000.0, "since_ms": 0}
         return {"index": 1, "snapshot": True, "endpoints": [full]}
@@ -128,6 +130,7 @@
             with self.outside.lock:
                 for notice in map(json.loads, body.splitlines()):
                     self.outside.noticed[notice["id"]].add(notice["status"])
+                    self.outside.noticed_at.setdefault(notice["id"], time.monotonic() * 1000.0)
             self._reply(204)
             return
         if self.outside.shut.is_set():
