--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import sys
 import threading
 import time
@@ -14,12 +15,12 @@
 from springspread.config import Config, ConfigError, Durability, load, load_again
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
-from springspread.core.journal import Journal
+from springspread.core.lanes import Lanes, Taken
 from springspread.core.loop import Sender
 from springspread.core.types import HostGroups, Log, Scope, Stop
 from springspread.logs import make_log
 from springspread.net.discovery import Watcher
-from springspread.net.door import Door
+from springspread.net.door import Door, listener
 from springspread.net.links import Workers
 from springspread.net.notices import Notices
 from springspread.net.threads import spawn
@@ -70,7 +71,17 @@
     return from_environment(os.environ, log)
 
 
-def standing(sender: Sender, journal: Journal) -> Returning | None:
+def inherited() -> socket.socket | None:
+    """The clients' listening socket, where whoever started this process holds it; else none."""
+    if not (told := os.environ.get("RELAY_FD")):
+        return None
+    try:
+        return socket.socket(fileno=int(told))
+    except (ValueError, OSError) as exc:
+        raise ConfigError(f"RELAY_FD: not a descriptor of a socket: {told!r}") from exc
+
+
+def standing(sender: Sender, journal: Lanes) -> Returning | None:
     """How far the start has come, for the fleet's daemon; nothing where it waits at no gate."""
     from springspread.fleet.wire import Returning
 
@@ -87,7 +98,10 @@
     known = known_groups(config)
     limits, settings = config.limits, config.settings
     most, durable = settings.max_attempts, config.durability is Durability.POWER
-    journal = Journal(config.state, limits.disk_bytes, most, limits.body_bytes, durable=durable)
+    try:
+        journal = Lanes(config.state, limits.disk_bytes, most, limits.body_bytes, durable=durable)
+    except Taken as exc:
+        raise ConfigError(f"state: {exc}") from exc
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
     shares = fleet_shares(log)
     clearance = Clearance(journal, grace, shares=shares)
@@ -113,7 +127,7 @@
     SYSTEM.sleep(limits.settle_ms)
     intake = Intake(sender.put, limits.return_after_s)
     try:
-        door = Door(config.listen, intake, limits, log)
+        door = Door(inherited() or listener(config.listen, limits), intake, limits, log)
     except OSError as exc:
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
     heard = None
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -7,6 +7,7 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
+from springspread.core.lanes import Lanes
 from springspread.core.types import Call, LinkState, Result, ServerLink, Shares
 
 
@@ -14,7 +15,7 @@
     """Asked by the threads that write; fed by them and by the loop."""
 
     def __init__(
-        self, journal: Journal, grace_ms: float, clock: Clock = SYSTEM, shares: Shares | None = None
+        self, journal: Journal | Lanes, grace_ms: float, clock: Clock = SYSTEM, shares: Shares | None = None
     ) -> None:
         self._journal, self._grace, self._clock, self._shares = journal, grace_ms, clock, shares
         self._lock = threading.Lock()
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import threading
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from struct import error as StructError
@@ -97,9 +98,12 @@
         read_only: bool = False,
         durable: bool = False,
         files: Files | None = None,
+        first_number: int = 0,
     ) -> None:
         """Read what the folder holds; ``read_only`` writes nothing, also beside a running sender.
 
+        ``first_number``: messages are numbered from the next one on, where none is on record.
+
         ``durable``: records outlast a power loss, once ``settle`` has returned.
         """
         self.commit = Commit(self._sync) if durable else None
@@ -109,11 +113,11 @@
         self._file_bytes = disk_bytes // FILES
         # While a file is cleared away, what is owed in it stands twice: its length stays free at all times.
         self._disk, self._whole = disk_bytes, disk_bytes - self._file_bytes - longest - BLOCK * 3 * FILES
-        self._budget = self._whole
+        self._budget, self._room = self._whole, 0
         self._most_live = min(LIVE_PART * disk_bytes, self._whole - longest)
         self._lock = threading.Lock()
         self.owed: dict[int, Owed] = {}
-        self.last_number = 0
+        self.last_number = first_number
         self.cut_bytes = self.failures = 0
         self.damaged: dict[str, list[Range]] = {}  # by file
         self.doubted: dict[str, list[str]] = {}  # ids that are owed and were on record before it, by file
@@ -131,6 +135,41 @@
                 self._renew()
             self._keep_room()
 
+    @classmethod
+    def reading(cls) -> Journal:
+        """One that knows of no files, and is told records by ``note``."""
+        book = cls.__new__(cls)
+        book.owed, book.last_number, book._live, book._per_message = {}, 0, 0, 0
+        return book
+
+    def note(self, payload: bytes) -> None:
+        """Take in a record that another process wrote; one of no kind that is known is passed over."""
+        with suppress(StructError, UnicodeDecodeError):
+            self._apply(payload, 0)
+
+    @property
+    def size(self) -> int:
+        """How much of the disk it takes (bytes)."""
+        with self._lock:
+            return self._used()
+
+    def keep_within(self, disk_bytes: int) -> None:
+        """Take no more of the disk from now on; what is owed stays, whatever it takes."""
+        with self._lock:
+            # Not below what it has: files would be cleared away over and over for room that is not there.
+            self._room = min(max(disk_bytes - self._disk, self._used() - self._whole), 0)
+            self._keep_room()
+
+    def remove(self) -> None:
+        """Nothing is owed here any more: take its files away, the oldest first, and let go of it."""
+        with self._lock:
+            self._files.close(self._file)
+            for number in sorted(self._sizes):
+                self._files.unlink(_name(number))
+                if self.commit is not None:
+                    self._files.sync_folder()
+            self._sizes.clear()
+
     @property
     def files(self) -> dict[str, int]:
         """How many readable bytes each file held as it was read, the oldest first."""
@@ -222,8 +261,8 @@
         while sum(sizes) > self._file_bytes and len(sizes) > 1:
             self._files.unlink(aside.pop(0))
             sizes.pop(0)
-        self._budget = self._whole - sum(sizes)
-        self._most_live = min(LIVE_PART * self._disk, self._budget - self._longest)
+        self._budget = self._whole + self._room - sum(sizes)
+        self._most_live = min(LIVE_PART * (self._disk + self._room), self._budget - self._longest)
 
     def _apply(self, payload: bytes, file: int) -> None:
         kind = payload[:1]
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from queue import Empty, SimpleQueue
@@ -13,6 +14,7 @@
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal, JournalFull, Owed
+from springspread.core.lanes import LOOK_MS, Lanes
 from springspread.core.start import Start
 from springspread.core.types import (
     Call,
@@ -77,7 +79,7 @@
     def __init__(
         self,
         config: Config,
-        journal: Journal,
+        journal: Journal | Lanes,
         clearance: Clearance,
         log: Log,
         clock: Clock = SYSTEM,
@@ -88,6 +90,7 @@
         self._clock, self._shares, self._policy = clock, shares, policy
         self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
         self._journal, self._clearance, self._log = journal, clearance, log
+        self._lanes = journal if isinstance(journal, Lanes) else None
         self._module = Dispatcher(config.settings, config.seed)
         self._classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self._links = translate.Links(config.settings.kinds, clock)
@@ -115,8 +118,20 @@
         """Take up what the last process owed; only then may a client be told that this one is ready."""
         now = self._clock.now()
         events: list[i.Event] = [self._listed(known)]
+        waiting = self._taken_up(self._journal.owed.values())
+        self.start.begin(now, waiting)
+        for name, ranges in self._journal.damaged.items():
+            places = [f"{one.start}-{one.end}" for one in ranges[:20]]
+            ids = [id for one in ranges for id in one.ids][:20]
+            self._log.error("journal damaged; set aside", file=name, ranges=places, ids=ids)
+        if self._journal.owed or self._journal.cut_bytes:
+            self._log.info("restored", owed=len(self._journal.owed), cut_bytes=self._journal.cut_bytes)
+        self._decide(now, events + self._through(now))
+
+    def _taken_up(self, found: Iterable[Owed]) -> list[tuple[Owed, float]]:
+        """What another process owed: what has no end coming goes on, with its class's time."""
         waiting: list[tuple[Owed, float]] = []
-        for owed in list(self._journal.owed.values()):
+        for owed in list(found):
             self._numbers[owed.id] = owed.number
             cls = self._classes.get(owed.cls)
             spec = self._set.classes[cls] if cls is not None else None
@@ -127,14 +142,27 @@
                 self._end(owed.number, deferred=False)
             else:
                 waiting.append((owed, spec.deadline_ms))
-        self.start.begin(now, waiting)
-        for name, ranges in self._journal.damaged.items():
-            places = [f"{one.start}-{one.end}" for one in ranges[:20]]
-            ids = [id for one in ranges for id in one.ids][:20]
-            self._log.error("journal damaged; set aside", file=name, ranges=places, ids=ids)
-        if self._journal.owed or self._journal.cut_bytes:
-            self._log.info("restored", owed=len(self._journal.owed), cut_bytes=self._journal.cut_bytes)
-        self._decide(now, events + self._through(now))
+        return waiting
+
+    def _taken_over(self, now: float) -> list[i.Event]:
+        """What a process beside this one owed goes on here, once it has died."""
+        if self._lanes is None or not (found := self._lanes.look(now)):
+            return []
+        self._log.info("taken over", owed=len(found))
+        return [self._goes_on(now, owed, self.start.left(owed, most)) for owed, most in self._taken_up(found)]
+
+    def _goes_on(self, now: float, owed: Owed, left: float) -> i.Taken:
+        cls, deadline = self._classes[owed.cls], now + left
+        self._held[owed.number] = Held(owed, self._set.classes[cls], deadline)
+        return i.Taken(
+            owed.number,
+            owed.group,
+            cls,
+            deadline,
+            again=owed.again,
+            orphan=owed.orphan,
+            attempts=owed.attempts,
+        )
 
     @property
     def open(self) -> bool:
@@ -148,22 +176,8 @@
         if self.start.asks(now, self._groups.told):
             self._directory.fetch()
         acts = self._shares is None or self._shares.may(self._policy)
-        events = list[i.Event]()
-        for owed, left in self.start.through(now, self._set.slots, acts, self._groups.told):
-            cls, deadline = self._classes[owed.cls], now + left
-            self._held[owed.number] = Held(owed, self._set.classes[cls], deadline)
-            events.append(
-                i.Taken(
-                    owed.number,
-                    owed.group,
-                    cls,
-                    deadline,
-                    again=owed.again,
-                    orphan=owed.orphan,
-                    attempts=owed.attempts,
-                )
-            )
-        return events
+        freed = self.start.through(now, self._set.slots, acts, self._groups.told)
+        return [self._goes_on(now, owed, left) for owed, left in freed]
 
     def run(self) -> None:
         """Handle batches until a stop is through."""
@@ -197,7 +211,7 @@
         events += self._confirm()
         while self._timers and self._timers[0][0] <= now:
             events.append(i.Woken(heappop(self._timers)[1]))
-        events += self._through(now)
+        events += self._through(now) + self._taken_over(now)
         if events:
             self._decide(now, events)
 
@@ -227,6 +241,8 @@
         due = self.due
         if self._stop_at < float("inf") or not self.open:
             due = min(due, self._clock.now() + 20.0)  # a stop's conditions and a gate's are looked at
+        if self._lanes is not None and self._lanes.beside:
+            due = min(due, self._clock.now() + LOOK_MS)
         try:
             if due == float("inf"):
                 return self._inbox.get()
@@ -292,6 +308,10 @@
             self._taken_on(query)
         elif self._recent.get(query.id):
             query.answer(Verdict.DELIVERED)
+        elif self._lanes is not None and (other := self._lanes.elsewhere(query.id)) is not None:
+            # A process beside this one owes it, and tells its end.
+            same = (other.cls, other.group, other.body) == (query.cls, query.group, query.body)
+            query.answer(Verdict.TAKEN if same else Verdict.CONFLICT)
         elif not self._groups.knows(query.group):
             # Guards the table: a destination that does not exist would hold its messages to their end. Before
             # discovery has told the list, it may be one that is new.
--- a/springspread/core/start.py
+++ b/springspread/core/start.py
@@ -103,10 +103,12 @@
             return self._clock.wall()
         return self._steady[0] + self._clock.now() - self._steady[1]
 
+    def left(self, owed: Owed, most: float) -> float:
+        """How much time (ms) a message has left, whose class gives it ``most``."""
+        left = owed.deadline_wall - self.wall()
+        # Guards the partner against a clock that is too early: no message has more time than its class gives.
+        return min(left, most) if self._waits.clock_ms else left
+
     def _set_free(self) -> list[tuple[Owed, float]]:
         freed, self._waiting = self._waiting, []
-        wall = self.wall()
-        if not self._waits.clock_ms:
-            return [(owed, owed.deadline_wall - wall) for owed, _ in freed]
-        # Guards the partner against a clock that is too early: no message has more time than its class gives.
-        return [(owed, min(owed.deadline_wall - wall, most)) for owed, most in freed]
+        return [(owed, self.left(owed, most)) for owed, most in freed]
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -27,7 +27,7 @@
 from springspread.accord.record import Damaged
 from springspread.accord.terms import Proposed
 from springspread.core.clock import SYSTEM, Clock
-from springspread.core.journal import Journal
+from springspread.core.lanes import owed_in
 from springspread.core.types import Log
 from springspread.fleet.change import Changes
 from springspread.fleet.folder import (
@@ -350,22 +350,19 @@
         with suppress(ProcessLookupError):
             os.kill(row.pid, number)
 
-    def _journal(self, name: str) -> Journal | None:
-        """What an instance's folder says now; nothing where its process clears files away meanwhile."""
-        with suppress(OSError):
-            return Journal(self.folder / name / "state", 1 << 40, read_only=True)
-        return None
-
     def _owed(self, name: str) -> int:
-        if not (self.folder / name / "state").is_dir():
+        if not (state := self.folder / name / "state").is_dir():
             return 0
-        journal = self._journal(name)
-        return 1 if journal is None else len(journal.owed)
+        with suppress(OSError):  # its process clears files away
+            return len(owed_in(state))
+        return 1
 
     def _first_end(self, name: str) -> float:
         """When the first of an instance's messages is to have its end (Unix time, ms); inf: it owes none."""
-        journal = self._journal(name)
-        return min((owed.deadline_wall for owed in journal.owed.values()), default=inf) if journal else inf
+        with suppress(OSError):
+            owed = owed_in(self.folder / name / "state")
+            return min((one.deadline_wall for one in owed.values()), default=inf)
+        return inf
 
     def _recovery(self) -> list[dict[str, Any]]:
         """How far each instance's return has come."""
--- a/springspread/fleet/fit.py
+++ b/springspread/fleet/fit.py
@@ -9,6 +9,7 @@
 
 from springspread.config import Config, ConfigError, decoded, read
 from springspread.core.journal import Journal
+from springspread.core.lanes import Lanes
 
 KEYS = {
     "connect_ms": "limits.connectTimeoutMs",
@@ -18,7 +19,9 @@
 """The settings that bounds of the process follow, by the bound."""
 
 
-def under_policy(running: Config, journal: Journal, text: str, env: Mapping[str, str] = os.environ) -> Config:
+def under_policy(
+    running: Config, journal: Journal | Lanes, text: str, env: Mapping[str, str] = os.environ
+) -> Config:
     """The configuration that a policy's text makes of a process's first one; raises ``ConfigError``.
 
     Each fault names the key. What is held here must still be carried: its class is there, and its room.
--- a/springspread/net/door.py
+++ b/springspread/net/door.py
@@ -60,10 +60,25 @@
         self.open = True
 
 
+def listener(address: Address, limits: Limits) -> socket.socket:
+    """A socket that clients connect to; raises ``OSError`` where the address can't be used."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # accepted ones have it from here
+        sock.bind(address)
+        sock.listen(limits.backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Door:
     """Accepts clients until it is closed; then ends their connections between requests."""
 
-    def __init__(self, address: Address, front: Front, limits: Limits, log: Log) -> None:
+    def __init__(self, sock: socket.socket, front: Front, limits: Limits, log: Log) -> None:
+        """``sock`` listens already, for this process alone or for others, too."""
         self._front, self._limits, self._log = front, limits, log
         self._admission = Admission(limits)
         self._clients: dict[Place, Client] = {}
@@ -77,11 +92,7 @@
         self._bell, self._ear = socket.socketpair()
         self._ear.setblocking(False)
         self._selector.register(self._ear, READ, None)
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # accepted ones have it from here
-        self._sock.bind(address)
-        self._sock.listen(limits.backlog)
+        self._sock = sock
         self._sock.setblocking(False)
         self.address: Address = self._sock.getsockname()
         self._listen(True)
