Damaged folders and a frozen instance in a power loss of a whole fleet, on real processes

Need: hard cases of the issue: every file of one instance and of the fleet torn, flipped, emptied or missing, one by one and in pairs; an instance frozen through the outage that resumes.

--- a/benchmarks/power_return.py
+++ b/benchmarks/power_return.py
@@ -38,7 +38,7 @@
     made = {"lease_ms": 1000.0, "each_s": args.each_s, "limit": (int(LIMIT * a_second), 1_000.0)}
     made |= {"power": "power", "recovery": recovery}
     with fleet_of(Returning, args.instances, **made) as (fleet, _):
-        return fleet.come_back(args.seconds, clock_s)
+        return fleet.come_back(args.seconds, clock_s, args.away_s)
 
 
 def main() -> None:
@@ -48,6 +48,7 @@
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--each-s", type=float, default=0.2, help="time between an instance's messages")
     parser.add_argument("--repeats", type=int, default=3)
+    parser.add_argument("--away-s", type=float, default=0.0, help="the partner is away for so much longer")
     parser.add_argument("--only", choices=ARMS)
     parser.add_argument("--clocks", action="store_true")
     parser.add_argument("--csv", type=Path)
@@ -66,6 +67,7 @@
             row = {
                 "arm": name,
                 "clock": clock,
+                "away_s": args.away_s,
                 "instances": args.instances,
                 "owed": told.owed,
                 "kept": told.kept,
--- /dev/null
+++ b/springspread/rig/damage.py
@@ -0,0 +1,117 @@
+"""Folders that come back from a power loss damaged: one file, or two, torn, flipped, emptied or missing."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from springspread.rig.chaos import Chaos
+
+OWED_S = 0.8
+
+
+def torn(path: Path) -> None:
+    """Its second half is gone."""
+    data = path.read_bytes()
+    path.write_bytes(data[: len(data) // 2])
+
+
+def flipped(path: Path) -> None:
+    """One bit in its middle is wrong."""
+    data = bytearray(path.read_bytes())
+    if data:
+        data[len(data) // 2] ^= 0x10
+    path.write_bytes(data)
+
+
+def emptied(path: Path) -> None:
+    """It is there, and has nothing in it."""
+    path.write_bytes(b"")
+
+
+def missing(path: Path) -> None:
+    """It is not there."""
+    path.unlink()
+
+
+HOWS: dict[str, Callable[[Path], None]] = {one.__name__: one for one in (torn, flipped, emptied, missing)}
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of a return. ``refused``: what the daemon said where it did not start, at first.
+
+    ``lost``: messages without an end that an undamaged journal held; ``gone``: those of a damaged one.
+    """
+
+    refused: str
+    lost: int
+    gone: int
+    unsafe_twice: int
+    two_ends: int
+
+    @property
+    def broken(self) -> bool:
+        """Whether a promise was."""
+        return bool(self.lost or self.unsafe_twice or self.two_ends)
+
+
+class Damaged(Chaos):
+    """Made as ``Chaos`` with ``power``; any number of ``return_with``, then ``close``."""
+
+    @property
+    def files(self) -> list[str]:
+        """What is kept of the fleet and of its first instance, by the names in its folder."""
+        kept = [path.relative_to(self._folder) for path in self._folder.rglob("*") if path.is_file()]
+        others = {"daemon.log", "lock", "log", "given.json"}
+        return sorted(
+            str(path)
+            for path in kept
+            if (path.name not in others or path.parts[0] == "policy") and path.parts[0] in ("n000", "policy")
+            or len(path.parts) == 1 and path.name not in others
+        )
+
+    def return_with(self, damages: Sequence[tuple[str, str]]) -> Outcome:
+        """Lose the power with messages owed, damage files (name, how), and return."""
+        outside = self._outside
+        self.told.handed.clear()
+        outside.shut.set()
+        self.load()
+        time.sleep(OWED_S)
+        self._over.set()
+        before = {name: (self._folder / name).read_bytes() for name, _ in damages}
+
+        def damage() -> None:
+            for name, how in damages:
+                if (path := self._folder / name).exists():
+                    before[name] = path.read_bytes()
+                    HOWS[how](path)
+
+        self.power_cut(between=damage)
+        refused = self._refused()
+        if refused:  # as the page says: put the newest good copy back
+            for name, data in before.items():
+                (self._folder / name).write_bytes(data)
+            self._again()
+        outside.shut.clear()
+        self.until_whole()
+        self.end_load()
+        held = {name.split("/")[0] for name, _ in damages if "/state/" in name}
+        gone = {id for id in self.told.without_end if id.split("-")[0] in held}
+        twice = sum(outside.applied[id] > 1 for id in self.unsafe)
+        lost = len(self.told.without_end) - len(gone)
+        return Outcome(refused, lost, len(gone), twice, len(self.told.two_ends))
+
+    def _refused(self) -> str:
+        """Why the daemon did not start; empty where it did."""
+        end = time.monotonic() + 5.0
+        while time.monotonic() < end:
+            if self._daemon.poll() is not None:
+                lines = (self._folder / "daemon.log").read_text().splitlines()
+                return lines[-1] if lines else "it says nothing"
+            if self.recovery():
+                return ""
+            time.sleep(0.05)
+        return ""
