--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -18,6 +18,7 @@
 from struct import error as StructError
 from zlib import crc32
 
+from springspread.core import mark
 from springspread.core.commit import Commit
 from springspread.core.files import Files
 from springspread.core.salvage import BEGUN, ENDING, HEAD, OVER, POLICY, TAKEN, Range, Reader
@@ -129,6 +130,7 @@
         self._file = -1
         for number in numbers:
             self._restore(number, number == numbers[-1])
+        self._cut_off(numbers[-1] if numbers else 0)
         if not read_only:
             self._open(numbers[-1] if numbers else 1)
             if self.damaged:
@@ -164,6 +166,7 @@
         """Nothing is owed here any more: take its files away, the oldest first, and let go of it."""
         with self._lock:
             self._files.close(self._file)
+            mark.forget(self._files)
             for number in sorted(self._sizes):
                 self._files.unlink(_name(number))
                 if self.commit is not None:
@@ -191,11 +194,14 @@
 
     def _sync(self) -> None:
         with self._lock:  # the file may be left for the next one meanwhile: that syncs it, too
-            file = self._files.twin(self._file)
+            file, number = self._files.twin(self._file), self._last
+            size = self._sizes[number]
         try:
             self._files.sync(file)
         finally:
             self._files.close(file)
+        with suppress(OSError):  # it tells less then
+            mark.write(self._files, number, size)
 
     def _open(self, number: int) -> None:
         if self._file >= 0:
@@ -231,6 +237,15 @@
         self.cut_bytes += len(data) - reader.end
         self._sizes[number] = reader.end
 
+    def _cut_off(self, newest: int) -> None:
+        """Guards unsafe calls: what was synced and is not there any more may have been their *begun*."""
+        number, size = mark.read(self._files)
+        if (number, size) <= (newest, self._sizes.get(newest, 0)):
+            return
+        name = _name(number)
+        self.damaged.setdefault(name, []).append(Range(self._sizes.get(number, 0), size))
+        self.doubted.setdefault(name, []).extend(self._doubt())
+
     def _doubt(self) -> list[str]:
         """A record may be lost here: a *begun* of anything that is owed by now, perhaps. Their ids."""
         doubted = [owed for owed in self.owed.values() if not owed.may_have_run]
@@ -242,7 +257,7 @@
         """Leave no damaged file behind: what can't be read is set aside, what is owed is written anew."""
         try:
             for name, ranges in self.damaged.items():
-                data = self._files.read(name)
+                data = self._files.read(name) if name in self._files.names() else b""
                 aside = self._files.open(ASIDE + name[len(PREFIX) :])
                 self._files.truncate(aside, 0)
                 self._files.append(aside, b"".join(data[one.start : one.end] for one in ranges))
@@ -251,6 +266,7 @@
             old = set(self._sizes)
             while old & set(self._sizes):
                 self._clear_oldest()
+            mark.forget(self._files)  # it was of those
         except OSError:
             self.failures += 1  # the disk is full, say: the damaged files stay, and the next start finds them
 
