Operators' calls on a second address: ready, metrics, drain, undrain

Design: a second door with its own places and times in front of a front of its own, with the parser and the admission that clients have. Weighed and left: a library's server (threads that a silent caller holds), the calls on the clients' address (a crowd would keep an operator waiting). Figures are counted where things happen, not asked of the loop. A drain says no at once, and lets clients' connections go after 0.6 s.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -12,9 +12,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from springspread.config import Config, ConfigError, Durability, load, load_again
+from springspread.config import Address, Config, ConfigError, Durability, load, load_again, operators
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
+from springspread.core.figures import Figures
 from springspread.core.lanes import Lanes, Taken
 from springspread.core.loop import Sender
 from springspread.core.types import HostGroups, Log, Scope, Stop
@@ -81,6 +82,19 @@
         raise ConfigError(f"RELAY_FD: not a descriptor of a socket: {told!r}") from exc
 
 
+def manage(
+    address: Address, intake: Intake, figures: Figures, sender: Sender, door: Door, log: Log
+) -> None:
+    """Answer operators from now on."""
+    from springspread.platform.management import Management
+
+    limits = operators()
+    try:
+        Door(listener(address, limits), Management(intake, figures, sender, door.drain), limits, log)
+    except OSError as exc:
+        raise ConfigError(f"mgmt: {address[0]}:{address[1]}: {exc.strerror}") from exc
+
+
 def standing(sender: Sender, journal: Lanes) -> Returning | None:
     """How far the start has come, for the fleet's daemon; nothing where it waits at no gate."""
     from springspread.fleet.wire import Returning
@@ -105,11 +119,14 @@
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
     shares = fleet_shares(log)
     clearance = Clearance(journal, grace, shares=shares)
-    sender = Sender(config, journal, clearance, log, shares=shares, policy=shares.policy if shares else 0)
+    figures = Figures(spec.name for spec in settings.classes)
+    policy = shares.policy if shares else 0
+    sender = Sender(config, journal, clearance, log, shares=shares, policy=policy, figures=figures)
     version = known.version if config.known is not None else None
     watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log)
     notices = Notices(config.discovery, limits, sender.put, log, journal.settle)
-    workers = Workers(limits, settings.slots, config.names.report, clearance, sender.put, log)
+    report = config.names.report
+    workers = Workers(limits, settings.slots, report, clearance, sender.put, log, figures)
     sender.attach(workers, watcher, notices)
     sender.restore(known)
     if shares is not None:
@@ -125,11 +142,13 @@
     # Guards deadlines: where a start's processor time is charged to the clock, it may be ahead of the world
     # until a wait has ended, and whatever is taken on before that would be given up too late.
     SYSTEM.sleep(limits.settle_ms)
-    intake = Intake(sender.put, limits.return_after_s)
+    intake = Intake(sender.put, limits.return_after_s, figures)
     try:
         door = Door(inherited() or listener(config.listen, limits), intake, limits, log)
     except OSError as exc:
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
+    if config.mgmt is not None:
+        manage(config.mgmt, intake, figures, sender, door, log)
     heard = None
     while not sender.open and heard not in ENDS:  # clients are refused meanwhile, with a time to come back
         if (told_by := signal.sigtimedwait(HEARD, GATE_S)) is not None:
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -28,6 +28,7 @@
     """Every bound of the program (sizes, counts, times in milliseconds), handed down from the start."""
 
     body_bytes: int = 64 * 1024
+    length_needed: bool = True  # a request with a body has to state its length
     head_bytes: int = 16 * 1024
     answer_bytes: int = 256 * 1024
     interim_answers: int = 16
@@ -73,12 +74,18 @@
     notice_retry_ms: float = 100.0
     drain_margin_ms: float = 50.0
     accept_after_stop_ms: float = 500.0
+    drain_let_go_ms: float = 600.0  # from an operator's drain until clients' connections are ended
     deadline_margin_ms: float = 20.0  # how far the client's count of a message's time may be ahead
     stop_ms: float = 3_400.0
     stop_unsafe_ms: float = 2_000.0
     stop_safe_ms: float = 500.0
 
 
+def operators() -> Limits:
+    """The bounds of the operators' door: few callers, who may connect and say nothing."""
+    return replace(Limits(), client_connections=24, client_spares=4, body_bytes=4096, length_needed=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Names:
     """The deployment's names, in the order in which the settings number them."""
@@ -121,6 +128,7 @@
     limits: Limits
     durability: Durability = Durability.PROCESS
     waits: Waits = Waits()
+    mgmt: Address | None = None  # where operators call
 
 
 def parse_address(text: object, key: str, *, least: int = 1) -> Address:
@@ -173,6 +181,7 @@
         raise ConfigError(f"RELAY_STATE: not a folder: {state}")
     listen = parse_address(env.get("RELAY_LISTEN") or raw.get("listen"), "listen", least=0)
     discovery = parse_address(raw.get("discovery") or env.get("RELAY_DISCOVERY"), "discovery")
+    mgmt = env.get("RELAY_MGMT") or raw.get("mgmt")
     tree = raw.get("settings")
     if not isinstance(tree, dict):
         raise ConfigError("settings: must be an object")
@@ -199,6 +208,7 @@
         limits=limits,
         durability=_durability(raw.get("durability", Durability.PROCESS.value)),
         waits=_waits(raw.get("recovery", {})),
+        mgmt=parse_address(mgmt, "mgmt", least=0) if mgmt else None,
     )
 
 
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 from queue import Empty, SimpleQueue
@@ -13,6 +13,7 @@
 from springspread.core import translate
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
+from springspread.core.figures import Figure, Figures
 from springspread.core.journal import Journal, JournalFull, Owed
 from springspread.core.lanes import LOOK_MS, Lanes
 from springspread.core.start import Start
@@ -85,12 +86,14 @@
         clock: Clock = SYSTEM,
         shares: Shares | None = None,
         policy: int = 0,
+        figures: Figures | None = None,
     ) -> None:
         """``policy``: the number of the fleet's policy that ``config`` is of."""
         self._clock, self._shares, self._policy = clock, shares, policy
         self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
         self._journal, self._clearance, self._log = journal, clearance, log
         self._lanes = journal if isinstance(journal, Lanes) else None
+        self._figures = figures or Figures(())
         self._module = Dispatcher(config.settings, config.seed)
         self._classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self._links = translate.Links(config.settings.kinds, clock)
@@ -169,6 +172,23 @@
         """Whether new clients may be let in; asked from any thread."""
         return self.start.open
 
+    def levels(self) -> Mapping[str, int]:
+        """What there is now; asked from any thread."""
+        links, routes = list(self._links.by_number.values()), self._module.routes
+        flagged = {number for number, route in list(routes.items()) if route.health.flagged}
+        avoided = [
+            link
+            for link in links
+            if link.number in flagged
+            or link.state is not LinkState.READY
+            or self._clearance.barred_ms(link) > 0.0
+        ]
+        return {
+            "in_flight": len(self._held),
+            "endpoints_known": len(links),
+            "endpoints_excluded": len(avoided),
+        }
+
     def _through(self, now: float) -> list[i.Event]:
         """Through the gates that are open by now; what that sets free goes on."""
         if self.start.open:
@@ -286,6 +306,7 @@
         self._set = replace(new, classes=tuple(places.values()))
         self._classes = {name: n for n, name in enumerate(places) if name in names}
         self._policy, self._second = number, config.second_copies
+        self._figures.follow(names)
         self._executor.grow(new.slots)
         self._log.info("policy", version=number, slots=new.slots)
         return i.Changed(self._set)
@@ -393,6 +414,8 @@
             self._end(run.number, deferred=False)
         if held is not None and (end.result is Result.DELIVERED or end.over):
             over = True
+            if end.result is Result.DELIVERED:
+                self._figures.count(Figure.SERVED, held.owed.cls)
             del self._held[run.number]
             self._forget(run.number, delivered=end.result is Result.DELIVERED)
         return [translate.ended(end, over)]
@@ -437,6 +460,7 @@
         self._held.pop(number, None)
         if owed is not None and owed.ending is None:
             self.start.ended(number)
+            self._figures.count(Figure.REFUSED if deferred else Figure.FAILED, owed.cls)
             self._log.debug("ending", number=number, deferred=deferred, again_ms=again_ms)
             self._journal.ending(number, deferred, again_ms)
             self._notices.tell(Notice(number, owed.id, deferred, again_ms))
@@ -513,7 +537,8 @@
         left = held.deadline - now
         wait = min(send.timeout_ms, left) if send.timeout_ms > 0 else left
         safe = held.spec.effect is i.Effect.SAFE
-        run = Execution(send.message, attempt, held.owed.id, held.owed.body, now + wait, safe)
+        owed = held.owed
+        run = Execution(send.message, attempt, owed.id, owed.body, now + wait, safe, cls=owed.cls)
         if link.group != held.owed.group:
             # Guards the run: a call to an endpoint of another destination voids it.
             self._log.error("send to another host group", link=link.name, group=held.owed.group)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -156,6 +156,7 @@
     until: float
     may_repeat: bool
     done: bool = False
+    cls: str = ""  # its message's class
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/http1/server.py
+++ b/springspread/http1/server.py
@@ -109,7 +109,7 @@
         if "transfer-encoding" in headers or "host" in headers.doubled:
             raise Malformed("a body of unknown length, or two hosts")
         size = content_length(headers)
-        if size is None and parts[0] not in BODILESS:
+        if size is None and parts[0] not in BODILESS and self._limits.length_needed:
             raise Malformed("a body of no stated length", 411)
         size = size or 0
         if size > self._limits.body_bytes:
@@ -132,16 +132,23 @@
         """Give up a request that came too slowly; it may still be answered."""
         self._broken(Malformed("too slow", 408))
 
-    def answer(self, status: int, headers: Mapping[str, str] | None = None, *, close: bool = False) -> bytes:
+    def answer(
+        self,
+        status: int,
+        headers: Mapping[str, str] | None = None,
+        *,
+        close: bool = False,
+        body: bytes = b"",
+    ) -> bytes:
         """Answer the request that is being answered."""
         if self.phase is not Phase.ANSWERING:
             raise ValueError(f"no request to answer: the connection is {self.phase.value}")
         close = close or self._closes
-        fields = {"Content-Length": "0", **(headers or {})}
+        fields = {"Content-Length": str(len(body)), **(headers or {})}
         if close:
             fields["Connection"] = "close"
         self.phase = Phase.CLOSED if close else Phase.IDLE
-        return write_head(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", fields)
+        return write_head(f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", fields) + body
 
     def resume(self) -> Request | None:
         """Look at what came ahead while the last request was answered."""
--- a/springspread/net/door.py
+++ b/springspread/net/door.py
@@ -84,6 +84,7 @@
         self._clients: dict[Place, Client] = {}
         self._verdicts: SimpleQueue[tuple[Client, Query]] = SimpleQueue()
         self._woken = self._closing = False
+        self._let_go_at = inf  # when clients' connections are ended, as an operator sends them away
         self._closed = threading.Event()
         self._listening = False
         self._listen_at = -inf
@@ -104,6 +105,15 @@
         self._ring()
         self._closed.wait(self._limits.client_write_ms / 1000.0)
 
+    def drain(self, active: bool) -> None:
+        """Send clients away, a while after they have been told at their front, or take them again."""
+        self._let_go_at = clock() + self._limits.drain_let_go_ms if active else inf
+        self._ring()
+
+    @property
+    def _lets_go(self) -> bool:
+        return self._closing or clock() >= self._let_go_at
+
     def _ring(self) -> None:
         if not self._woken:
             self._woken = True
@@ -119,6 +129,8 @@
         while True:
             now = clock()
             until = min(self._admission.next_due(), inf if self._listening else self._listen_at)
+            if not self._admission.closing:
+                until = min(until, self._let_go_at)
             ready = self._selector.select(None if until == inf else max(until - now, 0.0) / 1000.0)
             knocked = False
             for key, events in ready:
@@ -132,6 +144,7 @@
                     self._ear.recv(4096)
                     self._woken = False
             self._answers()
+            self._admission.closing = self._closed.is_set() or clock() >= self._let_go_at
             self._due()
             if knocked:  # last: whoever is here has been heard
                 self._accept(ACCEPTS)
@@ -307,7 +320,8 @@
     def _reply(self, client: Client, reply: Reply) -> bool:
         """Write an answer; whether it is written whole and the connection goes on."""
         client.telling = reply.query
-        client.out += client.machine.answer(reply.status, reply.headers, close=self._closing)
+        close = self._lets_go or reply.close
+        client.out += client.machine.answer(reply.status, reply.headers, close=close, body=reply.body)
         self._admission.step(client.place, Standing.ANSWERED, clock())
         return self._write(client)
 
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -9,6 +9,7 @@
 
 from springspread.config import Limits
 from springspread.core.clearance import Clearance
+from springspread.core.figures import Figure, Figures
 from springspread.core.reuse import Bounds, Reuse
 from springspread.core.types import (
     Call,
@@ -121,7 +122,9 @@
         clearance: Clearance,
         put: Callable[[CoreEvent], None],
         log: Log,
+        figures: Figures | None = None,
     ) -> None:
+        self._figures = figures or Figures(())
         self._limits, self._report, self._clearance = limits, report, clearance
         self._put, self._log = put, log
         self._jobs: SimpleQueue[Call] = SimpleQueue()
@@ -242,6 +245,8 @@
             else:
                 self._end_all(call, Result.NOT_CONNECTED)
             return False
+        for run in call.executions:
+            self._figures.count(Figure.ATTEMPTS, run.cls)
         try:
             while (waiting := [run for run in call.executions if not run.done]):
                 try:
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from springspread.core.figures import Figure, Figures
 from springspread.core.types import CoreEvent, Gone, Query, Verdict
 from springspread.http1.message import Headers
 from springspread.http1.server import Request
@@ -25,6 +26,8 @@
     status: int
     headers: Mapping[str, str] = field(default_factory=dict)
     query: Query | None = None
+    body: bytes = b""
+    close: bool = False  # the connection ends with it
 
 
 class Faulty(Exception):
@@ -49,10 +52,16 @@
 class Intake:
     """Answers requests; for a message it asks the core for its verdict."""
 
-    def __init__(self, put: Callable[[CoreEvent], None], return_after_s: float = 1.0) -> None:
+    def __init__(
+        self,
+        put: Callable[[CoreEvent], None],
+        return_after_s: float = 1.0,
+        figures: Figures | None = None,
+    ) -> None:
         """``return_after_s``: when a client is to come back that comes before this sender is ready."""
-        self._put, self._return = put, f"{return_after_s:g}"
+        self._put, self._return, self._figures = put, f"{return_after_s:g}", figures or Figures(())
         self.ready = False
+        self.draining = False  # an operator sends clients away
 
     def respond(self, request: Request, begun: float, told: Callable[[Query], None]) -> Reply | Query:
         """Answer one request, or hand its query to the core, which calls ``told`` at the verdict."""
@@ -62,14 +71,14 @@
         if request.method != METHODS[path]:
             return Reply(405, {"Allow": METHODS[path]})
         if path == "/_health":
-            return Reply(200 if self.ready else 503)
+            return Reply(200 if self.ready and not self.draining else 503)
         try:
             # Guards the message's end: its time runs from when it was sent, however long its pieces take.
             query = read_query(request.headers, request.body, begun)
         except Faulty as exc:
             return Reply(400, {"X-Fault": str(exc)})
         if not self.ready:
-            return Reply(503, {"Retry-After": self._return})
+            return self._refused(query, {"Retry-After": self._return})
         query.told = told
         self._put(query)
         return query
@@ -88,11 +97,15 @@
             case Verdict.CONFLICT:
                 return Reply(409, {"X-Fault": f"{ID} is another message's"})
             case Verdict.REFUSED:
-                return Reply(503)
+                return self._refused(query)
             case None:
                 # The client stops waiting about now: what the core may yet take is withdrawn.
                 self._put(Gone(query, refused=True))
-                return Reply(503)
+                return self._refused(query)
+
+    def _refused(self, query: Query, headers: Mapping[str, str] | None = None) -> Reply:
+        self._figures.count(Figure.REFUSED, query.cls)
+        return Reply(503, headers or {})
 
     def gone(self, query: Query) -> None:
         """The client left before it heard that its message was taken on."""
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,135 @@
+"""The operators' calls on a running program: readiness, figures, drain, and callers who never finish."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from springspread import config
+from springspread.config import ConfigError
+from tests.peer import WAIT_S, Peer, Program, until
+from tests.test_config import make
+
+
+class Managed(Program):
+    """A program whose operators call on an address of their own."""
+
+    def __init__(self, folder: Path, peer: Peer) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.mgmt: tuple[str, int] = free.getsockname()
+        os.environ["RELAY_MGMT"] = f"{self.mgmt[0]}:{self.mgmt[1]}"
+        try:
+            super().__init__(folder, peer)
+        finally:
+            del os.environ["RELAY_MGMT"]
+
+    def operator(self, method: str, path: str) -> tuple[int, str]:
+        connection = http.client.HTTPConnection(*self.mgmt, timeout=1.0)
+        connection.request(method, path)
+        answer = connection.getresponse()
+        text = answer.read().decode()
+        connection.close()
+        return answer.status, text
+
+    def figures(self) -> dict[str, int]:
+        lines = [line for line in self.operator("GET", "/metrics")[1].splitlines() if line[0] != "#"]
+        return {name: int(value) for name, value in (line.split() for line in lines)}
+
+    def health(self) -> int:
+        connection = self.connect()
+        connection.request("GET", "/_health")
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
+
+@pytest.fixture
+def peer() -> Iterator[Peer]:
+    made = Peer()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def program(tmp_path: Path, peer: Peer) -> Iterator[Managed]:
+    made = Managed(tmp_path, peer)
+    yield made
+    made.process.kill()
+    made.process.wait(WAIT_S)
+
+
+def test_figures_count_each_message_once_by_its_class(program: Managed, peer: Peer) -> None:
+    assert program.operator("GET", "/ready")[0] == 200
+    peer.answers = [(200, {}), (500, {})]
+    assert [program.hand_in("a"), program.hand_in("b", cls="pay")] == [202, 202]
+    until(lambda: peer.notices, "the payment is told as undeliverable")
+    until(lambda: program.figures()['sender_failed_total{class="pay"}'] == 1, "it is counted")
+    figures = program.figures()
+    assert figures['sender_served_total{class="note"}'] == 1
+    assert [figures[f'sender_attempts_total{{class="{cls}"}}'] for cls in ("note", "pay")] == [1, 1]
+    assert figures['sender_refused_total{class="note"}'] == figures["sender_in_flight"] == 0
+    assert figures["sender_endpoints_known"] == 1
+    peer.hold.clear()
+    program.hand_in("c")
+    until(lambda: program.figures()["sender_in_flight"] == 1, "it is in flight")
+    assert program.figures()['sender_attempts_total{class="note"}'] == 2
+
+
+def test_a_drain_sends_clients_away_and_the_process_stays(program: Managed, peer: Peer) -> None:
+    kept = program.connect()
+    kept.request("GET", "/_health")
+    assert kept.getresponse().read() == b"" and program.health() == 200
+    peer.hold.clear()
+    assert program.hand_in("a") == 202
+    assert program.operator("POST", "/drain")[0] == program.operator("POST", "/drain")[0] == 200
+    assert program.health() == 503 and kept.sock is not None
+    kept.sock.settimeout(WAIT_S)
+    assert kept.sock.recv(1) == b""  # let go of
+    assert program.operator("GET", "/ready")[0] == 200
+    peer.hold.set()
+    until(lambda: program.figures()['sender_served_total{class="note"}'] == 1, "what it took is delivered")
+    assert program.operator("POST", "/undrain")[0] == 200
+    assert program.health() == 200 and program.hand_in("b") == 202
+    assert program.process.poll() is None
+
+
+def test_odd_calls_are_answered_and_silent_callers_cost_a_bounded_time(program: Managed) -> None:
+    assert program.operator("GET", "/nothing")[0] == 404
+    assert program.operator("GET", "/drain")[0] == 405 == program.operator("POST", "/metrics")[0]
+    silent = [socket.create_connection(program.mgmt, WAIT_S) for _ in range(40)]
+    for n, sock in enumerate(silent):
+        sock.sendall(b"GET /metr"[: n % 9])
+    start = time.monotonic()
+    assert program.operator("GET", "/ready")[0] == 200
+    assert time.monotonic() - start < 1.0
+    for sock in silent:
+        while sock.recv(4096):
+            pass
+        sock.close()
+    with socket.create_connection(program.mgmt, WAIT_S) as sock:
+        sock.sendall(b"\x00\x01\r\n\r\n")
+        assert b" 400 " in sock.recv(4096)
+
+
+def test_an_address_that_cant_be_used_is_named(tmp_path: Path, peer: Peer) -> None:
+    with pytest.raises(ConfigError, match="mgmt: not an address"):
+        config.read(make(tmp_path, mgmt="here"), {})
+    state, file = tmp_path / "state", tmp_path / "config.json"
+    state.mkdir()
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        where = f"127.0.0.1:{held.getsockname()[1]}"
+        raw = make(state, discovery=f"127.0.0.1:{peer.port}", known=peer.members(), mgmt=where)
+        file.write_text(json.dumps(raw))
+        env = {**os.environ, "RELAY_CONFIG": str(file)}
+        line = [sys.executable, "-m", "springspread"]
+        done = subprocess.run(line, env=env, capture_output=True, text=True, timeout=WAIT_S)
+    assert done.returncode == 2 and f"mgmt: {where}: Address already in use" in done.stderr
