--- a/tests/door/test_door.py
+++ b/tests/door/test_door.py
@@ -9,7 +9,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -23,18 +23,10 @@
 
 
 @pytest.fixture
-def peer() -> Iterator[Peer]:
-    made = Peer()
-    yield made
-    made.close()
-
-
-@pytest.fixture
-def program(tmp_path: Path, peer: Peer) -> Iterator[Program]:
+def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Program:
     made = Program(tmp_path, peer, sockets=192)
-    yield made
-    made.process.kill()
-    made.process.wait(WAIT_S)
+    ended(made)
+    return made
 
 
 class Crowd:
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -26,21 +26,12 @@
 
 
 @pytest.fixture
-def peer() -> Iterator[Peer]:
-    made = Peer()
-    yield made
-    made.close()
-
-
-@pytest.fixture
-def both(tmp_path: Path, peer: Peer) -> Iterator[tuple[Program, Program]]:
+def both(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> tuple[Program, Program]:
     """Two processes on one folder, the older one first."""
-    old = Program(tmp_path, peer)
-    new = Program(tmp_path, peer)
-    yield old, new
-    for one in (old, new):
-        one.process.kill()
-        one.process.wait(WAIT_S)
+    old, new = Program(tmp_path, peer), Program(tmp_path, peer)
+    ended(old)
+    ended(new)
+    return old, new
 
 
 def test_what_a_process_that_died_owed_goes_on_in_the_one_beside_it_once_each(
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -53,18 +53,10 @@
 
 
 @pytest.fixture
-def peer() -> Iterator[Peer]:
-    made = Peer()
-    yield made
-    made.close()
-
-
-@pytest.fixture
-def program(tmp_path: Path, peer: Peer) -> Iterator[Managed]:
+def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Managed:
     made = Managed(tmp_path, peer)
-    yield made
-    made.process.kill()
-    made.process.wait(WAIT_S)
+    ended(made)
+    return made
 
 
 def test_figures_count_each_message_once_by_its_class(program: Managed, peer: Peer) -> None:
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -103,11 +103,6 @@
         config.read(make(tmp_path, durability="disk"), {})
 
 
-@pytest.fixture
-def peer() -> Peer:
-    return Peer()
-
-
 def power_lost(folder: Path, peer: Peer, durability: str, before: Callable[[Program], None]) -> Program:
     """Run, lose power after ``before``, and run again."""
     program = Program(folder, peer, module=HELD_BACK, durability=durability)
@@ -136,7 +131,6 @@
         assert set(ids).isdisjoint(peer.ids())
     program.process.kill()
     program.process.wait(WAIT_S)
-    peer.close()
 
 
 @pytest.mark.parametrize("durability", ["power", "process"])
@@ -156,7 +150,6 @@
     assert bool(peer.notices) == (durability == "power")  # else nobody knows of it any more
     program.process.kill()
     program.process.wait(WAIT_S)
-    peer.close()
 
 
 def test_what_the_system_writes_back_by_itself_stands_where_it_belongs(tmp_path: Path) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -23,18 +23,10 @@
 
 
 @pytest.fixture
-def peer() -> Iterator[Peer]:
-    made = Peer()
-    yield made
-    made.close()
-
-
-@pytest.fixture
-def program(tmp_path: Path, peer: Peer) -> Iterator[Program]:
+def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Program:
     made = Program(tmp_path, peer)
-    yield made
-    made.process.kill()
-    made.process.wait(WAIT_S)
+    ended(made)
+    return made
 
 
 def raw(program: Program, *parts: bytes, answers: int = 1) -> bytes:
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -6,7 +6,7 @@
 import select
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -21,18 +21,10 @@
 
 
 @pytest.fixture
-def peer() -> Iterator[Peer]:
-    made = Peer()
-    yield made
-    made.close()
-
-
-@pytest.fixture
-def program(tmp_path: Path, peer: Peer) -> Iterator[Program]:
+def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Program:
     made = Program(tmp_path, peer, sockets=192)
-    yield made
-    made.process.kill()
-    made.process.wait(WAIT_S)
+    ended(made)
+    return made
 
 
 def connect(program: Program) -> socket.socket:
