Told waits bind every process on a folder: partners see one sender

Design: each process appends to a small file in its lane until when which key is to be left alone, on the clock that all processes of a machine share; the others look before each call whether it has grown.

--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -21,6 +21,7 @@
         self._lock = threading.Lock()
         self._bars: dict[tuple[int, int], float] = {}
         self._stopped = False
+        self._board = journal.board if isinstance(journal, Lanes) else None
 
     def bar(self, link: ServerLink, wait_ms: float) -> None:
         """A link told a wait; it binds at once, before the loop has heard of it."""
@@ -29,11 +30,15 @@
             until = max(now + wait_ms, self._bars.get(link.bar_key, 0.0))
             self._bars = {key: end for key, end in self._bars.items() if end > now}  # of links long gone, too
             self._bars[link.bar_key] = until
+        if self._board is not None and wait_ms > 0.0:
+            self._board.tell(link.bar_name, until, now)
 
     def barred_ms(self, link: ServerLink) -> float:
         """How long a told wait still bars a link."""
+        now = self._clock.now()
+        other = 0.0 if self._board is None else self._board.until(link.bar_name, now)
         with self._lock:
-            return max(self._bars.get(link.bar_key, 0.0) - self._clock.now(), 0.0)
+            return max(self._bars.get(link.bar_key, 0.0) - now, other - now, 0.0)
 
     def leaving(self, link: ServerLink, state: LinkState, told_at: float) -> None:
         """Note what discovery says of a link; a drain counts from when it was first told."""
--- a/springspread/core/lanes.py
+++ b/springspread/core/lanes.py
@@ -25,6 +25,7 @@
 from functools import partial
 from pathlib import Path
 
+from springspread.core.board import Board
 from springspread.core.commit import Commit
 from springspread.core.journal import PREFIX, Journal, Owed
 from springspread.core.salvage import Range, Reader
@@ -115,8 +116,12 @@
         self._changed = -1
         self._look_at = 0.0
         self._look()
+        self.board = Board(lane_folder(folder, self._own), self._beside_folders)
         self.written_wall = max(book.written_wall for book in self._books.values())
 
+    def _beside_folders(self) -> list[Path]:
+        return [lane_folder(self._folder, lane) for lane in list(self._beside)]
+
     def _lock(self, lane: int) -> bool:
         place = lane_folder(self._folder, lane)
         place.mkdir(exist_ok=True)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -136,6 +136,11 @@
         """What a told wait binds: the link where routes are apart, else its whole destination."""
         return (self.group, self.number if self.apart else -1)
 
+    @property
+    def bar_name(self) -> str:
+        """The same, as other processes know it."""
+        return f"{self.group}/{self.name if self.apart else ''}"
+
 
 @dataclass(frozen=True, slots=True)
 class Load:
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from springspread.core.board import FILE_BYTES, Board
 from springspread.core.journal import Journal, JournalFull
 from springspread.core.lanes import LANES, LOOK_MS, NUMBERS, Lanes, lane_folder, owed_in
 from tests.peer import WAIT_S, Peer, Program, until
@@ -189,3 +190,31 @@
         one.id for one in Journal(tmp_path, 1 << 40, read_only=True).owed.values()
     }
     assert LOOK_MS > 0 and new.look(1e12) == []
+
+
+def test_a_wait_that_one_process_was_told_binds_the_one_beside_it(
+    both: tuple[Program, Program], peer: Peer
+) -> None:
+    old, new = both
+    peer.answers = [(429, {"Retry-After": "1.5"})]
+    assert old.hand_in("a") == 202
+    until(lambda: peer.ids() == ["a"], "it is turned away, and told to wait")
+    until(lambda: (old.state / "waits").read_bytes(), "the other one can know")
+    told_at = time.monotonic()
+    assert new.hand_in("b") == 202
+    until(lambda: "b" in peer.ids(), "it is called")
+    assert time.monotonic() - told_at > 1.2
+
+
+def test_a_board_stays_small_and_its_readers_forget_what_is_over(tmp_path: Path) -> None:
+    one, other = tmp_path / "one", tmp_path / "other"
+    one.mkdir()
+    other.mkdir()
+    writer, reader = Board(one, lambda: []), Board(other, lambda: [one])
+    for now in range(1_500):
+        writer.tell(f"{now % 50}/s-{now}", now + 20.0, float(now))
+        assert reader.until(f"{now % 50}/s-{now}", float(now)) == now + 20.0
+        assert (one / "waits").stat().st_size <= 2 * FILE_BYTES
+    assert reader.until("7/never", 1_500.0) == 0.0 and len(reader._heard) < 1_000
+    (one / "waits").write_bytes(b"nonsense\n1e400 \n-5 7/\n7000.0 7/half")
+    assert reader.until("7/half", 1_501.0) == 0.0
