--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -165,13 +165,13 @@
     def remove(self) -> None:
         """Nothing is owed here any more: take its files away, the oldest first, and let go of it."""
         with self._lock:
-            self._files.close(self._file)
             mark.forget(self._files)
-            for number in sorted(self._sizes):
+            for number in sorted(self._sizes):  # cut off by a fault, it goes on where it was
                 self._files.unlink(_name(number))
+                del self._sizes[number]
                 if self.commit is not None:
                     self._files.sync_folder()
-            self._sizes.clear()
+            self._files.close(self._file)
 
     @property
     def files(self) -> dict[str, int]:
--- a/springspread/core/lanes.py
+++ b/springspread/core/lanes.py
@@ -134,6 +134,9 @@
         self._locks[lane] = file
         return True
 
+    def _let_go(self, lane: int) -> None:
+        os.close(self._locks.pop(lane))  # the lock goes with it
+
     def _opened(self, lane: int) -> Journal:
         return self._open(lane_folder(self._folder, lane), self._disk, first_number=lane * NUMBERS)
 
@@ -144,6 +147,12 @@
         if now < self._look_at:
             return []
         self._look_at = now + LOOK_MS
+        try:
+            return self._look_again()
+        except OSError:  # guards the loop: what can't be looked at now is looked at again
+            return []
+
+    def _look_again(self) -> list[Owed]:
         changed = self._folder.stat().st_mtime_ns  # as another lane's folder is made
         if changed == self._changed and not self._beside and len(self._books) == 1:
             return []
@@ -158,12 +167,19 @@
             if not self._lock(lane):
                 self._beside.setdefault(lane, Beside(lane_folder(self._folder, lane)))
                 continue
+            try:
+                self._books[lane] = self._opened(lane)
+            except OSError:  # the disk is full, say: nothing is lost, and the next look tries again
+                self._let_go(lane)
+                self._beside.setdefault(lane, Beside(lane_folder(self._folder, lane)))
+                continue
             self._beside.pop(lane, None)
-            self._books[lane] = self._opened(lane)
             found += self._books[lane].owed.values()
         for lane in [lane for lane, book in self._books.items() if lane != self._own and not book.owed]:
-            self._books.pop(lane).remove()
-            os.close(self._locks.pop(lane))  # the lock goes with it
+            with suppress(OSError):  # what could not be removed is looked at again
+                self._books[lane].remove()
+                del self._books[lane]
+                self._let_go(lane)
         held = sum(book.size for lane, book in self._books.items() if lane != self._own)
         beside = max((max(self._disk // 2, one.size) for one in self._beside.values()), default=0)
         self._books[self._own].keep_within(self._disk - held - beside)
--- a/springspread/rig/damage.py
+++ b/springspread/rig/damage.py
@@ -10,6 +10,7 @@
 from springspread.rig.chaos import Chaos
 
 OWED_S = 0.8
+NOT_KEPT = {"daemon.log", "lock", "log", "given.json"}
 
 
 def torn(path: Path) -> None:
@@ -64,14 +65,10 @@
     @property
     def files(self) -> list[str]:
         """What is kept of the fleet and of its first instance, by the names in its folder."""
-        kept = [path.relative_to(self._folder) for path in self._folder.rglob("*") if path.is_file()]
-        others = {"daemon.log", "lock", "log", "given.json"}
-        return sorted(
-            str(path)
-            for path in kept
-            if (path.name not in others or path.parts[0] == "policy") and path.parts[0] in ("n000", "policy")
-            or len(path.parts) == 1 and path.name not in others
-        )
+        own = (self._folder, self._folder / "n000", self._folder / "n000" / "state")
+        kept = [path for place in own for path in place.iterdir() if path.name not in NOT_KEPT]
+        kept += (self._folder / "policy").iterdir()
+        return sorted(str(path.relative_to(self._folder)) for path in kept if path.is_file())
 
     def return_with(self, damages: Sequence[tuple[str, str]]) -> Outcome:
         """Lose the power with messages owed, damage files (name, how), and return."""
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -17,8 +17,9 @@
 import pytest
 
 from springspread.core.board import FILE_BYTES, Board
+from springspread.core.files import Files
 from springspread.core.journal import Journal, JournalFull
-from springspread.core.lanes import LANES, LOOK_MS, NUMBERS, Lanes, lane_folder, owed_in
+from springspread.core.lanes import LANES, NUMBERS, Lanes, lane_folder, owed_in
 from tests.peer import WAIT_S, Peer, Program, until
 from tests.test_config import make
 from tests.test_salvage import owed
@@ -136,11 +137,11 @@
 
 def test_a_folder_with_no_lane_left_is_refused_by_name(tmp_path: Path, peer: Peer) -> None:
     program = Program(tmp_path, peer)
-    taken = [Lanes(program.state, 3_000_000, 8, 65536) for _ in range(LANES - 1)]
+    for _ in range(LANES - 1):
+        Lanes(program.state, 3_000_000, 8, 65536)
     env = {**os.environ, "RELAY_CONFIG": str(program.file)}
     done = subprocess.run([sys.executable, "-m", "springspread"], env=env, capture_output=True, text=True)
     assert done.returncode == 2 and f"state: {program.state}: {LANES} processes" in done.stderr
-    assert len(taken) == LANES - 1
     program.end()
 
 
@@ -189,7 +190,6 @@
     assert {one.id for one in old.owed.values()} == {
         one.id for one in Journal(tmp_path, 1 << 40, read_only=True).owed.values()
     }
-    assert LOOK_MS > 0 and new.look(1e12) == []
 
 
 def test_a_wait_that_one_process_was_told_binds_the_one_beside_it(
@@ -218,3 +218,24 @@
     assert reader.until("7/never", 1_500.0) == 0.0 and len(reader._heard) < 1_000
     (one / "waits").write_bytes(b"nonsense\n1e400 \n-5 7/\n7000.0 7/half")
     assert reader.until("7/half", 1_501.0) == 0.0
+
+
+def test_a_lane_that_cant_be_opened_or_removed_now_is_taken_over_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = (Lanes(tmp_path, 400_000, 8, 4096) for _ in range(2))
+    old.taken(owed(1))
+    os.close(old._locks.pop(0))  # as its process dies
+
+    def full(*_: object) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(Journal, "_open", full)
+    assert new.look(1e12) == [] and not new.owed
+    monkeypatch.undo()
+    assert [one.id for one in new.look(2e12)] == [owed(1).id]
+    new.over(1)
+    monkeypatch.setattr(Files, "unlink", full)
+    assert new.look(3e12) == [] and new.beside
+    monkeypatch.undo()
+    assert new.look(4e12) == [] and not new.beside and not list(tmp_path.glob("journal.*"))
