A call is given up whole, and the process ends with 0 where it may signal nobody

Ruled out: records (all of them were found by the restart), notices (204 within 2 ms), deadlines. At fault: the partial time-out in net/links.py, _exchange, and core/types.py, Call.until as the latest of all.

Now a call ends by closing its connection, at the least of its messages' times, and the module lets only such share a call as would wait within twice as long as each other (ALIKE). The branch for 'no second copies' and the setting behind it go, as both cases are one.

Seen as well: each end by SIGTERM logged 'thread loop failed', PermissionError from os.kill to itself: the process died with status 70 in the middle of its end. Nothing waited for that signal; it is gone.

Both tests fail without the change.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -33,8 +33,7 @@
     from springspread.fleet.wire import Returning
 
 ENDS = (signal.SIGTERM, signal.SIGINT)
-LOOP_OVER = signal.SIGUSR1
-HEARD = (*ENDS, signal.SIGHUP, LOOP_OVER)
+HEARD = (*ENDS, signal.SIGHUP)
 GATE_S = 0.02  # how often a start looks whether it may let clients in
 
 
@@ -133,12 +132,7 @@
         from springspread.fleet.fit import under_policy
 
         shares.follow(partial(under_policy, config, journal), sender.put, partial(standing, sender, journal))
-
-    def loop() -> None:
-        sender.run()
-        os.kill(os.getpid(), LOOP_OVER)
-
-    running = spawn("loop", loop, log)
+    running = spawn("loop", sender.run, log)
     # Guards deadlines: where a start's processor time is charged to the clock, it may be ahead of the world
     # until a wait has ended, and whatever is taken on before that would be given up too late.
     SYSTEM.sleep(limits.settle_ms)
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -123,7 +123,6 @@
     seed: int
     settings: i.Settings
     names: Names
-    second_copies: bool
     known: object
     limits: Limits
     durability: Durability = Durability.PROCESS
@@ -190,7 +189,6 @@
     try:
         settings = read_settings(flat)
         limits = _limits(Reader(flatten(raw.get("limits") or {})), values)
-        second = values.flag("limits.secondCopies")
     except SettingsError as exc:
         raise ConfigError(f"settings.{exc}") from exc
     # Each call out needs a thread: the module is told of as many slots as there can be.
@@ -203,7 +201,6 @@
         seed=_seed(raw.get("seed")),
         settings=settings,
         names=Names(tuple(values.items("kinds")), tuple(values.items("zones")), report_fields(flat)),
-        second_copies=second,
         known=raw.get("known"),
         limits=limits,
         durability=_durability(raw.get("durability", Durability.PROCESS.value)),
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -90,7 +90,7 @@
     ) -> None:
         """``policy``: the number of the fleet's policy that ``config`` is of."""
         self._clock, self._shares, self._policy = clock, shares, policy
-        self._set, self._limits, self._second = config.settings, config.limits, config.second_copies
+        self._set, self._limits = config.settings, config.limits
         self._journal, self._clearance, self._log = journal, clearance, log
         self._lanes = journal if isinstance(journal, Lanes) else None
         self._figures = figures or Figures(())
@@ -156,6 +156,7 @@
 
     def _goes_on(self, now: float, owed: Owed, left: float) -> i.Taken:
         cls, deadline = self._classes[owed.cls], now + left
+        self._log.debug("goes on", number=owed.number, left_ms=round(left, 1), attempts=owed.attempts)
         self._held[owed.number] = Held(owed, self._set.classes[cls], deadline)
         return i.Taken(
             owed.number,
@@ -305,7 +306,7 @@
         places = {spec.name: spec for spec in (*self._set.classes, *new.classes)}
         self._set = replace(new, classes=tuple(places.values()))
         self._classes = {name: n for n, name in enumerate(places) if name in names}
-        self._policy, self._second = number, config.second_copies
+        self._policy = number
         self._figures.follow(names)
         self._executor.grow(new.slots)
         self._log.info("policy", version=number, slots=new.slots)
@@ -324,6 +325,7 @@
                 query.answer(Verdict.CONFLICT)
                 return []
             query.number = number
+            self._log.debug("handed in again", id=query.id, number=number)
             if number in self._held:
                 self._held[number].speakers += 1
             self._taken_on(query)
@@ -367,7 +369,9 @@
             return []
         query.number = number
         self._taken_on(query)
-        self._log.debug("taken", id=query.id, number=number, group=query.group, cls=query.cls)
+        self._log.debug(
+            "taken", id=query.id, number=number, group=query.group, cls=query.cls, left_ms=round(left, 1)
+        )
         self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
         return [i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)]
@@ -382,12 +386,21 @@
         if self._held[number].speakers:
             return []
         # The call that is out is closed by the module's own cancel, where it may make one.
+        self._log.debug("withdrawn", number=number, refused=refused)
         del self._held[number]
         self._forget(number, delivered=False)
         return [i.Withdrawn(number)]
 
     def _execution_end(self, end: ExecutionEnd) -> list[i.Event]:
         run, call = end.execution, end.call
+        self._log.debug(
+            "attempt over",
+            number=run.number,
+            attempt=run.attempt,
+            link=call.link.name,
+            result=end.result.name,
+            took_ms=round(end.at - call.sent_at, 1),
+        )
         if self._shares is not None:
             end = replace(end, load=self._shares.load(call.link, end.load))
         if call in self._calls:
@@ -512,11 +525,6 @@
         for route, members in groups:
             link = self._links.by_number[route]
             call = Call(link, tuple(members), now, policy=self._policy)
-            if not self._second:
-                # Guards the ban on second copies: none of a call is given up while its connection stays open.
-                until = call.until
-                for run in call.executions:
-                    run.until = min(until, self._held[run.number].deadline - self._limits.deadline_margin_ms)
             if not self._may_start(now, call):
                 continue  # left to the next process, which finds it owed and not begun
             if len(self._calls) >= self._set.slots:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -181,8 +181,8 @@
 
     @property
     def until(self) -> float:
-        """When the last of its executions times out."""
-        return max(execution.until for execution in self.executions)
+        """When it is given up: whole, by closing its connection."""
+        return min(execution.until for execution in self.executions)
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/fleet/fit.py
+++ b/springspread/fleet/fit.py
@@ -42,4 +42,4 @@
         raise ConfigError(f"settings.classes: {', '.join(lost)}: messages of it are held here")
     if new.settings.max_held < len(held):
         raise ConfigError(f"settings.limits.mostHeld: {len(held)} messages are held here")
-    return replace(running, settings=new.settings, second_copies=new.second_copies)
+    return replace(running, settings=new.settings)
--- a/springspread/net/links.py
+++ b/springspread/net/links.py
@@ -248,21 +248,14 @@
         for run in call.executions:
             self._figures.count(Figure.ATTEMPTS, run.cls)
         try:
-            while (waiting := [run for run in call.executions if not run.done]):
-                try:
-                    answer = connection.read(min(run.until for run in waiting))
-                except LateError:
-                    now = clock()
-                    late = [run for run in waiting if run.until <= now]
-                    if len(late) == len(waiting):
-                        connection.cut()  # before the slot is free again, so that the link sees it first
-                    for run in late:
-                        self._end(call, run, delivery.read_part(call, connection.status, Result.TIMED_OUT))
-                    continue
-                self._kept.heard(call.link, connection.idle_ms, False)
-                reading = delivery.read_answer(call, answer, self._report)
-                self._read(call, reading)
-                return connection.reusable and not reading.fault
+            answer = connection.read(call.until)
+            self._kept.heard(call.link, connection.idle_ms, False)
+            reading = delivery.read_answer(call, answer, self._report)
+            self._read(call, reading)
+            return connection.reusable and not reading.fault
+        except LateError:
+            connection.cut()  # before the slot is free again, so that the link sees it first
+            self._end_all(call, delivery.read_part(call, connection.status, Result.TIMED_OUT))
         except (BrokenError, Malformed) as exc:
             self._broke(call, connection, written)
             result = Result.BROKEN
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -55,6 +55,7 @@
 FORGET_MS = 600000.0  # a sign of an outage tells nothing after this; an outage may last longer than that
 CHANCE_MS = 200.0  # a ramping gate's unused call lapses after this: longer than the time between two looks
 ITEM_WEIGHT = 0.25  # a further message in a call weighs so much of a call
+ALIKE = 2.0  # messages share a call where none would wait for it over this many times as long as another
 PATIENCE = 6.0  # time-out in multiples of the route's mean response time
 AIM_PART = 0.5  # but this part of the class's aim at least
 REWALK_MS = 300.0  # pause before a message starts a new list
@@ -524,7 +525,11 @@
     def _send(self, first: Message, route: Route) -> None:
         dest = route.dest
         rest = [m for m in dest.queue if m is not first and self._ready(m) and self._allowed(m, route)]
-        batch = [first, *rest][: self._room(route)]
+        # A call is given up whole: who would wait much longer or less than the first goes in another one.
+        waits = [self._timeout(m, route, self._room(route)) for m in (first, *rest)]
+        alike = [m for m, wait in zip(rest, waits[1:], strict=True) if 1 / ALIKE <= wait / waits[0] <= ALIKE]
+        batch = [first, *alike][: self._room(route)]
+        wait = min(self._timeout(m, route, len(batch)) for m in batch)
         idle = self.now - route.used_at if route.used_at and not route.calls else 0.0
         if idle > self._safe_ms() and self.idle_bad >= 1.0:
             self.out.append(i.CloseIdle(route.id))
@@ -536,10 +541,9 @@
         self.calls += call.begin()
         for m in batch:
             m.leave(self.lines)
-            timeout = self._timeout(m, route, len(batch))
             self.flights[m.id, m.attempts] = (m, call)
             m.sent(route, self.now)
-            self.out.append(i.Send(m.id, route.id, timeout))
+            self.out.append(i.Send(m.id, route.id, wait))
 
     def _timeout(self, m: Message, route: Route, size: int) -> float:
         left = m.deadline - self.now
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -22,7 +22,6 @@
 from springspread.core.types import (
     Call,
     CoreEvent,
-    Execution,
     ExecutionEnd,
     HostGroups,
     LinkState,
@@ -103,15 +102,6 @@
     repeat_unsafe: bool = False
 
 
-@dataclass(slots=True, eq=False)
-class Out:
-    """A call on its way: which of its executions still wait."""
-
-    call: Call
-    waiting: set[int]
-    over: bool = False
-
-
 class Instance:
     """One sender in the town, and the drivers that stand in for its sockets."""
 
@@ -142,7 +132,7 @@
             self.wallet.limited(set(town.allotter.keys))
             town.allotter.joined(self.owner)
         self.sender.attach(self, self, self)
-        self._out: dict[Call, Out] = {}
+        self._out: dict[Call, None] = {}
         self._idle: dict[int, list[float]] = {}
         self._watching = False
         self._step_at = inf
@@ -177,9 +167,8 @@
     def die(self) -> None:
         """The process is killed: its connections break, and what had arrived at partners runs on."""
         now = self.town.clock.now()
-        for call, out in list(self._out.items()):
-            runs = [run.id for run in call.executions if run.number in out.waiting]
-            self.town.checker.done(now, self.name, "", runs, "maybe", False)
+        for call in self._out:
+            self.town.checker.done(now, self.name, "", _ids(call), "maybe", False)
         self._out.clear()
         self.dead = True
         self.journal.close()
@@ -266,13 +255,12 @@
             for run in call.executions:
                 self.put(ExecutionEnd(call, run, refused[0], now, refused[1]))
             return
-        self._out[call] = Out(call, {run.number for run in call.executions})
+        self._out[call] = None
         endpoint = call.link.name
         town.checker.call(now, self.name, endpoint, call.link.group, town.key(endpoint), _ids(call))
         way = town.way(self.index, endpoint)
         town.at(now + way + self._handshake(call.link, way), self._arrives, call)
-        for until in sorted({run.until for run in call.executions}):
-            town.at(until, self._late, call, until)
+        town.at(call.until, self._late, call)
 
     def _overrides(self, result: Result) -> bool:
         knobs = self.town.knobs
@@ -291,8 +279,7 @@
         return 2 * way
 
     def _arrives(self, call: Call) -> None:
-        out = self._out.get(call)
-        if out is None:
+        if call not in self._out:
             return  # its connection ended on the way
         now, endpoint = self.town.clock.now(), call.link.name
         holder = self.town.holder(call.link.port)
@@ -308,17 +295,16 @@
             self.town.at(answer.at + self.town.way(self.index, endpoint), self._hears, call, answer)
 
     def _hears(self, call: Call, answer: Answer) -> None:
-        out = self._out.pop(call, None)
-        if out is None:
+        if call not in self._out:
             return  # it had stopped waiting
+        del self._out[call]
         now, result = self.town.clock.now(), RESULTS[answer.end]
         key = self.town.key(call.link.name)
         if answer.wait_ms:
             self.town.checker.wait(now, self.name, key, answer.wait_ms)
             if not self.town.knobs.ignore_waits:
                 self.clearance.bar(call.link, answer.wait_ms)
-        runs = [run for run in call.executions if run.number in out.waiting]
-        ids = [run.id for run in runs]
+        ids = _ids(call)
         self.town.checker.tally.throttled += answer.end is End.FULL
         if answer.end is End.DONE:
             self.town.checker.done(now, self.name, key, ids, "delivered", False)
@@ -326,35 +312,26 @@
             self.town.checker.done(now, self.name, key, ids, "maybe", False)
         if answer.end not in (End.REFUSED, End.RESET, End.SPOILT):
             self._idle.setdefault(call.link.number, []).append(now)
-        for run in runs:
+        for run in call.executions:
             load = Load(answer.left_share, answer.limit_per_s)
             self.put(ExecutionEnd(call, run, result, now, answer.wait_ms, load))
 
-    def _late(self, call: Call, until: float) -> None:
-        out = self._out.get(call)
-        if out is None:
+    def _late(self, call: Call) -> None:
+        self._give_up(call, Result.TIMED_OUT)
+
+    def _give_up(self, call: Call, result: Result) -> None:
+        if call not in self._out:
             return
+        del self._out[call]
         now = self.town.clock.now()
-        late = [run for run in call.executions if run.number in out.waiting and run.until <= until]
-        self.town.checker.done(now, self.name, "", [run.id for run in late], "maybe", False)
-        self._end(call, out, late, Result.TIMED_OUT)
-
-    def _end(self, call: Call, out: Out, runs: list[Execution], result: Result) -> None:
-        out.waiting -= {run.number for run in runs}
-        if not out.waiting:
-            del self._out[call]
-        for run in runs:
-            self.put(ExecutionEnd(call, run, result, self.town.clock.now()))
+        self.town.checker.done(now, self.name, "", _ids(call), "maybe", False)
+        for run in call.executions:
+            self.put(ExecutionEnd(call, run, result, now))
 
     def cancel(self, call: Call) -> None:
         """Close the call's connection: what had arrived runs on."""
         call.cancelled.set()
-        out = self._out.get(call)
-        if out is not None:
-            runs = [run for run in call.executions if run.number in out.waiting]
-            now = self.town.clock.now()
-            self.town.checker.done(now, self.name, "", [run.id for run in runs], "maybe", False)
-            self._end(call, out, runs, Result.CANCELLED)
+        self._give_up(call, Result.CANCELLED)
 
     def _probe(self, call: Call) -> None:
         way = self.town.way(self.index, call.link.name)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -277,3 +277,18 @@
         assert sock.recv(64).startswith(b"HTTP/1.1 202 ")
     until(lambda: [line["id"] for line in peer.notices] == ["slow"], "its end is told")
     assert time.monotonic() - begun < 1.5  # 0.7 s later where its time ran from its last byte
+
+
+def test_it_ends_with_0_where_it_may_send_no_signal(
+    tmp_path: Path, peer: Peer, ended: Callable[[Program], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A platform may refuse the call to every process, also one to itself.
+    forbids = "import os\n\ndef kill(pid, sig):\n    raise PermissionError\n\nos.kill = kill\n"
+    (tmp_path / "sitecustomize.py").write_text(forbids)
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path}:{Path.cwd()}")
+    program = Program(tmp_path, peer)
+    ended(program)
+    assert program.hand_in("m") == 202
+    until(lambda: peer.calls, "the call")
+    assert program.end(signal.SIGTERM) == 0
+    until(lambda: "stopped" in [line["event"] for line in program.log], "its last line")
--- /dev/null
+++ b/tests/test_whole_call.py
@@ -0,0 +1,80 @@
+"""A call is given up whole: none of its messages has an end while its connection may still bring one."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from springspread import interface as i
+from springspread.config import Limits
+from springspread.core.types import Call, CoreEvent, Execution, ExecutionEnd, Result, ServerLink, clock
+from springspread.net.links import Workers
+from springspread.policy import ALIKE, Dispatcher
+from tests.peer import until
+from tests.test_spoilt import Free, Silent, read_request
+
+NOTE = i.ClassSpec("note", 1000.0, 8000.0, 1.0, 0.1, i.Effect.SAFE)
+PAY = i.ClassSpec("pay", 4000.0, 28_000.0, 2.0, 0.5, i.Effect.UNSAFE)
+
+
+@pytest.fixture
+def silent() -> Iterator[tuple[int, threading.Event]]:
+    """An endpoint that takes a request, answers nothing and tells when its connection has ended."""
+    sock, ended = socket.create_server(("127.0.0.1", 0)), threading.Event()
+
+    def serve() -> None:
+        connection = sock.accept()[0]
+        read_request(connection)
+        connection.recv(1)
+        ended.set()
+
+    threading.Thread(target=serve, daemon=True).start()
+    yield sock.getsockname()[1], ended
+    sock.close()
+
+
+def test_no_message_of_a_call_times_out_before_its_connection_is_closed(
+    silent: tuple[int, threading.Event],
+) -> None:
+    port, ended = silent
+    ends: list[tuple[bool, ExecutionEnd]] = []
+
+    def put(event: CoreEvent) -> None:
+        assert isinstance(event, ExecutionEnd)
+        ends.append((ended.wait(2.0), event))
+
+    link = ServerLink(1, "s-1", "127.0.0.1", port, 7, True, 5)
+    now = clock()
+    runs = tuple(Execution(n, 0, f"m{n}", b"x", now + 200.0 + 3000.0 * n, True) for n in range(3))
+    Workers(Limits(), 1, (), Free(), put, Silent()).start(Call(link, runs, now))
+    until(lambda: len(ends) == 3, "an end for each")
+    assert all(closed and end.result is Result.TIMED_OUT for closed, end in ends)
+    assert ends[-1][1].at < now + 1500.0  # by the first one's time, not each by its own
+
+
+@given(st.lists(st.tuples(st.booleans(), st.floats(1.0, 1.0e4)), min_size=2, max_size=12), st.integers(0, 99))
+def test_messages_share_a_call_where_they_would_wait_about_as_long(
+    taken: list[tuple[bool, float]], seed: int
+) -> None:
+    settings = i.Settings(
+        (NOTE, PAY), (i.KindSpec("portal", True, 5),), slots=20, max_held=99, max_attempts=8, senders=1
+    )
+    sender = Dispatcher(settings, seed)
+    entry = i.RouteEntry(1, 0, 0, 7, i.RouteState.READY, 90.0)
+    sender.handle(0.0, [i.Listed(i.ListScope.WHOLE, 1, (entry,))])
+    events = [i.Taken(n, 7, int(pay), left) for n, (pay, left) in enumerate(taken)]
+    own = {n: left if pay else 0.0 for n, (pay, left) in enumerate(taken)}
+    calls: dict[int, list[i.Send]] = {}
+    for action in sender.handle(0.0, list(events)):
+        if isinstance(action, i.Send):
+            calls.setdefault(id(sender.flights[action.message, 0][1]), []).append(action)
+    for sends in calls.values():
+        assert len({send.timeout_ms for send in sends}) == 1  # given up at one moment
+        waits = [own[send.message] for send in sends if own[send.message]]
+        assert not waits or max(waits) <= ALIKE * sends[0].timeout_ms * ALIKE
+        assert all(send.timeout_ms <= taken[send.message][1] for send in sends)
