One clock for the list, and one owner for a query's verdict and a call's begin

Read line by line, three crossings were settled in the wrong order:

A watch that fell silent was given up 2 s after its wait, and asked again 0.5 to 4.3 s later (200 senders), though what it missed counts as told 2 s after that wait; failures in a row paused up to 21 s. An older index was put in force before the whole list was asked for, so an endpoint that drains came back; an answer of the old address that was whole as SIGHUP moved discovery was taken for the new one's. Lists that are pushed were never watched. core/watch.py now holds the clock and which answers are believed, net/discovery.py only carries it out, and the module's pause keeps within ask_by. Rate chosen: one call a sender in 5 s at the least while discovery is away, drawn apart over 0.2 to 1 of that.

Verdict and patience. The listener refused a query after 380 ms while the core took it on in the same moment, so that a message could be sent and its client told 503. Query.answer and Query.withdraw settle it under one lock.

Leaving and the first byte. The loop looked at 'begun' and then ended the message, with the worker's begin in between.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -69,7 +69,6 @@
     answer_rest_ms: float = 500.0  # from an answer's first bytes to its end
     idle_ms: float = 3_500.0
     watch_ms: float = 5_000.0
-    watch_slack_ms: float = 2_000.0
     notice_ms: float = 1_000.0
     notice_retry_ms: float = 100.0
     drain_margin_ms: float = 50.0
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -61,8 +61,10 @@
         if (refused := self._look(call, right)) is not None:
             return refused
         try:
-            for execution in call.executions:
-                self._journal.begun(execution.number, execution.attempt)
+            for run in call.executions:
+                # Guards against a client that leaves in this moment: what the journal takes in first holds.
+                if not self._journal.begun(run.number, run.attempt):
+                    return Result.NOT_SENT, 0.0
             if call.once:  # guards rule 2 over a power loss
                 self._journal.settle()
         except OSError:  # not on record, so it may not go out
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -337,12 +337,23 @@
             owed.file = self._last
             self._add(owed)
 
-    def begun(self, number: int, attempt: int) -> None:
-        """An execution is about to write its first byte."""
+    def begun(self, number: int, attempt: int) -> bool:
+        """An execution is about to write its first byte; false where its message is owed no more."""
         with self._lock:
             if number in self.owed:
                 self._append(_frame(BEGUN.pack(b"B", number, attempt)))
                 self.owed[number].begun.add(attempt)
+                return True
+        return False
+
+    def withdraw(self, number: int) -> bool:
+        """Owe a message no more, unless a call with it has begun; whether it is so."""
+        with self._lock:
+            if number not in self.owed or self.owed[number].begun:
+                return False
+            self._drop(number)
+            self._note(_frame(OVER.pack(b"O", number)))
+            return True
 
     def not_run(self, number: int, attempt: int) -> None:
         """An execution is proved not to have run; nothing is written for one that never began."""
--- a/springspread/core/lanes.py
+++ b/springspread/core/lanes.py
@@ -234,9 +234,13 @@
         """As ``Journal.taken``, in this process's own lane."""
         self._books[self._own].taken(owed)
 
-    def begun(self, number: int, attempt: int) -> None:
+    def begun(self, number: int, attempt: int) -> bool:
         """As ``Journal.begun``."""
-        self._of(number).begun(number, attempt)
+        return self._of(number).begun(number, attempt)
+
+    def withdraw(self, number: int) -> bool:
+        """As ``Journal.withdraw``."""
+        return self._of(number).withdraw(number)
 
     def not_run(self, number: int, attempt: int) -> None:
         """As ``Journal.not_run``."""
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -129,6 +129,9 @@
             self._log.error("journal damaged; set aside", file=name, ranges=places, ids=ids)
         if self._journal.owed or self._journal.cut_bytes:
             self._log.info("restored", owed=len(self._journal.owed), cut_bytes=self._journal.cut_bytes)
+        if not self._set.must_ask:
+            # Guards drains: what the agent that lists are pushed to has counts as told, asked for or not.
+            self._directory.watch(True)
         self._decide(now, events + self._through(now))
 
     def _taken_up(self, found: Iterable[Owed]) -> list[tuple[Owed, float]]:
@@ -247,16 +250,16 @@
                 self._log.error("not on disk; nothing more is taken on", reason=str(exc))
                 verdict = Verdict.REFUSED
         for query in waiting:
-            query.answer(verdict)
-            if verdict is Verdict.REFUSED:
-                events += self._gone(query, refused=True)
+            if not query.answer(verdict) or verdict is Verdict.REFUSED:
+                events += self._gone(query)
         return events
 
-    def _taken_on(self, query: Query) -> None:
+    def _taken_on(self, query: Query) -> bool:
+        """Tell that it is on record, or see to it; false where its client has stopped waiting."""
         if self._journal.commit is None:
-            query.answer(Verdict.TAKEN)
-        else:
-            self._unconfirmed.append(query)
+            return query.answer(Verdict.TAKEN)
+        self._unconfirmed.append(query)
+        return True
 
     def _next(self) -> CoreEvent | None:
         due = self.due
@@ -288,8 +291,8 @@
                 return [self._listed(event)]
             case ProbeEnd():
                 return [translate.probed(event)]
-            case Gone(query, refused):
-                return self._gone(query, refused)
+            case Gone(query):
+                return self._gone(query)
             case NoticeHeard(numbers):
                 for number in numbers:
                     self._forget(number, delivered=False)
@@ -328,7 +331,8 @@
             self._log.debug("handed in again", id=query.id, number=number)
             if number in self._held:
                 self._held[number].speakers += 1
-            self._taken_on(query)
+            if not self._taken_on(query):
+                return self._gone(query)
         elif self._recent.get(query.id):
             query.answer(Verdict.DELIVERED)
         elif self._lanes is not None and (other := self._lanes.elsewhere(query.id)) is not None:
@@ -368,27 +372,29 @@
             query.answer(Verdict.REFUSED)
             return []
         query.number = number
-        self._taken_on(query)
         self._log.debug(
             "taken", id=query.id, number=number, group=query.group, cls=query.cls, left_ms=round(left, 1)
         )
         self._held[number] = Held(owed, self._set.classes[cls], query.deadline)
         self._numbers[query.id] = number
+        if not self._taken_on(query):
+            self._gone(query)
+            return []
         return [i.Taken(number, query.group, cls, query.deadline, again=query.again, orphan=query.orphan)]
 
-    def _gone(self, query: Query, refused: bool) -> list[i.Event]:
+    def _gone(self, query: Query) -> list[i.Event]:
         number, query.number = query.number, 0
-        if number not in self._held:
+        held = self._held.get(number)
+        if held is None:
             return []
-        if self._held[number].owed.begun and not refused:
-            return []  # a call is out, and how much of the answer was heard is not known: it is owed its end
-        self._held[number].speakers -= 1
-        if self._held[number].speakers:
+        if held.speakers > 1:
+            held.speakers -= 1
             return []
-        # The call that is out is closed by the module's own cancel, where it may make one.
-        self._log.debug("withdrawn", number=number, refused=refused)
+        if not self._journal.withdraw(number):
+            return []  # a call is out, and how much of the answer was heard is not known: it is owed its end
+        self._log.debug("withdrawn", number=number)
         del self._held[number]
-        self._forget(number, delivered=False)
+        self._over(held.owed, delivered=False)
         return [i.Withdrawn(number)]
 
     def _execution_end(self, end: ExecutionEnd) -> list[i.Event]:
@@ -456,12 +462,15 @@
         return listed
 
     def _forget(self, number: int, *, delivered: bool) -> None:
-        self.start.ended(number)
         owed = self._journal.owed.get(number)
         if owed is None:
             return
         self._log.debug("over", number=number, delivered=delivered)
         self._journal.over(number)
+        self._over(owed, delivered)
+
+    def _over(self, owed: Owed, delivered: bool) -> None:
+        self.start.ended(owed.number)
         self._numbers.pop(owed.id, None)
         self._recent[owed.id] = delivered
         if len(self._recent) > self._limits.recent_ends:
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -123,4 +123,4 @@
             entries.append(
                 i.RouteEntry(link.number, member.zone, kind, member.group, state, member.rating, added)
             )
-        return i.Listed(SCOPES[news.scope], news.version, tuple(entries))
+        return i.Listed(SCOPES[news.scope], news.version, tuple(entries), news.ask_by)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -72,7 +72,11 @@
 
 @dataclass(slots=True, eq=False)
 class Query:
-    """A message that a client hands in. ``told`` is called once, by the core's thread, at the verdict."""
+    """A message that a client hands in. ``told`` is called once, by the core's thread, at the verdict.
+
+    Where two events cross: the core's verdict and the front's patience. Whichever settles the query first
+    holds, and the other is told so: nobody hears that he is refused whose message is taken on.
+    """
 
     id: str
     cls: str
@@ -84,11 +88,23 @@
     number: int = 0  # of the message that it speaks for, once that is taken on
     verdict: Verdict | None = None
     told: Callable[[Query], None] = _nobody
-
-    def answer(self, verdict: Verdict) -> None:
-        """Tell the front."""
-        self.verdict = verdict
+    _settling: threading.Lock = field(default_factory=threading.Lock, repr=False)
+    _withdrawn: bool = False
+
+    def answer(self, verdict: Verdict) -> bool:
+        """Tell the front; false where it has stopped waiting, so that nothing may be taken on."""
+        with self._settling:
+            if self._withdrawn:
+                return False
+            self.verdict = verdict
         self.told(self)
+        return True
+
+    def withdraw(self) -> bool:
+        """The front waits no longer; false where the verdict is there by now."""
+        with self._settling:
+            self._withdrawn = self.verdict is None
+            return self._withdrawn
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +131,7 @@
     members: tuple[Member, ...] = ()
     told_at: float = 0.0
     date: str = ""  # the world's time as the answer told it, at ``told_at``
+    ask_by: float = float("inf")  # after a failure: when to ask again at the latest
 
 
 @dataclass(slots=True, eq=False)
@@ -210,10 +227,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Gone:
-    """The client went away before it heard the verdict on its query, or was refused as that took too long."""
+    """The client went away before it heard the verdict on its query."""
 
     query: Query
-    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 
 class Effect(Enum):
@@ -212,11 +213,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """News of the list; with scope FAILED a request for it failed and there are no entries."""
+    """News of the list; with scope FAILED a request for it failed and there are no entries.
+
+    ``ask_by_ms``: after a failure, when the list has to be asked for again at the latest.
+    """
 
     scope: ListScope
     version: int = 0
     entries: tuple[RouteEntry, ...] = ()
+    ask_by_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -8,13 +8,15 @@
 
 from springspread.config import Address, Limits, Names
 from springspread.core.types import CoreEvent, HostGroups, Log, Scope, clock
-from springspread.net.exchange import FAILURES, Caller, MovedError
+from springspread.core.watch import Ask, Failure, Watch
+from springspread.http1.message import Malformed
+from springspread.net.exchange import FAILURES, Caller, LateError, MovedError
 from springspread.net.threads import spawn
 from springspread.platform import catalog
 
 
 class Watcher:
-    """Watches once it is told to, and stops at a failure until it is told again.
+    """Carries out what ``core.watch`` decides; after a failure it waits until it is told to watch again.
 
     Moved to another address, it watches there at once.
     """
@@ -29,55 +31,70 @@
         log: Log,
     ) -> None:
         self._caller = Caller(address, limits)
-        self._names, self._version, self._limits = names, version, limits
-        self._put, self._log = put, log
+        self._names, self._put, self._log = names, put, log
+        self._lock = threading.Lock()
+        self._machine = Watch(version, limits.watch_ms)
         self._wake = threading.Event()
-        self._watching = self._fetching = self._moved = False
         spawn("discovery", self._run, log)
 
     def watch(self, active: bool) -> None:
         """Begin or end the watch; a running one goes on."""
-        self._watching = active
+        with self._lock:
+            self._machine.want(active)
         self._wake.set()
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
-        self._fetching = True
+        with self._lock:
+            self._machine.fetch()
         self._wake.set()
 
     def move(self, address: Address) -> None:
         """Ask another address from now on, also what was cut off at the old one."""
         self._caller.move(address)
-        self._moved = self._watching = True
+        with self._lock:
+            self._machine.moved()
         self._wake.set()
 
     def _run(self) -> None:
         while True:
             self._wake.wait()
             self._wake.clear()
-            while self._watching or self._fetching:
-                fetch, self._fetching = self._fetching, False
-                self._moved = False
+            while (ask := self._begin()) is not None:
                 try:
-                    # Guards discovery against a fleet that starts at once: no short watch goes before this.
-                    since = None if fetch else self._version
-                    self._put(self._ask(since, 0.0 if since is None else self._limits.watch_ms))
+                    self._put_news(self._ask(ask))
                 except MovedError as exc:
                     self._log.info("discovery moved", cut_off=str(exc))
-                    self._fetching |= fetch
-                except (*FAILURES, catalog.Unreadable) as exc:
-                    self._log.warning("discovery failed", error=repr(exc))
-                    self._watching = self._moved
-                    self._put(HostGroups(Scope.FAILED))
+                except LateError as exc:
+                    self._failed(Failure.SILENT, exc)
+                except (catalog.Unreadable, Malformed) as exc:
+                    self._failed(Failure.REFUSED, exc)
+                except FAILURES as exc:
+                    self._failed(Failure.UNREACHED, exc)
 
-    def _ask(self, since: int | None, wait_ms: float) -> HostGroups:
-        until = clock() + wait_ms + self._limits.watch_slack_ms
-        self._log.debug("list query", since=since, wait_ms=wait_ms)
-        answer = self._caller.call("GET", catalog.target(since, wait_ms), {}, b"", until)
+    def _begin(self) -> Ask | None:
+        with self._lock:
+            return self._machine.begin(clock())
+
+    def _put_news(self, news: HostGroups) -> None:
+        with self._lock:
+            believed = self._machine.answered(news.version, clock())
+        if believed:
+            self._put(news)
+        else:
+            self._log.warning("an older list left out", version=news.version)
+
+    def _failed(self, failure: Failure, exc: Exception) -> None:
+        with self._lock:
+            ask_by = self._machine.failed(failure, clock())
+        self._log.warning("discovery failed", failure=failure.value, error=repr(exc))
+        self._put(HostGroups(Scope.FAILED, ask_by=ask_by))
+
+    def _ask(self, ask: Ask) -> HostGroups:
+        self._log.debug("list query", since=ask.since, wait_ms=ask.wait_ms)
+        target = catalog.target(ask.since, ask.wait_ms)
+        answer = self._caller.call("GET", target, {}, b"", ask.give_up_at, current=True)
         if answer.status != 200:
             raise catalog.Unreadable(f"status {answer.status}")
         news = catalog.read_list(answer.body, self._names, clock())
-        # Guards the list against a service that counts anew, as another may: what it left out is not known.
-        self._fetching |= since is not None and news.version < since
-        self._version = news.version
         return replace(news, date=answer.headers.get("Date"))
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -166,15 +166,28 @@
                 self._connection.cut()
 
     def call(
-        self, method: str, target: str, headers: Mapping[str, str], body: bytes, until: float
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        until: float,
+        *,
+        current: bool = False,
     ) -> Answer:
-        """Make a call; whatever goes wrong closes the connection and is raised."""
+        """Make a call; whatever goes wrong closes the connection and is raised.
+
+        With ``current`` an answer of an address that it was moved from meanwhile is none.
+        """
         address = self._address
         try:
             connection = self._ready(address, until)
             host = f"{address[0]}:{address[1]}"
             connection.write(method, target, {"Host": host, **headers}, body, until)
-            return connection.read(until)
+            answer = connection.read(until)
+            if current and address != self._address:
+                raise MovedError("answered by the address of before")
+            return answer
         except FAILURES as exc:
             self.close()
             if address != self._address:
--- a/springspread/platform/intake.py
+++ b/springspread/platform/intake.py
@@ -99,9 +99,8 @@
             case Verdict.REFUSED:
                 return self._refused(query)
             case None:
-                # The client stops waiting about now: what the core may yet take is withdrawn.
-                self._put(Gone(query, refused=True))
-                return self._refused(query)
+                # The client stops waiting about now: what the core has not taken on it takes no more.
+                return self._refused(query) if query.withdraw() else self.verdict(query)
 
     def _refused(self, query: Query, headers: Mapping[str, str] | None = None) -> Reply:
         self._figures.count(Figure.REFUSED, query.cls)
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -73,7 +73,7 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.set = settings
         self.rng = Random(seed)
-        self.now = 0.0
+        self.now, self.calls = 0.0, 0
         self.dests: dict[int, Destination] = {}
         self.routes: dict[int, Route] = {}
         self.held: dict[int, Message] = {}
@@ -82,7 +82,6 @@
         self.turns: dict[int, Turn] = {}
         self.dues: list[tuple[float, int]] = []
         self.last_pause = RECHECK_MS * max(1.0, log2(settings.senders))  # as doublings thin out all senders
-        self.calls = 0
         self.use = [Fading(0.0, USE_LEAST) for _ in settings.tenants]
         self.mean_ms = min(spec.aim_ms for spec in settings.classes) / 4
         self.ask_at = 0.0 if settings.must_ask else inf
@@ -128,8 +127,9 @@
     def _listed(self, event: i.Listed) -> None:
         if event.scope is i.ListScope.FAILED:
             # Guards discovery where many failed in the same moment: they come back over a span, not in step.
-            spread = max(1.0, log2(self.set.senders) / 2)
-            self.ask_at = self.now + self.ask_pause * (0.5 + spread * self.rng.random())
+            part, spread = self.rng.random(), max(1.0, log2(self.set.senders) / 2)
+            left = max(event.ask_by_ms - self.now, 0.0) * (0.2 + 0.8 * part)
+            self.ask_at = self.now + min(self.ask_pause * (0.5 + spread * part), left)
             self.ask_pause = min(2 * self.ask_pause, max(self.set.rules.ask_within_ms / 2, ASK_AGAIN_MS))
             return
         if event.scope is not i.ListScope.CACHED:
--- a/springspread/rig/crashes.py
+++ b/springspread/rig/crashes.py
@@ -195,9 +195,10 @@
             if self.what != "a file is left unsynced":
                 super()._sync_file()
 
-        def begun(self, number: int, attempt: int) -> None:
+        def begun(self, number: int, attempt: int) -> bool:
             if self.what != "begun is not on record" or attempt:
-                super().begun(number, attempt)
+                return super().begun(number, attempt)
+            return True
 
         def ending(self, number: int, deferred: bool, again_ms: float) -> None:
             if self.what != "an ending is not on record" or number % 3:
