Classes share a call again, one that waits for what each of them needs

At fault: policy.py, _send let only messages share a call that would wait about as long, and a message that may not be repeated waits for its whole time, so the two classes never shared one and calls ran short.

Now a call that classes share waits as long as the longer one is patient (the time after which a message of it alone would be tried elsewhere), nobody joins one that waits less than it needs, and none is kept past its end. ALIKE keeps its value.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -55,7 +55,7 @@
 FORGET_MS = 600000.0  # a sign of an outage tells nothing after this; an outage may last longer than that
 CHANCE_MS = 200.0  # a ramping gate's unused call lapses after this: longer than the time between two looks
 ITEM_WEIGHT = 0.25  # a further message in a call weighs so much of a call
-ALIKE = 2.0  # messages share a call where none would wait for it over this many times as long as another
+ALIKE = 2.0  # messages share a call that is given up within this many times what each of them has left
 PATIENCE = 6.0  # time-out in multiples of the route's mean response time
 AIM_PART = 0.5  # but this part of the class's aim at least
 REWALK_MS = 300.0  # pause before a message starts a new list
@@ -71,8 +71,7 @@
     """One sender's decisions. Feed all events of a tick to ``handle`` and carry out what it returns."""
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.set = settings
-        self.rng = Random(seed)
+        self.set, self.rng = settings, Random(seed)
         self.now, self.calls = 0.0, 0
         self.dests: dict[int, Destination] = {}
         self.routes: dict[int, Route] = {}
@@ -325,8 +324,7 @@
         """A route is gone: an outage that was seen there alone was none of the destination."""
         gate = route.gate
         if gate.blamed and gate.blamed <= {route}:
-            gate.out_at = gate.sign_at = -inf
-            gate.doubt, gate.signs = 0.0, 0
+            gate.out_at, gate.sign_at, gate.doubt, gate.signs = -inf, -inf, 0.0, 0
         gate.blamed.discard(route)
 
     def _part_to(self, gate: Gate, part: float) -> None:
@@ -516,20 +514,22 @@
         """What a call keeps, by the time that it takes a slot: slots are what all destinations share."""
         stake, m, route = pick
         size = min(self._room(route), len(m.dest.queue))
-        time: float = max(route.mean_ms or self.mean_ms, 1.0) ** SLOT_LEAN
-        return stake * size / time
+        return stake * size / float(max(route.mean_ms or self.mean_ms, 1.0) ** SLOT_LEAN)
 
     def _room(self, route: Route) -> int:
         return 1 if route.health.flagged or route.gate.out_at == inf else route.kind.per_call
 
     def _send(self, first: Message, route: Route) -> None:
-        dest = route.dest
-        rest = [m for m in dest.queue if m is not first and self._ready(m) and self._allowed(m, route)]
-        # A call is given up whole: who would wait much longer or less than the first goes in another one.
-        waits = [self._timeout(m, route, self._room(route)) for m in (first, *rest)]
-        alike = [m for m, wait in zip(rest, waits[1:], strict=True) if 1 / ALIKE <= wait / waits[0] <= ALIKE]
-        batch = [first, *alike][: self._room(route)]
-        wait = min(self._timeout(m, route, len(batch)) for m in batch)
+        rest = [m for m in route.dest.queue if m is not first and self._ready(m) and self._allowed(m, route)]
+        # A call is given up whole: nobody joins one that waits less than it needs, or far past its own end.
+        slow = PATIENCE * (route.mean_ms or self.mean_ms) * (1.0 + ITEM_WEIGHT * (self._room(route) - 1))
+        needs = {m.id: max(slow, AIM_PART * m.spec.aim_ms) for m in (first, *rest)}
+        left = {m.id: m.deadline - self.now for m in (first, *rest)}
+        whole = min(left[first.id], max(needs.values()))
+        fits = [m for m in rest if ALIKE * left[m.id] >= whole >= min(needs[m.id], left[m.id] / ALIKE)]
+        batch = [first, *fits][: self._room(route)]
+        waits = [self._timeout(m, route, len(batch)) for m in batch]
+        wait = min(waits) if max(waits) <= ALIKE * min(waits) else min(whole, *(left[m.id] for m in batch))
         idle = self.now - route.used_at if route.used_at and not route.calls else 0.0
         if idle > self._safe_ms() and self.idle_bad >= 1.0:
             self.out.append(i.CloseIdle(route.id))
