Crossings written down, each with its test; calls, descriptors and cold returns bounded

A connection that came up, or a worker that got to run, after its message's time still carried the whole call: Clearance._look refuses it (the test was seen to fail: timed out, where nothing may have been sent).

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from springspread.config import Address, Config, ConfigError, Durability, load, load_again, operators
+from springspread.config import Address, Config, ConfigError, Durability, Limits, load, load_again, operators
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
 from springspread.core.figures import Figures
@@ -82,12 +82,18 @@
 
 
 def manage(
-    address: Address, intake: Intake, figures: Figures, sender: Sender, door: Door, log: Log
+    address: Address,
+    intake: Intake,
+    figures: Figures,
+    sender: Sender,
+    door: Door,
+    limits: Limits,
+    log: Log,
 ) -> None:
     """Answer operators from now on."""
     from springspread.platform.management import Management
 
-    limits = operators()
+    limits = operators(limits)
     try:
         Door(listener(address, limits), Management(intake, figures, sender, door.drain), limits, log)
     except OSError as exc:
@@ -142,7 +148,7 @@
     except OSError as exc:
         raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from exc
     if config.mgmt is not None:
-        manage(config.mgmt, intake, figures, sender, door, log)
+        manage(config.mgmt, intake, figures, sender, door, limits, log)
     heard = None
     while not sender.open and heard not in ENDS:  # clients are refused meanwhile, with a time to come back
         if (told_by := signal.sigtimedwait(HEARD, GATE_S)) is not None:
--- a/springspread/config.py
+++ b/springspread/config.py
@@ -15,6 +15,8 @@
 Address = tuple[str, int]
 
 
+OWN_DESCRIPTORS = 26  # standard streams, listeners, wake-ups, lanes, list, notices, and one more worker
+SHARED_OUT = 1 / 3 + 1 / 8 + 1 / 4  # of the rest: clients, workers, kept connections
 RELOADED = ("discovery", "known", "seed")
 """What may differ in a file that is read again: the first is put in force, the others serve a start."""
 
@@ -37,6 +39,7 @@
     disk_bytes: int = 3 * 1024 * 1024
     client_connections: int = 480
     client_spares: int = 32  # above those: the ones that were told their last answer
+    operator_connections: int = 28
     backlog: int = 1024  # hundreds that connect at once wait in the system's line, not for its next try
     idle_connections: int = 128
     workers: int = 128
@@ -80,9 +83,13 @@
     stop_safe_ms: float = 500.0
 
 
-def operators() -> Limits:
+def operators(limits: Limits) -> Limits:
     """The bounds of the operators' door: few callers, who may connect and say nothing."""
-    return replace(Limits(), client_connections=24, client_spares=4, body_bytes=4096, length_needed=False)
+    spares = max(limits.operator_connections // 7, 1)
+    places = max(limits.operator_connections - spares, 1)
+    return replace(
+        Limits(), client_connections=places, client_spares=spares, body_bytes=4096, length_needed=False
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,15 +261,18 @@
     memory_mb = machine_number("memory_mb", 192, 16)
     disk_mb = machine_number("disk_mb", 3, 0.5)
     idle_ms = settings.number("limits.connIdleMs", 5000.0)
-    # Clients get a third of the descriptors, those that were told their last answer included, and for
-    # requests that are not whole an eighth of the memory. Workers get an eighth of the descriptors, kept
-    # connections a quarter.
+    # Guards discovery, notices, the journal and operators against crowds: what they need is set apart first.
+    # Of the rest clients get a third, those that were told their last answer included, workers an eighth and
+    # kept connections a quarter. Requests that are not whole get an eighth of the memory.
+    operator_connections = min(base.operator_connections, sockets // 12)
+    sockets = min(sockets, int((sockets - OWN_DESCRIPTORS - operator_connections) / SHARED_OUT))
     spares = min(base.client_spares, sockets // 24)
     return replace(
         base,
         disk_bytes=int(disk_mb * 1_000_000),
         client_connections=max(8, min(base.client_connections, sockets // 3 - spares)),
         client_spares=spares,
+        operator_connections=operator_connections,
         client_bytes=int(memory_mb * 1024 * 1024 / 8),
         workers=min(base.workers, max(2, sockets // 8)),
         idle_connections=min(base.idle_connections, sockets // 4),
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -88,6 +88,8 @@
             return Result.NOT_SENT, 0.0
         if call.cancelled.is_set():
             return Result.CANCELLED, 0.0
+        if call.executions and self._clock.now() >= call.until:
+            return Result.NOT_SENT, 0.0  # its connection came up, or was free, after its time
         # Guards rule 5: a call queued before a wait was told must not slip out after it.
         wait = self.barred_ms(call.link)
         if wait > 0.0:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -120,3 +120,15 @@
         config.load({"RELAY_CONFIG": str(tmp_path / "bad")})
     (tmp_path / "good").write_text(json.dumps(make(tmp_path)))
     assert config.load({"RELAY_CONFIG": str(tmp_path / "good")}).name == "n0"
+
+
+@pytest.mark.parametrize("sockets", [*range(64, 400, 7), 512, 1024, 4096])
+def test_every_user_of_descriptors_has_its_own_and_together_they_fit(tmp_path: Path, sockets: int) -> None:
+    raw = make(tmp_path)
+    raw["limits"]["sockets"] = sockets
+    limits = config.read(raw, {}).limits
+    shared = limits.client_connections + limits.client_spares + limits.workers + limits.idle_connections
+    assert shared + limits.operator_connections + config.OWN_DESCRIPTORS <= sockets
+    own = config.operators(limits)
+    assert own.client_connections + own.client_spares <= max(limits.operator_connections, 2)
+    assert min(limits.client_connections, limits.workers, limits.idle_connections) >= 2
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -435,3 +435,14 @@
     (call,) = rig.drivers.calls
     margin = rig.config.limits.deadline_margin_ms
     assert margin >= 50.0 and until - margin - 100.0 < call.executions[0].until <= until - margin + 50.0
+
+
+def test_a_pushed_list_is_watched_from_the_first_moment(tmp_path: Path) -> None:
+    raw = make(tmp_path)
+    raw["settings"]["discovery"] = "push"
+    made = config.read(raw, {})
+    drivers = Drivers()
+    sender = Sender(made, journal := Journal(tmp_path, 3_000_000), Clearance(journal, 450.0), drivers)
+    sender.attach(drivers, drivers, drivers)
+    sender.restore(t.HostGroups(t.Scope.CACHED, 1, (member(1),), t.clock()))
+    assert drivers.watches == [True]
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,413 @@
+"""Moments where two events cross, the bad order made each time: endpoints, notices and restarts.
+
+The table is docs/design/crossings.md. Peers hold a byte back until a condition is met; nothing waits on luck.
+"""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from springspread.config import Limits
+from springspread.core.clearance import Clearance
+from springspread.core.journal import Journal, JournalFull, Owed
+from springspread.core.types import (
+    Call,
+    CoreEvent,
+    Execution,
+    ExecutionEnd,
+    Notice,
+    NoticeHeard,
+    Result,
+    ServerLink,
+    clock,
+)
+from springspread.net.links import Workers
+from springspread.net.notices import Notices
+from tests.peer import WAIT_S, Peer, Program, until
+from tests.test_spoilt import Silent, read_request
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+RESET = b"\1\0\0\0\0\0\0\0"
+
+
+class Endpoint:
+    """Takes down each connection's fate; after a whole request it does what the script says."""
+
+    def __init__(self, script: Callable[[socket.socket], None]) -> None:
+        self.script = script
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.requests: list[bytes] = []
+        self.rest: list[bytes] = []  # what came on a connection after the script, up to its end
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock = self.sock.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        data = b""
+        try:
+            self.requests.append(read_request(sock))
+            if self.requests[-1]:
+                self.script(sock)
+            while part := sock.recv(65536):
+                data += part
+        except OSError:
+            pass
+        self.rest.append(data)
+        sock.close()
+
+
+class Bench:
+    """The workers alone, on one slot and the one for a probe."""
+
+    def __init__(self, folder: Path, script: Callable[[socket.socket], None]) -> None:
+        self.endpoint = Endpoint(script)
+        self.ends: list[CoreEvent] = []
+        self.journal = Journal(folder, 3_000_000)
+        clearance = Clearance(self.journal, 450.0)
+        self.workers = Workers(Limits(), 1, (), clearance, self.ends.append, Silent())
+        port = self.endpoint.sock.getsockname()[1]
+        self.link = ServerLink(1, "s-1", "127.0.0.1", port, 7, True, 5)
+
+    def start(self, wait_ms: float = 8000.0, safe: bool = True, count: int = 1) -> Call:
+        now = clock()
+        for _ in range(count):
+            number = self.journal.last_number + 1
+            self.journal.taken(Owed(number, f"m{number}", "note", 7, 0.0, b"body"))
+        numbers = list(self.journal.owed)[-count:]
+        runs = [Execution(n, 0, f"m{n}", b"body", now + wait_ms, safe) for n in numbers]
+        call = Call(self.link, runs, now)
+        self.workers.start(call)
+        return call
+
+    def result(self, count: int = 1) -> Result:
+        until(lambda: len(self.ends) >= count, "an end for each")
+        until(lambda: not self.workers._open, "its connection is let go of")
+        assert len(self.ends) == count  # exactly one for each
+        found = {end.result for end in self.ends if isinstance(end, ExecutionEnd)}
+        assert len(found) == 1
+        return found.pop()
+
+    def still_works(self) -> None:
+        """Whatever it was, its thread is free again for the next call."""
+        self.ends.clear()
+        self.endpoint.script = lambda sock: sock.sendall(OK)
+        self.start()
+        assert self.result() is Result.DELIVERED
+
+
+@pytest.fixture
+def bench(tmp_path: Path) -> Iterator[Callable[..., Bench]]:
+    made: list[Bench] = []
+
+    def make(script: Callable[[socket.socket], None]) -> Bench:
+        made.append(Bench(tmp_path, script))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.endpoint.sock.close()
+        one.journal.close()
+
+
+def says(data: bytes) -> Callable[[socket.socket], None]:
+    return lambda sock: sock.sendall(data)
+
+
+def then_reset(data: bytes) -> Callable[[socket.socket], None]:
+    def script(sock: socket.socket) -> None:
+        sock.sendall(data)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        sock.close()
+
+    return script
+
+
+def then_end(data: bytes) -> Callable[[socket.socket], None]:
+    def script(sock: socket.socket) -> None:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+
+    return script
+
+
+@pytest.mark.parametrize("count", [1, 3], ids=["one", "bundle"])
+@pytest.mark.parametrize(
+    ("script", "one", "many"),
+    [
+        (says(b""), Result.TIMED_OUT, Result.TIMED_OUT),
+        (says(b"HTTP/1.1 20"), Result.TIMED_OUT, Result.TIMED_OUT),
+        (says(b"HTTP/1.1 200 O"), Result.TIMED_OUT, Result.TIMED_OUT),
+        (says(b"HTTP/1.1 200 OK\r\n"), Result.DELIVERED, Result.TIMED_OUT),
+        (says(b"HTTP/1.1 500 No\r\n"), Result.TIMED_OUT, Result.TIMED_OUT),
+        (then_end(b""), Result.BROKEN, Result.BROKEN),
+        (then_end(b"HTTP/1.1 200"), Result.BROKEN, Result.BROKEN),
+        (then_end(OK[:-2]), Result.DELIVERED, Result.BROKEN),
+        (then_end(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"), Result.DELIVERED, Result.BROKEN),
+        (then_reset(b""), Result.BROKEN, Result.BROKEN),
+        (then_end(b"HTTP/1.1 503 Full\r\n"), Result.BROKEN, Result.BROKEN),
+    ],
+)
+def test_an_answer_that_is_not_whole_ends_each_attempt_once_and_by_its_first_line_alone(
+    bench: Callable[..., Bench],
+    script: Callable[[socket.socket], None],
+    one: Result,
+    many: Result,
+    count: int,
+) -> None:
+    it = bench(script)
+    it.start(wait_ms=300.0, count=count)
+    assert it.result(count) is (one if count == 1 else many)
+    until(lambda: it.endpoint.rest, "the endpoint sees the connection's end")
+    it.still_works()
+
+
+@pytest.mark.parametrize("sent", [b"", b"HTTP/1.1 2", b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 503"])
+@pytest.mark.parametrize("first", ["the bytes", "the cancel"])
+def test_a_cancel_crosses_the_first_bytes_of_an_answer(
+    bench: Callable[..., Bench], sent: bytes, first: str
+) -> None:
+    cancelled, wrote = threading.Event(), threading.Event()
+
+    def script(sock: socket.socket) -> None:
+        if first == "the cancel":
+            cancelled.wait(WAIT_S)
+        sock.sendall(sent)
+        wrote.set()
+
+    it = bench(script)
+    call = it.start()
+    if first == "the bytes":
+        assert wrote.wait(WAIT_S)
+        until(lambda: it.workers._open[call].heard or not sent, "they are read")
+    else:
+        until(lambda: it.endpoint.requests, "the request is there")
+    it.workers.cancel(call)
+    cancelled.set()
+    whole_line = sent.endswith(b"\r\n") and first == "the bytes"
+    assert it.result() is (Result.DELIVERED if whole_line else Result.CANCELLED)
+    it.still_works()
+
+
+@pytest.mark.parametrize("gone", ["cancelled", "out of time"])
+def test_a_connection_that_comes_up_after_its_message_was_given_up_carries_nothing(
+    bench: Callable[..., Bench], monkeypatch: pytest.MonkeyPatch, gone: str
+) -> None:
+    connecting, given_up = threading.Event(), threading.Event()
+    create = socket.create_connection
+
+    def late(*args: Any, **kwargs: Any) -> socket.socket:
+        connecting.set()
+        assert given_up.wait(WAIT_S)
+        return create(*args, **kwargs)
+
+    it = bench(says(OK))
+    monkeypatch.setattr(socket, "create_connection", late)
+    call = it.start(wait_ms=200.0 if gone == "out of time" else 8000.0, safe=False)
+    assert connecting.wait(WAIT_S)
+    if gone == "cancelled":
+        it.workers.cancel(call)
+    else:
+        until(lambda: clock() > call.until, "its time is over")
+    given_up.set()
+    assert it.result() is (Result.CANCELLED if gone == "cancelled" else Result.NOT_SENT)
+    until(lambda: it.endpoint.rest, "the endpoint sees the connection's end")
+    assert it.endpoint.requests == [b""]  # never a whole one
+    monkeypatch.undo()
+    it.still_works()
+
+
+def test_a_reset_long_after_the_last_byte_is_no_proof_that_nothing_ran(
+    bench: Callable[..., Bench],
+) -> None:
+    go = threading.Event()
+
+    def script(sock: socket.socket) -> None:
+        go.wait(WAIT_S)
+        then_reset(b"")(sock)
+
+    it = bench(script)
+    call = it.start(safe=False)
+    until(lambda: it.endpoint.requests, "the request is there, whole")
+    until(lambda: clock() - call.sent_at > 2 * Limits().break_ms, "it is no break of an idle connection")
+    go.set()
+    assert it.result() is Result.BROKEN  # not 'not connected': it may have run
+    it.still_works()
+
+
+def test_an_endpoint_that_ends_its_idle_connection_as_we_write_costs_no_message(
+    bench: Callable[..., Bench],
+) -> None:
+    """It ends after our last look at the kept connection and before the call's last byte."""
+    ends: list[threading.Event] = []
+
+    def script(sock: socket.socket) -> None:
+        sock.sendall(OK)
+        ends.append(threading.Event())
+        if len(ends) == 1:
+            ends[0].wait(WAIT_S)
+            sock.shutdown(socket.SHUT_RDWR)
+
+    it = bench(script)
+    it.start(safe=False)
+    assert it.result() is Result.DELIVERED
+    (kept,) = [line[0] for line in it.workers._kept._idle.values()]
+    alive = kept.alive
+
+    def looked() -> bool:
+        good = alive()
+        ends[0].set()
+        kept.sock.settimeout(WAIT_S)
+        assert kept.sock.recv(1, socket.MSG_PEEK) == b""  # its end is here by now, after the look
+        return good
+
+    kept.alive = looked  # type: ignore[method-assign]
+    it.ends.clear()
+    it.start(safe=False)
+    assert it.result() is Result.DELIVERED  # over a new connection, as if none had been kept
+    assert sum(bool(request) for request in it.endpoint.requests) == 2
+
+
+def test_a_notice_whose_answer_is_lost_is_told_again_and_heard_once() -> None:
+    lost = [then_end(b""), then_reset(b""), then_end(b"HTTP/1.1 2")]
+    answers = [*lost, says(b"HTTP/1.1 204 No Content\r\n\r\n")]
+    platform = Endpoint(lambda sock: answers.pop(0)(sock))
+    heard: list[CoreEvent] = []
+    address = ("127.0.0.1", platform.sock.getsockname()[1])
+    notices = Notices(address, Limits(), heard.append, Silent(), lambda: None)
+    notices.tell(Notice(4, "late", False))
+    until(lambda: heard, "its answer")
+    assert heard == [NoticeHeard((4,))]
+    told = [request.split(b"\r\n\r\n")[1] for request in platform.requests if request]
+    assert len(told) == 4 and {json.loads(body)["id"] for body in told} == {"late"}
+    platform.sock.close()
+
+
+@pytest.fixture
+def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Program:
+    made = Program(tmp_path, peer)
+    ended(made)
+    return made
+
+
+def known(program: Program, peer: Peer, status: str) -> None:
+    """What the next process holds as its list; the watch tells the same."""
+    raw = json.loads(program.file.read_text())
+    program.file.write_text(json.dumps({**raw, "known": peer.members(status)}))
+
+
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGTERM])
+def test_a_message_between_taken_and_begun_is_tried_by_the_next_process(
+    program: Program, peer: Peer, how: signal.Signals
+) -> None:
+    with peer.lock:
+        peer.watch_bodies = [json.dumps(peer.members("Terminating", 2)).encode()]
+    until(lambda: not peer.watch_bodies and "since=2" in peer.asked[-1], "the drain is in force")
+    assert [program.hand_in("safe"), program.hand_in("once", "pay")] == [202, 202]
+    program.end(how)
+    assert not peer.calls and not peer.notices
+    known(program, peer, "Ready")
+    program.start()
+    until(lambda: sorted(peer.ids()) == ["once", "safe"], "both are tried")
+    assert not peer.notices
+
+
+def test_a_message_between_its_end_and_its_notice_is_told_by_the_next_process(
+    program: Program, peer: Peer
+) -> None:
+    peer.notice_answers = [503] * 10_000
+    assert program.hand_in("late", left=1) == 202
+    until(lambda: len(peer.notice_answers) < 10_000, "a notice that was not taken")
+    program.end(signal.SIGKILL)
+    peer.notice_answers = []
+    program.start()
+    until(lambda: [line["id"] for line in peer.notices] == ["late"], "the notice")
+    program.end(signal.SIGKILL)
+    program.start()
+    assert program.hand_in("after") == 202
+    until(lambda: peer.ids() == ["after"], "a later message")
+    assert [line["id"] for line in peer.notices] == ["late"] and "late" not in peer.ids()
+
+
+def test_records_of_another_deployment_end_as_undeliverable_and_are_never_sent(
+    program: Program, peer: Peer
+) -> None:
+    program.end(signal.SIGKILL)
+    journal = Journal(program.state, 3_000_000)
+    wall = time.time() * 1000.0 + 60_000.0
+    for number in range(1, 4):
+        journal.taken(Owed(journal.last_number + 1, f"theirs-{number}", "meter-reading", 7, wall, b"x"))
+    journal.close()
+    program.start()
+    until(lambda: len(peer.notices) == 3, "their ends")
+    assert {line["status"] for line in peer.notices} == {"undeliverable"} and not peer.calls
+    assert program.hand_in("ours") == 202
+    until(lambda: peer.ids() == ["ours"], "ours alone")
+
+
+def test_a_start_with_a_full_journal_and_no_discovery_serves_within_its_time(
+    program: Program, peer: Peer
+) -> None:
+    program.end(signal.SIGKILL)
+    journal, count = Journal(program.state, 3_000_000), 0
+    wall = time.time() * 1000.0 + 60_000.0
+    with pytest.raises(JournalFull):
+        while True:
+            number = journal.last_number + 1
+            journal.taken(Owed(number, f"old-{number}", "note", 7, wall, b"x" * 3000))
+            count += 1
+    journal.close()
+    assert count > 200
+    raw = json.loads(program.file.read_text())
+    with socket.create_server(("127.0.0.1", 0)) as nobody:  # listens, and never answers
+        program.file.write_text(json.dumps({**raw, "discovery": f"127.0.0.1:{nobody.getsockname()[1]}"}))
+        begun = time.monotonic()
+        program.start()
+        assert time.monotonic() - begun < 10.0
+        connection = program.connect()
+        connection.request("GET", "/_health")
+        assert connection.getresponse().status == 200
+        connection.close()
+        until(lambda: len(set(peer.ids())) >= 20, "what is owed goes on meanwhile")
+    program.move(peer)
+
+
+def test_idle_clients_that_fill_their_descriptors_leave_the_watch_its_own(
+    tmp_path: Path, peer: Peer, ended: Callable[[Program], None]
+) -> None:
+    discovery = Endpoint(then_reset(b""))
+    place = SimpleNamespace(port=discovery.sock.getsockname()[1])
+    program = Program(tmp_path, cast(Peer, place), sockets=96, known=peer.members())
+    ended(program)
+    until(lambda: discovery.requests, "a watch")
+    discovery.sock.shutdown(socket.SHUT_RDWR)  # down: what is asked of it from now on is refused
+    discovery.sock.close()
+    until(lambda: any("Refused" in str(line.get("error")) for line in program.log), "it is refused")
+    idle = [socket.create_connection(program.address, timeout=WAIT_S) for _ in range(60)]
+    open_ = Path(f"/proc/{program.process.pid}/fd")
+    assert len(list(open_.iterdir())) < 96
+    for n in range(20):
+        assert program.hand_in(f"m{n}") in (202, 503)
+    with socket.create_server(("127.0.0.1", place.port)) as again:
+        again.settimeout(WAIT_S)
+        sock = again.accept()[0]
+        assert b"/catalog/members" in read_request(sock)
+        sock.close()
+    until(lambda: peer.ids(), "calls go on")
+    for one in idle:
+        one.close()
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -243,3 +243,32 @@
     assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
     door.close()
     assert door.emptied(WAIT_S * 1000.0)
+
+
+def test_room_made_in_a_crowd_resets_nobody_who_speaks_in_that_moment() -> None:
+    from dataclasses import replace
+
+    from springspread.config import Limits
+    from springspread.net.door import Door, listener
+    from springspread.platform.intake import Intake
+    from tests.test_spoilt import Silent
+
+    limits = replace(Limits(), client_connections=2, client_spares=4, client_idle_ms=60_000.0)
+    door = Door(listener(("127.0.0.1", 0), limits), Intake(lambda _: None), limits, Silent())
+    health = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+    resting = []
+    for _ in range(2):
+        resting.append(socket.create_connection(door.address, timeout=WAIT_S))
+        resting[-1].sendall(health)
+        assert resting[-1].recv(65536).startswith(b"HTTP/1.1 503 ")
+    newcomer = socket.create_connection(door.address, timeout=WAIT_S)
+    newcomer.sendall(health)
+    assert newcomer.recv(65536).startswith(b"HTTP/1.1 503 ")  # it was let in: somebody made room
+    assert resting[0].recv(1) == b""  # the one that rested longest
+    resting[0].sendall(health * 100)  # on its way in that moment
+    assert ends_without_a_reset(resting[0]) == b""
+    resting[0].shutdown(socket.SHUT_WR)
+    assert resting[0].getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    resting[1].sendall(health)
+    assert resting[1].recv(65536).startswith(b"HTTP/1.1 503 ")  # the other one rests on
+    door.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -483,7 +483,7 @@
     return worst, warmed
 
 
-@pytest.mark.parametrize(("count", "heavy"), [(3, 1), (40, 4), (200, 8)])
+@pytest.mark.parametrize(("count", "heavy"), [(3, 1), (20, 2), (30, 3), (40, 4), (200, 8)])
 def test_a_fleet_keeps_the_fail_back_budget(count: int, heavy: int) -> None:
     worst, _ = cold_fleet(count, heavy)
     assert worst <= 1.0
