A connection that is given back as its endpoint leaves the list is closed

Its state is looked at under the lock now. The test makes the drop happen right before the lock is taken; it fails without the change.

--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -69,19 +69,21 @@
                 self._reuse.note(endpoint.number, idle_ms, broke, clock())
 
     def give(self, endpoint: Endpoint, connection: Connection) -> None:
-        """Keep a connection, unless its endpoint is gone."""
-        if endpoint.state is EndpointState.GONE:
-            connection.close()
-            return
+        """Keep a connection, unless its endpoint is gone.
+
+        Where two events cross: whoever lets go of an endpoint marks it first, then drops what is kept under
+        the lock under which its state is looked at here.
+        """
+        surplus: Connection | None = connection
         with self._lock:
-            self._idle.setdefault(endpoint.number, []).append(connection)
-            count = sum(map(len, self._idle.values()))
-            oldest = None
-            if count > self._limits.idle_connections:
-                lines = [line for line in self._idle.values() if line]
-                oldest = min(lines, key=lambda line: line[0].idle_since).pop(0)
-        if oldest is not None:
-            oldest.close()
+            if endpoint.state is not EndpointState.GONE:
+                self._idle.setdefault(endpoint.number, []).append(connection)
+                surplus = None
+                if sum(map(len, self._idle.values())) > self._limits.idle_connections:
+                    lines = [line for line in self._idle.values() if line]
+                    surplus = min(lines, key=lambda line: line[0].idle_since).pop(0)
+        if surplus is not None:
+            surplus.close()
 
     def sweep(self) -> None:
         """Close what has stood idle for long."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,12 +26,14 @@
     Call,
     CoreEvent,
     Endpoint,
+    EndpointState,
     Notice,
     NoticeHeard,
     Result,
     clock,
 )
-from springspread.net.endpoints import Workers
+from springspread.net.endpoints import Kept, Workers
+from springspread.net.exchange import Connection
 from springspread.net.notices import Notices
 from tests.peer import WAIT_S, Peer, Program, until
 from tests.test_spoilt import Silent, read_request
@@ -283,6 +285,42 @@
     assert sum(bool(request) for request in it.endpoint.requests) == 2
 
 
+class CrossingLock:
+    """Something else gets the lock first, each time: what it does happens right before it is taken."""
+
+    def __init__(self, lock: threading.Lock, act: Callable[[], None]) -> None:
+        self.lock, self.act = lock, act
+
+    def __enter__(self) -> None:
+        self.act()
+        self.lock.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        self.lock.release()
+
+
+@pytest.mark.parametrize("first", ["it goes", "it is given back"])
+def test_a_connection_that_is_given_back_as_its_endpoint_goes_is_not_kept(first: str) -> None:
+    stand_in = StandIn(says(OK))
+    address = ("127.0.0.1", stand_in.sock.getsockname()[1])
+    endpoint, kept = Endpoint(1, "s-1", *address, 7, True, 5), Kept(Limits())
+    lock = kept._lock
+
+    def goes() -> None:
+        kept._lock = lock
+        endpoint.state = EndpointState.GONE  # the loop's thread, in its order
+        kept.drop(endpoint)
+
+    if first == "it goes":
+        kept._lock = CrossingLock(lock, goes)  # type: ignore[assignment]
+    connection = Connection(address, clock() + 1000.0, Limits())
+    kept.give(endpoint, connection)
+    if first == "it is given back":
+        goes()
+    assert not kept._idle and connection.sock.fileno() < 0
+    stand_in.sock.close()
+
+
 def test_a_notice_whose_answer_is_lost_is_told_again_and_heard_once() -> None:
     lost = [then_end(b""), then_reset(b""), then_end(b"HTTP/1.1 2")]
     answers = [*lost, says(b"HTTP/1.1 204 No Content\r\n\r\n")]
