--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,6 +7,7 @@
 import pytest
 
 from springspread import config
+from springspread import interface as i
 from springspread.core import types as t
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
@@ -132,6 +133,26 @@
     assert [notice.deferred for notice in rig.drivers.told] == [False] * told
 
 
+@pytest.mark.parametrize("window_ms", [1000.0, 600_000.0])
+def test_a_keyed_message_that_may_have_run_is_not_sent_again_by_another_process(
+    tmp_path: Path, window_ms: float
+) -> None:
+    first = Journal(tmp_path, 3_000_000)
+    for number, id in ((4, "ran"), (5, "untried")):
+        first.taken(Owed(number, id, "keyed", 7, SYSTEM.wall() + 5000, b"body"))
+    first.begun(4, 0)
+    first.close()
+    raw = make(tmp_path)
+    raw["settings"]["classes"][0] |= {"name": "keyed", "effect": "by_key", "memorySpanMs": window_ms}
+    made, drivers = config.read(raw, {}), Drivers()
+    assert made.settings.classes[0].effect is i.Effect.KEYED
+    sender = Sender(made, journal := Journal(tmp_path, 3_000_000), Clearance(journal, 450.0), drivers)
+    sender.attach(drivers, drivers, drivers)
+    sender.restore(t.ListNews(t.Scope.CACHED, 1, (member(1), member(2)), t.clock()))
+    assert [run.id for call in drivers.calls for run in call.attempts] == ["untried"]
+    assert [(notice.id, notice.deferred) for notice in drivers.told] == [("ran", False)]
+
+
 def test_a_message_that_had_all_its_attempts_is_not_sent_again(tmp_path: Path) -> None:
     first = Journal(tmp_path, 3_000_000)
     first.taken(Owed(4, "a", "note", 7, SYSTEM.wall() + 5000, b"body"))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -421,7 +421,13 @@
         connection.request("GET", "/_health")
         assert connection.getresponse().status == 200
         connection.close()
+        told = {f"new-{n}": program.hand_in(f"new-{n}", body=b"x" * 60_000) for n in range(12)}
+        assert set(told.values()) <= {202, 503}
         until(lambda: len(set(peer.ids())) >= 20, "what is owed goes on meanwhile")
+        size = sum(path.stat().st_size for path in program.state.iterdir() if path.is_file())
+        assert size <= 3_000_000
+        taken = {id for id, status in told.items() if status == 202}
+        until(lambda: taken <= {*peer.ids(), *(line["id"] for line in peer.notices)}, "each one's end")
     program.move(peer)
 
 
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -235,6 +235,8 @@
     sock = socket.create_connection(listener.address, timeout=WAIT_S)
     sock.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
     assert sock.recv(65536).startswith(b"HTTP/1.1 503 ")
+    (client,) = listener._clients.values()
+    assert client.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)  # small writes do not wait
     listener.drain(True)
     assert sock.recv(1) == b""
     sock.sendall(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n" * 50)
