A call that discovery turns away is made again within 5 s of that, not of its begin

At fault: core/watch.py counted the clock of a call that was turned away from its begin, which left 3 s and a mean pause of 1.7 s: an overbooked discovery stayed so.

A call that is turned away means that discovery could not be reached, so what it has counts as told 6 s after that: the clock runs from the refusal. An answer that can't be read or does not end counts as silence. The least pauses go, as no call can come sooner than they asked. The test of forty senders fails without the change.

--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -7,16 +7,14 @@
 and *ask by*, the latest moment of the next call whose answer still comes before it:
 
     a call ends             told                                        ask by
-    answered                now + TOLD_MS                               (the next goes at once)
-    silent, given up        begin + TOLD_MS, or its wait's end          told - ANSWER_MS: where it
+    answered                                                            (the next goes at once)
+    silent, unreadable      begin + TOLD_MS, or its wait's end          told - ANSWER_MS: where it
                             + WAITED_MS where that is later             waited, at once
-    refused, unreadable     as it was; if over, begin + TOLD_MS         told - ANSWER_MS
-    not reached             now + TOLD_MS: it may be back from now on   told - ANSWER_MS
+    refused, not reached    now + TOLD_MS: it may be back from now on   told - ANSWER_MS
 
-The module's pause after a failure may be shorter, never longer. From the second failure in a row on, a call
-that was answered by nothing at once names no moment sooner than a growing least pause. Over the fleet, that
-is one call a sender in ``TOLD_MS - ANSWER_MS`` at the least while discovery is away; the module draws them
-apart.
+The module's pause after a failure may be shorter, never longer. Over the fleet that is one call a sender in
+``TOLD_MS - ANSWER_MS`` at the least while discovery is away; the module draws them apart over that time, so
+that the mean is one in some three fifths of it.
 
 Which answers are believed: versions grow. An answer that is older than what is held is left out whole, and
 the whole list asked for; where that is older, too, the service counts anew, and it is believed.
@@ -30,7 +28,6 @@
 TOLD_MS = 6000.0
 WAITED_MS = 2000.0
 ANSWER_MS = 1000.0  # a call's time from its begin to its answer, where all goes well
-LEAST_MS = (0.0, 250.0, 500.0, 1000.0, 2000.0)  # between the calls of one sender, by failures in a row
 WHOLE_MS = 2000.0  # a call that does not wait is given up after this
 ASIDE_MS = 1000.0  # and one that does, so long after its wait
 
@@ -38,8 +35,8 @@
 class Failure(Enum):
     """How a call ended without news."""
 
-    SILENT = "silent"  # no answer in its time
-    REFUSED = "refused"  # an answer that is none, or does not end
+    SILENT = "silent"  # no answer in its time, or none that ends or can be read
+    REFUSED = "refused"  # turned away: it can't be reached for now
     UNREACHED = "not reached"  # no connection, or it broke
 
 
@@ -60,8 +57,7 @@
         self._version, self._wait = version, wait_ms
         self._wants = self._fetches = self._doubts = self._moved = False
         self._ask: Ask | None = None
-        self._begun, self._told = 0.0, 0.0
-        self._failures = 0
+        self._begun = 0.0
 
     def want(self, active: bool = True) -> None:
         """Watch from now on, or no more."""
@@ -84,11 +80,10 @@
         self._begun, self._moved = now, False
         return self._ask
 
-    def answered(self, version: int, now: float) -> bool:
+    def answered(self, version: int) -> bool:
         """An answer was read; whether it is believed."""
         assert self._ask is not None
         older = self._version is not None and version < self._version
-        self._told, self._failures = now + TOLD_MS, 0
         if older and not (self._doubts and self._ask.since is None):
             self._doubts = self._fetches = True
             return False
@@ -105,17 +100,11 @@
         """A call brought nothing, and none goes until one is wanted again: by when (ms)."""
         assert self._ask is not None
         self._wants = self._moved  # guards a move that crosses the failure of a call to the old address
-        begun = self._begun + TOLD_MS
         match failure:
             case Failure.SILENT:
                 waited = self._begun + self._ask.wait_ms + WAITED_MS if self._ask.wait_ms else 0.0
-                self._told = max(begun, waited)
-            case Failure.REFUSED:
-                self._told = min(self._told, begun) if self._told > now else begun
-            case Failure.UNREACHED:
-                self._told = now + TOLD_MS
-        least = LEAST_MS[min(self._failures, len(LEAST_MS) - 1)]
-        self._failures += 1
-        if failure is Failure.SILENT:
-            return max(self._told - ANSWER_MS, now)  # it took its time, which is rest enough
-        return max(self._told - ANSWER_MS, now + least)
+                told = max(self._begun + TOLD_MS, waited)
+            case Failure.REFUSED | Failure.UNREACHED:
+                # Guards discovery: what turns calls away may be overbooked, and would stay so.
+                told = now + TOLD_MS
+        return max(told - ANSWER_MS, now)
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -15,6 +15,10 @@
 from springspread.platform import catalog
 
 
+class RefusedError(Exception):
+    """Discovery turned a call away."""
+
+
 class Watcher:
     """Carries out what ``core.watch`` decides; after a failure it waits until it is told to watch again.
 
@@ -65,10 +69,10 @@
                     self._put_news(self._ask(ask))
                 except MovedError as exc:
                     self._log.info("discovery moved", cut_off=str(exc))
-                except LateError as exc:
-                    self._failed(Failure.SILENT, exc)
-                except (catalog.Unreadable, Malformed) as exc:
+                except RefusedError as exc:
                     self._failed(Failure.REFUSED, exc)
+                except (LateError, catalog.Unreadable, Malformed) as exc:
+                    self._failed(Failure.SILENT, exc)  # also an answer that does not end or can't be read
                 except FAILURES as exc:
                     self._failed(Failure.UNREACHED, exc)
 
@@ -78,7 +82,7 @@
 
     def _put_news(self, news: ListNews) -> None:
         with self._lock:
-            believed = self._machine.answered(news.version, clock())
+            believed = self._machine.answered(news.version)
         if believed:
             self._put(news)
         else:
@@ -95,6 +99,6 @@
         target = catalog.target(ask.since, ask.wait_ms)
         answer = self._caller.call("GET", target, {}, b"", ask.give_up_at, current=True)
         if answer.status != 200:
-            raise catalog.Unreadable(f"status {answer.status}")
+            raise RefusedError(f"status {answer.status}")
         news = catalog.read_list(answer.body, self._names, clock())
         return replace(news, date=answer.headers.get("Date"))
--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -11,6 +11,7 @@
 
 from springspread import interface as i
 from springspread.config import Limits, Names
+from springspread.core.watch import ANSWER_MS, TOLD_MS, Failure, Watch
 from springspread.net.discovery import Watcher
 from springspread.policy import Dispatcher
 from springspread.settings import SettingsError, parse_lines, read_settings
@@ -108,6 +109,26 @@
     assert max(asked) <= 5000.0
 
 
+def test_forty_senders_do_not_keep_an_overbooked_discovery_overbooked() -> None:
+    """Each call is turned away after two seconds in line; what it missed counts as told six seconds later."""
+    settings, asked = make_settings(senders=40, must_ask=True), 0
+    for seed in range(40):
+        sender, watch, now = Dispatcher(settings, seed), Watch(1, 5000.0), 0.0
+        watch.want()
+        while now < 40_000.0:
+            assert watch.begin(now) is not None
+            asked += now >= 10_000.0
+            now += 2000.0
+            ask_by = watch.failed(Failure.REFUSED, now)
+            failed_at = now
+            sender.handle(now, [i.Listed(i.ListScope.FAILED, ask_by_ms=ask_by)])
+            while not any(isinstance(action, i.Watch) for action in sender.handle(now, [i.Woken(0)])):
+                now += 5.0
+            assert now <= failed_at + TOLD_MS - ANSWER_MS + 10.0
+            watch.want()
+    assert asked <= 40 * 30 / 4.5
+
+
 def test_a_start_asks_discovery_once_and_for_a_long_watch() -> None:
     asked: SimpleQueue[str] = SimpleQueue()
 
