--- a/benchmarks/cold_returns.py
+++ b/benchmarks/cold_returns.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import argparse
-import csv
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from heapq import heappop, heappush
@@ -22,12 +21,12 @@
 from pathlib import Path
 from random import Random
 
+from benchmarks.tables import tell_fullest, write_table
 from springspread import interface as i
 from springspread.policy import Dispatcher
 
 ANSWER_MS, REFUSED_MS, AFTER_MS = 80.0, 3.0, 12_000.0
 DOWN_AT = 15_000.0
-COLUMNS = ("senders", "seed", "limit", "multiple", "cold_share", "outage_ms", "calls", "aware", "all")
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,17 +166,8 @@
         for size in args.senders:
             found = list(pool.map(play, [size] * args.returns, range(args.returns)))
             rows += found
-            for name in ("aware", "all"):
-                parts = sorted(float(str(row[name])) for row in found)
-                over = sum(part > 1.0 for part in parts)
-                middle = parts[len(parts) // 2]
-                print(f"{size:4} senders  {name:5}  most {parts[-1]:.2f}  middle {middle:.2f}  over {over}")
-    if args.csv is not None:
-        args.csv.parent.mkdir(parents=True, exist_ok=True)
-        with args.csv.open("w", newline="") as file:
-            writer = csv.DictWriter(file, COLUMNS)
-            writer.writeheader()
-            writer.writerows(rows)
+            tell_fullest(size, found)
+    write_table(args.csv, rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/cold_town.py
+++ b/benchmarks/cold_town.py
@@ -11,18 +11,16 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from math import sqrt
 from pathlib import Path
 
+from benchmarks.tables import tell_fullest, write_table
 from springspread.town.day import Change, draw
 from springspread.town.partner import Answer
 from springspread.town.virtual import Town
 
-COLUMNS = ("senders", "seed", "endpoint", "returned_ms", "calls", "aware", "all")
-
 
 class Watched(Town):
     """The town, with each return's fullest spans taken down."""
@@ -98,17 +96,8 @@
                     found += day
                 seed += 8
             rows += found
-            for name in ("aware", "all"):
-                parts = sorted(float(str(row[name])) for row in found)
-                over = sum(part > 1.0 for part in parts)
-                told = f"most {parts[-1]:.2f}  middle {parts[len(parts) // 2]:.2f}  over {over}"
-                print(f"{size:4} senders  {len(found):4} returns  {name:5}  {told}")
-    if args.csv is not None:
-        args.csv.parent.mkdir(parents=True, exist_ok=True)
-        with args.csv.open("w", newline="") as file:
-            writer = csv.DictWriter(file, COLUMNS)
-            writer.writeheader()
-            writer.writerows(rows)
+            tell_fullest(size, found)
+    write_table(args.csv, rows)
 
 
 if __name__ == "__main__":
--- a/benchmarks/short_days.py
+++ b/benchmarks/short_days.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import argparse
-import csv
 import json
 import re
 from collections.abc import Iterator
 from pathlib import Path
 
+from benchmarks.tables import write_table
+
 COLUMNS = ("entry", "head", "site", "seed", "day", "rule", "times", "first_s", "first", "score", "gate")
 RULE = re.compile(r"\s+(\w+), (\d+) times, first at ([\d.]+) s: (.*)")
 
@@ -60,12 +61,7 @@
             found += list(rows(json.loads(path.read_text()), path.stem))
     for row in found:
         print(*(row[name] for name in COLUMNS[3:]), sep="  ")
-    if args.csv is not None:
-        args.csv.parent.mkdir(parents=True, exist_ok=True)
-        with args.csv.open("w", newline="") as file:
-            writer = csv.DictWriter(file, COLUMNS)
-            writer.writeheader()
-            writer.writerows(found)
+    write_table(args.csv, [{name: row[name] for name in COLUMNS} for row in found])
 
 
 if __name__ == "__main__":
--- a/benchmarks/tables.py
+++ b/benchmarks/tables.py
@@ -38,3 +38,12 @@
         if new:
             writer.writeheader()
         writer.writerow(row)
+
+
+def tell_fullest(size: int, found: Sequence[Row]) -> None:
+    """Of the returns at one size of a fleet: the fullest span, the middle, and how many are over 1."""
+    for name in ("aware", "all"):
+        parts = sorted(float(str(row[name])) for row in found)
+        over = sum(part > 1.0 for part in parts)
+        told = f"most {parts[-1]:.2f}  middle {parts[len(parts) // 2]:.2f}  over {over}"
+        print(f"{size:4} senders  {len(found):4} returns  {name:5}  {told}")
