--- a/tests/peer.py
+++ b/tests/peer.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -28,6 +29,20 @@
         time.sleep(0.01)
 
 
+def serving(sock: socket.socket, serve: Callable[[socket.socket], None]) -> None:
+    """Serve each connection that comes, on a thread of its own, until the listening socket is closed."""
+
+    def accept() -> None:
+        while True:
+            try:
+                made = sock.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(made,), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+
+
 class Peer:
     """Answers as told; takes down what came."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,7 +35,7 @@
 from springspread.net.endpoints import Kept, Workers
 from springspread.net.exchange import Connection
 from springspread.net.notices import Notices
-from tests.peer import WAIT_S, Peer, Program, until
+from tests.peer import WAIT_S, Peer, Program, serving, until
 from tests.test_spoilt import Silent, read_request
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -50,15 +50,7 @@
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.requests: list[bytes] = []
         self.rest: list[bytes] = []  # what came on a connection after the script, up to its end
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock = self.sock.accept()[0]
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+        serving(self.sock, self.serve)
 
     def serve(self, sock: socket.socket) -> None:
         data = b""
--- a/tests/test_last_byte.py
+++ b/tests/test_last_byte.py
@@ -4,7 +4,6 @@
 
 import socket
 import struct
-import threading
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -14,7 +13,7 @@
 from springspread.config import Limits
 from springspread.core.types import Attempt, AttemptEnd, Call, CoreEvent, Endpoint, Result, clock
 from springspread.net.endpoints import Workers
-from tests.peer import until
+from tests.peer import serving, until
 from tests.test_spoilt import GOOD, Free, Silent, read_request
 
 RESET = struct.pack("ii", 1, 0)
@@ -32,15 +31,7 @@
     def __post_init__(self) -> None:
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock = self.sock.accept()[0]
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        serving(self.sock, self._serve)
 
     def _serve(self, sock: socket.socket) -> None:
         if self.first is not None:
--- a/tests/test_spoilt.py
+++ b/tests/test_spoilt.py
@@ -4,7 +4,6 @@
 
 import re
 import socket
-import threading
 import time
 from collections.abc import Iterator
 
@@ -16,7 +15,7 @@
 from springspread.core.types import Attempt, AttemptEnd, Call, CoreEvent, Endpoint, Result, clock
 from springspread.net.endpoints import Workers
 from springspread.policy import Dispatcher
-from tests.peer import until
+from tests.peer import serving, until
 
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Backend-Load: x0=0.5,x1=9\r\n\r\nok"
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -67,18 +66,10 @@
         self.port = self.sock.getsockname()[1]
         self.opened: list[socket.socket] = []
         self.ended = 0
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                sock = self.sock.accept()[0]
-            except OSError:
-                return
-            self.opened.append(sock)
-            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+        serving(self.sock, self.serve)
 
     def serve(self, sock: socket.socket) -> None:
+        self.opened.append(sock)
         try:
             while read_request(sock):
                 sock.sendall(self.answers.pop(0))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -19,7 +19,7 @@
 from springspread.core.watch import ANSWER_MS, TOLD_MS, WAITED_MS, Failure, Watch
 from springspread.net import exchange
 from springspread.net.discovery import Watcher
-from tests.peer import until
+from tests.peer import serving, until
 from tests.test_spoilt import Silent, read_request
 
 WAIT_MS = 5000.0
@@ -135,17 +135,10 @@
     def __post_init__(self) -> None:
         self.asked: SimpleQueue[tuple[float, str]] = SimpleQueue()
         self.open: list[socket.socket] = []
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self) -> None:
-        while True:
-            try:
-                self.open.append(self.sock.accept()[0])
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(self.open[-1],), daemon=True).start()
+        serving(self.sock, self.serve)
 
     def serve(self, sock: socket.socket) -> None:
+        self.open.append(sock)
         while request := read_request(sock):
             self.asked.put((clock(), request.split(b" ")[1].decode()))
             if self.scripts:
