--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 lint: dev
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/mypy
 
 demo: dev
--- a/benchmarks/drivers.py
+++ b/benchmarks/drivers.py
@@ -1,6 +1,6 @@
 """The town's two drivers against each other: the same ten days in virtual time and on sockets, side by side.
 
-    python -m benchmarks.drivers [--seconds 8] [--csv FILE]
+python -m benchmarks.drivers [--seconds 8] [--csv FILE]
 """
 
 from __future__ import annotations
--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -1,6 +1,6 @@
 """What a fleet costs: memory and CPU of daemon and instances, and how soon a dead one's share is used.
 
-    python -m benchmarks.fleet_cost [--instances 50] [--seconds 10]
+python -m benchmarks.fleet_cost [--instances 50] [--seconds 10]
 """
 
 from __future__ import annotations
@@ -20,9 +20,9 @@
 from benchmarks.crowd import status
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Limit
 from springspread.logs import make_log
 from tests.peer import Peer
 from tests.test_config import make
@@ -78,7 +78,7 @@
     log, _ = make_log("cost", 100)
     with tempfile.TemporaryDirectory() as name:
         path = Path(name) / "allot"
-        server = AllotterServer(path, Path(name), {"g1": LIMIT}, log)
+        server = AllocatorServer(path, Path(name), {"g1": LIMIT}, log)
         work = multiprocessing.get_context("spawn").Process(target=call, args=(path, "a"))
         work.start()
         shares, made, over = FleetShares(path, "b", 1, log), list[float](), threading.Event()
--- a/benchmarks/policy_chart.py
+++ b/benchmarks/policy_chart.py
@@ -1,6 +1,6 @@
 """Time from a proposal to force, by kind of fault, out of a table of ``policy_rounds``.
 
-python -m benchmarks.policy_chart docs/data/accord/rounds.csv docs/data/accord/rounds.svg
+python -m benchmarks.policy_chart docs/data/rollout/rounds.csv docs/data/rollout/rounds.svg
 """
 
 from __future__ import annotations
--- a/benchmarks/policy_virtual.py
+++ b/benchmarks/policy_virtual.py
@@ -16,10 +16,10 @@
 import numpy as np
 
 from benchmarks.tables import tell, write_table
-from springspread.accord.document import Policy
-from springspread.accord.terms import Grant
 from springspread.fleet.wire import write
 from springspread.rig.virtual import Costs, Virtual
+from springspread.rollout.document import Policy
+from springspread.rollout.terms import Grant
 
 IDLE_MS = 20_000.0
 CHANGES = 10
--- a/benchmarks/profile_town.py
+++ b/benchmarks/profile_town.py
@@ -1,6 +1,6 @@
 """Where virtual time's seconds go: a day of 60 s under the standard profiler, and its speed without one.
 
-    python -m benchmarks.profile_town [--repeats 5] [--out FILE]
+python -m benchmarks.profile_town [--repeats 5] [--out FILE]
 """
 
 from __future__ import annotations
--- a/benchmarks/accord_search.py
+++ b/benchmarks/rollout_search.py
@@ -1,6 +1,6 @@
 """Every interleaving of a change of policy, up to a number of worlds, and the planted faults.
 
-    python -m benchmarks.accord_search [--most 1000000] [--csv FILE]
+    python -m benchmarks.rollout_search [--most 1000000] [--csv FILE]
 
 Exits with 1 where the machine breaks a promise, or where a planted fault is not found.
 """
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -51,9 +51,7 @@
     wait = end.wait_ms if end.result is Result.REJECTED else 0.0
     took = max(end.at - call.sent_at, 0.0)
     outcome = OUTCOMES[end.result]
-    return i.Ended(
-        run.number, run.nth, call.endpoint.number, outcome, took, over, wait, report(end.load)
-    )
+    return i.Ended(run.number, run.nth, call.endpoint.number, outcome, took, over, wait, report(end.load))
 
 
 def probed(end: ProbeEnd) -> i.Probed:
@@ -113,9 +111,7 @@
 
     def listed(self, news: ListNews, replaced: list[Endpoint]) -> i.Listed:
         """News of the destinations as the module's list, with the endpoints that it replaces as gone."""
-        entries = [
-            i.RouteEntry(gone.number, 0, 0, gone.group, i.RouteState.GONE, 0.0) for gone in replaced
-        ]
+        entries = [i.RouteEntry(gone.number, 0, 0, gone.group, i.RouteState.GONE, 0.0) for gone in replaced]
         for member in news.members:
             added = self._clock.now() - (self._clock.wall() - member.since_wall) if member.since_wall else 0.0
             endpoint = self.endpoint(member)
--- a/springspread/fleet/shares.py
+++ b/springspread/fleet/allocator.py
@@ -1,7 +1,7 @@
 """Shares of limits: the one place that decides which instance may make how many calls, and until when.
 
 Theory of operation. A limit is a count of calls in any span of so many milliseconds, wherever it begins. An
-instance may begin a call only against a lease: so many calls, until a moment. The allotter keeps, for each
+instance may begin a call only against a lease: so many calls, until a moment. The allocator keeps, for each
 limit, the calls that may still fall into a span that ends now or later:
 
     lease       counts                              until
@@ -11,7 +11,7 @@
 
 It gives out no more than the limit less that count. A call counts from before it is made until a span
 after it, so in any span the calls that are made never exceed the limit; no message has to arrive for this
-to hold, and no instance has to be alive. What an allotter gave out is on record before it is told, so that
+to hold, and no instance has to be alive. What an allocator gave out is on record before it is told, so that
 its successor counts the same.
 
 Division is max-min fair by what each has had within the last span; of instances that had the same the one
@@ -60,7 +60,7 @@
 
 @dataclass(slots=True)
 class Count:
-    """What is known of one lease; ``calls`` count until ``over_at``, when it leaves the book."""
+    """What is known of one lease; ``calls`` count until ``over_at``, when it no longer counts."""
 
     owner: Owner
     calls: int
@@ -68,7 +68,7 @@
 
 
 @dataclass(slots=True)
-class Want:
+class Demand:
     """How many calls an owner waits to make, as it last said, and when it did."""
 
     calls: int
@@ -76,12 +76,12 @@
 
 
 @dataclass(slots=True)
-class Book:
+class LimitState:
     """One limit: what counts against it, who waits for it, and who was served when."""
 
     limit: Limit
     counts: dict[int, Count] = field(default_factory=dict)
-    wants: dict[Owner, Want] = field(default_factory=dict)
+    wants: dict[Owner, Demand] = field(default_factory=dict)
     served_at: dict[Owner, float] = field(default_factory=dict)
     level: float = inf  # calls that the pace has free
     filled_at: float = 0.0
@@ -108,8 +108,8 @@
 NOBODY: Owner = ("", 0)
 
 
-class Allotter:
-    """Gives out leases. ``ask`` and ``report`` as messages come in, ``allot`` every few milliseconds."""
+class Allocator:
+    """Gives out leases. ``ask`` and ``report`` as messages come in, ``allocate`` every few milliseconds."""
 
     def __init__(
         self,
@@ -121,7 +121,7 @@
         """``slack_ms``: a call counts for longer by this, the time from its right to the partner."""
         self._lease_ms, self._want_ms, self._burst_ms = lease_ms, want_ms, burst_ms
         self._slack_ms = slack_ms
-        self._books: dict[str, Book] = {}
+        self._states: dict[str, LimitState] = {}
         self._before: list[Lease] = []
         self._epochs: dict[str, int] = {}
         self._serial = 0
@@ -136,30 +136,30 @@
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
-        book = self._books.get(key)
-        if book is None:
-            book = self._books[key] = Book(limit)
+        state = self._states.get(key)
+        if state is None:
+            state = self._states[key] = LimitState(limit)
             for lease in [lease for lease in self._before if lease.key == key]:
                 over_at = lease.until + limit.span_ms + self._slack_ms
-                book.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
+                state.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
             if self._presumed is not None:
                 over_at = self._presumed + limit.span_ms + self._slack_ms
-                book.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
+                state.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
             return
-        if limit.span_ms > book.limit.span_ms:
+        if limit.span_ms > state.limit.span_ms:
             # Guards the longer span: calls that the shorter one had let go of still fall into it.
-            for count in book.counts.values():
-                count.over_at += limit.span_ms - book.limit.span_ms
-        book.limit = limit
+            for count in state.counts.values():
+                count.over_at += limit.span_ms - state.limit.span_ms
+        state.limit = limit
 
     def unlimited(self, key: str) -> None:
         """A limit is there no more. Leases that are out are of no account from now on."""
-        self._books.pop(key, None)
+        self._states.pop(key, None)
 
     def limit(self, key: str) -> Limit | None:
         """The limit of a key, where one is known."""
-        book = self._books.get(key)
-        return book.limit if book is not None else None
+        state = self._states.get(key)
+        return state.limit if state is not None else None
 
     def joined(self, owner: Owner) -> bool:
         """An instance begins under an epoch; false for one that a later epoch has replaced."""
@@ -167,64 +167,64 @@
         if epoch < self._epochs.get(name, -1):
             return False
         self._epochs[name] = epoch
-        for book in self._books.values():
-            for old in [one for one in book.wants if one[0] == name and one[1] < epoch]:
-                del book.wants[old]
+        for state in self._states.values():
+            for old in [one for one in state.wants if one[0] == name and one[1] < epoch]:
+                del state.wants[old]
         return True
 
     def ask(self, now: float, owner: Owner, key: str, calls: int) -> None:
         """An owner waits to make so many calls; this replaces what it asked before. Zero asks for nothing."""
-        book = self._books.get(key)
-        if book is None or owner[1] < self._epochs.get(owner[0], 0):
+        state = self._states.get(key)
+        if state is None or owner[1] < self._epochs.get(owner[0], 0):
             return
         if calls > 0:
-            book.wants[owner] = Want(calls, now)
+            state.wants[owner] = Demand(calls, now)
         else:
-            book.wants.pop(owner, None)
+            state.wants.pop(owner, None)
 
     def report(self, now: float, owner: Owner, key: str, serial: int, made: int, last_at: float) -> None:
         """The owner of a lease will make no more calls against it: it made so many, the last one then."""
-        book = self._books.get(key)
-        count = book.counts.get(serial) if book is not None else None
-        if book is None or count is None or count.owner != owner:
+        state = self._states.get(key)
+        count = state.counts.get(serial) if state is not None else None
+        if state is None or count is None or count.owner != owner:
             return  # guards the limit against one that frees another's lease
-        book.level += count.calls - max(min(made, count.calls), 0)
+        state.level += count.calls - max(min(made, count.calls), 0)
         if made <= 0:
-            del book.counts[serial]
+            del state.counts[serial]
             return
         # Guards the limit against a report that claims too much: it can only lower what counts.
         count.calls = min(made, count.calls)
-        count.over_at = min(min(last_at, now) + book.limit.span_ms + self._slack_ms, count.over_at)
+        count.over_at = min(min(last_at, now) + state.limit.span_ms + self._slack_ms, count.over_at)
 
-    def allot(self, now: float) -> list[Lease]:
+    def allocate(self, now: float) -> list[Lease]:
         """Give out what is free, by what is asked for. Put the leases on record before they are told."""
         leases: list[Lease] = []
-        for key in [key for key, book in self._books.items() if book.wants]:
-            book = self._books[key]
-            book.clear(now, self._want_ms)
-            book.fill(now, self._burst_ms)
-            free = min(book.limit.calls - book.taken, floor(book.level))
-            if free <= 0 or not book.wants:
+        for key in [key for key, state in self._states.items() if state.wants]:
+            state = self._states[key]
+            state.clear(now, self._want_ms)
+            state.fill(now, self._burst_ms)
+            free = min(state.limit.calls - state.taken, floor(state.level))
+            if free <= 0 or not state.wants:
                 continue
             had: dict[Owner, int] = {}
-            for count in book.counts.values():
+            for count in state.counts.values():
                 had[count.owner] = had.get(count.owner, 0) + count.calls
-            order = sorted(book.wants, key=lambda owner: (book.served_at.get(owner, -inf), owner))
-            shares = divide(free, {owner: (had.get(owner, 0), book.wants[owner].calls) for owner in order})
+            order = sorted(state.wants, key=lambda owner: (state.served_at.get(owner, -inf), owner))
+            shares = divide(free, {owner: (had.get(owner, 0), state.wants[owner].calls) for owner in order})
             for owner, calls in shares.items():
-                leases.append(self._lease(now, key, book, owner, calls))
+                leases.append(self._lease(now, key, state, owner, calls))
         return leases
 
-    def _lease(self, now: float, key: str, book: Book, owner: Owner, calls: int) -> Lease:
+    def _lease(self, now: float, key: str, state: LimitState, owner: Owner, calls: int) -> Lease:
         self._serial += 1
         lease = Lease(self._serial, owner, key, calls, now + self._lease_ms)
-        over_at = lease.until + book.limit.span_ms + self._slack_ms
-        book.counts[lease.serial] = Count(owner, calls, over_at)
-        book.served_at[owner] = now
-        book.level -= calls
-        book.wants[owner].calls -= calls
-        if book.wants[owner].calls <= 0:
-            del book.wants[owner]
+        over_at = lease.until + state.limit.span_ms + self._slack_ms
+        state.counts[lease.serial] = Count(owner, calls, over_at)
+        state.served_at[owner] = now
+        state.level -= calls
+        state.wants[owner].calls -= calls
+        if state.wants[owner].calls <= 0:
+            del state.wants[owner]
         return lease
 
     def restore(self, records: Iterable[Lease]) -> None:
@@ -236,26 +236,26 @@
 
     def rate(self, now: float, key: str, owner: Owner) -> float:
         """The calls a second that an owner may count on: its fair part, or what it had if that is more."""
-        book = self._books[key]
-        live = [count for count in book.counts.values() if count.over_at > now]
+        state = self._states[key]
+        live = [count for count in state.counts.values() if count.over_at > now]
         had = sum(count.calls for count in live if count.owner == owner)
-        sharers = {count.owner for count in live} | set(book.wants) | {owner}
-        return 1000.0 * max(had, book.limit.calls / len(sharers)) / book.limit.span_ms
+        sharers = {count.owner for count in live} | set(state.wants) | {owner}
+        return 1000.0 * max(had, state.limit.calls / len(sharers)) / state.limit.span_ms
 
     @property
     def keys(self) -> list[str]:
         """Which limits are known."""
-        return list(self._books)
+        return list(self._states)
 
     def taken(self, now: float, key: str) -> int:
         """How much of a limit counts as used now."""
-        book = self._books[key]
-        return sum(count.calls for count in book.counts.values() if count.over_at > now)
+        state = self._states[key]
+        return sum(count.calls for count in state.counts.values() if count.over_at > now)
 
     @property
     def waiting(self) -> bool:
         """Whether anybody asks for anything."""
-        return any(book.wants for book in self._books.values())
+        return any(state.wants for state in self._states.values())
 
 
 def divide(free: int, wants: Mapping[Owner, tuple[int, int]]) -> dict[Owner, int]:
--- a/springspread/fleet/server.py
+++ b/springspread/fleet/allocator_server.py
@@ -1,4 +1,4 @@
-"""The allotter's driver: a Unix socket that instances connect to, a record on disk, and a thread that allots.
+"""The allocator's driver: a Unix socket that instances connect to, a record on disk, and a thread that ticks.
 
 A frozen instance blocks nobody: what it does not read is dropped with its connection, and its leases run out.
 """
@@ -13,24 +13,24 @@
 from functools import partial
 from pathlib import Path
 
-from springspread.accord.terms import Acting, Vote
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
+from springspread.fleet.allocator import Allocator, Limit, Owner
 from springspread.fleet.record import Record
-from springspread.fleet.shares import Allotter, Limit, Owner
 from springspread.fleet.wire import (
-    Asking,
     Fit,
-    Granted,
-    Hello,
-    Limited,
+    LeaseGrant,
+    LeaseRequest,
+    LimitedKeys,
     Lines,
     Message,
+    Register,
     Returning,
     Unreadable,
     write,
 )
 from springspread.net.threads import spawn
+from springspread.rollout.terms import Acting, Vote
 
 TICK_MS = 5.0
 IDLE_MS = 200.0
@@ -46,7 +46,7 @@
     owner: Owner | None = None
 
 
-class AllotterServer:
+class AllocatorServer:
     """Serves until ``close``. ``limits`` are the operator's; others are taken from what partners tell."""
 
     def __init__(
@@ -74,14 +74,14 @@
         self._partners: dict[str, Limit] = {}  # as partners told them, last
         longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
-        self._allotter = Allotter(slack_ms=SLACK_MS)
-        self._allotter.restore(self._record.before)
+        self._allocator = Allocator(slack_ms=SLACK_MS)
+        self._allocator.restore(self._record.before)
         if not self._record.whole or (began_before and not self._record.found):
             # Guards limits after a power loss, or a record that is lost: anything may have been given out.
             log.warning("leases not known; limits count as used up")
-            self._allotter.presume(clock.now())
+            self._allocator.presume(clock.now())
         for key, limit in limits.items():
-            self._allotter.limited(key, limit)
+            self._allocator.limited(key, limit)
         path.unlink(missing_ok=True)
         self._listener = socket.socket(socket.AF_UNIX)
         self._listener.bind(str(path))
@@ -89,7 +89,7 @@
         self._listener.listen(256)
         self._open = True
         spawn("fleet-accept", self._accept, log)
-        spawn("fleet-allot", self._allot, log)
+        spawn("fleet-allocate", self._allocate, log)
 
     @property
     def members(self) -> list[Owner]:
@@ -131,13 +131,13 @@
 
     def _take(self, member: Member, message: Message) -> None:
         with self._lock:
-            if isinstance(message, Hello):
+            if isinstance(message, Register):
                 owner = (message.name, message.epoch)
-                if not self._allotter.joined(owner):
+                if not self._allocator.joined(owner):
                     raise Unreadable(f"{message.name}: a later start of it is known than {message.epoch}")
                 member.owner = owner
                 self._members[owner] = member
-                self._send(member, Limited(self._allotter.keys))
+                self._send(member, LimitedKeys(self._allocator.keys))
                 if self._heard is not None:
                     self._heard(owner, None, True)
             elif (
@@ -148,7 +148,7 @@
                 self._heard(member.owner, message, True)
             elif isinstance(message, Returning) and member.owner is not None:
                 self._returning[member.owner[0]] = (member.owner[1], message)
-            elif isinstance(message, Asking) and member.owner is not None:
+            elif isinstance(message, LeaseRequest) and member.owner is not None:
                 self._asking(member.owner, message)
             else:
                 raise Unreadable(f"not expected: {type(message).__name__}")
@@ -164,10 +164,10 @@
         """Other operators' limits hold from a moment on. Until then each key keeps the smaller one."""
         with self._lock:
             for key, limit in limits.items():
-                held = self._allotter.limit(key)
+                held = self._allocator.limit(key)
                 smaller = held is None or limit.calls * held.span_ms <= held.calls * limit.span_ms
                 if smaller:
-                    self._allotter.limited(key, limit)
+                    self._allocator.limited(key, limit)
             self._next = (since, limits)
             self._fixed |= limits.keys()
             self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
@@ -179,41 +179,41 @@
             return
         limits, self._next = self._next[1], None
         for key, limit in limits.items():
-            self._allotter.limited(key, limit)
+            self._allocator.limited(key, limit)
         for key in self._fixed - limits.keys():
             if key in self._partners:  # what the partner told binds again
-                self._allotter.limited(key, self._partners[key])
+                self._allocator.limited(key, self._partners[key])
             else:
-                self._allotter.unlimited(key)
+                self._allocator.unlimited(key)
         self._fixed = set(limits)
         self._limits_told()
 
     def _limits_told(self) -> None:
         for member in self._members.values():
-            self._send(member, Limited(self._allotter.keys))
+            self._send(member, LimitedKeys(self._allocator.keys))
 
-    def _asking(self, owner: Owner, message: Asking) -> None:
+    def _asking(self, owner: Owner, message: LeaseRequest) -> None:
         now = self._clock.now()
         for one in message.reports:
-            self._allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
-        known = set(self._allotter.keys)
+            self._allocator.report(now, owner, one.key, one.serial, one.made, one.last_at)
+        known = set(self._allocator.keys)
         for key, per_s in message.told.items():
             if per_s > 0:
                 self._partners[key] = Limit.of_rate(per_s, TOLD_SPAN_MS)
                 if key not in self._fixed:
-                    self._allotter.limited(key, self._partners[key])
+                    self._allocator.limited(key, self._partners[key])
         for key, calls in message.wants.items():
-            self._allotter.ask(now, owner, key, calls)
-        if set(self._allotter.keys) != known:
+            self._allocator.ask(now, owner, key, calls)
+        if set(self._allocator.keys) != known:
             self._limits_told()
         self._asked.set()
 
-    def _allot(self) -> None:
+    def _allocate(self) -> None:
         while self._open:
             with self._lock:
                 now = self._clock.now()
                 self._followed(now)
-                leases = self._allotter.allot(now)
+                leases = self._allocator.allocate(now)
                 try:
                     if leases:
                         self._record.append(leases, now)
@@ -224,9 +224,9 @@
                 for lease in leases:
                     member = self._members.get(lease.owner)
                     if member is not None:
-                        per_s = self._allotter.rate(now, lease.key, lease.owner)
-                        self._send(member, Granted(lease, per_s))
-                waiting = self._allotter.waiting or self._next is not None
+                        per_s = self._allocator.rate(now, lease.key, lease.owner)
+                        self._send(member, LeaseGrant(lease, per_s))
+                waiting = self._allocator.waiting or self._next is not None
                 self._asked.clear()
             if waiting:
                 self._clock.sleep(TICK_MS)
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -14,16 +14,16 @@
 from pathlib import Path
 from queue import Empty, SimpleQueue
 
-from springspread.accord import coordinator
-from springspread.accord.coordinator import Coordinator, Step, Times
-from springspread.accord.document import Policy, PolicyFault, check, lead_ms
-from springspread.accord.record import Damaged, PolicyRecord
-from springspread.accord.terms import Acting, Decided, Owner, Prepare, Proposed, Refused, Vote, Write
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
-from springspread.fleet.shares import Limit
+from springspread.fleet.allocator import Limit
 from springspread.fleet.wire import Document, Fit, Message, Question
 from springspread.net.threads import spawn
+from springspread.rollout import coordinator
+from springspread.rollout.coordinator import Coordinator, Step, Times
+from springspread.rollout.document import Policy, PolicyFault, check, lead_ms
+from springspread.rollout.record import Damaged, PolicyRecord
+from springspread.rollout.terms import Acting, Decided, Owner, Prepare, Proposed, Refused, Vote, Write
 
 LOOK_MS = 20.0
 HEARD_MS = 2_500.0  # an instance that has said nothing for so long is not known to act
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -1,6 +1,6 @@
-"""An instance's driver for its wallet: it connects to the allotter, asks, reports and takes leases in.
+"""An instance's driver for its lease_cache: it connects to the allocator, asks, reports and takes leases in.
 
-While the allotter is away the instance goes on with the leases that it holds, to their ends, and then makes
+While the allocator is away the instance goes on with the leases that it holds, to their ends, and then makes
 no call to a limited destination: a floor of none is the one that keeps every limit, whatever their number.
 """
 
@@ -13,28 +13,28 @@
 from math import inf
 from pathlib import Path
 
-from springspread.accord import participant
-from springspread.accord.participant import Participant
-from springspread.accord.terms import Acting, Grant, Prepare, Vote
 from springspread.config import Config, ConfigError
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
-from springspread.fleet.wallet import Wallet
+from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.wire import (
-    Asking,
     Document,
     Fit,
-    Granted,
-    Hello,
-    Limited,
+    LeaseGrant,
+    LeaseRequest,
+    LimitedKeys,
     Lines,
     Message,
     Question,
+    Register,
     Returning,
     Unreadable,
     write,
 )
 from springspread.net.threads import spawn
+from springspread.rollout import participant
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
 POLL_MS = 10.0
 IDLE_MS = 250.0
@@ -42,7 +42,7 @@
 SAY_MS = 1_000.0  # what it acts under is said this often, and when that changes
 REPEAT_MS = 150.0
 POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
-RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allotter's slack
+RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allocator's slack
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -58,14 +58,14 @@
         self, path: Path, name: str, epoch: int, log: Log, clock: Clock = SYSTEM, policy: int = 0
     ) -> None:
         """``policy``: the number of the policy that this process was started with; 0: there is none."""
-        self._path, self._hello, self._log, self._clock = path, Hello(name, epoch), log, clock
+        self._path, self._hello, self._log, self._clock = path, Register(name, epoch), log, clock
         self.policy = policy
         self._rights = Participant()
         self._texts: dict[int, str] = {}
         self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
         self._holding, self._unfit = False, 0
         self._votes: deque[Vote | Fit] = deque()
-        self._wallet = Wallet()
+        self._lease_cache = LeaseCache()
         self._arrived = threading.Condition()
         self._ring = threading.Event()
         self._told: dict[str, float] = {}
@@ -111,13 +111,13 @@
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
-        while self._wallet.take(key, now := self._clock.now()) > 0.0:
+        while self._lease_cache.take(key, now := self._clock.now()) > 0.0:
             self._ring.set()
             if now >= until:
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
-        return now + RIGHT_MS if self._wallet.binds(key) else inf
+        return now + RIGHT_MS if self._lease_cache.binds(key) else inf
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of an endpoint's limit: this instance's part of it."""
@@ -143,14 +143,14 @@
                     sock.settimeout(None)
                     self._talk(sock)
             except (OSError, Unreadable) as exc:
-                self._log.warning("no allotter", error=str(exc))
+                self._log.warning("no allocator", error=str(exc))
             # What was heard before the connection broke still takes hold at its moment.
             self._clock.sleep(min(AGAIN_MS, self._turn(self._clock.now())))
 
     def _talk(self, sock: socket.socket) -> None:
         self._votes.clear()  # of another connection: whoever asked has gone on
         sock.sendall(write(self._hello))
-        self._new = dict(self._told)  # a new allotter knows none of it
+        self._new = dict(self._told)  # a new allocator knows none of it
         over = threading.Event()
         reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
         reader.start()
@@ -169,15 +169,15 @@
             if (start := self._returning()) is not None and start != told_of:
                 told_of = start
                 sock.sendall(write(start))
-            wants, reports = self._wallet.wants(now), self._wallet.done(now)
+            wants, reports = self._lease_cache.wants(now), self._lease_cache.done(now)
             told, self._new = self._new, {}
-            # What waits is said again now and then: the allotter forgets who is silent.
+            # What waits is said again now and then: the allocator forgets who is silent.
             if wants != asked or reports or told or (wants and now >= said_at + REPEAT_MS):
                 said_at = now
                 gone = dict.fromkeys(asked.keys() - wants.keys(), 0)
-                sock.sendall(write(Asking({**gone, **wants}, reports, told)))
+                sock.sendall(write(LeaseRequest({**gone, **wants}, reports, told)))
                 asked = wants
-            busy = bool(wants) or self._wallet.holding
+            busy = bool(wants) or self._lease_cache.holding
             self._ring.wait(min(POLL_MS if busy else IDLE_MS, self._turn(now)) / 1000.0)
             self._ring.clear()
 
@@ -235,17 +235,17 @@
         try:
             while data := sock.recv(65536):
                 for message in lines.feed(data):
-                    if isinstance(message, Limited):
-                        self._wallet.limited(set(message.keys))
-                    elif isinstance(message, Granted):
+                    if isinstance(message, LimitedKeys):
+                        self._lease_cache.limited(set(message.keys))
+                    elif isinstance(message, LeaseGrant):
                         self._rates[message.lease.key] = message.per_s
-                        self._wallet.received(message.lease, self._clock.now())
+                        self._lease_cache.received(message.lease, self._clock.now())
                     else:
                         self._policy(message)
                 with self._arrived:
                     self._arrived.notify_all()
         except (OSError, Unreadable) as exc:
-            self._log.warning("allotter lost", error=str(exc))
+            self._log.warning("allocator lost", error=str(exc))
         over.set()
         self._ring.set()
 
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -23,12 +23,11 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.accord.document import Policy, PolicyFault, check, differences, parsed
-from springspread.accord.record import Damaged
-from springspread.accord.terms import Proposed
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.lanes import owed_in
 from springspread.core.types import Log
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import Changes
 from springspread.fleet.folder import (
     Unusable,
@@ -41,10 +40,11 @@
 from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
 from springspread.fleet.plan import FleetPlan
 from springspread.fleet.record import leased_epochs
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Limit
 from springspread.fleet.survey import Found, believed, highest, raised
 from springspread.net.threads import spawn
+from springspread.rollout.document import Policy, PolicyFault, check, differences, parsed
+from springspread.rollout.record import Damaged
+from springspread.rollout.terms import Proposed
 
 LOOK_MS = 50.0
 STARTS_MS = 5_000.0  # one that has not said hello by then is no longer counted as starting
@@ -90,7 +90,7 @@
         coming = clock.now() < history.since
         now = self._limits(history.before if coming else history.in_force)
         before = any(row.epoch for row in self._rows.values())
-        self._server = AllotterServer(self.folder / "allot", self.folder, now, log, clock, heard, before)
+        self._server = AllocatorServer(self.folder / "allot", self.folder, now, log, clock, heard, before)
         if coming:  # decided by the daemon before, and not reached yet
             self._server.follow(self._limits(history.in_force), history.since)
         alive = [(row.name, row.epoch) for row in self._rows.values() if row.pid]
--- a/springspread/fleet/wallet.py
+++ b/springspread/fleet/lease_cache.py
@@ -1,6 +1,6 @@
 """An instance's side of the shares: the leases that it holds, and what it waits for.
 
-Asked by the threads that write, before each call's first byte; fed by the thread that talks to the allotter.
+Asked by the threads that write, before each call's first byte; fed by the thread that talks to the allocator.
 A lease is looked at against the clock as the call asks: an instance that was frozen finds its leases over.
 """
 
@@ -11,11 +11,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from springspread.fleet.shares import Lease
+from springspread.fleet.allocator import Lease
 
 
 @dataclass(slots=True)
-class Held:
+class HeldLease:
     """A lease and what was done with it."""
 
     lease: Lease
@@ -34,7 +34,7 @@
     last_at: float
 
 
-class Wallet:
+class LeaseCache:
     """Leases by limit. Until it is told which keys are limited, all are."""
 
     def __init__(self, retry_ms: float = 25.0, want_ms: float = 60.0, keep_ms: float = 60.0) -> None:
@@ -45,7 +45,7 @@
         """
         self._retry_ms, self._want_ms, self._keep_ms = retry_ms, want_ms, keep_ms
         self._lock = threading.Lock()
-        self._held: dict[str, deque[Held]] = {}
+        self._held: dict[str, deque[HeldLease]] = {}
         self._limited: set[str] | None = None
         self._wants: dict[str, deque[float]] = {}
         self._known: dict[int, float] = {}  # serials of leases that are not over yet, and their ends
@@ -72,7 +72,7 @@
                     return 0.0
             times = self._wants.setdefault(key, deque())
             while times and times[0] + self._want_ms <= now:
-                times.popleft()  # guards memory while nobody asks for them, as the allotter is away
+                times.popleft()  # guards memory while nobody asks for them, as the allocator is away
             times.append(now)
             return self._retry_ms
 
@@ -83,7 +83,7 @@
             if lease.until <= now or lease.serial in self._known:
                 return
             self._known[lease.serial] = lease.until
-            self._held.setdefault(lease.key, deque()).append(Held(lease, now))
+            self._held.setdefault(lease.key, deque()).append(HeldLease(lease, now))
             times = self._wants.get(lease.key, deque())
             for _ in range(min(lease.calls, len(times))):
                 times.popleft()
@@ -102,11 +102,11 @@
             return found
 
     def done(self, now: float) -> list[Report]:
-        """Leases that are used up, over or idle: they are told to the allotter, once, and forgotten."""
+        """Leases that are used up, over or idle: they are told to the allocator, once, and forgotten."""
         with self._lock:
             reports = []
             for key, line in list(self._held.items()):
-                kept: deque[Held] = deque()
+                kept: deque[HeldLease] = deque()
                 for held in line:
                     used_up, idle = held.made >= held.lease.calls, now >= held.since + self._keep_ms
                     if now < held.lease.until and not used_up and not idle:
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -9,11 +9,11 @@
 
 from pydantic import Field, ValidationError
 
-from springspread.accord.coordinator import Times
-from springspread.accord.document import Policy
 from springspread.checked import PlanError, Strict, faults_of
+from springspread.fleet.allocator import Limit
 from springspread.fleet.members import Pauses
-from springspread.fleet.shares import Limit
+from springspread.rollout.coordinator import Times
+from springspread.rollout.document import Policy
 
 Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
 
@@ -88,7 +88,7 @@
 
     @property
     def shared(self) -> dict[str, Limit]:
-        """As the allotter takes them."""
+        """As the allocator takes them."""
         return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
 
 
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -1,4 +1,4 @@
-"""What an allotter gave out, on disk before it is told: its successor counts it as used.
+"""What an allocator gave out, on disk before it is told: its successor counts it as used.
 
 Two files take turns. A file is begun anew when every lease in it is of no account any more, so both stay
 small. They outlast the process, as that is all that can end without the instances: the clock that leases are
@@ -13,7 +13,7 @@
 from struct import Struct
 from zlib import crc32
 
-from springspread.fleet.shares import Lease
+from springspread.fleet.allocator import Lease
 
 HEAD = Struct("<II")  # length and checksum of the rest
 BODY = Struct("<QQIdHH")
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -1,10 +1,10 @@
-"""Between an instance and the allotter: one JSON object a line, both ways. Bytes in, messages out; no socket.
+"""Between an instance and the allocator: one JSON object a line, both ways. Bytes in, messages out.
 
-Theory of operation. The instance opens with ``Hello`` and from then on sends ``Asking`` whenever what it
-waits for, what it is done with or what it was told changes. The allotter answers ``Limited`` (which limits
-there are, at first and when one comes) and ``Granted``. Either side ends the connection at the first line
-that it can't read: what is lost with it costs time and never a limit, as leases count whether they arrive or
-not.
+Theory of operation. The instance opens with ``Register`` and from then on sends ``LeaseRequest`` whenever
+what it waits for, what it is done with or what it was told changes. The allocator answers ``LimitedKeys``
+(which limits there are, at first and when one comes) and ``LeaseGrant``. Either side ends the connection
+at the first line that it can't read: what is lost with it costs time and never a limit, as leases count
+whether they arrive or not.
 """
 
 from __future__ import annotations
@@ -14,9 +14,9 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
-from springspread.accord.terms import Acting, Grant, Prepare, Vote
-from springspread.fleet.shares import Lease
-from springspread.fleet.wallet import Report
+from springspread.fleet.allocator import Lease
+from springspread.fleet.lease_cache import Report
+from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
 LINE_BYTES = 1 << 18
 KEYS = 4096  # asked for, reported or told in one line
@@ -28,15 +28,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Hello:
-    """An instance begins, or begins again after the allotter was away."""
+class Register:
+    """An instance begins, or begins again after the allocator was away."""
 
     name: str
     epoch: int
 
 
 @dataclass(frozen=True, slots=True)
-class Asking:
+class LeaseRequest:
     """How many calls wait by key, leases that are done with, and limits (calls a second) that were told."""
 
     wants: Mapping[str, int] = field(default_factory=dict)
@@ -45,14 +45,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Limited:
+class LimitedKeys:
     """Which keys need leases."""
 
     keys: Sequence[str]
 
 
 @dataclass(frozen=True, slots=True)
-class Granted:
+class LeaseGrant:
     """A lease, and the rate (calls a second) that its owner may count on there for now."""
 
     lease: Lease
@@ -99,10 +99,10 @@
 
 
 Message = (
-    Hello
-    | Asking
-    | Limited
-    | Granted
+    Register
+    | LeaseRequest
+    | LimitedKeys
+    | LeaseGrant
     | Document
     | Prepare
     | Grant
@@ -114,9 +114,18 @@
 )
 
 
+KINDS: Mapping[type[Message], str] = {
+    Register: "hello",
+    LeaseRequest: "asking",
+    LimitedKeys: "limited",
+    LeaseGrant: "granted",
+}
+"""Kinds on the wire that are not the class's own name: processes of earlier versions speak them."""
+
+
 def write(message: Message) -> bytes:
     """As a line."""
-    kind = type(message).__name__.lower()
+    kind = KINDS.get(type(message), type(message).__name__.lower())
     return json.dumps({"kind": kind, **asdict(message)}, separators=(",", ":")).encode() + b"\n"
 
 
@@ -139,7 +148,7 @@
         raw = json.loads(line)
         kind = raw["kind"]
         if kind == "hello":
-            return Hello(_text(raw["name"]), _whole(raw["epoch"]))
+            return Register(_text(raw["name"]), _whole(raw["epoch"]))
         if kind == "asking":
             reports = [
                 Report(_text(one["key"]), _whole(one["serial"]), _whole(one["made"]), _number(one["last_at"]))
@@ -147,16 +156,16 @@
             ]
             wants = {_text(key): _whole(calls) for key, calls in _few(raw["wants"].items())}
             told = {_text(key): _number(rate) for key, rate in _few(raw["told"].items())}
-            return Asking(wants, reports, told)
+            return LeaseRequest(wants, reports, told)
         if kind in POLICY:
             return POLICY[kind](raw)
         if kind == "limited":
-            return Limited([_text(key) for key in raw["keys"]])
+            return LimitedKeys([_text(key) for key in raw["keys"]])
         if kind == "granted":
             one = raw["lease"]
             owner = (_text(one["owner"][0]), _whole(one["owner"][1]))
             serial, key, calls = _whole(one["serial"]), _text(one["key"]), _whole(one["calls"])
-            return Granted(Lease(serial, owner, key, calls, _number(one["until"])), _number(raw["per_s"]))
+            return LeaseGrant(Lease(serial, owner, key, calls, _number(one["until"])), _number(raw["per_s"]))
     except (ValueError, KeyError, TypeError, AttributeError, IndexError, RecursionError) as exc:
         raise Unreadable(f"not a message: {exc!r}") from exc
     raise Unreadable(f"no such kind: {kind!r}")
@@ -197,7 +206,7 @@
     ),
     "vote": lambda raw: Vote(_whole(raw["number"]), _flag(raw["yes"]), _long(raw["fault"])[:1000]),
 }
-"""What is said of policies, each read whole; the machines are in ``springspread.accord``."""
+"""What is said of policies, each read whole; the machines are in ``springspread.rollout``."""
 
 
 def _few(values: Any) -> list[Any]:
--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -470,5 +470,3 @@
         client.sock.close()
         self._admission.leave(client.place)
         del self._clients[client.place]
-
-
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -14,16 +14,16 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.accord import record
 from springspread.fleet import daemon as whole
+from springspread.fleet.allocator import Owner
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.plan import read_fleet
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Owner
 from springspread.fleet.wire import Message
 from springspread.logs import make_log
 from springspread.rig.sabotage import SABOTAGES, VARIABLE
 from springspread.rig.steps import Deed, Disk, Steps
+from springspread.rollout import record
 
 PROGRAM = "RIG_PROGRAM"  # what instances run, in place of the program
 ENDS = (signal.SIGTERM, signal.SIGINT)
@@ -64,7 +64,7 @@
 def install(steps: Steps) -> None:
     """Put the moments in, for this process."""
 
-    class Server(AllotterServer):
+    class Server(AllocatorServer):
         def tell(self, owner: Owner, message: Message) -> None:
             what = f"{type(message).__name__.lower()} to {owner[0]}"
             steps.moment(f"before {what}", False)
@@ -72,7 +72,7 @@
             steps.moment(f"after {what}", False)
 
     RelayedDaemon.steps = steps
-    vars(whole).update(AllotterServer=Server)
+    vars(whole).update(AllocatorServer=Server)
     vars(record).update(os=Disk(steps))
 
 
--- a/springspread/rig/planted.py
+++ b/springspread/rig/planted.py
@@ -6,10 +6,10 @@
 from dataclasses import replace
 from typing import Any
 
-from springspread.accord.coordinator import Coordinator, History, Step
-from springspread.accord.participant import Participant
-from springspread.accord.terms import Begun, Decided, Effect, Grant, Prepare, Proposed, Tell, Vote, Write
 from springspread.rig.search import TIMES, Machine, altered
+from springspread.rollout.coordinator import Coordinator, History, Step
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import Begun, Decided, Effect, Grant, Prepare, Proposed, Tell, Vote, Write
 
 Real = Callable[..., Any]
 
--- a/springspread/rig/sabotage.py
+++ b/springspread/rig/sabotage.py
@@ -12,15 +12,15 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.accord import coordinator, participant
-from springspread.accord.participant import Participant
-from springspread.accord.record import PolicyRecord
-from springspread.accord.terms import Decided, Entry, Grant, Prepare, Vote
 from springspread.config import decoded
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Limit
 from springspread.rig.schedule import Act, Kind
+from springspread.rollout import coordinator, participant
+from springspread.rollout.participant import Participant
+from springspread.rollout.record import PolicyRecord
+from springspread.rollout.terms import Decided, Entry, Grant, Prepare, Vote
 
 VARIABLE = "RIG_SABOTAGE"
 FOR_MS = 5_000.0
@@ -113,12 +113,12 @@
 
 
 def _raises_limits_at_once() -> None:
-    real = AllotterServer.follow
+    real = AllocatorServer.follow
 
-    def follow(self: AllotterServer, limits: Mapping[str, Limit], since: float) -> None:
+    def follow(self: AllocatorServer, limits: Mapping[str, Limit], since: float) -> None:
         real(self, {key: Limit(limit.calls * 2, limit.span_ms) for key, limit in limits.items()}, since)
 
-    setattr(AllotterServer, "follow", follow)  # noqa: B010
+    setattr(AllocatorServer, "follow", follow)  # noqa: B010
 
 
 SABOTAGES = {
--- a/springspread/rig/search.py
+++ b/springspread/rig/search.py
@@ -14,10 +14,10 @@
 from functools import partial
 from typing import Any
 
-from springspread.accord import coordinator, participant
-from springspread.accord.coordinator import Coordinator, History, Step, Times
-from springspread.accord.participant import Participant
-from springspread.accord.terms import (
+from springspread.rollout import coordinator, participant
+from springspread.rollout.coordinator import Coordinator, History, Step, Times
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import (
     Begun,
     Decided,
     Effect,
--- a/springspread/rig/virtual.py
+++ b/springspread/rig/virtual.py
@@ -13,14 +13,14 @@
 from itertools import count
 from random import Random
 
-from springspread.accord import coordinator, participant
-from springspread.accord.coordinator import Coordinator, History, Step, Times
-from springspread.accord.document import Policy
-from springspread.accord.participant import Participant
-from springspread.accord.terms import Acting, Decided, Owner, Prepare, Proposed, Write
 from springspread.fleet.change import LOOK_MS
 from springspread.fleet.client import SAY_MS
 from springspread.fleet.wire import Document, Lines, Message, write
+from springspread.rollout import coordinator, participant
+from springspread.rollout.coordinator import Coordinator, History, Step, Times
+from springspread.rollout.document import Policy
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import Acting, Decided, Owner, Prepare, Proposed, Write
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/accord/coordinator.py
+++ b/springspread/rollout/coordinator.py
@@ -37,7 +37,7 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
-from springspread.accord.terms import (
+from springspread.rollout.terms import (
     Begun,
     Decided,
     Effect,
--- a/springspread/accord/participant.py
+++ b/springspread/rollout/participant.py
@@ -21,7 +21,7 @@
 
 from dataclasses import dataclass, replace
 
-from springspread.accord.terms import Grant, Prepare, Serial, Vote
+from springspread.rollout.terms import Grant, Prepare, Serial, Vote
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/accord/record.py
+++ b/springspread/rollout/record.py
@@ -18,10 +18,10 @@
 from pathlib import Path
 from zlib import crc32
 
-from springspread.accord.coordinator import History
-from springspread.accord.document import Policy, PolicyFault, parsed
-from springspread.accord.terms import Begun, Decided, Entry, Proposed, Refused
 from springspread.core.files import sync_folder
+from springspread.rollout.coordinator import History
+from springspread.rollout.document import Policy, PolicyFault, parsed
+from springspread.rollout.terms import Begun, Decided, Entry, Proposed, Refused
 
 KINDS: dict[str, type[Entry]] = {kind.__name__.lower(): kind for kind in (Proposed, Decided, Refused, Begun)}
 
--- a/springspread/town/checker.py
+++ b/springspread/town/checker.py
@@ -175,9 +175,7 @@
         else:
             self._told_off.setdefault((sender, endpoint), at)
 
-    def call(
-        self, at: float, sender: str, endpoint: str, group: int, key: str, ids: Sequence[str]
-    ) -> None:
+    def call(self, at: float, sender: str, endpoint: str, group: int, key: str, ids: Sequence[str]) -> None:
         """A call's first byte; ``key`` names the limit, and what a told wait binds."""
         self._see("call", at, sender, endpoint, list(ids))
         self.tally.calls += 1
--- a/springspread/town/day.py
+++ b/springspread/town/day.py
@@ -218,7 +218,7 @@
     replaced, and so many of the new endpoints get an address that another partner's endpoint had.
     ``clumps`` is the share of the messages that come in clumps for one partner, ``surge`` the factor of the
     traffic at the month's end: a fifth of the day. So many times a sender is killed, and the directory or the
-    platform is away for some seconds. ``shared``: the senders are a fleet under one allotter.
+    platform is away for some seconds. ``shared``: the senders are a fleet under one allocator.
 
     Of a grown fleet: ``tight`` gives every partner a limit that refused calls use up, and a quick pace;
     ``skew`` is the spread (lognormal) of the senders' parts of the traffic; so many limits fall to a third
@@ -293,9 +293,7 @@
     return arrivals
 
 
-def _takeovers(
-    seed: int, specs: tuple[PartnerSpec, ...], moves: list[Change], count: int
-) -> list[Change]:
+def _takeovers(seed: int, specs: tuple[PartnerSpec, ...], moves: list[Change], count: int) -> list[Change]:
     """So many new endpoints get the address of another partner's endpoint as soon as that one is gone."""
     rng = Random(f"{seed}/takeovers")
     group = {name: spec.group for spec in specs for name in (*spec.names, *spec.later)}
--- a/springspread/town/fleet.py
+++ b/springspread/town/fleet.py
@@ -13,8 +13,8 @@
 from pathlib import Path
 from typing import Any
 
+from springspread.fleet.allocator import Limit
 from springspread.fleet.orders import asked
-from springspread.fleet.shares import Limit
 from springspread.rig.daemon import given_path
 
 READY_S = 30.0
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -28,7 +28,7 @@
 
 from springspread.config import Limits
 from springspread.core.types import EndpointState
-from springspread.fleet.shares import Limit
+from springspread.fleet.allocator import Limit
 from springspread.http1.message import Malformed
 from springspread.http1.server import Request, ServerConnection
 from springspread.net.exchange import FAILURES, Connection
@@ -92,9 +92,7 @@
             for spec in day.partners
         }
         self._kinds = {spec.group: spec.kind for spec in day.partners}
-        self._group = {
-            name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)
-        }
+        self._group = {name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)}
         listed = {name for spec in day.partners for name in spec.names}
         self._states = {
             name: EndpointState.READY if name in listed else EndpointState.GONE for name in self._group
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -36,10 +36,10 @@
     Scope,
     Verdict,
 )
+from springspread.fleet.allocator import Allocator, Lease, Limit, Owner
+from springspread.fleet.allocator_server import SLACK_MS, TICK_MS
 from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
-from springspread.fleet.server import SLACK_MS, TICK_MS
-from springspread.fleet.shares import Allotter, Lease, Limit, Owner
-from springspread.fleet.wallet import Report, Wallet
+from springspread.fleet.lease_cache import LeaseCache, Report
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
 from springspread.town.partner import Answer, End, Partner, Trouble
@@ -52,7 +52,7 @@
     End.RESET: Result.BROKEN,
     End.SPOILT: Result.SPOILT,
 }
-MEDIUM_MS = 0.5  # between an instance and the allotter, one way
+MEDIUM_MS = 0.5  # between an instance and the allocator, one way
 KEPT_MS = 3_500.0  # a connection idle for longer is opened anew
 EPOCH_MS = 1.8e12  # what the day's zero is on the wall
 
@@ -109,7 +109,7 @@
         self.town, self.index, self.name = town, index, f"n{index}"
         self.dead = self._polling = False
         self.owner = (self.name, epoch)
-        self.wallet = Wallet() if town.day.shared else None
+        self.lease_cache = LeaseCache() if town.day.shared else None
         self.rates: dict[str, float] = {}
         self._asked: set[str] = set()
         raw: dict[str, Any] = {
@@ -128,9 +128,9 @@
         self.clearance = Clearance(self.journal, grace, town.clock)
         shares = self if town.day.shared else None
         self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock, shares)
-        if self.wallet is not None:
-            self.wallet.limited(set(town.allotter.keys))
-            town.allotter.joined(self.owner)
+        if self.lease_cache is not None:
+            self.lease_cache.limited(set(town.allocator.keys))
+            town.allocator.joined(self.owner)
         self.sender.attach(self, self, self)
         self._out: dict[Call, None] = {}
         self._idle: dict[int, list[float]] = {}
@@ -177,29 +177,29 @@
 
     def granted(self, lease: Lease, per_s: float) -> None:
         """A lease comes in."""
-        if not self.dead and self.wallet is not None:
+        if not self.dead and self.lease_cache is not None:
             self.rates[lease.key] = per_s
-            self.wallet.received(lease, self.town.clock.now())
+            self.lease_cache.received(lease, self.town.clock.now())
 
     def _poll(self) -> None:
         """Ask for what waits and report what is done with, as long as there is either."""
         self._polling = False
-        if self.dead or self.wallet is None:
+        if self.dead or self.lease_cache is None:
             return
         now = self.town.clock.now()
-        wants, reports = self.wallet.wants(now), self.wallet.done(now)
+        wants, reports = self.lease_cache.wants(now), self.lease_cache.done(now)
         if wants or reports or self._asked:
             told = {**dict.fromkeys(self._asked, 0), **wants}
             self.town.at(now + MEDIUM_MS, self.town.asked, self.owner, told, reports)
         self._asked = set(wants)
-        if wants or reports or self.wallet.holding:
+        if wants or reports or self.lease_cache.holding:
             self._polling = True
             self.town.at(now + POLL_MS, self._poll)
 
     def _lacks(self, call: Call) -> bool:
         """Whether a call has to wait for a lease, or to end without one."""
         now = self.town.clock.now()
-        if self.wallet is None or self.wallet.take(key_of(call.endpoint), now) == 0.0:
+        if self.lease_cache is None or self.lease_cache.take(key_of(call.endpoint), now) == 0.0:
             return False
         if not self._polling:
             self._polling = True
@@ -264,8 +264,10 @@
 
     def _overrides(self, result: Result) -> bool:
         knobs = self.town.knobs
-        return knobs.ignore_waits and result is Result.REJECTED or (
-            knobs.ignore_drains and result is Result.NOT_SENT
+        return (
+            knobs.ignore_waits
+            and result is Result.REJECTED
+            or (knobs.ignore_drains and result is Result.NOT_SENT)
         )
 
     def _handshake(self, endpoint: Endpoint, way: float) -> float:
@@ -414,7 +416,7 @@
     checker: Checker
     calls: int
     logged: dict[str, int] = field(default_factory=dict)
-    fleet_messages: int = 0  # between instances and the allotter
+    fleet_messages: int = 0  # between instances and the allocator
 
 
 class Town:
@@ -430,9 +432,7 @@
             for spec in day.partners
         }
         self._kinds = {spec.group: KINDS.index(spec.kind) for spec in day.partners}
-        self._group = {
-            name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)
-        }
+        self._group = {name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)}
         self._ports = {name: 1000 + n for n, name in enumerate(self._group)}
         self._holders = {port: name for name, port in self._ports.items()}
         listed = {name for spec in day.partners for name in spec.names}
@@ -445,14 +445,14 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
-        self.allotter = Allotter(slack_ms=SLACK_MS)
+        self.allocator = Allocator(slack_ms=SLACK_MS)
         self.fleet_messages = 0
-        self._allotting = False
+        self._allocating = False
         for name, group in self._group.items():
             habit = self.partners[group].habit
             if habit.limit_per_s:
                 key = f"r{group}/{name}" if habit.apart else f"g{group}"
-                self.allotter.limited(key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
+                self.allocator.limited(key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
         for cut in day.outages:
             if cut.service is Service.PLATFORM:
                 self.checker.platform_away(cut.begin, cut.end)
@@ -489,28 +489,28 @@
         heappush(self._moments, (when, self._count, work, values))
 
     def asked(self, owner: Owner, wants: dict[str, int], reports: list[Report]) -> None:
-        """An instance's message comes to the allotter."""
+        """An instance's message comes to the allocator."""
         now = self.clock.now()
         self.fleet_messages += 1
         for one in reports:
-            self.allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
+            self.allocator.report(now, owner, one.key, one.serial, one.made, one.last_at)
         for key, calls in wants.items():
-            self.allotter.ask(now, owner, key, calls)
-        if self.allotter.waiting and not self._allotting:
-            self._allotting = True
-            self.at(now, self._allot)
+            self.allocator.ask(now, owner, key, calls)
+        if self.allocator.waiting and not self._allocating:
+            self._allocating = True
+            self.at(now, self._allocate)
 
-    def _allot(self) -> None:
+    def _allocate(self) -> None:
         now = self.clock.now()
-        for lease in self.allotter.allot(now):
+        for lease in self.allocator.allocate(now):
             self.fleet_messages += 1
             instance = self.instances[int(lease.owner[0][1:])]
             if instance.owner == lease.owner:
-                per_s = self.allotter.rate(now, lease.key, lease.owner)
+                per_s = self.allocator.rate(now, lease.key, lease.owner)
                 self.at(now + MEDIUM_MS, instance.granted, lease, per_s)
-        self._allotting = self.allotter.waiting
-        if self._allotting:
-            self.at(now + TICK_MS, self._allot)
+        self._allocating = self.allocator.waiting
+        if self._allocating:
+            self.at(now + TICK_MS, self._allocate)
 
     def key(self, endpoint: str) -> str:
         """What a limit and a told wait bind."""
--- a/tests/fleet/test_shares.py
+++ b/tests/fleet/test_allocator.py
@@ -19,8 +19,8 @@
     run_state_machine_as_test,
 )
 
-from springspread.fleet.shares import Allotter, Lease, Limit, Owner, divide
-from springspread.fleet.wallet import Wallet
+from springspread.fleet.allocator import Allocator, Lease, Limit, Owner, divide
+from springspread.fleet.lease_cache import LeaseCache
 
 SPAN = 200.0
 LEASE = 40.0
@@ -30,15 +30,15 @@
 @dataclass
 class Instance:
     owner: Owner
-    wallet: Wallet = field(default_factory=Wallet)
+    lease_cache: LeaseCache = field(default_factory=LeaseCache)
     frozen: bool = False
 
     def __post_init__(self) -> None:
-        self.wallet.limited({KEY})
+        self.lease_cache.limited({KEY})
 
 
 class Fleet(RuleBasedStateMachine):
-    """Instances that come, go, freeze and call; messages that are lost or late; allotters replaced."""
+    """Instances that come, go, freeze and call; messages that are lost or late; allocators replaced."""
 
     forgets = False  # planted faults: a successor that knows nothing, reports that are believed too much
     frees_early = False
@@ -48,22 +48,22 @@
         self.now = 0.0
         self.limit = Limit(5, SPAN)
         self.record: list[Lease] = []
-        self.allotter = self._allotter()
-        self.allotter.limited(KEY, self.limit)
+        self.allocator = self._allocator()
+        self.allocator.limited(KEY, self.limit)
         self.alive: dict[str, Instance] = {}
         self.epochs = 0
         self.mail: list[tuple[Instance, Lease]] = []
         self.calls: deque[float] = deque()
 
-    def _allotter(self) -> Allotter:
-        return Allotter(lease_ms=LEASE, want_ms=100.0)
+    def _allocator(self) -> Allocator:
+        return Allocator(lease_ms=LEASE, want_ms=100.0)
 
     @rule(name=st.sampled_from("abc"))
     def starts(self, name: str) -> None:
         """Also in place of one that runs: as if that had been killed, or thought dead."""
         self.epochs += 1
         self.alive[name] = Instance((name, self.epochs))
-        assert self.allotter.joined(self.alive[name].owner)
+        assert self.allocator.joined(self.alive[name].owner)
 
     @rule(name=st.sampled_from("abc"))
     def freezes_or_goes_on(self, name: str) -> None:
@@ -73,11 +73,11 @@
     @rule(name=st.sampled_from("abc"), calls=st.integers(1, 9))
     def asks(self, name: str, calls: int) -> None:
         if name in self.alive:
-            self.allotter.ask(self.now, self.alive[name].owner, KEY, calls)
+            self.allocator.ask(self.now, self.alive[name].owner, KEY, calls)
 
     @rule()
-    def allots(self) -> None:
-        for lease in self.allotter.allot(self.now):
+    def allocates(self) -> None:
+        for lease in self.allocator.allocate(self.now):
             self.record.append(lease)
             instance = self.alive.get(lease.owner[0])
             if instance is not None and instance.owner == lease.owner:
@@ -90,11 +90,11 @@
             self.starts(name)
         self.alive[name].frozen = False
         self.asks(name, calls)
-        self.allots()
+        self.allocates()
         while self.mail:
             instance, lease = self.mail.pop()
             if not instance.frozen:
-                instance.wallet.received(lease, self.now)
+                instance.lease_cache.received(lease, self.now)
         self.calls_out(name, calls)
 
     @precondition(lambda self: self.mail)
@@ -102,7 +102,7 @@
     def a_lease_arrives_or_is_lost(self, data: st.DataObject, lost: bool) -> None:
         instance, lease = self.mail.pop(data.draw(st.integers(0, len(self.mail) - 1)))
         if not lost and not instance.frozen:
-            instance.wallet.received(lease, self.now)
+            instance.lease_cache.received(lease, self.now)
 
     @rule(name=st.sampled_from("abc"), times=st.integers(1, 6))
     def calls_out(self, name: str, times: int) -> None:
@@ -110,7 +110,7 @@
         if instance is None or instance.frozen:
             return
         for _ in range(times):
-            if instance.wallet.take(KEY, self.now) == 0.0:
+            if instance.lease_cache.take(KEY, self.now) == 0.0:
                 self.calls.append(self.now)
 
     @rule(name=st.sampled_from("abc"), lost=st.booleans())
@@ -118,18 +118,18 @@
         instance = self.alive.get(name)
         if instance is None or instance.frozen:
             return
-        for report in instance.wallet.done(self.now):
+        for report in instance.lease_cache.done(self.now):
             if not lost:
                 last_at = report.last_at - (SPAN if self.frees_early else 0.0)
                 told = (report.key, report.serial, report.made, last_at)
-                self.allotter.report(self.now, instance.owner, *told)
+                self.allocator.report(self.now, instance.owner, *told)
 
     @rule()
-    def the_allotter_is_replaced(self) -> None:
+    def the_allocator_is_replaced(self) -> None:
         """Its successor reads what was given out; the last of it may never have been told."""
-        self.allotter = self._allotter()
-        self.allotter.restore([] if self.forgets else self.record)
-        self.allotter.limited(KEY, self.limit)
+        self.allocator = self._allocator()
+        self.allocator.restore([] if self.forgets else self.record)
+        self.allocator.limited(KEY, self.limit)
 
     @rule(ms=st.sampled_from([1.0, 5.0, 19.0, 40.0, 77.0, 160.0, 201.0]))
     def time_goes_by(self, ms: float) -> None:
@@ -143,7 +143,7 @@
 
     @invariant()
     def no_more_is_out_than_the_limit(self) -> None:
-        assert self.allotter.taken(self.now, KEY) <= self.limit.calls
+        assert self.allocator.taken(self.now, KEY) <= self.limit.calls
 
 
 class Forgetful(Fleet):
@@ -193,28 +193,28 @@
 
 
 class Clocked:
-    """Some instances that ask every few milliseconds, and an allotter; calls are made as leases come."""
+    """Some instances that ask every few milliseconds, and an allocator; calls are made as leases come."""
 
     def __init__(self, count: int, limit: Limit, lease_ms: float = 200.0) -> None:
         self.now = 0.0
-        self.allotter = Allotter(lease_ms=lease_ms)
-        self.allotter.limited(KEY, limit)
-        self.wallets = {(f"n{n:02}", 1): Wallet() for n in range(count)}
+        self.allocator = Allocator(lease_ms=lease_ms)
+        self.allocator.limited(KEY, limit)
+        self.lease_caches = {(f"n{n:02}", 1): LeaseCache() for n in range(count)}
         self.made: list[tuple[float, Owner]] = []
-        for wallet in self.wallets.values():
-            wallet.limited({KEY})
+        for lease_cache in self.lease_caches.values():
+            lease_cache.limited({KEY})
 
     def step(self, demand: dict[Owner, int], ms: float = 10.0) -> None:
         self.now += ms
-        for owner, wallet in self.wallets.items():
+        for owner, lease_cache in self.lease_caches.items():
             for _ in range(demand.get(owner, 0)):
-                if wallet.take(KEY, self.now) == 0.0:
+                if lease_cache.take(KEY, self.now) == 0.0:
                     self.made.append((self.now, owner))
-            for report in wallet.done(self.now):
-                self.allotter.report(self.now, owner, report.key, report.serial, report.made, report.last_at)
-            self.allotter.ask(self.now, owner, KEY, wallet.wants(self.now).get(KEY, 0))
-        for lease in self.allotter.allot(self.now):
-            self.wallets[lease.owner].received(lease, self.now)
+            for report in lease_cache.done(self.now):
+                self.allocator.report(self.now, owner, report.key, report.serial, report.made, report.last_at)
+            self.allocator.ask(self.now, owner, KEY, lease_cache.wants(self.now).get(KEY, 0))
+        for lease in self.allocator.allocate(self.now):
+            self.lease_caches[lease.owner].received(lease, self.now)
 
     def worst(self, span: float) -> int:
         times = [at for at, _ in self.made]
@@ -226,17 +226,17 @@
 
 def test_a_limit_below_one_call_an_instance_and_span_goes_round() -> None:
     fleet = Clocked(50, Limit(4, 2000.0))
-    everyone = dict.fromkeys(fleet.wallets, 1)
+    everyone = dict.fromkeys(fleet.lease_caches, 1)
     for _ in range(3000):
         fleet.step(everyone)
-    had = [fleet.of(owner, 0.0, 30_000.0) for owner in fleet.wallets]
+    had = [fleet.of(owner, 0.0, 30_000.0) for owner in fleet.lease_caches]
     assert fleet.worst(2000.0) == 4
     assert max(had) - min(had) <= 1 and sum(had) >= 0.9 * 4 * 15
 
 
 def test_a_shift_of_demand_is_followed_and_little_is_left_idle() -> None:
     fleet = Clocked(10, Limit(200, 2000.0))
-    first, second = list(fleet.wallets)[:2]
+    first, second = list(fleet.lease_caches)[:2]
     for _ in range(600):
         fleet.step({first: 5})
     assert fleet.of(first, 2000.0, 6000.0) >= 0.9 * 400
@@ -250,7 +250,7 @@
 
 def test_what_an_idle_instance_holds_comes_back() -> None:
     fleet = Clocked(2, Limit(10, 2000.0))
-    idle, busy = fleet.wallets
+    idle, busy = fleet.lease_caches
     fleet.step({idle: 10})
     for _ in range(210):
         fleet.step({busy: 10})
@@ -259,10 +259,10 @@
 
 def test_a_limit_that_shrinks_while_fully_leased_holds_a_span_after_its_leases_ended() -> None:
     fleet = Clocked(4, Limit(100, 2000.0))
-    everyone = dict.fromkeys(fleet.wallets, 2)
+    everyone = dict.fromkeys(fleet.lease_caches, 2)
     for _ in range(400):
         fleet.step(everyone)
-    fleet.allotter.limited(KEY, Limit(20, 2000.0))
+    fleet.allocator.limited(KEY, Limit(20, 2000.0))
     shrunk = fleet.now
     for _ in range(800):
         fleet.step(everyone)
@@ -271,53 +271,53 @@
 
 
 def test_a_lease_ends_by_the_clock_of_the_one_that_holds_it() -> None:
-    wallet = Wallet()
-    wallet.limited({KEY})
-    wallet.received(Lease(1, ("n0", 1), KEY, 2, 100.0), 0.0)
-    assert wallet.take(KEY, 99.0) == 0.0
-    assert wallet.take(KEY, 100.0) > 0.0  # it was frozen meanwhile
-    (report,) = wallet.done(100.0)
-    assert (report.made, report.last_at) == (1, 99.0) and wallet.done(100.0) == []
+    lease_cache = LeaseCache()
+    lease_cache.limited({KEY})
+    lease_cache.received(Lease(1, ("n0", 1), KEY, 2, 100.0), 0.0)
+    assert lease_cache.take(KEY, 99.0) == 0.0
+    assert lease_cache.take(KEY, 100.0) > 0.0  # it was frozen meanwhile
+    (report,) = lease_cache.done(100.0)
+    assert (report.made, report.last_at) == (1, 99.0) and lease_cache.done(100.0) == []
 
 
 def test_nobody_frees_another_s_lease() -> None:
-    allotter = Allotter()
-    allotter.limited(KEY, Limit(5, SPAN))
-    allotter.ask(0.0, ("n0", 1), KEY, 1)
-    (lease,) = allotter.allot(1.0)
-    allotter.report(2.0, ("n1", 1), KEY, lease.serial, 0, 0.0)
-    assert allotter.taken(2.0, KEY) == 1
-    allotter.report(2.0, ("n0", 1), KEY, lease.serial, 0, 0.0)
-    assert allotter.taken(2.0, KEY) == 0
+    allocator = Allocator()
+    allocator.limited(KEY, Limit(5, SPAN))
+    allocator.ask(0.0, ("n0", 1), KEY, 1)
+    (lease,) = allocator.allocate(1.0)
+    allocator.report(2.0, ("n1", 1), KEY, lease.serial, 0, 0.0)
+    assert allocator.taken(2.0, KEY) == 1
+    allocator.report(2.0, ("n0", 1), KEY, lease.serial, 0, 0.0)
+    assert allocator.taken(2.0, KEY) == 0
 
 
 def test_an_older_epoch_gets_nothing() -> None:
-    allotter = Allotter()
-    allotter.limited(KEY, Limit(5, SPAN))
-    assert allotter.joined(("n0", 2)) and not allotter.joined(("n0", 1))
-    allotter.ask(0.0, ("n0", 1), KEY, 3)
-    assert allotter.allot(1.0) == []
+    allocator = Allocator()
+    allocator.limited(KEY, Limit(5, SPAN))
+    assert allocator.joined(("n0", 2)) and not allocator.joined(("n0", 1))
+    allocator.ask(0.0, ("n0", 1), KEY, 3)
+    assert allocator.allocate(1.0) == []
 
 
 def test_ten_thousand_limits_cost_only_what_is_asked_for() -> None:
-    allotter, rng = Allotter(), Random(1)
+    allocator, rng = Allocator(), Random(1)
     for n in range(10_000):
-        allotter.limited(f"g{n}", Limit(4, 2000.0))
+        allocator.limited(f"g{n}", Limit(4, 2000.0))
     for n in rng.sample(range(10_000), 20):
-        allotter.ask(0.0, ("n0", 1), f"g{n}", 1)
-    leases = allotter.allot(1.0)
+        allocator.ask(0.0, ("n0", 1), f"g{n}", 1)
+    leases = allocator.allocate(1.0)
     assert len(leases) == 20 and all(lease.calls == 1 for lease in leases)
-    assert not allotter.waiting
+    assert not allocator.waiting
 
 
 def test_a_lease_that_comes_twice_gives_its_calls_once() -> None:
-    wallet = Wallet()
+    lease_cache = LeaseCache()
     lease = Lease(7, ("n00", 1), "g1", 2, 1_200.0)
     for now in (1_000.0, 1_001.0, 1_030.0):
-        wallet.received(lease, now)
-        assert wallet.take("g1", now) == 0.0 if now < 1_030.0 else wallet.take("g1", now) > 0.0
-    assert [report.made for report in wallet.done(1_031.0)] == [2]
-    wallet.received(lease, 1_032.0)  # after it is reported, too
-    assert wallet.take("g1", 1_032.0) > 0.0
-    wallet.received(Lease(8, ("n00", 1), "g1", 1, 1_300.0), 1_201.0)
-    assert wallet.take("g1", 1_202.0) == 0.0
+        lease_cache.received(lease, now)
+        assert lease_cache.take("g1", now) == 0.0 if now < 1_030.0 else lease_cache.take("g1", now) > 0.0
+    assert [report.made for report in lease_cache.done(1_031.0)] == [2]
+    lease_cache.received(lease, 1_032.0)  # after it is reported, too
+    assert lease_cache.take("g1", 1_032.0) > 0.0
+    lease_cache.received(Lease(8, ("n00", 1), "g1", 1, 1_300.0), 1_201.0)
+    assert lease_cache.take("g1", 1_202.0) == 0.0
--- a/tests/fleet/test_medium.py
+++ b/tests/fleet/test_allocator_server.py
@@ -1,4 +1,4 @@
-"""The allotter on its socket: limits hold over real threads, its replacement and a frozen instance."""
+"""The allocator on its socket: limits hold over real threads, its replacement and a frozen instance."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint, Load
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Limit
-from springspread.fleet.wire import Asking, Hello, write
+from springspread.fleet.wire import LeaseRequest, Register, write
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -69,7 +69,7 @@
     def __init__(self, folder: Path, limits: dict[str, Limit]) -> None:
         self.folder, self.limits = folder, limits
         self.path = folder / "allot"
-        self.server = AllotterServer(self.path, folder, limits, Quiet())
+        self.server = AllocatorServer(self.path, folder, limits, Quiet())
         self.shares: list[FleetShares] = []
 
     def join(self, name: str, epoch: int = 1) -> FleetShares:
@@ -78,7 +78,7 @@
 
     def replace(self) -> None:
         self.server.close()
-        self.server = AllotterServer(self.path, self.folder, self.limits, Quiet())
+        self.server = AllocatorServer(self.path, self.folder, self.limits, Quiet())
 
     def close(self) -> None:
         for one in self.shares:
@@ -103,7 +103,7 @@
     assert took <= 1.6 * 5 * SPAN_MS  # little of it lies idle, on a machine that may be busy
 
 
-def test_the_limit_holds_over_a_new_allotter(place: Place) -> None:
+def test_the_limit_holds_over_a_new_allocator(place: Place) -> None:
     callers = Callers([place.join(f"n{n}") for n in range(3)])
     for count in (10, 20, 30):
         until(lambda count=count: len(callers.made) >= count, "calls")  # type: ignore[misc]
@@ -116,16 +116,16 @@
 def test_one_that_does_not_read_holds_nobody_up(place: Place) -> None:
     with socket.socket(socket.AF_UNIX) as frozen:
         frozen.connect(str(place.path))
-        frozen.sendall(write(Hello("frozen", 1)))
+        frozen.sendall(write(Register("frozen", 1)))
         until(lambda: place.server.members == [("frozen", 1)], "its hello")
         for _ in range(200):
-            frozen.sendall(write(Asking({"g1": 1})))
+            frozen.sendall(write(LeaseRequest({"g1": 1})))
         callers = Callers([place.join("n0")])
         until(lambda: len(callers.made) >= 8, "calls of another")
         callers.stop()
 
 
-def test_without_an_allotter_nothing_limited_is_called(tmp_path: Path) -> None:
+def test_without_an_allocator_nothing_limited_is_called(tmp_path: Path) -> None:
     alone = FleetShares(tmp_path / "none", "n0", 1, Quiet())
     begun = time.monotonic()
     assert not alone.acquire(LINK) and not alone.acquire(FREE)  # it can't know which are limited
@@ -165,7 +165,7 @@
 
 
 @pytest.mark.parametrize("spoil", [_another_boot, _flipped, Path.unlink])
-def test_the_limit_holds_over_an_allotter_whose_record_is_lost(
+def test_the_limit_holds_over_an_allocator_whose_record_is_lost(
     place: Place, spoil: Callable[[Path], None]
 ) -> None:
     callers = Callers([place.join(f"n{n}") for n in range(3)])
@@ -175,7 +175,7 @@
         for path in place.folder.glob("leases.*"):
             if path.stat().st_size > 60:
                 spoil(path)
-        place.server = AllotterServer(
+        place.server = AllocatorServer(
             place.path, place.folder, place.limits, Quiet(), began_before=spoil is Path.unlink
         )
     until(lambda: len(callers.made) >= 35, "calls with the last one")
--- a/tests/fleet/test_border.py
+++ b/tests/fleet/test_border.py
@@ -5,27 +5,27 @@
 import json
 from pathlib import Path
 
-from springspread.accord.record import PolicyRecord
-from springspread.accord.terms import Decided, Proposed
 from springspread.core.clock import SYSTEM
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import BOOT_ID
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.plan import read_fleet
-from springspread.fleet.server import AllotterServer
-from springspread.fleet.shares import Limit
-from springspread.fleet.wire import Asking
-from tests.fleet.test_medium import Quiet
+from springspread.fleet.wire import LeaseRequest
+from springspread.rollout.record import PolicyRecord
+from springspread.rollout.terms import Decided, Proposed
+from tests.fleet.test_allocator_server import Quiet
 from tests.peer import until
 from tests.test_config import make
 
 
 def test_limits_change_at_the_border_and_the_smaller_one_before(tmp_path: Path) -> None:
     old = {"g1": Limit(40, 2000.0), "g2": Limit(10, 1000.0), "g4": Limit(3, 1000.0)}
-    server = AllotterServer(tmp_path / "allot", tmp_path, old, Quiet())
-    allotter = server._allotter
+    server = AllocatorServer(tmp_path / "allot", tmp_path, old, Quiet())
+    allocator = server._allocator
     since = SYSTEM.now() + 400.0
     server.follow({"g1": Limit(8, 2000.0), "g2": Limit(100, 1000.0), "g3": Limit(5, 1000.0)}, since)
-    before = {key: allotter.limit(key) for key in ("g1", "g2", "g3", "g4")}
+    before = {key: allocator.limit(key) for key in ("g1", "g2", "g3", "g4")}
     assert SYSTEM.now() < since
     assert before == {
         "g1": Limit(8, 2000.0),
@@ -33,9 +33,9 @@
         "g3": Limit(5, 1000.0),
         "g4": Limit(3, 1000.0),
     }
-    until(lambda: allotter.limit("g4") is None, "the border is reached")
+    until(lambda: allocator.limit("g4") is None, "the border is reached")
     assert SYSTEM.now() >= since
-    assert allotter.limit("g1") == Limit(8, 2000.0) and allotter.limit("g2") == Limit(100, 1000.0)
+    assert allocator.limit("g1") == Limit(8, 2000.0) and allocator.limit("g2") == Limit(100, 1000.0)
     server.close()
 
 
@@ -56,18 +56,18 @@
     record.append(Decided(2, since))
     record.close()
     second = Daemon(read_fleet(file), Quiet())
-    allotter = second._server._allotter
-    before = allotter.limit("g1")
+    allocator = second._server._allocator
+    before = allocator.limit("g1")
     assert SYSTEM.now() < since and before == Limit(10, 1000.0)
-    until(lambda: allotter.limit("g1") == Limit(100, 1000.0), "the border is reached")
+    until(lambda: allocator.limit("g1") == Limit(100, 1000.0), "the border is reached")
     assert SYSTEM.now() >= since
     second.leave()
 
 
 def test_what_a_partner_told_binds_again_when_the_operators_limit_goes(tmp_path: Path) -> None:
-    server = AllotterServer(tmp_path / "allot", tmp_path, {"g1": Limit(40, 2000.0)}, Quiet())
-    server._asking(("n000", 1), Asking(told={"g1": 5.0}))
-    assert server._allotter.limit("g1") == Limit(40, 2000.0)
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(40, 2000.0)}, Quiet())
+    server._asking(("n000", 1), LeaseRequest(told={"g1": 5.0}))
+    assert server._allocator.limit("g1") == Limit(40, 2000.0)
     server.follow({}, SYSTEM.now())
-    until(lambda: server._allotter.limit("g1") == Limit(10, 2000.0), "the partner's own limit binds")
+    until(lambda: server._allocator.limit("g1") == Limit(10, 2000.0), "the partner's own limit binds")
     server.close()
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -19,7 +19,7 @@
 from springspread.fleet.daemon import Daemon, Refused
 from springspread.fleet.folder import process_start
 from springspread.fleet.plan import read_fleet
-from tests.fleet.test_medium import Quiet
+from tests.fleet.test_allocator_server import Quiet
 from tests.peer import Peer, until
 from tests.test_config import make
 
@@ -105,7 +105,7 @@
     until(lambda: place.serving() == ["n000", "n001"], "both are in the fleet again")
     assert {name: (row["pid"], row["epoch"]) for name, row in place.rows().items()} == before
     assert place.hand_in("n000", "after") in (200, 202)
-    until(lambda: "after" in {id for _, id, _ in place.peer.calls}, "it has a lease of the new allotter")
+    until(lambda: "after" in {id for _, id, _ in place.peer.calls}, "it has a lease of the new allocator")
 
 
 def test_a_daemon_that_is_killed_stops_nobody_and_the_next_one_goes_on(place: Place) -> None:
--- a/tests/fleet/test_survey.py
+++ b/tests/fleet/test_survey.py
@@ -17,8 +17,8 @@
 from springspread.fleet.members import Row, Want
 from springspread.fleet.plan import read_fleet
 from springspread.fleet.survey import EPOCHS, Found, Running, believed, raised
+from tests.fleet.test_allocator_server import Quiet
 from tests.fleet.test_daemon import Place, place
-from tests.fleet.test_medium import Quiet
 from tests.peer import until
 
 __all__ = ["place"]
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -9,16 +9,25 @@
 from hypothesis import strategies as st
 
 from springspread.fleet import wire
+from springspread.fleet.allocator import Lease
+from springspread.fleet.lease_cache import Report
 from springspread.fleet.record import FILE_BYTES, Record
-from springspread.fleet.shares import Lease
-from springspread.fleet.wallet import Report
-from springspread.fleet.wire import Asking, Granted, Hello, Limited, Lines, Message, Unreadable, write
+from springspread.fleet.wire import (
+    LeaseGrant,
+    LeaseRequest,
+    LimitedKeys,
+    Lines,
+    Message,
+    Register,
+    Unreadable,
+    write,
+)
 
 MESSAGES: list[Message] = [
-    Hello("n001", 7),
-    Asking({"g1": 3, "r2/é": 0}, [Report("g1", 9, 2, 12.5)], {"g1": 4.5}),
-    Limited(["g1", "r2/s-1"]),
-    Granted(Lease(9, ("n001", 7), "g1", 2, 200.0), 1.5),
+    Register("n001", 7),
+    LeaseRequest({"g1": 3, "r2/é": 0}, [Report("g1", 9, 2, 12.5)], {"g1": 4.5}),
+    LimitedKeys(["g1", "r2/s-1"]),
+    LeaseGrant(Lease(9, ("n001", 7), "g1", 2, 200.0), 1.5),
 ]
 
 
--- a/tests/lab/test_tally.py
+++ b/tests/lab/test_tally.py
@@ -31,7 +31,7 @@
             )
         sink.flush()
     lines = path.read_text().splitlines()
-    path.write_text("".join(f"0.1 {line}\n" for line in lines) + "no such line\n0.2 {\"sender\": torn\n")
+    path.write_text("".join(f"0.1 {line}\n" for line in lines) + 'no such line\n0.2 {"sender": torn\n')
     return path
 
 
--- a/tests/rig/test_search.py
+++ b/tests/rig/test_search.py
@@ -4,7 +4,7 @@
 from springspread.rig.search import Bounds, search
 
 SMALL = Bounds(1, moments=6, proposals=2, deaths=0, daemon_deaths=1, refusals=1)
-# Found by benchmarks.accord_search, which looks further.
+# Found by benchmarks.rollout_search, which looks further.
 DEEP = {
     "a proposal is not synced",
     "votes on anything count",
--- a/tests/rig/test_virtual.py
+++ b/tests/rig/test_virtual.py
@@ -1,8 +1,8 @@
 import json
 from pathlib import Path
 
-from springspread.accord.document import Policy
 from springspread.rig.virtual import Costs, Virtual
+from springspread.rollout.document import Policy
 
 POLICY = Policy(json.loads(Path("deploy/sender.json").read_text())["settings"], {})
 
--- a/tests/accord/test_cli.py
+++ b/tests/rollout/test_cli.py
@@ -16,8 +16,8 @@
 from springspread.config import ConfigError
 from springspread.core.journal import Journal
 from springspread.fleet.fit import under_policy
-from tests.accord.test_fleet import Fleet, fleet
 from tests.peer import until
+from tests.rollout.test_fleet import Fleet, fleet
 from tests.test_config import make
 
 __all__ = ["fleet"]
--- a/tests/accord/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -1,8 +1,8 @@
 """The daemon's machine by itself, where a fleet of processes would be too large for a test."""
 
-from springspread.accord import coordinator
-from springspread.accord.coordinator import History, Times
-from springspread.accord.terms import Decided, Grant, Proposed, Refused, Tell, Vote, Write
+from springspread.rollout import coordinator
+from springspread.rollout.coordinator import History, Times
+from springspread.rollout.terms import Decided, Grant, Proposed, Refused, Tell, Vote, Write
 
 OWNERS = [(f"n{n:03}", 1) for n in range(50)]
 
--- a/tests/accord/test_fleet.py
+++ b/tests/rollout/test_fleet.py
@@ -17,8 +17,8 @@
 from springspread.fleet.daemon import Daemon, Refused
 from springspread.fleet.plan import read_fleet
 from springspread.rig.observer import begun, mixtures
+from tests.fleet.test_allocator_server import Quiet
 from tests.fleet.test_daemon import Place
-from tests.fleet.test_medium import Quiet
 from tests.peer import until
 
 TIMES = "[policy_times]\nlease_ms = 1500.0\n"
--- a/tests/accord/test_record.py
+++ b/tests/rollout/test_record.py
@@ -11,11 +11,11 @@
 
 import pytest
 
-from springspread.accord.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
-from springspread.accord.record import Damaged, PolicyRecord
-from springspread.accord.terms import Begun, Decided, Proposed
 from springspread.fleet.change import Changes
-from tests.fleet.test_medium import Quiet
+from springspread.rollout.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
+from springspread.rollout.record import Damaged, PolicyRecord
+from springspread.rollout.terms import Begun, Decided, Proposed
+from tests.fleet.test_allocator_server import Quiet
 from tests.test_config import SETTINGS
 
 
--- a/tests/accord/test_relay.py
+++ b/tests/rollout/test_relay.py
@@ -13,9 +13,9 @@
 from springspread.rig.daemon import RelayedDaemon, relay_path
 from springspread.rig.observer import begun, mixtures
 from springspread.rig.relay import Fault, Relay, Way
-from tests.accord.test_fleet import TIMES, Fleet, callsout
-from tests.fleet.test_medium import Quiet
+from tests.fleet.test_allocator_server import Quiet
 from tests.peer import until
+from tests.rollout.test_fleet import TIMES, Fleet, callsout
 
 
 class Relayed(Fleet):
--- a/tests/test_apart.py
+++ b/tests/test_apart.py
@@ -16,14 +16,27 @@
 NOTE = i.ClassSpec("note", 1000.0, 8000.0, 1.0, 0.1, i.Effect.SAFE)
 PAY = i.ClassSpec("pay", 4000.0, 28_000.0, 2.0, 0.5, i.Effect.UNSAFE)
 ONE = i.Settings(
-    (NOTE, PAY), (i.KindSpec("portal", True, 5),), slots=4, max_held=8, senders=3, must_ask=True,
-    tenants=(i.TenantSpec("acme", 0.7, 10.0), i.TenantSpec("small", 0.3, 4.0)), max_attempts=8,
+    (NOTE, PAY),
+    (i.KindSpec("portal", True, 5),),
+    slots=4,
+    max_held=8,
+    senders=3,
+    must_ask=True,
+    tenants=(i.TenantSpec("acme", 0.7, 10.0), i.TenantSpec("small", 0.3, 4.0)),
+    max_attempts=8,
     rules=i.Rules(cold_share=0.2, warm_within_ms=9000.0, fall_multiple=2.5, fall_ms=2000.0),
 )
 OTHER = replace(
-    ONE, classes=(replace(PAY, name="meter", aim_ms=300.0), replace(NOTE, name="debit"), NOTE),
-    kinds=(i.KindSpec("hosts"), i.KindSpec("foundries")), slots=9, senders=40, tenants=(), must_ask=False,
-    rules=i.Rules(drain_grace_ms=250.0), max_attempts=2, prices=i.Prices(zone_fee=(0.0, 1.0)),
+    ONE,
+    classes=(replace(PAY, name="meter", aim_ms=300.0), replace(NOTE, name="debit"), NOTE),
+    kinds=(i.KindSpec("hosts"), i.KindSpec("foundries")),
+    slots=9,
+    senders=40,
+    tenants=(),
+    must_ask=False,
+    rules=i.Rules(drain_grace_ms=250.0),
+    max_attempts=2,
+    prices=i.Prices(zone_fee=(0.0, 1.0)),
 )
 
 WORDS = st.one_of(
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -433,9 +433,7 @@
         return made
 
     assert message("a", "pay").verdict is t.Verdict.TAKEN
-    sender.step(
-        [t.AttemptEnd(drivers.calls[0], drivers.calls[0].attempts[0], t.Result.REJECTED, 0.0, 900.0)]
-    )
+    sender.step([t.AttemptEnd(drivers.calls[0], drivers.calls[0].attempts[0], t.Result.REJECTED, 0.0, 900.0)])
     (route,) = sender._module.routes.values()
     learnt, window = route.health, route.window
     settings["classes"] = [settings["classes"][0], {**settings["classes"][0], "name": "new"}]
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -53,9 +53,9 @@
             self.out += 1
 
     @precondition(
-        lambda self: self.ending.state not in (State.CLOSED, State.HALF_CLOSED)
-        and self.peer_ends
-        and not self.inbound
+        lambda self: (
+            self.ending.state not in (State.CLOSED, State.HALF_CLOSED) and self.peer_ends and not self.inbound
+        )
     )
     @rule()
     def we_read_its_end(self) -> None:
@@ -196,9 +196,7 @@
     assert ends_without_a_reset(sock).startswith(b"HTTP/1.1 413 ")
 
 
-def test_a_client_that_ended_its_side_hears_its_answer_and_then_the_end(
-    program: Program, peer: Peer
-) -> None:
+def test_a_client_that_ended_its_side_hears_its_answer_and_then_the_end(program: Program, peer: Peer) -> None:
     sock = socket.create_connection(program.address, timeout=WAIT_S)
     sock.sendall(message(b"one"))
     sock.shutdown(socket.SHUT_WR)
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -66,9 +66,7 @@
 @settings(derandomize=True, deadline=None, max_examples=150)
 @given(
     st.lists(
-        st.tuples(
-            st.integers(1, 3), st.none() | st.floats(0, 5000), st.booleans(), st.floats(0, 1000)
-        ),
+        st.tuples(st.integers(1, 3), st.none() | st.floats(0, 5000), st.booleans(), st.floats(0, 1000)),
         max_size=80,
     )
 )
--- a/tests/test_rude.py
+++ b/tests/test_rude.py
@@ -137,7 +137,6 @@
         sock.sendall(START + LINES % b"mine" + b"Content-Length: 4\r\n\r\nmine")
     lost = START + (LINES % b"lost").replace(b"dest=7", b"dest=70000") + b"Content-Length: 0\r\n\r\n"
 
-
     def answer() -> bytes:
         with connect(program) as sock:
             sock.sendall(lost)
