Limits have a mode: exact or adaptive

The fleet's file says for each limit whether it is exact (the default) or adaptive, and with default_mode how a destination that a sender knows nothing of is treated. Limit and LimitMode stand in fleet/limits.py, which imports nothing of the program; a policy holds Limits in place of pairs. Its text names a mode only where it is not exact, so texts and digests from before stay. From adaptive to exact counts as stricter: it binds before the border. An unknown mode is refused with file, key and the nearest one.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -20,9 +20,9 @@
 from benchmarks.crowd import status
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint
-from springspread.fleet.allocator import Limit
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
+from springspread.fleet.limits import Limit
 from springspread.logs import make_log
 from tests.peer import Peer
 from tests.test_config import make
--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -29,24 +29,13 @@
 from dataclasses import dataclass, field
 from math import floor, inf
 
+from springspread.fleet.limits import Limit
+
 PACE = 1.1  # times the limit: what was late is made up for
 Owner = tuple[str, int]
 """An instance and its epoch: each start of an instance is another owner."""
 
 
-@dataclass(frozen=True, slots=True)
-class Limit:
-    """So many calls in any span."""
-
-    calls: int
-    span_ms: float
-
-    @staticmethod
-    def of_rate(per_s: float, span_ms: float) -> Limit:
-        """A limit told as a rate, counted over a span; at least one call in it."""
-        return Limit(max(floor(per_s * span_ms / 1000.0 + 1e-9), 1), span_ms)
-
-
 @dataclass(frozen=True, slots=True)
 class Lease:
     """The right of one owner to begin so many calls before ``until``."""
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -15,7 +15,8 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
-from springspread.fleet.allocator import Allocator, Limit, Owner
+from springspread.fleet.allocator import Allocator, Owner
+from springspread.fleet.limits import Limit
 from springspread.fleet.record import Record
 from springspread.fleet.wire import (
     Fit,
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -16,7 +16,7 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
-from springspread.fleet.allocator import Limit
+from springspread.fleet.limits import Limit
 from springspread.fleet.wire import Document, Fit, Message, Question
 from springspread.net.threads import spawn
 from springspread.rollout import coordinator
@@ -231,7 +231,7 @@
                     return
                 if isinstance(effect.entry, Decided):
                     limits = self.record.policy(effect.entry.number).limits
-                    self._limits({key: Limit(*limit) for key, limit in limits.items()}, effect.entry.since)
+                    self._limits(dict(limits), effect.entry.since)
                 self._log.info("policy record", entry=repr(effect.entry))
                 continue
             message = effect.message
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -26,7 +26,6 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.lanes import owed_in
 from springspread.core.types import Log
-from springspread.fleet.allocator import Limit
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import Changes
 from springspread.fleet.folder import (
@@ -37,6 +36,7 @@
     running,
     write_members,
 )
+from springspread.fleet.limits import Limit
 from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
 from springspread.fleet.plan import FleetPlan
 from springspread.fleet.record import leased_epochs
@@ -141,8 +141,7 @@
             return 0
 
     def _limits(self, number: int) -> dict[str, Limit]:
-        policy = self._changes.policy(number)
-        return {key: Limit(*limit) for key, limit in policy.limits.items()}
+        return dict(self._changes.policy(number).limits)
 
     @property
     def _policy(self) -> Policy:
--- /dev/null
+++ b/springspread/fleet/limits.py
@@ -0,0 +1,42 @@
+"""What a limit is: a number of calls in any span of time, and how strictly it is kept.
+
+Values only: no I/O, no clock, and no import from the rest of the program.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from difflib import get_close_matches
+from enum import Enum
+from math import floor
+
+
+class LimitMode(Enum):
+    """How a limit is kept."""
+
+    EXACT = "exact"  # never exceeded: each call is begun against a lease
+    ADAPTIVE = "adaptive"  # leases only while demand is near the limit; the overshoot is bounded
+
+    @classmethod
+    def named(cls, name: object) -> LimitMode:
+        """The mode with this name; raises ``ValueError`` with the nearest one that there is."""
+        known = {mode.value: mode for mode in cls}
+        if isinstance(name, str) and name in known:
+            return known[name]
+        near = get_close_matches(name, list(known), 1) if isinstance(name, str) else []
+        hint = f"did you mean {near[0]}?" if near else f"there are {', '.join(known)}"
+        raise ValueError(f"no such mode: {name!r}; {hint}")
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """At most ``calls`` calls in any span of ``span_ms`` milliseconds."""
+
+    calls: int
+    span_ms: float
+    mode: LimitMode = LimitMode.EXACT
+
+    @staticmethod
+    def of_rate(per_s: float, span_ms: float) -> Limit:
+        """A limit given as a rate, counted over a span; at least one call in it."""
+        return Limit(max(floor(per_s * span_ms / 1000.0 + 1e-9), 1), span_ms)
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -7,15 +7,16 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import Field, ValidationError
+from pydantic import BeforeValidator, Field, ValidationError
 
 from springspread.checked import PlanError, Strict, faults_of
-from springspread.fleet.allocator import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.members import Pauses
 from springspread.rollout.coordinator import Times
 from springspread.rollout.document import Policy
 
 Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
+Mode = Annotated[LimitMode, BeforeValidator(LimitMode.named)]
 
 
 class LimitEntry(Strict):
@@ -23,6 +24,12 @@
 
     calls: Annotated[int, Field(ge=1, le=10_000_000)]
     span_ms: Annotated[float, Field(ge=10.0, le=600_000.0)] = 2_000.0
+    mode: Mode = LimitMode.EXACT
+
+    @property
+    def limit(self) -> Limit:
+        """As the policy and the allocator take it."""
+        return Limit(self.calls, self.span_ms, self.mode)
 
 
 class Restarts(Strict):
@@ -65,6 +72,7 @@
     host: str = "127.0.0.1"
     first_port: Annotated[int, Field(ge=0, le=65_000)] = 0
     limits: dict[Name, LimitEntry] = Field(default_factory=dict)
+    default_mode: Mode = LimitMode.EXACT  # of a destination that a sender knows nothing of
     restarts: Restarts = Restarts()
     policy_times: PolicyTimes = PolicyTimes()
     recovery: Recovery = Recovery()
@@ -78,8 +86,7 @@
     def policy(self, base: Mapping[str, Any]) -> Policy:
         """What the files ask for, given the decoded configuration."""
         settings = base.get("settings")
-        limits = {key: (entry.calls, entry.span_ms) for key, entry in self.limits.items()}
-        return Policy(settings if isinstance(settings, dict) else {}, limits)
+        return Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
 
     @property
     def pauses(self) -> Pauses:
@@ -89,7 +96,7 @@
     @property
     def shared(self) -> dict[str, Limit]:
         """As the allocator takes them."""
-        return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
+        return {key: entry.limit for key, entry in self.limits.items()}
 
 
 PARTS = {
--- a/springspread/rig/sabotage.py
+++ b/springspread/rig/sabotage.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from springspread.config import decoded
-from springspread.fleet.allocator import Limit
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
+from springspread.fleet.limits import Limit
 from springspread.rig.schedule import Act, Kind
 from springspread.rollout import coordinator, participant
 from springspread.rollout.participant import Participant
@@ -116,7 +116,7 @@
     real = AllocatorServer.follow
 
     def follow(self: AllocatorServer, limits: Mapping[str, Limit], since: float) -> None:
-        real(self, {key: Limit(limit.calls * 2, limit.span_ms) for key, limit in limits.items()}, since)
+        real(self, {key: replace(limit, calls=limit.calls * 2) for key, limit in limits.items()}, since)
 
     setattr(AllocatorServer, "follow", follow)  # noqa: B010
 
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -15,6 +15,7 @@
 from math import inf
 from typing import Any
 
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.settings import SettingsError, flatten, read_settings
 
 FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
@@ -29,16 +30,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """``settings`` as in a sender's configuration; ``limits``: calls and span (ms) by key."""
+    """``settings`` as in a sender's configuration; ``limits`` by key of a destination.
+
+    ``default_mode`` holds for a destination that a sender knows nothing of.
+    """
 
     settings: Mapping[str, Any]
-    limits: Mapping[str, tuple[int, float]]
+    limits: Mapping[str, Limit]
+    default_mode: LimitMode = LimitMode.EXACT
 
     @property
     def text(self) -> str:
-        """The one form in which it is kept, told and hashed."""
-        limits = {key: list(limit) for key, limit in self.limits.items()}
-        raw = {"settings": self.settings, "limits": limits}
+        """The one form in which it is kept, sent and hashed.
+
+        A mode stands in it only where it is not ``exact``: what was written before there were modes keeps
+        its text and digest.
+        """
+        limits = {key: _written(limit) for key, limit in self.limits.items()}
+        raw: dict[str, Any] = {"settings": self.settings, "limits": limits}
+        if self.default_mode is not LimitMode.EXACT:
+            raw["default_mode"] = self.default_mode.value
         return json.dumps(raw, sort_keys=True, separators=(",", ":"))
 
     @property
@@ -51,8 +62,9 @@
     """A policy out of its text; raises ``PolicyFault``."""
     try:
         raw = json.loads(text)
-        limits = {str(key): (int(calls), float(span)) for key, (calls, span) in raw["limits"].items()}
-        return Policy(dict(raw["settings"]), limits)
+        limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
+        default_mode = _read_mode("default_mode", raw.get("default_mode", LimitMode.EXACT.value))
+        return Policy(dict(raw["settings"]), limits, default_mode)
     except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
         raise PolicyFault(f"not a policy: {exc!r}") from exc
 
@@ -94,25 +106,58 @@
             raise PolicyFault(f"settings.{root}: no such key; did you mean {near[0]}?")
 
 
-def shrunk(old: Policy, new: Policy) -> dict[str, tuple[int, float]]:
-    """Limits that are lower in the new policy, or only there."""
+def shrunk(old: Policy, new: Policy) -> dict[str, Limit]:
+    """Limits that are stricter in the new policy, or only there."""
     return {
         key: limit
         for key, limit in new.limits.items()
-        if key not in old.limits or _rate(limit) < _rate(old.limits[key]) or limit[0] < old.limits[key][0]
+        if key not in old.limits or _stricter(old.limits[key], limit)
     }
 
 
 def lead_ms(old: Policy, new: Policy) -> float:
-    """How long before the new policy holds its lower limits must bind, so that every span keeps them."""
-    return max((span + LEASE_MS + SLACK_MS for _, span in shrunk(old, new).values()), default=0.0)
+    """How long before the new policy holds its stricter limits must bind, so that every span keeps them."""
+    spans = (limit.span_ms for limit in shrunk(old, new).values())
+    return max((span_ms + LEASE_MS + SLACK_MS for span_ms in spans), default=0.0)
+
+
+def _stricter(old: Limit, new: Limit) -> bool:
+    if old.mode is LimitMode.ADAPTIVE and new.mode is LimitMode.EXACT:
+        return True
+    return _rate(new) < _rate(old) or new.calls < old.calls
+
+
+def _rate(limit: Limit) -> float:
+    return limit.calls / limit.span_ms if limit.span_ms else inf
+
 
+def _written(limit: Limit) -> list[Any]:
+    entry: list[Any] = [limit.calls, limit.span_ms]
+    return entry if limit.mode is LimitMode.EXACT else [*entry, limit.mode.value]
 
-def _rate(limit: tuple[int, float]) -> float:
-    calls, span_ms = limit
-    return calls / span_ms if span_ms else inf
+
+def _read_limit(key: str, entry: Any) -> Limit:
+    calls, span_ms, *mode = entry
+    if not mode:
+        return Limit(int(calls), float(span_ms))
+    (name,) = mode
+    return Limit(int(calls), float(span_ms), _read_mode(f"limits.{key}.mode", name))
+
+
+def _read_mode(key: str, name: object) -> LimitMode:
+    try:
+        return LimitMode.named(name)
+    except ValueError as exc:
+        raise PolicyFault(f"{key}: {exc}") from exc
 
 
 def _flat(policy: Policy) -> dict[str, str]:
-    limits = {f"limits.{key}": f"{calls} in {span:g} ms" for key, (calls, span) in policy.limits.items()}
-    return limits | {f"settings.{key}": value for key, value in flatten(policy.settings).items()}
+    flat = {f"limits.{key}": _described(limit) for key, limit in policy.limits.items()}
+    if policy.default_mode is not LimitMode.EXACT:
+        flat["default_mode"] = policy.default_mode.value
+    return flat | {f"settings.{key}": value for key, value in flatten(policy.settings).items()}
+
+
+def _described(limit: Limit) -> str:
+    mode = "" if limit.mode is LimitMode.EXACT else f", {limit.mode.value}"
+    return f"{limit.calls} in {limit.span_ms:g} ms{mode}"
--- a/springspread/town/fleet.py
+++ b/springspread/town/fleet.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.fleet.allocator import Limit
+from springspread.fleet.limits import Limit
 from springspread.fleet.orders import asked
 from springspread.rig.daemon import given_path
 
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -28,7 +28,7 @@
 
 from springspread.config import Limits
 from springspread.core.types import EndpointState
-from springspread.fleet.allocator import Limit
+from springspread.fleet.limits import Limit
 from springspread.http1.message import Malformed
 from springspread.http1.server import Request, ServerConnection
 from springspread.net.exchange import FAILURES, Connection
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -36,10 +36,11 @@
     Scope,
     Verdict,
 )
-from springspread.fleet.allocator import Allocator, Lease, Limit, Owner
+from springspread.fleet.allocator import Allocator, Lease, Owner
 from springspread.fleet.allocator_server import SLACK_MS, TICK_MS
 from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
 from springspread.fleet.lease_cache import LeaseCache, Report
+from springspread.fleet.limits import Limit
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
 from springspread.town.partner import Answer, End, Partner, Trouble
--- a/tests/fleet/test_allocator.py
+++ b/tests/fleet/test_allocator.py
@@ -19,8 +19,9 @@
     run_state_machine_as_test,
 )
 
-from springspread.fleet.allocator import Allocator, Lease, Limit, Owner, divide
+from springspread.fleet.allocator import Allocator, Lease, Owner, divide
 from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limits import Limit
 
 SPAN = 200.0
 LEASE = 40.0
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -13,9 +13,9 @@
 
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint, Load
-from springspread.fleet.allocator import Limit
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
+from springspread.fleet.limits import Limit
 from springspread.fleet.wire import LeaseRequest, Register, write
 from tests.peer import until
 
--- a/tests/fleet/test_border.py
+++ b/tests/fleet/test_border.py
@@ -6,10 +6,10 @@
 from pathlib import Path
 
 from springspread.core.clock import SYSTEM
-from springspread.fleet.allocator import Limit
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import BOOT_ID
 from springspread.fleet.daemon import Daemon
+from springspread.fleet.limits import Limit
 from springspread.fleet.plan import read_fleet
 from springspread.fleet.wire import LeaseRequest
 from springspread.rollout.record import PolicyRecord
--- /dev/null
+++ b/tests/fleet/test_plan.py
@@ -0,0 +1,62 @@
+"""The operator file of a fleet: what its limits say, and what is refused by file, key and nearest value."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from springspread.checked import PlanError
+from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.plan import FleetPlan, read_fleet
+
+TOP = """folder = "fleet"
+config = "sender.json"
+"""
+MODE = "limits.g1.mode: no such mode"
+
+
+def read(folder: Path, rest: str) -> FleetPlan:
+    """The plan of a file with these lines beside the ones that every fleet needs."""
+    file = folder / "fleet.toml"
+    file.write_text(TOP + rest)
+    return read_fleet(file)
+
+
+def test_a_limit_is_exact_unless_the_file_says_adaptive(tmp_path: Path) -> None:
+    plan = read(
+        tmp_path,
+        """default_mode = "adaptive"
+[limits.g1]
+calls = 5
+[limits.g2]
+calls = 6
+mode = "adaptive"
+""",
+    )
+    assert plan.shared == {"g1": Limit(5, 2000.0), "g2": Limit(6, 2000.0, LimitMode.ADAPTIVE)}
+    assert plan.policy({}).limits == plan.shared and plan.policy({}).default_mode is LimitMode.ADAPTIVE
+    assert read(tmp_path, "").default_mode is LimitMode.EXACT
+
+
+@pytest.mark.parametrize(
+    ("lines", "fault"),
+    [
+        (
+            '[limits.g1]\ncalls = 5\nmode = "adaptve"',
+            f"{MODE}: 'adaptve'; did you mean adaptive?",
+        ),
+        (
+            '[limits.g1]\ncalls = 5\nmode = "loose"',
+            f"{MODE}: 'loose'; there are exact, adaptive",
+        ),
+        ("[limits.g1]\ncalls = 5\nmode = 1", f"{MODE}: 1; there are exact, adaptive"),
+        ('default_mode = "exakt"', "default_mode: no such mode: 'exakt'; did you mean exact?"),
+    ],
+)
+def test_an_unknown_mode_is_refused_with_file_key_and_nearest_value(
+    tmp_path: Path, lines: str, fault: str
+) -> None:
+    with pytest.raises(PlanError) as caught:
+        read(tmp_path, lines)
+    assert str(caught.value) == f"{tmp_path / 'fleet.toml'}: {fault}"
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -12,6 +12,7 @@
 import pytest
 
 from springspread.fleet.change import Changes
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.rollout.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
 from springspread.rollout.record import Damaged, PolicyRecord
 from springspread.rollout.terms import Begun, Decided, Proposed
@@ -19,7 +20,7 @@
 from tests.test_config import SETTINGS
 
 
-def policy(slots: int = 6, limits: dict[str, tuple[int, float]] | None = None, **changes: Any) -> Policy:
+def policy(slots: int = 6, limits: dict[str, Limit] | None = None, **changes: Any) -> Policy:
     settings = copy.deepcopy(SETTINGS) | changes
     settings["specifics"]["callsOut"] = slots
     return Policy(settings, limits or {})
@@ -127,10 +128,46 @@
 
 
 def test_limits_that_shrink_bind_before_the_border() -> None:
-    old = policy(limits={"g1": (40, 2000.0), "g2": (10, 1000.0)})
-    new = policy(slots=7, limits={"g1": (8, 2000.0), "g2": (100, 1000.0), "g3": (5, 4000.0)})
-    assert shrunk(old, new) == {"g1": (8, 2000.0), "g3": (5, 4000.0)}
+    old = policy(limits={"g1": Limit(40, 2000.0), "g2": Limit(10, 1000.0)})
+    new = policy(slots=7, limits={"g1": Limit(8, 2000.0), "g2": Limit(100, 1000.0), "g3": Limit(5, 4000.0)})
+    assert shrunk(old, new) == {"g1": Limit(8, 2000.0), "g3": Limit(5, 4000.0)}
     assert lead_ms(old, new) == 4300.0 and lead_ms(old, old) == 0.0
     assert "limits.g1: 40 in 2000 ms -> 8 in 2000 ms" in differences(old, new)
     assert "settings.specifics.callsOut: 6 -> 7" in differences(old, new)
     assert parsed(new.text) == new and new.digest != old.digest
+
+
+def test_a_document_carries_the_mode_of_a_limit_and_an_exact_one_reads_as_before() -> None:
+    exact = Policy({}, {"g1": Limit(40, 2000.0)})
+    assert exact.text == '{"limits":{"g1":[40,2000.0]},"settings":{}}'
+    adaptive = Policy({}, {"g1": Limit(40, 2000.0, LimitMode.ADAPTIVE)}, LimitMode.ADAPTIVE)
+    assert adaptive.text == '{"default_mode":"adaptive","limits":{"g1":[40,2000.0,"adaptive"]},"settings":{}}'
+    assert parsed(adaptive.text) == adaptive and parsed(exact.text) == exact
+    assert differences(exact, adaptive) == [
+        "default_mode: not set -> adaptive",
+        "limits.g1: 40 in 2000 ms -> 40 in 2000 ms, adaptive",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("entry", "default_mode", "fault"),
+    [
+        ('[40,2000.0,"adaptve"]', "exact", "limits.g1.mode: no such mode: 'adaptve'; did you mean adaptive?"),
+        ("[40,2000.0,7]", "exact", "limits.g1.mode: no such mode: 7; there are exact, adaptive"),
+        ("[40,2000.0]", "exakt", "default_mode: no such mode: 'exakt'; did you mean exact?"),
+        ('[40,2000.0,"exact",1]', "exact", "not a policy: "),
+    ],
+)
+def test_a_document_of_an_unknown_mode_is_refused_by_its_key(
+    entry: str, default_mode: str, fault: str
+) -> None:
+    with pytest.raises(PolicyFault) as caught:
+        parsed(f'{{"settings":{{}},"limits":{{"g1":{entry}}},"default_mode":"{default_mode}"}}')
+    assert str(caught.value).startswith(fault)
+
+
+def test_a_limit_that_becomes_exact_binds_before_the_border() -> None:
+    adaptive = Policy({}, {"g1": Limit(40, 2000.0, LimitMode.ADAPTIVE)})
+    exact = Policy({}, {"g1": Limit(40, 2000.0)})
+    assert shrunk(adaptive, exact) == exact.limits and lead_ms(adaptive, exact) == 2300.0
+    assert shrunk(exact, adaptive) == {} and lead_ms(exact, adaptive) == 0.0
