A policy has a bound of its size; one over it is refused by size and bound

Cause: an order to the daemon was cut at 256 KiB in the middle, so a policy of 140,000 limits (3 MB) ended in a broken pipe, told as 'no daemon answers'. Policies are bounded by name (MAX_LIMITS, MAX_POLICY_BYTES), orders by what such a policy takes as a JSON string. The control socket is a module of its own; it reads the rest of an order that is too long within bounds of bytes and time and answers with size and bound. 'run' and 'policy check' of a file over a bound exit with 2, 'propose' with 5. A closed control socket takes no further order: the thread that waited in accept took one more. A policy's text and digest are made once.

--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -6,12 +6,14 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import click
 
 if TYPE_CHECKING:
+    from springspread.checked import PlanError
     from springspread.fleet.plan import FleetPlan
+    from springspread.rollout.document import Policy
 
 FILE = click.Path(path_type=Path, dir_okay=False)
 ENDS = (signal.SIGTERM, signal.SIGINT)
@@ -22,6 +24,12 @@
     """Run many instances under one set of limits. FILE is the fleet's operator file (TOML)."""
 
 
+class TooLarge(click.ClickException):
+    """A file that is over a bound of its size."""
+
+    exit_code = 2
+
+
 def _plan(file: Path) -> FleetPlan:
     from springspread.checked import PlanError
     from springspread.fleet.plan import read_fleet
@@ -29,7 +37,13 @@
     try:
         return read_fleet(file)
     except PlanError as exc:
-        raise click.ClickException(str(exc)) from exc
+        raise _faulty(exc) from exc
+
+
+def _faulty(exc: PlanError) -> click.ClickException:
+    from springspread.fleet.plan import PlanTooLarge
+
+    return TooLarge(str(exc)) if isinstance(exc, PlanTooLarge) else click.ClickException(str(exc))
 
 
 @fleet.command()
@@ -39,7 +53,9 @@
 
     SIGTERM ends the instances in order, too. SIGKILL ends nobody else: the next `run` adopts what runs.
     """
-    from springspread.fleet.daemon import Daemon, Refused
+    from springspread.fleet.daemon import Daemon
+    from springspread.fleet.orders import Refused
+    from springspread.fleet.plan import PlanTooLarge
     from springspread.logs import make_log
 
     plan = _plan(file)
@@ -47,6 +63,8 @@
     log, sink = make_log("fleet", 1000)
     try:
         daemon = Daemon(plan, log)
+    except PlanTooLarge as exc:
+        raise _faulty(PlanTooLarge(_located(file, plan, str(exc)))) from exc
     except (Refused, OSError, ValueError, TypeError) as exc:
         raise click.ClickException(str(exc)) from exc
     log.info("fleet ready", control=str(plan.folder / "control"))
@@ -56,21 +74,25 @@
     sink.flush()
 
 
-def _ask(file: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
+def _send(plan: FleetPlan, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
     from springspread.fleet.orders import asked
 
-    path = _plan(file).folder / "control"
+    path = plan.folder / "control"
     try:
-        answer = asked(path, order, wait_s)
+        return asked(path, order, wait_s)
     except (OSError, ValueError) as exc:
         raise click.ClickException(f"no daemon answers at {path}: {exc}") from exc
+
+
+def _ask(plan: FleetPlan, order: dict[str, Any]) -> dict[str, Any]:
+    answer = _send(plan, order)
     if not answer["ok"]:
         raise click.ClickException(answer["fault"])
     return answer
 
 
 def _order(file: Path, order: dict[str, Any], as_json: bool) -> None:
-    answer = _ask(file, order)
+    answer = _ask(_plan(file), order)
     if as_json:
         click.echo(json.dumps(answer["instances"]))
     else:
@@ -103,7 +125,7 @@
     """Show how far each instance's return to service has come, and what it waits for."""
     from springspread.cli.live import columns
 
-    rows = _ask(file, {"do": "recovery"})["recovery"]
+    rows = _ask(_plan(file), {"do": "recovery"})["recovery"]
     if as_json:
         click.echo(json.dumps(rows))
         return
@@ -158,8 +180,10 @@
     """
 
 
-def _wanted(file: Path) -> str:
-    plan = _plan(file)
+def _wanted(file: Path, plan: FleetPlan) -> Policy:
+    """What the files ask for; raises ``PlanTooLarge`` with the file's name."""
+    from springspread.fleet.plan import PlanTooLarge
+
     try:
         base = json.loads(plan.config.read_text())
     except OSError as exc:
@@ -168,19 +192,37 @@
         raise click.ClickException(f"{plan.config}: not JSON: {exc}") from exc
     if not isinstance(base, dict):
         raise click.ClickException(f"{plan.config}: must hold an object")
-    return plan.policy(base).text
+    try:
+        return plan.policy(base)
+    except PlanTooLarge as exc:
+        raise PlanTooLarge(_located(file, plan, str(exc))) from exc
 
 
-def _proposed(file: Path, text: str, within: float, as_json: bool) -> None:
-    answer = _ask(file, {"do": "propose", "policy": text, "within": within}, within)
+def _located(file: Path, plan: FleetPlan, fault: str) -> str:
+    """A fault behind the file that its key stands in."""
+    if "settings" in fault:
+        return f"{plan.config}: {fault}"
+    return f"{file}: {fault}" if "limits" in fault else fault
+
+
+def _propose(file: Path, plan: FleetPlan, text: str, within: float, as_json: bool) -> NoReturn:
+    answer = _send(plan, {"do": "propose", "policy": text, "within": within}, within)
+    if not answer["ok"]:
+        answer = {"state": "refused", "version": 0, "fault": answer["fault"]}
     state, number, fault = answer["state"], answer["version"], answer["fault"]
+    if state == "refused" and not as_json:
+        fault = _located(file, plan, fault)
+    _finish(state, number, fault, as_json)
+
+
+def _finish(state: str, number: int, fault: str, as_json: bool) -> NoReturn:
+    """Say what became of a proposal, and end with its exit status."""
     if as_json:
         click.echo(json.dumps({"state": state, "version": number, "fault": fault}))
     elif state == "in force":
         click.echo(f"policy {number} is in force")
     elif state == "refused":
-        where = f"{_plan(file).config}: " if "settings" in fault else f"{file}: " if "limits" in fault else ""
-        click.echo(f"refused, in force nowhere: {where}{fault}", err=True)
+        click.echo(f"refused, in force nowhere: {fault}", err=True)
     else:
         click.echo(f"policy {number} is not in force yet; it waits for {fault}", err=True)
     sys.exit({"in force": 0, "refused": 5}.get(state, 6))
@@ -197,7 +239,17 @@
 @JSON
 def propose(file: Path, within: float, as_json: bool) -> None:
     """Propose FILE and the `config` that it names, as they stand now."""
-    _proposed(file, _wanted(file), within, as_json)
+    from springspread.checked import PlanError
+    from springspread.fleet.plan import PlanTooLarge, read_fleet
+
+    try:
+        plan = read_fleet(file)
+        text = _wanted(file, plan).text
+    except PlanTooLarge as exc:  # nothing is sent
+        _finish("refused", 0, str(exc), as_json)
+    except PlanError as exc:
+        raise _faulty(exc) from exc
+    _propose(file, plan, text, within, as_json)
 
 
 @policy.command()
@@ -207,7 +259,9 @@
 @JSON
 def back(file: Path, version: int, within: float, as_json: bool) -> None:
     """Propose what held under VERSION; it gets a number of its own."""
-    _proposed(file, _ask(file, {"do": "text", "version": version})["policy"], within, as_json)
+    plan = _plan(file)
+    text = _ask(plan, {"do": "text", "version": version})["policy"]
+    _propose(file, plan, text, within, as_json)
 
 
 @policy.command()
@@ -215,7 +269,14 @@
 @JSON
 def check(file: Path, as_json: bool) -> None:
     """Say what a proposal of FILE would change, and who would refuse it. Changes nothing."""
-    answer = _ask(file, {"do": "check", "policy": _wanted(file)})
+    from springspread.fleet.plan import PlanTooLarge
+
+    plan = _plan(file)
+    try:
+        text = _wanted(file, plan).text
+    except PlanTooLarge as exc:
+        raise _faulty(exc) from exc
+    answer = _ask(plan, {"do": "check", "policy": text})
     if as_json:
         click.echo(
             json.dumps({key: answer[key] for key in ("usable", "fault", "changes", "refuse", "silent")})
@@ -236,7 +297,7 @@
 @JSON
 def policy_status(file: Path, as_json: bool) -> None:
     """Show which policy is in force, what is under way, and what each instance acts under."""
-    answer = _ask(file, {"do": "policy"})
+    answer = _ask(_plan(file), {"do": "policy"})
     told = {key: answer[key] for key in ("in_force", "pending", "instances")}
     if as_json:
         click.echo(json.dumps(told))
@@ -254,7 +315,7 @@
 @JSON
 def history(file: Path, as_json: bool) -> None:
     """Show every policy that was proposed, and what became of it."""
-    rows = _ask(file, {"do": "history"})["history"]
+    rows = _ask(_plan(file), {"do": "history"})["history"]
     if as_json:
         click.echo(json.dumps(rows))
         return
--- a/springspread/cli/main.py
+++ b/springspread/cli/main.py
@@ -22,7 +22,7 @@
 Exit codes:
   0  all went well
   1  a promise was broken, or a file that was named is faulty
-  2  a faulty option, or a configuration that can't be used
+  2  a faulty option, a configuration that can't be used, or a fleet's file over a bound of its size
   3  the machine was too busy for a run to say anything
   4  stopped early; what was done is kept
   5  a policy was refused and is in force nowhere
--- /dev/null
+++ b/springspread/fleet/control.py
@@ -0,0 +1,114 @@
+"""The daemon's control socket: one JSON object a connection, ended by a newline, and one back.
+
+Only the owner of the fleet's folder may open it. An order has a bound of bytes and of time. The rest of one
+that is longer is read and discarded, up to bounds of its own, so that its sender reads the refusal and not a
+broken pipe.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from springspread.core.clock import Clock
+from springspread.core.types import Log
+from springspread.fleet.orders import Refused
+from springspread.net.threads import spawn
+from springspread.rollout.document import MAX_POLICY_BYTES, oversize
+
+MAX_ORDER_BYTES = 2 * MAX_POLICY_BYTES + (1 << 16)  # a policy is a JSON string in it: a quote takes two bytes
+MAX_DISCARDED_BYTES = 2 * MAX_ORDER_BYTES
+READ_BYTES = 1 << 18
+IDLE_S = 2.0  # the longest pause of a peer, in either direction
+ORDER_MS = 10_000.0  # the longest time for an order to arrive, and for the rest of one that is too long
+BACKLOG = 16
+
+
+class OrderTooLarge(Refused):
+    """An order over its bound."""
+
+
+class ControlSocket:
+    """Takes orders, each on its own thread, until ``close``. Raises ``OSError`` where it can't listen."""
+
+    def __init__(
+        self, path: Path, carry_out: Callable[[object], dict[str, Any]], log: Log, clock: Clock
+    ) -> None:
+        """``carry_out`` takes a decoded order and gives its answer; it raises ``Refused``."""
+        self._carry_out, self._log, self._clock = carry_out, log, clock
+        self._listener = socket.socket(socket.AF_UNIX)
+        path.unlink(missing_ok=True)
+        mask = os.umask(0o177)  # nobody else may open it, not even for a moment
+        try:
+            self._listener.bind(str(path))
+        finally:
+            os.umask(mask)
+        self._listener.listen(BACKLOG)
+        self._closed = False
+        spawn("fleet-orders", self._listen, log)
+
+    def _listen(self) -> None:
+        while not self._closed:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.settimeout(IDLE_S)
+            spawn("fleet-order", partial(self._serve, sock), self._log, vital=False)
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock:
+            try:
+                sock.sendall(json.dumps(self._answer(sock)).encode() + b"\n")
+            except OSError as exc:
+                self._log.warning("order broken off", error=str(exc))
+
+    def _answer(self, sock: socket.socket) -> dict[str, Any]:
+        try:
+            return {"ok": True, **self._carry_out(json.loads(read_order(sock, self._clock)))}
+        except (Refused, ValueError, RecursionError) as exc:
+            return {"ok": False, "fault": str(exc)}
+
+    def close(self) -> None:
+        """Take no more orders; those that were taken get their answers."""
+        self._closed = True
+        with suppress(OSError):  # Guards against the thread that waits in ``accept``: it would take one more
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+
+def read_order(sock: socket.socket, clock: Clock) -> bytes:
+    """An order's bytes; raises ``OrderTooLarge``, or ``OSError`` where it does not arrive in time."""
+    end = clock.now() + ORDER_MS
+    data = bytearray()
+    while not data.endswith(b"\n"):
+        received = sock.recv(READ_BYTES)
+        if not received:
+            break
+        data += received
+        if len(data) > MAX_ORDER_BYTES:
+            size, ended = _discard(sock, clock, data.endswith(b"\n"))
+            size += len(data)
+            raise OrderTooLarge(oversize("order", size, MAX_ORDER_BYTES, at_least=not ended))
+        if clock.now() > end:
+            raise TimeoutError("the order did not arrive in time")
+    return bytes(data)
+
+
+def _discard(sock: socket.socket, clock: Clock, ended: bool) -> tuple[int, bool]:
+    """Read on to an order's end, within bounds; how many bytes came, and whether its end did."""
+    size, end = 0, clock.now() + ORDER_MS
+    while not ended and size < MAX_DISCARDED_BYTES and clock.now() < end:
+        try:
+            received = sock.recv(READ_BYTES)
+        except OSError:
+            break
+        size += len(received)
+        ended = not received or received.endswith(b"\n")
+    return size, ended
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -12,13 +12,11 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import threading
 from contextlib import suppress
 from dataclasses import replace
-from functools import partial
 from math import inf
 from pathlib import Path
 from typing import Any
@@ -28,6 +26,7 @@
 from springspread.core.types import Log
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import Changes
+from springspread.fleet.control import ControlSocket
 from springspread.fleet.folder import (
     Unusable,
     config_epochs,
@@ -38,6 +37,7 @@
 )
 from springspread.fleet.limits import Limit
 from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
+from springspread.fleet.orders import Refused
 from springspread.fleet.plan import FleetPlan
 from springspread.fleet.record import leased_epochs
 from springspread.fleet.survey import Found, believed, highest, raised
@@ -49,16 +49,11 @@
 LOOK_MS = 50.0
 STARTS_MS = 5_000.0  # one that has not said hello by then is no longer counted as starting
 LISTENS_MS = 60_000.0  # an instance says where it listens within this, or its log is not looked at again
-ORDER_BYTES = 1 << 18
-ORDER_S = 2.0
+NUMBER_S = 2.0  # a proposal's number is waited for this long, at the least
 MOST = 1000
 LOG_BYTES = 4 << 20
 
 
-class Refused(Exception):
-    """An order that can't be carried out, or a folder that another daemon holds; the text says why."""
-
-
 class Daemon:
     """Runs a fleet until ``stop``. Raises ``Refused`` or ``OSError`` where its folder can't be used."""
 
@@ -98,17 +93,8 @@
             self._changes.begin(alive, self._server.tell, self._server.follow)
         except Damaged as exc:
             raise Refused(str(exc)) from exc
-        self._orders = socket.socket(socket.AF_UNIX)
-        path = self.folder / "control"
-        path.unlink(missing_ok=True)
-        mask = os.umask(0o177)  # nobody else may open it, not even for a moment
-        try:
-            self._orders.bind(str(path))
-        finally:
-            os.umask(mask)
-        self._orders.listen(16)
         self._over = threading.Event()
-        spawn("fleet-orders", self._listen, log)
+        self._control = ControlSocket(self.folder / "control", self.order, log, clock)
         spawn("fleet-look", self._look_on, log)
 
     # The policy
@@ -158,7 +144,7 @@
         number = changes.pending if changes.pending else history.in_force
         if not number or changes.policy(number).digest != policy.digest:  # asked again: the same answer
             proposal = changes.propose(policy)
-            proposal.taken.wait(max(within_s, ORDER_S))  # so that there is a number to ask about
+            proposal.taken.wait(max(within_s, NUMBER_S))  # so that there is a number to ask about
             if proposal.fault:
                 return {"state": "refused", "version": 0, "fault": proposal.fault}
             number = proposal.number
@@ -392,31 +378,6 @@
 
     # Orders
 
-    def _listen(self) -> None:
-        while not self._over.is_set():
-            try:
-                sock, _ = self._orders.accept()
-            except OSError:
-                return
-            sock.settimeout(ORDER_S)
-            spawn("fleet-order", partial(self._order, sock), self._log, vital=False)
-
-    def _order(self, sock: socket.socket) -> None:
-        with sock:
-            data = b""
-            try:
-                while not data.endswith(b"\n") and len(data) < ORDER_BYTES:
-                    if not (more := sock.recv(ORDER_BYTES)):
-                        break
-                    data += more
-                try:
-                    answer = {"ok": True, **self.order(json.loads(data))}
-                except (Refused, ValueError, RecursionError) as exc:
-                    answer = {"ok": False, "fault": str(exc)}
-                sock.sendall(json.dumps(answer).encode() + b"\n")
-            except OSError as exc:
-                self._log.warning("order broken off", error=str(exc))
-
     def order(self, order: object) -> dict[str, Any]:
         """Carry an order out; raises ``Refused``."""
         if not isinstance(order, dict):
@@ -496,7 +457,7 @@
     def leave(self) -> None:
         """End the daemon alone: a new one adopts what runs."""
         self._over.set()
-        self._orders.close()
+        self._control.close()
         self._changes.close()
         self._server.close()
         self._held.close()
--- a/springspread/fleet/orders.py
+++ b/springspread/fleet/orders.py
@@ -4,20 +4,30 @@
 
 import json
 import socket
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
+READ_BYTES = 1 << 16
 ANSWER_S = 5.0
+ANSWER_S_PER_MB = 2.0  # more for a long order: a document is parsed, compared and hashed before the answer
+
+
+class Refused(Exception):
+    """An order that can't be carried out, or a folder that another daemon holds; the text says why."""
 
 
 def asked(control: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
     """A daemon's answer to an order; raises ``OSError`` or ``ValueError`` where none comes."""
+    line = json.dumps(order).encode() + b"\n"
+    answer = bytearray()
     with socket.socket(socket.AF_UNIX) as sock:
-        sock.settimeout(ANSWER_S + wait_s)
+        sock.settimeout(ANSWER_S + wait_s + ANSWER_S_PER_MB * len(line) / 1e6)
         sock.connect(str(control))
-        sock.sendall(json.dumps(order).encode() + b"\n")
-        data = b""
-        while more := sock.recv(65536):
-            data += more
-    answer: dict[str, Any] = json.loads(data)
-    return answer
+        # Guards the daemon's refusal: one that reads no further may have answered before it closed.
+        with suppress(BrokenPipeError, ConnectionResetError):
+            sock.sendall(line)
+        while not answer.endswith(b"\n") and (received := sock.recv(READ_BYTES)):
+            answer += received
+    decoded: dict[str, Any] = json.loads(answer)
+    return decoded
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -13,12 +13,16 @@
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.members import Pauses
 from springspread.rollout.coordinator import Times
-from springspread.rollout.document import Policy
+from springspread.rollout.document import MAX_LIMITS, Policy, PolicyTooLarge, check_bounds
 
 Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
 Mode = Annotated[LimitMode, BeforeValidator(LimitMode.named)]
 
 
+class PlanTooLarge(PlanError):
+    """A file that is over a bound of its size; the text names the key and the bound."""
+
+
 class LimitEntry(Strict):
     """So many calls in any span, whatever number of instances makes them."""
 
@@ -84,9 +88,14 @@
         return Times(told.lease_ms, told.vote_ms, cut_ms=told.vote_ms + 200.0)
 
     def policy(self, base: Mapping[str, Any]) -> Policy:
-        """What the files ask for, given the decoded configuration."""
+        """What the files ask for, given the decoded configuration. Raises ``PlanTooLarge``."""
         settings = base.get("settings")
-        return Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
+        policy = Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
+        try:
+            check_bounds(policy)
+        except PolicyTooLarge as exc:
+            raise PlanTooLarge(str(exc)) from exc
+        return policy
 
     @property
     def pauses(self) -> Pauses:
@@ -110,7 +119,9 @@
 def read_fleet(path: Path) -> FleetPlan:
     """Read an operator file; raises ``PlanError``. Relative paths count from the file's folder."""
     try:
-        plan = FleetPlan.model_validate(tomllib.loads(path.read_text()))
+        raw = tomllib.loads(path.read_text())
+        _check_count(path, raw.get("limits"))
+        plan = FleetPlan.model_validate(raw)
     except OSError as exc:
         raise PlanError(f"{path}: {exc.strerror}") from exc
     except ValidationError as exc:
@@ -120,3 +131,9 @@
         raise PlanError(f"{path}: not TOML: {exc}") from exc
     here = path.resolve().parent
     return plan.model_copy(update={"folder": here / plan.folder, "config": here / plan.config})
+
+
+def _check_count(path: Path, limits: object) -> None:
+    """Guards the time that it takes to check each limit of a file that has too many."""
+    if isinstance(limits, dict) and len(limits) > MAX_LIMITS:
+        raise PlanTooLarge(f"{path}: limits: there are {len(limits):,}; the bound is {MAX_LIMITS:,}")
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from difflib import get_close_matches
+from functools import cached_property
 from hashlib import sha256
 from math import inf
 from typing import Any
@@ -22,13 +23,19 @@
 FIXED_PARTS = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
 LEASE_MS = 200.0  # of a share of a limit: what was given out before a limit shrank is used or over by then
 SLACK_MS = 100.0
+MAX_LIMITS = 200_000
+MAX_POLICY_BYTES = 16 << 20  # of its text: 140,000 limits with keys of 90 characters
 
 
 class PolicyFault(Exception):
     """A document that can't become the policy; the text begins with the faulty key."""
 
 
-@dataclass(frozen=True, slots=True)
+class PolicyTooLarge(PolicyFault):
+    """A document over ``MAX_LIMITS`` or ``MAX_POLICY_BYTES``."""
+
+
+@dataclass(frozen=True)
 class Policy:
     """``settings`` as in a sender's configuration; ``limits`` by key of a destination.
 
@@ -39,7 +46,7 @@
     limits: Mapping[str, Limit]
     default_mode: LimitMode = LimitMode.EXACT
 
-    @property
+    @cached_property
     def text(self) -> str:
         """The one form in which it is kept, sent and hashed.
 
@@ -52,7 +59,7 @@
             raw["default_mode"] = self.default_mode.value
         return json.dumps(raw, sort_keys=True, separators=(",", ":"))
 
-    @property
+    @cached_property
     def digest(self) -> str:
         """SHA-256 of its text."""
         return sha256(self.text.encode()).hexdigest()
@@ -69,6 +76,22 @@
         raise PolicyFault(f"not a policy: {exc!r}") from exc
 
 
+def check_bounds(policy: Policy) -> None:
+    """Raise ``PolicyTooLarge`` where it has too many limits or too long a text."""
+    if len(policy.limits) > MAX_LIMITS:
+        raise PolicyTooLarge(f"limits: there are {len(policy.limits):,}; the bound is {MAX_LIMITS:,}")
+    size = len(policy.text)  # ASCII: a byte a character
+    if size > MAX_POLICY_BYTES:
+        settings = len(json.dumps(policy.settings))
+        key = "settings" if 2 * settings > size else "limits"
+        raise PolicyTooLarge(f"{key}: {oversize('policy', size, MAX_POLICY_BYTES)}")
+
+
+def oversize(what: str, size: int, bound: int, *, at_least: bool = False) -> str:
+    """What is said of something that is too long; ``at_least``: it was not read to its end."""
+    return f"the {what} has {'at least ' if at_least else ''}{size:,} bytes; the bound is {bound:,}"
+
+
 def differences(old: Policy, new: Policy) -> list[str]:
     """Every key that differs, with both values."""
     before, after = _flat(old), _flat(new)
@@ -80,6 +103,7 @@
     """Raise ``PolicyFault`` where it can't be used at all, or not after the policies of the history, oldest
     first.
     """
+    check_bounds(new)
     try:
         specs = read_settings(flatten(new.settings)).classes
     except SettingsError as exc:
--- /dev/null
+++ b/tests/fleet/test_orders.py
@@ -0,0 +1,181 @@
+"""Orders over the control socket, by size: what has room is taken, what is too large is refused by name."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+
+from springspread.cli.main import cli
+from springspread.core.clock import SYSTEM
+from springspread.fleet import control as control_module
+from springspread.fleet import plan as plan_module
+from springspread.fleet.control import MAX_ORDER_BYTES, ControlSocket
+from springspread.fleet.daemon import Daemon
+from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.orders import asked
+from springspread.fleet.plan import read_fleet
+from springspread.rollout import document
+from springspread.rollout.document import MAX_POLICY_BYTES, Policy
+from tests.fleet.test_allocator_server import Quiet
+from tests.test_config import make
+
+TOML = """folder = "fleet"
+config = "sender.json"
+instances = 0
+[limits.g7]
+calls = 50
+span_ms = 10.0
+"""
+LONG_KEYS = {f"g{'x' * (MAX_POLICY_BYTES // 4)}{number}": Limit(5, 10.0) for number in range(4)}
+
+
+class Place:
+    """A fleet's file and a daemon without instances."""
+
+    def __init__(self, folder: Path) -> None:
+        self.settings: dict[str, Any] = make(folder)["settings"]
+        (folder / "sender.json").write_text(json.dumps(make(folder)))
+        self.file = folder / "fleet.toml"
+        self.file.write_text(TOML)
+        self.daemon = Daemon(read_fleet(self.file), Quiet())
+        self.control = self.daemon.folder / "control"
+
+    def propose(self, limits: dict[str, Limit]) -> dict[str, Any]:
+        text = Policy(self.settings, limits).text
+        return asked(self.control, {"do": "propose", "policy": text, "within": 20.0}, 20.0)
+
+    def command(self, *words: str) -> tuple[int, str]:
+        """The exit status and the words of ``fleet policy WORDS`` with the file."""
+        result = CliRunner().invoke(cli, ["fleet", "policy", words[0], str(self.file), *words[1:]])
+        return result.exit_code, result.output
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    made = Place(tmp_path)
+    yield made
+    made.daemon.leave()
+
+
+def test_a_policy_of_140_000_limits_takes_hold(place: Place) -> None:
+    limits = {f"g{number}": Limit(50, 10.0, LimitMode.ADAPTIVE) for number in range(140_000)}
+    answer = place.propose(limits)
+    assert (answer["ok"], answer["state"], answer["version"]) == (True, "in force", 2)
+    kept = asked(place.control, {"do": "text", "version": 2})
+    assert kept["policy"] == Policy(place.settings, limits).text
+
+
+def test_the_daemon_refuses_a_policy_that_is_too_large_by_size_and_bound(place: Place) -> None:
+    policy = Policy(
+        place.settings, {f"g{'x' * (MAX_POLICY_BYTES // 4)}{n}": Limit(5, 10.0) for n in range(4)}
+    )
+    fault = f"limits: the policy has {len(policy.text):,} bytes; the bound is {MAX_POLICY_BYTES:,}"
+    order = {"policy": policy.text, "within": 5.0}
+    proposed = asked(place.control, {"do": "propose", **order})
+    assert proposed == {"ok": True, "state": "refused", "version": 0, "fault": fault}
+    checked = asked(place.control, {"do": "check", **order})
+    assert not checked["usable"] and checked["fault"] == fault
+    assert asked(place.control, {"do": "policy"})["in_force"]["version"] == 1
+
+
+def test_the_rest_of_an_order_that_is_too_long_is_read_and_its_sender_told(tmp_path: Path) -> None:
+    control = ControlSocket(tmp_path / "control", lambda order: {"order": order}, Quiet(), SYSTEM)
+    order = {"do": "propose", "policy": "x" * (MAX_ORDER_BYTES + 5_000_000), "within": 5.0}
+    size = len(json.dumps(order)) + 1
+    fault = f"the order has {size:,} bytes; the bound is {MAX_ORDER_BYTES:,}"
+    assert asked(tmp_path / "control", order) == {"ok": False, "fault": fault}
+    assert asked(tmp_path / "control", {"do": "status"}) == {"ok": True, "order": {"do": "status"}}
+    control.close()
+
+
+def test_an_order_without_end_is_refused_after_a_bound(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(control_module, "MAX_ORDER_BYTES", 1000)
+    monkeypatch.setattr(control_module, "MAX_DISCARDED_BYTES", 10_000)
+    control = ControlSocket(tmp_path / "control", lambda order: {}, Quiet(), SYSTEM)
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(10.0)
+        sock.connect(str(tmp_path / "control"))
+        sent = 0
+        with pytest.raises((BrokenPipeError, ConnectionResetError)):
+            while sent < 100_000_000:
+                sent += sock.send(b"x" * 1000)
+        answer = json.loads(sock.recv(1000))
+    assert not answer["ok"] and answer["fault"].startswith("the order has at least ")
+    again = asked(tmp_path / "control", {"policy": "x" * 1_000_000})
+    assert again["fault"].startswith("the order has at least ")
+    control.close()
+
+
+def test_an_order_that_trickles_is_broken_off(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    class Hasty:
+        """Each look at it is a second later."""
+
+        def __init__(self) -> None:
+            self.ms = 0.0
+
+        def now(self) -> float:
+            self.ms += 1_000.0
+            return self.ms
+
+        def wall(self) -> float:
+            return self.ms
+
+        def sleep(self, ms: float) -> None:
+            self.ms += ms
+
+    here, there = socket.socketpair()
+    here.settimeout(10.0)
+    there.sendall(b"x" * 20)
+    monkeypatch.setattr(control_module, "READ_BYTES", 1)
+    with here, there, pytest.raises(TimeoutError, match="did not arrive in time"):
+        control_module.read_order(here, Hasty())
+
+
+def test_a_file_over_a_bound_has_its_exit_status_with_key_and_bound(
+    place: Place, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    size = len(place.daemon.order({"do": "text", "version": 1})["policy"])
+    monkeypatch.setattr(document, "MAX_POLICY_BYTES", size - 1)
+    over = f"settings: the policy has {size:,} bytes; the bound is {size - 1:,}"
+    config = place.file.parent / "sender.json"
+    assert place.command("check") == (2, f"Error: {config}: {over}\n")
+    assert place.command("propose") == (5, f"refused, in force nowhere: {config}: {over}\n")
+    code, output = place.command("propose", "--json")
+    assert code == 5
+    assert json.loads(output) == {"state": "refused", "version": 0, "fault": f"{config}: {over}"}
+    monkeypatch.setattr(plan_module, "MAX_LIMITS", 0)
+    many = "limits: there are 1; the bound is 0"
+    assert place.command("check") == (2, f"Error: {place.file}: {many}\n")
+    assert place.command("propose") == (5, f"refused, in force nowhere: {place.file}: {many}\n")
+
+
+def test_a_fleet_over_a_bound_does_not_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    (tmp_path / "sender.json").write_text(json.dumps(make(tmp_path)))
+    file = tmp_path / "fleet.toml"
+    file.write_text(TOML)
+    for module, name, bound in ((document, "MAX_POLICY_BYTES", 10), (plan_module, "MAX_LIMITS", 0)):
+        monkeypatch.setattr(module, name, bound)
+        result = CliRunner().invoke(cli, ["fleet", "run", str(file)])
+        assert result.exit_code == 2 and f"; the bound is {bound}\n" in result.output
+
+
+def test_a_refusal_by_the_daemon_is_a_refused_proposal(place: Place, monkeypatch: pytest.MonkeyPatch) -> None:
+    """As of a daemon whose bound is lower than the command's."""
+    monkeypatch.setattr(control_module, "MAX_ORDER_BYTES", 100)
+    code, output = place.command("propose")
+    assert code == 5 and output.startswith("refused, in force nowhere: the order has ")
+    assert output.endswith("; the bound is 100\n")
+
+
+def test_without_a_daemon_it_is_said_that_none_answers(place: Place) -> None:
+    place.daemon.leave()
+    code, output = place.command("propose")
+    assert code == 1 and "no daemon answers" in output
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -7,8 +7,10 @@
 import pytest
 
 from springspread.checked import PlanError
+from springspread.fleet import plan as plan_module
 from springspread.fleet.limits import Limit, LimitMode
-from springspread.fleet.plan import FleetPlan, read_fleet
+from springspread.fleet.plan import FleetPlan, PlanTooLarge, read_fleet
+from springspread.rollout import document
 
 TOP = """folder = "fleet"
 config = "sender.json"
@@ -60,3 +62,32 @@
     with pytest.raises(PlanError) as caught:
         read(tmp_path, lines)
     assert str(caught.value) == f"{tmp_path / 'fleet.toml'}: {fault}"
+
+
+def test_a_file_with_too_many_limits_is_refused_before_each_is_checked(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(plan_module, "MAX_LIMITS", 2)
+    lines = "".join(f"[limits.g{number}]\ncalls = 0\n" for number in range(3))
+    with pytest.raises(PlanTooLarge) as caught:
+        read(tmp_path, lines)
+    assert str(caught.value) == f"{tmp_path / 'fleet.toml'}: limits: there are 3; the bound is 2"
+
+
+@pytest.mark.parametrize(("key", "settings"), [("limits", {}), ("settings", {"note": "x" * 1000})])
+def test_a_policy_that_is_too_large_is_refused_with_the_key_that_makes_it_so(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, key: str, settings: dict[str, str]
+) -> None:
+    plan = read(tmp_path, "".join(f"[limits.g{number}]\ncalls = 5\n" for number in range(10)))
+    size = len(plan.policy({"settings": settings}).text)
+    monkeypatch.setattr(document, "MAX_POLICY_BYTES", size)
+    plan.policy({"settings": settings})
+    monkeypatch.setattr(document, "MAX_POLICY_BYTES", size - 1)
+    with pytest.raises(PlanTooLarge) as caught:
+        plan.policy({"settings": settings})
+    assert str(caught.value) == f"{key}: the policy has {size:,} bytes; the bound is {size - 1:,}"
+
+
+def test_the_bounds_have_room_for_140_000_limits_with_long_keys() -> None:
+    keys = [f"r{number:06}/{'x' * 70}" for number in range(140_000)]
+    document.check_bounds(document.Policy({}, dict.fromkeys(keys, Limit(500, 2000.0, LimitMode.ADAPTIVE))))
--- a/tests/rollout/test_fleet.py
+++ b/tests/rollout/test_fleet.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from springspread.fleet.daemon import Daemon, Refused
+from springspread.fleet.daemon import Daemon
+from springspread.fleet.orders import Refused
 from springspread.fleet.plan import read_fleet
 from springspread.rig.observer import begun, mixtures
 from tests.fleet.test_allocator_server import Quiet
