--- /dev/null
+++ b/springspread/fleet/adoption.py
@@ -0,0 +1,62 @@
+"""Takes over, as a daemon begins, what its predecessor left: the members' file, and processes that run.
+
+``survey`` decides; this reads and acts.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from math import inf
+from pathlib import Path
+
+from springspread.core.clock import Clock
+from springspread.core.types import Log
+from springspread.fleet.folder import Unusable, config_epochs, read_members, running
+from springspread.fleet.members import Row
+from springspread.fleet.record import leased_epochs
+from springspread.fleet.survey import Found, believed, highest
+
+MEMBERS_FILE = "members.json"
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """The rows that there are; ``lost``: the members' file was, and there is something to run.
+
+    ``process_starts``: when each adopted process began (the system's ticks), by process id.
+    """
+
+    rows: dict[str, Row]
+    process_starts: dict[int, str]
+    lost: bool
+
+
+def adopt(folder: Path, meeting_point: Callable[[str], Path], log: Log, clock: Clock) -> Adopted:
+    """Who there is, from all that survived; a process that must hold nothing is ended. Raises ``OSError``."""
+    rows = _recorded_rows(folder / MEMBERS_FILE, log)
+    leased = highest({name: epoch} for name, epoch in leased_epochs(folder))
+    survey = believed(Found(rows, (leased, config_epochs(folder)), running(meeting_point)))
+    for process in survey.astray:
+        log.warning("astray, ended", instance=process.name, pid=process.pid, epoch=process.epoch)
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, signal.SIGKILL)
+    adopted = dict(survey.rows)
+    for name, holder in survey.holders.items():
+        adopted[name] = replace(adopted[name], started_at=clock.now(), term_sent_at=inf)
+        log.info("adopted", instance=name, pid=holder.pid)
+    starts = {holder.pid: holder.started for holder in survey.holders.values()}
+    return Adopted(adopted, starts, survey.lost and bool(survey.rows))
+
+
+def _recorded_rows(path: Path, log: Log) -> tuple[Row, ...] | None:
+    try:
+        return read_members(path)
+    except Unusable as exc:
+        aside = path.with_suffix(".damaged")
+        path.replace(aside)
+        log.error("members lost; told by what survived", file=str(aside), fault=str(exc))
+        return None
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -79,7 +79,7 @@
 
     # Told by others, from any thread
 
-    def heard(self, owner: Owner, said: Vote | Acting | Fit | None, here: bool) -> None:
+    def received(self, owner: Owner, said: Vote | Acting | Fit | None, here: bool) -> None:
         """An owner has joined (or, not ``here``, left), votes, says what it acts under, or what would fit."""
         if isinstance(said, Acting):
             self._acting[owner] = (said.version, self._clock.now())
--- a/springspread/fleet/folder.py
+++ b/springspread/fleet/folder.py
@@ -22,7 +22,7 @@
 from springspread.fleet.survey import Running
 
 NAME = re.compile(r"n\d{3,}")
-MOMENTS = ("started_at", "told_at", "died_at")  # of a clock that the next daemon may not share
+MOMENTS = ("started_at", "term_sent_at", "died_at")  # of a clock that the next daemon may not share
 KEYS = {item.name for item in fields(Row)} - {*MOMENTS}
 
 
--- a/springspread/fleet/members.py
+++ b/springspread/fleet/members.py
@@ -52,14 +52,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """One instance. ``started_at`` and ``told_at`` are of its present process; inf: not yet."""
+    """One instance. ``started_at`` and ``term_sent_at`` are of its present process; inf: not yet."""
 
     name: str
     want: Want = Want.SERVING
     epoch: int = 0
     pid: int = 0  # 0: none that is known of
     started_at: float = inf
-    told_at: float = inf  # when it was told to end
+    term_sent_at: float = inf  # when SIGTERM was sent to it
     died_at: float = -inf
     deaths: int = 0  # one after the other, each soon after its start
     restart: bool = False  # it is to end once, and to be started again
@@ -69,17 +69,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Seen:
-    """What the driver sees: whether the row's process lives, and how many messages its folder owes."""
+    """What the driver sees: whether the row's process lives, and the messages pending in its folder."""
 
     alive: bool
-    owed: int = 0
+    pending: int = 0
 
 
 def died(row: Row, now: float, pauses: Pauses) -> Row:
     """Its process is gone. One that was told to end has not failed."""
-    told = row.told_at < inf
+    expected = row.term_sent_at < inf
     settled = now - row.started_at >= pauses.settled_ms
-    deaths = 0 if told else 1 if settled else row.deaths + 1
+    deaths = 0 if expected else 1 if settled else row.deaths + 1
     fresh = Row(row.name, row.want, row.epoch)
     return replace(fresh, died_at=now, deaths=deaths)
 
@@ -92,13 +92,13 @@
 def step(row: Row, seen: Seen, now: float, pauses: Pauses) -> Step | None:
     """The next step for one row, or none."""
     if row.pid and seen.alive:
-        ends = row.restart or (row.want is Want.LEAVING and (row.told_at < inf or _may_end(row, seen)))
+        ends = row.restart or (row.want is Want.LEAVING and (row.term_sent_at < inf or _may_end(row, seen)))
         if not ends:
             return None
-        if row.told_at == inf:
+        if row.term_sent_at == inf:
             return Step.TERM
-        return Step.KILL if now - row.told_at >= pauses.stop_ms else None
-    if row.want is Want.LEAVING and not seen.owed:
+        return Step.KILL if now - row.term_sent_at >= pauses.stop_ms else None
+    if row.want is Want.LEAVING and not seen.pending:
         return Step.DROP
     if now < row.died_at + pause(row, pauses):
         return None
@@ -107,7 +107,7 @@
 
 def _may_end(row: Row, seen: Seen) -> bool:
     # One that serves ends at once and leaves what it owes to the next start; one that empties, when it has.
-    return not row.emptying or not seen.owed
+    return not row.emptying or not seen.pending
 
 
 def scaled(rows: Mapping[str, Row], count: int) -> dict[str, Row]:
--- /dev/null
+++ b/springspread/fleet/policy_orders.py
@@ -0,0 +1,118 @@
+"""Orders about the policy: propose one, check one, and say what is and was in force.
+
+Each answer is a JSON object, as the command line reads it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from springspread.core.clock import Clock
+from springspread.fleet.allocator import Owner
+from springspread.fleet.change import Changes
+from springspread.fleet.members import Row
+from springspread.fleet.orders import Refused
+from springspread.rollout.document import Policy, PolicyFault, check, differences, parsed
+from springspread.rollout.terms import Proposed
+
+OUTCOME_LOOK_MS = 10.0
+MIN_NUMBER_WAIT_S = 2.0  # a proposal's number is waited for this long, at the least
+
+
+class PolicyOrders:
+    """Carries them out, from any thread."""
+
+    def __init__(self, changes: Changes, clock: Clock) -> None:
+        self._changes, self._clock = changes, clock
+
+    def propose(self, text: str, within_s: float) -> dict[str, Any]:
+        """Ask for a policy to take hold; waits until it does, is refused, or the time is over.
+
+        Raises ``Refused`` where the text is no policy.
+        """
+        try:
+            policy = parsed(text)
+        except PolicyFault as exc:
+            raise Refused(str(exc)) from exc
+        end = self._clock.now() + 1000.0 * within_s
+        number = self._latest
+        if not number or self._changes.policy(number).digest != policy.digest:
+            proposal = self._changes.propose(policy)
+            proposal.taken.wait(max(within_s, MIN_NUMBER_WAIT_S))  # so that there is a number to ask about
+            if proposal.fault:
+                return {"state": "refused", "version": 0, "fault": proposal.fault}
+            number = proposal.number
+        return self._outcome_by(end, number)  # where it was proposed before: the same answer
+
+    @property
+    def _latest(self) -> int:
+        """The policy that is under way, or else the one in force."""
+        return self._changes.pending or self._changes.record.history.in_force
+
+    def _outcome_by(self, end: float, number: int) -> dict[str, Any]:
+        outcome = self.outcome(number)
+        while outcome["state"] not in ("in force", "refused") and self._clock.now() < end:
+            self._clock.sleep(OUTCOME_LOOK_MS)
+            outcome = self.outcome(number)
+        return outcome
+
+    def outcome(self, number: int) -> dict[str, Any]:
+        """What became of a proposal."""
+        state, fault = self._changes.outcome(number)
+        return {"state": state, "version": number, "fault": fault}
+
+    def text(self, number: int) -> dict[str, Any]:
+        """The document of a policy that holds or held; raises ``Refused``."""
+        decided = self._changes.record.decided
+        if number not in decided:
+            raise Refused(f"no policy {number} held; there are {', '.join(map(str, decided))}")
+        return {"policy": self._changes.policy(number).text}
+
+    def check(self, text: str, running: Iterable[Owner]) -> dict[str, Any]:
+        """What a proposal would change, who would refuse it, and who is silent; nothing is changed."""
+        try:
+            policy = parsed(text)
+            check(policy, [self._changes.policy(number) for number in self._changes.record.decided])
+        except PolicyFault as exc:
+            return {"usable": False, "fault": str(exc), "changes": [], "refuse": {}, "silent": []}
+        answers = self._changes.would_fit(policy, running)
+        refusals = {name: fault for (name, _), fault in answers.items() if fault}
+        return {
+            "usable": not refusals,
+            "fault": "; ".join(f"{name}: {fault}" for name, fault in refusals.items()),
+            "changes": differences(self._in_force, policy),
+            "refuse": refusals,
+            "silent": [name for (name, _), fault in answers.items() if fault is None],
+        }
+
+    @property
+    def _in_force(self) -> Policy:
+        return self._changes.policy(self._changes.record.history.in_force)
+
+    def status(self, rows: Iterable[Row]) -> dict[str, Any]:
+        """Which policy is in force, what is under way, and what each instance acts under."""
+        changes = self._changes
+        number, pending = changes.in_force, changes.pending
+        waits = [name for name, _ in changes.waits]
+        return {
+            "in_force": {"version": number, "digest": changes.policy(number).digest},
+            "pending": {"version": pending, "waits_for": waits} if pending else None,
+            "instances": {row.name: self._acting(row) for row in rows},
+        }
+
+    def _acting(self, row: Row) -> Mapping[str, Any]:
+        version = self._changes.acts_under((row.name, row.epoch))
+        state = "acting" if version else "holding" if row.pid else "away"
+        return {"version": version, "state": state}
+
+    def history(self) -> list[dict[str, Any]]:
+        """Every policy that was proposed, and what became of it."""
+        record = self._changes.record
+        numbers = [entry.number for entry in record.entries if isinstance(entry, Proposed)]
+        return [self._proposed(number) for number in numbers]
+
+    def _proposed(self, number: int) -> dict[str, Any]:
+        state, fault = self._changes.outcome(number)
+        digest = self._changes.policy(number).digest
+        return {"version": number, "state": state, "fault": fault, "digest": digest}
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any
 
-from springspread.fleet import daemon as whole
+from springspread.fleet import daemon as daemon_module
 from springspread.fleet.allocator import Owner
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.daemon import Daemon
@@ -72,7 +72,7 @@
             steps.moment(f"after {what}", False)
 
     RelayedDaemon.steps = steps
-    vars(whole).update(AllocatorServer=Server)
+    vars(daemon_module).update(AllocatorServer=Server)
     vars(record).update(os=Disk(steps))
 
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -23,16 +23,16 @@
         (DOWN, Seen(False, 9), 99.0, None),
         (DOWN, Seen(False, 9), 100.0, Step.START),
         (replace(RUNNING, restart=True), Seen(True), 10.0, Step.TERM),
-        (replace(RUNNING, restart=True, told_at=10.0), Seen(True), 4_009.0, None),
-        (replace(RUNNING, restart=True, told_at=10.0), Seen(True), 4_010.0, Step.KILL),
+        (replace(RUNNING, restart=True, term_sent_at=10.0), Seen(True), 4_009.0, None),
+        (replace(RUNNING, restart=True, term_sent_at=10.0), Seen(True), 4_010.0, Step.KILL),
         (LEAVING, Seen(True, 9), 10.0, Step.TERM),
-        (replace(LEAVING, told_at=10.0), Seen(True, 9), 20.0, None),
-        (replace(LEAVING, told_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
+        (replace(LEAVING, term_sent_at=10.0), Seen(True, 9), 20.0, None),
+        (replace(LEAVING, term_sent_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
         (replace(LEAVING, pid=0), Seen(False, 9), 10.0, Step.EMPTY),
         (replace(LEAVING, pid=0), Seen(False, 0), 10.0, Step.DROP),
         (EMPTYING, Seen(True, 9), 10.0, None),
         (EMPTYING, Seen(True, 0), 10.0, Step.TERM),
-        (replace(EMPTYING, told_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
+        (replace(EMPTYING, term_sent_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
         (replace(DOWN, want=Want.LEAVING), Seen(False, 3), 50.0, None),
     ],
 )
@@ -51,7 +51,7 @@
 
 
 def test_one_that_was_told_to_end_is_started_again_at_once() -> None:
-    row = died(replace(RUNNING, restart=True, told_at=10.0), 500.0, PAUSES)
+    row = died(replace(RUNNING, restart=True, term_sent_at=10.0), 500.0, PAUSES)
     assert step(row, Seen(False, 4), 500.0, PAUSES) is Step.START and not row.restart
 
 
