--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -167,6 +167,15 @@
         assert result.exit_code == 2 and f"; the bound is {bound}\n" in result.output
 
 
+def test_a_configuration_that_is_no_object_is_told_by_its_file(tmp_path: Path) -> None:
+    (tmp_path / "sender.json").write_text("[]")
+    file = tmp_path / "fleet.toml"
+    file.write_text(TOML)
+    result = CliRunner().invoke(cli, ["fleet", "run", str(file)])
+    assert result.exit_code == 1
+    assert result.output == f"Error: {tmp_path / 'sender.json'}: must hold an object\n"
+
+
 def test_a_refusal_by_the_daemon_is_a_refused_proposal(place: Place, monkeypatch: pytest.MonkeyPatch) -> None:
     """As of a daemon whose bound is lower than the command's."""
     monkeypatch.setattr(control_module, "MAX_ORDER_BYTES", 100)
