--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -415,6 +415,8 @@
         )
         if self._shares is not None:
             end = replace(end, load=self._shares.load(call.endpoint, end.load))
+            if end.result.is_failure:
+                self._shares.failed(call.endpoint)
         if call in self._calls:
             self._calls[call] -= 1
             if not self._calls[call]:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -43,6 +43,11 @@
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
 
+    @property
+    def is_failure(self) -> bool:
+        """Whether it tells of trouble at the endpoint."""
+        return self in (Result.ERROR, Result.REJECTED, Result.TIMED_OUT, Result.NOT_CONNECTED, Result.BROKEN)
+
     @property
     def never_ran(self) -> bool:
         """Whether it proves that the message was not applied."""
@@ -316,6 +321,9 @@
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of an endpoint's limit: the instance's part of it."""
 
+    def failed(self, endpoint: Endpoint) -> None:
+        """An attempt at an endpoint failed or was rejected: its destination may be down or full."""
+
 
 class Log(Protocol):
     """The part of a structlog logger that the program uses."""
--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -8,6 +8,7 @@
     open        all of its calls                    its end, or its report
     reported    the calls that were made            the last of them, plus the span
     lapsed      all of its calls                    its end, plus the span
+    unleased    the calls that were reported        the last of them, plus the span
 
 It gives out no more than the limit less that count. A call counts from before it is made until a span
 after it, so in any span the calls that are made never exceed the limit; no message has to arrive for this
@@ -25,26 +26,15 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from math import floor, inf
 
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Lease, Limit, Owner
 
 PACE = 1.1  # times the limit: what was late is made up for
-Owner = tuple[str, int]
-"""An instance and its epoch: each start of an instance is another owner."""
-
-
-@dataclass(frozen=True, slots=True)
-class Lease:
-    """The right of one owner to begin so many calls before ``until``."""
-
-    serial: int
-    owner: Owner
-    key: str
-    calls: int
-    until: float
 
 
 @dataclass(slots=True)
@@ -66,14 +56,16 @@
 
 @dataclass(slots=True)
 class LimitState:
-    """One limit: what counts against it, who waits for it, and who was served when."""
+    """One limit in use: what counts against it, who waits for it, and who was served when."""
 
     limit: Limit
     counts: dict[int, Count] = field(default_factory=dict)
+    unleased: deque[Count] = field(default_factory=deque)  # calls that were reported after they were made
     wants: dict[Owner, Demand] = field(default_factory=dict)
     served_at: dict[Owner, float] = field(default_factory=dict)
     level: float = inf  # calls that the pace has free
     filled_at: float = 0.0
+    not_before: float = -inf  # nothing can be free earlier
 
     def fill(self, now: float, burst_ms: float) -> None:
         """The pace goes on."""
@@ -81,24 +73,46 @@
         self.level = min(self.level + (now - self.filled_at) * per_ms, max(per_ms * burst_ms, 1.0))
         self.filled_at = now
 
-    def clear(self, now: float, want_ms: float) -> None:
-        """Let go of what no longer counts and of who no longer asks."""
+    def clear(self, now: float, want_ms: float, epochs: Mapping[str, int]) -> None:
+        """Let go of what no longer counts, of who no longer asks, and of who was replaced."""
         self.counts = {serial: count for serial, count in self.counts.items() if count.over_at > now}
-        self.wants = {owner: want for owner, want in self.wants.items() if want.at + want_ms > now}
+        self.unleased = deque(count for count in self.unleased if count.over_at > now)
+        self.wants = {
+            owner: want
+            for owner, want in self.wants.items()
+            if want.at + want_ms > now and owner[1] >= epochs.get(owner[0], 0)
+        }
         had = {count.owner for count in self.counts.values()}
         self.served_at = {o: at for o, at in self.served_at.items() if o in had or o in self.wants}
 
-    @property
-    def taken(self) -> int:
+    def free(self, now: float) -> int:
+        """How many calls may be given out now; where none may, ``not_before`` says when to look again."""
+        free = min(self.limit.calls - self.taken(now), floor(self.level))
+        if free > 0:
+            return free
+        if self.level < 1.0:
+            self.not_before = now + (1.0 - self.level) * self.limit.span_ms / (PACE * self.limit.calls)
+        else:
+            ends = (count.over_at for count in (*self.counts.values(), *self.unleased))
+            self.not_before = min((end for end in ends if end > now), default=now)
+        return 0
+
+    def taken(self, now: float) -> int:
         """The calls that may fall into a span that ends now or later."""
-        return sum(count.calls for count in self.counts.values())
+        leased = sum(count.calls for count in self.counts.values() if count.over_at > now)
+        return leased + sum(count.calls for count in self.unleased if count.over_at > now)
 
 
 NOBODY: Owner = ("", 0)
+MERGE_MS = 50.0  # reported calls whose counts end within so long of each other are kept as one count
 
 
 class Allocator:
-    """Gives out leases. ``ask`` and ``report`` as messages come in, ``allocate`` every few milliseconds."""
+    """Gives out leases. ``ask`` and ``report`` as messages come in, ``allocate`` every few milliseconds.
+
+    Its work goes with what was asked, reported and counted, never with the number of limits: a limit has a
+    ``LimitState`` only while anything of it counts or is waited for.
+    """
 
     def __init__(
         self,
@@ -110,45 +124,45 @@
         """``slack_ms``: a call counts for longer by this, the time from its right to the partner."""
         self._lease_ms, self._want_ms, self._burst_ms = lease_ms, want_ms, burst_ms
         self._slack_ms = slack_ms
+        self._limits: dict[str, Limit] = {}
         self._states: dict[str, LimitState] = {}
-        self._before: list[Lease] = []
+        self._waiting: dict[str, None] = {}  # keys that anybody waits for, in the order of the first asking
+        self._ends: list[tuple[float, str]] = []  # a heap: when states may be of no account any more
+        self._before: dict[str, list[Lease]] = {}
         self._epochs: dict[str, int] = {}
         self._serial = 0
         self._presumed: float | None = None
+        self.steps = 0  # limits looked at by ``allocate``, for tests of what it costs
 
     def presume(self, now: float) -> None:
         """What was given out before this moment is not known: each limit counts as used up by then.
 
-        Before any limit is told. It costs a limit's span, once.
+        It costs a limit's span, once.
         """
         self._presumed = now
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
+        self._limits[key] = limit
         state = self._states.get(key)
         if state is None:
-            state = self._states[key] = LimitState(limit)
-            for lease in [lease for lease in self._before if lease.key == key]:
-                over_at = lease.until + limit.span_ms + self._slack_ms
-                state.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
-            if self._presumed is not None:
-                over_at = self._presumed + limit.span_ms + self._slack_ms
-                state.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
             return
         if limit.span_ms > state.limit.span_ms:
             # Guards the longer span: calls that the shorter one had let go of still fall into it.
-            for count in state.counts.values():
+            for count in (*state.counts.values(), *state.unleased):
                 count.over_at += limit.span_ms - state.limit.span_ms
         state.limit = limit
+        state.not_before = -inf
 
     def unlimited(self, key: str) -> None:
         """A limit is there no more. Leases that are out are of no account from now on."""
+        self._limits.pop(key, None)
         self._states.pop(key, None)
+        self._waiting.pop(key, None)
 
     def limit(self, key: str) -> Limit | None:
         """The limit of a key, where one is known."""
-        state = self._states.get(key)
-        return state.limit if state is not None else None
+        return self._limits.get(key)
 
     def joined(self, owner: Owner) -> bool:
         """An instance begins under an epoch; false for one that a later epoch has replaced."""
@@ -156,19 +170,16 @@
         if epoch < self._epochs.get(name, -1):
             return False
         self._epochs[name] = epoch
-        for state in self._states.values():
-            for old in [one for one in state.wants if one[0] == name and one[1] < epoch]:
-                del state.wants[old]
         return True
 
     def ask(self, now: float, owner: Owner, key: str, calls: int) -> None:
         """An owner waits to make so many calls; this replaces what it asked before. Zero asks for nothing."""
-        state = self._states.get(key)
-        if state is None or owner[1] < self._epochs.get(owner[0], 0):
+        if key not in self._limits or owner[1] < self._epochs.get(owner[0], 0):
             return
         if calls > 0:
-            state.wants[owner] = Demand(calls, now)
-        else:
+            self._state(key).wants[owner] = Demand(calls, now)
+            self._waiting[key] = None
+        elif (state := self._states.get(key)) is not None:
             state.wants.pop(owner, None)
 
     def report(self, now: float, owner: Owner, key: str, serial: int, made: int, last_at: float) -> None:
@@ -178,6 +189,7 @@
         if state is None or count is None or count.owner != owner:
             return  # guards the limit against one that frees another's lease
         state.level += count.calls - max(min(made, count.calls), 0)
+        state.not_before = -inf
         if made <= 0:
             del state.counts[serial]
             return
@@ -185,25 +197,48 @@
         count.calls = min(made, count.calls)
         count.over_at = min(min(last_at, now) + state.limit.span_ms + self._slack_ms, count.over_at)
 
+    def count_unleased(self, now: float, key: str, calls: int, made_at: float) -> None:
+        """Calls were made without a lease, the last one at ``made_at``: they count for a span from then."""
+        if key not in self._limits:
+            return
+        state = self._state(key)
+        over_at = made_at + state.limit.span_ms + self._slack_ms
+        if over_at <= now or calls <= 0:
+            return
+        state.fill(now, self._burst_ms)
+        state.level -= calls
+        if state.unleased and 0.0 <= over_at - state.unleased[-1].over_at <= MERGE_MS:
+            state.unleased[-1].calls += calls
+            state.unleased[-1].over_at = over_at
+        else:
+            state.unleased.append(Count(NOBODY, calls, over_at))
+
     def allocate(self, now: float) -> list[Lease]:
         """Give out what is free, by what is asked for. Put the leases on record before they are told."""
+        self._forget_ended(now)
         leases: list[Lease] = []
-        for key in [key for key, state in self._states.items() if state.wants]:
+        for key in list(self._waiting):
             state = self._states[key]
-            state.clear(now, self._want_ms)
-            state.fill(now, self._burst_ms)
-            free = min(state.limit.calls - state.taken, floor(state.level))
-            if free <= 0 or not state.wants:
+            if now < state.not_before:
                 continue
-            had: dict[Owner, int] = {}
-            for count in state.counts.values():
-                had[count.owner] = had.get(count.owner, 0) + count.calls
-            order = sorted(state.wants, key=lambda owner: (state.served_at.get(owner, -inf), owner))
-            shares = divide(free, {owner: (had.get(owner, 0), state.wants[owner].calls) for owner in order})
-            for owner, calls in shares.items():
-                leases.append(self._lease(now, key, state, owner, calls))
+            self.steps += 1
+            state.clear(now, self._want_ms, self._epochs)
+            state.fill(now, self._burst_ms)
+            free = state.free(now)
+            if free > 0 and state.wants:
+                leases += self._divide(now, key, state, free)
+            if not state.wants:
+                del self._waiting[key]
         return leases
 
+    def _divide(self, now: float, key: str, state: LimitState, free: int) -> list[Lease]:
+        had: dict[Owner, int] = {}
+        for count in state.counts.values():
+            had[count.owner] = had.get(count.owner, 0) + count.calls
+        order = sorted(state.wants, key=lambda owner: (state.served_at.get(owner, -inf), owner))
+        shares = divide(free, {owner: (had.get(owner, 0), state.wants[owner].calls) for owner in order})
+        return [self._lease(now, key, state, owner, calls) for owner, calls in shares.items()]
+
     def _lease(self, now: float, key: str, state: LimitState, owner: Owner, calls: int) -> Lease:
         self._serial += 1
         lease = Lease(self._serial, owner, key, calls, now + self._lease_ms)
@@ -216,35 +251,68 @@
             del state.wants[owner]
         return lease
 
+    def _state(self, key: str) -> LimitState:
+        state = self._states.get(key)
+        if state is not None:
+            return state
+        limit = self._limits[key]
+        state = self._states[key] = LimitState(limit)
+        for lease in self._before.pop(key, ()):
+            over_at = lease.until + limit.span_ms + self._slack_ms
+            state.counts[lease.serial] = Count(lease.owner, lease.calls, over_at)
+        if self._presumed is not None:
+            over_at = self._presumed + limit.span_ms + self._slack_ms
+            state.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
+        heappush(self._ends, (0.0, key))
+        return state
+
+    def _forget_ended(self, now: float) -> None:
+        """Drop states of which nothing counts any more and whose pace is full again."""
+        while self._ends and self._ends[0][0] <= now:
+            _, key = heappop(self._ends)
+            state = self._states.get(key)
+            if state is None:
+                continue
+            ends = [count.over_at for count in (*state.counts.values(), *state.unleased)]
+            if not state.wants and max(ends, default=now) <= now and state.filled_at + self._burst_ms <= now:
+                del self._states[key]
+            else:
+                again = max(max(ends, default=now), state.filled_at + self._burst_ms, now + self._burst_ms)
+                heappush(self._ends, (again, key))
+
     def restore(self, records: Iterable[Lease]) -> None:
-        """Count what a predecessor gave out, before any limit is told."""
-        self._before = list(records)
-        for lease in self._before:
+        """Count what a predecessor gave out, before anything is asked for."""
+        self._before = {}
+        for lease in records:
+            self._before.setdefault(lease.key, []).append(lease)
             self._serial = max(self._serial, lease.serial)
             self._epochs[lease.owner[0]] = max(lease.owner[1], self._epochs.get(lease.owner[0], 0))
 
     def rate(self, now: float, key: str, owner: Owner) -> float:
         """The calls a second that an owner may count on: its fair part, or what it had if that is more."""
-        state = self._states[key]
+        state = self._state(key)
         live = [count for count in state.counts.values() if count.over_at > now]
         had = sum(count.calls for count in live if count.owner == owner)
         sharers = {count.owner for count in live} | set(state.wants) | {owner}
         return 1000.0 * max(had, state.limit.calls / len(sharers)) / state.limit.span_ms
 
-    @property
-    def keys(self) -> list[str]:
-        """Which limits are known."""
-        return list(self._states)
-
     def taken(self, now: float, key: str) -> int:
         """How much of a limit counts as used now."""
-        state = self._states[key]
-        return sum(count.calls for count in state.counts.values() if count.over_at > now)
+        return self._state(key).taken(now)
 
     @property
     def waiting(self) -> bool:
         """Whether anybody asks for anything."""
-        return any(state.wants for state in self._states.values())
+        return bool(self._waiting)
+
+    def waits(self, key: str) -> bool:
+        """Whether anybody waits for a key."""
+        return key in self._waiting
+
+    @property
+    def states(self) -> int:
+        """How many limits hold any state."""
+        return len(self._states)
 
 
 def divide(free: int, wants: Mapping[Owner, tuple[int, int]]) -> dict[Owner, int]:
--- /dev/null
+++ b/springspread/fleet/allocator_control.py
@@ -0,0 +1,372 @@
+"""An allocator's whole decision: who is registered, what each sender is told, which limits are bound. No I/O.
+
+Theory of operation. It takes messages and moments and gives leases and messages. Exact limits are always
+bound. Adaptive ones are bound by ``binding``; while they are free their calls come as use reports. Which
+keys a sender needs leases for follows from the fleet's default:
+
+    default    a key that a sender knows nothing of   who is told of a change
+    exact      needs a lease; the answer to a request  senders that were told another status before
+               for one that does not is its status
+    adaptive   is free                                 every sender, by a 32-bit fingerprint, as with one call
+                                                       a sender and destination in minutes nobody would know
+                                                       in time otherwise (docs/design/limits-at-scale.md)
+
+Nothing is sent because a limit exists: the cost goes with requests, reports and changes of status.
+
+What is said is kept by owner until ``take_messages``, so that a tick's news to one sender goes out in one
+write. A successor learns for ``learning_ms``: senders keep the statuses that they know, and a limit that
+anybody still asks for is bound again. What was given out before it began counts as its record says, or,
+for limits that it binds while it learns, as all used up.
+
+Two events that can cross: a sender calls a free limit while the status "bound" is on its way. The call is
+reported and counts from then on; the exposure is bounded by the report's interval (``binding``). A report
+of an earlier process of a name, or one that comes twice, counts for nothing: sequences only grow, epochs
+too.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from math import inf
+
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.binding import Binding, Cause
+from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
+from springspread.fleet.limit_sources import LimitSources
+from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    MAX_KEYS,
+    PROTOCOL_VERSION,
+    Fingerprint,
+    GrantedLease,
+    KeyStatus,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+    fingerprint,
+)
+
+CHECK_MS = 1_000.0  # how often a bound limit is looked at
+LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
+TOLD_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
+
+
+class RegisterRefused(Exception):
+    """A sender that may not join; the text says why."""
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What one sender is to be told."""
+
+    welcome: Welcome | None = None
+    acknowledged: int = 0
+    statuses: dict[Fingerprint, KeyStatus] = field(default_factory=dict)
+    leases: list[GrantedLease] = field(default_factory=list)
+
+    def messages(self) -> list[LimitMessage]:
+        """In the order in which they are to be read."""
+        made: list[LimitMessage] = [self.welcome] if self.welcome is not None else []
+        by_status: dict[KeyStatus, list[Fingerprint]] = {status: [] for status in KeyStatus}
+        for one, status in self.statuses.items():
+            by_status[status].append(one)
+        longest = max(map(len, by_status.values()))
+        for start in range(0, max(longest, 1 if self.acknowledged else 0), MAX_KEYS):
+            part = {status: tuple(ones[start : start + MAX_KEYS]) for status, ones in by_status.items()}
+            made.append(
+                KeyStatuses(
+                    self.acknowledged,
+                    part[KeyStatus.BOUND],
+                    part[KeyStatus.FREE],
+                    part[KeyStatus.UNLIMITED],
+                )
+            )
+        for start in range(0, len(self.leases), MAX_KEYS):
+            made.append(LeaseGrants(tuple(self.leases[start : start + MAX_KEYS])))
+        return made
+
+
+class AllocatorControl:
+    """One allocator. Feed it what comes in, call ``tick`` often while ``busy``."""
+
+    def __init__(
+        self,
+        fleet: str,
+        default_mode: LimitMode,
+        limits: Mapping[str, Limit],
+        allocator: Allocator,
+        now: float,
+        learning: bool = False,
+    ) -> None:
+        """``limits``: the operators'.
+        ``learning``: there was an allocator before; what it bound is not known.
+        """
+        self._fleet = fleet
+        self._allocator = allocator
+        self._default_mode = default_mode
+        self._default = KeyStatus.BOUND if default_mode is LimitMode.EXACT else KeyStatus.FREE
+        self._learning_until = now + LEARNING_MS if learning else now
+        self._began_at = now
+        self._bindings: dict[str, Binding] = {}  # adaptive limits that were used or asked for
+        self._bound: dict[str, None] = {}  # keys of limits that need leases, where that is not the default
+        self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
+        self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
+        self._ready: dict[Owner, None] = {}  # those with news
+        self._informed: dict[str, dict[Owner, None]] = {}  # who knows another status than the default, by key
+        self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
+        self._sources = LimitSources(limits)
+        self.causes: dict[Cause, int] = dict.fromkeys(Cause, 0)  # how often limits were bound, and why
+        for key, limit in limits.items():
+            self.limited(now, key, limit)
+
+    # Limits
+
+    def limited(self, now: float, key: str, limit: Limit) -> None:
+        """A limit holds from now on, in place of the one that the key had, if any."""
+        before, known = self._status(key), self._allocator.limit(key)
+        if known == limit:
+            return
+        if known is None:  # calls that nobody counted may have been made
+            self._count_as_used(now, key, limit)
+        self._allocator.limited(key, limit)
+        if limit.mode is LimitMode.EXACT:
+            self._bindings.pop(key, None)
+        elif known is not None and known.mode is LimitMode.ADAPTIVE:
+            self._note(now, key, self._binding(key, known).changed(now, limit))
+        self._status_changed(key, before)
+
+    def _count_as_used(self, now: float, key: str, limit: Limit) -> None:
+        """A key that had no limit: senders that know it as unlimited have called it uncounted."""
+        if key in self._informed:
+            self._allocator.limited(key, limit)
+            self._allocator.count_unleased(now, key, limit.calls, now)
+
+    def unlimited(self, key: str) -> None:
+        """A key has no limit any more."""
+        before = self._status(key)
+        self._allocator.unlimited(key)
+        self._bindings.pop(key, None)
+        self._status_changed(key, before)
+
+    def limit(self, key: str) -> Limit | None:
+        """The limit of a key, where one is known."""
+        return self._allocator.limit(key)
+
+    def follow(self, now: float, limits: Mapping[str, Limit], since: float) -> None:
+        """Other operators' limits hold from a moment on. Until then each key keeps the stricter one."""
+        for key, limit in self._sources.announce(limits, since).items():
+            self.limited(now, key, limit)
+
+    def _limits_due(self, now: float) -> None:
+        for key, limit in self._sources.due(now).items():
+            if limit is None:
+                self.unlimited(key)
+            else:
+                self.limited(now, key, limit)
+
+    def is_bound(self, key: str) -> bool:
+        """Whether calls to a key need leases."""
+        return self._status(key) is KeyStatus.BOUND
+
+    def _status(self, key: str) -> KeyStatus:
+        limit = self._allocator.limit(key)
+        if limit is None:
+            return KeyStatus.UNLIMITED if self._default_mode is LimitMode.EXACT else KeyStatus.FREE
+        if limit.mode is LimitMode.EXACT:
+            return KeyStatus.BOUND
+        binding = self._bindings.get(key)
+        return KeyStatus.BOUND if binding is not None and binding.bound else KeyStatus.FREE
+
+    def _status_changed(self, key: str, before: KeyStatus) -> None:
+        status = self._status(key)
+        if status is before and (status is not KeyStatus.BOUND or key in self._bound):
+            return
+        if self._default is KeyStatus.FREE:
+            self._tell_everybody(key, status)
+            return
+        for owner in self._informed.get(key, ()):
+            self._tell(owner, key, status)
+        if status is KeyStatus.BOUND:
+            self._informed.pop(key, None)
+
+    def _tell_everybody(self, key: str, status: KeyStatus) -> None:
+        known = key in self._bound
+        if status is KeyStatus.BOUND:
+            self._bound[key] = None
+        else:
+            self._bound.pop(key, None)
+        if known is not (status is KeyStatus.BOUND):
+            for owner in self._outboxes:
+                self._tell(owner, key, status)
+
+    def _tell(self, owner: Owner, key: str, status: KeyStatus) -> None:
+        if (outbox := self._outboxes.get(owner)) is not None:
+            outbox.statuses[fingerprint(key)] = status
+            self._ready[owner] = None
+
+    # Senders
+
+    def register(self, now: float, message: Register) -> Owner:
+        """A sender begins, or begins again after a connection broke; raises ``RegisterRefused``."""
+        if message.version != PROTOCOL_VERSION:
+            raise RegisterRefused(f"it speaks protocol version {message.version}, this is {PROTOCOL_VERSION}")
+        if message.fleet != self._fleet:
+            raise RegisterRefused(f"it belongs to another fleet: {message.fleet or 'none'}")
+        owner = (message.name, message.epoch)
+        if not self._allocator.joined(owner):
+            raise RegisterRefused(f"{message.name}: a later start of it is known than {message.epoch}")
+        self._forget_earlier(owner)
+        complete = now >= self._learning_until
+        outbox = self._outboxes[owner] = Outbox(Welcome(self._default, complete))
+        for key in self._bound:
+            outbox.statuses[fingerprint(key)] = KeyStatus.BOUND
+        self._ready[owner] = None
+        return owner
+
+    def _forget_earlier(self, owner: Owner) -> None:
+        for other in [other for other in self._outboxes if other[0] == owner[0] and other != owner]:
+            self.left(other)
+
+    def left(self, owner: Owner) -> None:
+        """Its connection is over; its leases are not."""
+        self._outboxes.pop(owner, None)
+        self._ready.pop(owner, None)
+
+    def received(self, now: float, owner: Owner, message: LeaseRequest | UseReport) -> None:
+        """A registered sender says something."""
+        if isinstance(message, UseReport):
+            self._use(now, owner, message)
+        else:
+            self._request(now, owner, message)
+
+    def _request(self, now: float, owner: Owner, message: LeaseRequest) -> None:
+        for report in message.reports:
+            self._allocator.report(now, owner, report.key, report.serial, report.made, report.last_at)
+            binding = self._bindings.get(report.key)
+            if binding is not None and report.made:
+                binding.used(now, report.made)
+        for key, per_s in message.partner_rates.items():
+            if per_s > 0:
+                limit = Limit.of_rate(per_s, TOLD_SPAN_MS, self._default_mode)
+                if self._sources.partner_told(key, limit):
+                    self.limited(now, key, limit)
+        for key, calls in message.demands.items():
+            self._ask(now, owner, key, calls)
+
+    def _ask(self, now: float, owner: Owner, key: str, calls: int) -> None:
+        limit = self._allocator.limit(key)
+        if calls and limit is not None and limit.mode is LimitMode.ADAPTIVE and now < self._learning_until:
+            self._note(now, key, self._binding(key, limit).asked(now, learning=True))
+        status = self._status(key)
+        if status is KeyStatus.BOUND:
+            self._allocator.ask(now, owner, key, calls)
+        elif calls:
+            if self._default is KeyStatus.BOUND:
+                self._informed.setdefault(key, {})[owner] = None
+            self._tell(owner, key, status)
+
+    def _use(self, now: float, owner: Owner, message: UseReport) -> None:
+        name, epoch = owner
+        if (epoch, message.sequence) > self._sequences.get(name, (-1, -1)):
+            self._sequences[name] = (epoch, message.sequence)
+            made_at = now - message.age_ms
+            for key, calls in message.calls.items():
+                self._count_use(now, made_at, key, calls, message.failed.get(key, 0))
+            for key in message.failed.keys() - message.calls.keys():
+                self._count_use(now, made_at, key, 0, message.failed[key])
+        if (outbox := self._outboxes.get(owner)) is not None:
+            outbox.acknowledged = max(outbox.acknowledged, message.sequence)
+            self._ready[owner] = None
+
+    def _count_use(self, now: float, made_at: float, key: str, calls: int, failed: int) -> None:
+        limit = self._allocator.limit(key)
+        if limit is None:
+            return
+        if limit.mode is LimitMode.EXACT or made_at + limit.span_ms <= now:
+            self._allocator.count_unleased(now, key, calls, made_at)
+            return
+        binding = self._bindings.get(key)
+        if binding is None:
+            binding = self._binding(key, limit)
+        if binding.bound:
+            self._allocator.count_unleased(now, key, calls, made_at)
+        self._note(now, key, binding.used(now, calls, failed))
+
+    def _binding(self, key: str, limit: Limit) -> Binding:
+        binding = self._bindings.get(key)
+        if binding is None:
+            binding = self._bindings[key] = Binding(limit)
+        return binding
+
+    def _note(self, now: float, key: str, cause: Cause | None) -> None:
+        """A limit was bound, if there is a cause: what it has had lately counts against its leases."""
+        if cause is None:
+            return
+        self.causes[cause] += 1
+        binding = self._bindings[key]
+        used, made_at = binding.recent_calls(now), now
+        if cause is Cause.LEARNING:
+            used, made_at = binding.limit.calls, self._began_at
+        self._allocator.count_unleased(now, key, used, made_at)
+        self._checks.append((now + CHECK_MS, key))
+        self._status_changed(key, KeyStatus.FREE)
+
+    # Time
+
+    def tick(self, now: float) -> list[Lease]:
+        """Time goes on: leases to put on record, and then to ``grant``."""
+        self._limits_due(now)
+        leases = self._allocator.allocate(now)
+        while self._checks and self._checks[0][0] <= now:
+            _, key = self._checks.popleft()
+            self._check(now, key)
+        return leases
+
+    def _check(self, now: float, key: str) -> None:
+        binding = self._bindings.get(key)
+        if binding is None or not binding.bound:
+            return
+        if self._allocator.waits(key):
+            binding.contended(now)
+        if binding.released(now):
+            self._status_changed(key, KeyStatus.BOUND)
+        else:
+            self._checks.append((now + CHECK_MS, key))
+
+    def grant(self, now: float, leases: list[Lease]) -> None:
+        """Leases that are on record are told to their owners."""
+        for lease in leases:
+            if (outbox := self._outboxes.get(lease.owner)) is not None:
+                per_s = round(self._allocator.rate(now, lease.key, lease.owner), 3)
+                outbox.leases.append(GrantedLease(lease.key, lease.serial, lease.calls, lease.until, per_s))
+                self._ready[lease.owner] = None
+
+    def take_messages(self) -> dict[Owner, list[LimitMessage]]:
+        """What is to be written now, by owner; each owner's in one write."""
+        made = {}
+        for owner in self._ready:
+            made[owner] = self._outboxes[owner].messages()
+            self._outboxes[owner] = Outbox()
+        self._ready = {}
+        return made
+
+    @property
+    def busy(self) -> bool:
+        """Whether ``tick`` has to be called soon: somebody waits for a lease."""
+        return self._allocator.waiting
+
+    @property
+    def next_at(self) -> float:
+        """When ``tick`` has to be called even if nobody waits; inf: not at all."""
+        return min(self._checks[0][0] if self._checks else inf, self._sources.next_at)
+
+    @property
+    def has_news(self) -> bool:
+        """Whether ``take_messages`` would give any."""
+        return bool(self._ready)
--- /dev/null
+++ b/springspread/fleet/binding.py
@@ -0,0 +1,127 @@
+"""When an adaptive limit asks for leases, and when it lets go. A pure rule: no I/O, time handed in.
+
+Theory of operation. A limit is free while its demand is well below it: senders call without asking and report
+their calls at an interval. It is bound while each call needs a lease. Events and what follows:
+
+    status   event                                                              next
+    free     the smoothed demand reaches ``BIND_AT`` of the limit               bound
+    free     a span has root of N calls more than the limit's N                 bound
+    free     ``FAILING_CALLS`` or more failed in a span, and half of its calls  bound: down, or cold soon
+    free     the limit falls                                                    bound
+    free     it is asked for while a successor learns                           bound: it was before
+    bound    any of these, or somebody waits for a lease                        bound, held anew
+    bound    for ``HOLD_MS`` none, and the demand is below ``RELEASE_AT``       free
+
+Binding and letting go differ in threshold and in time, so that a demand near the limit does not flap.
+
+What is promised. Let R be the interval of reports, D the way of a report or a status and the allocator's
+tick, and N the limit's calls in a span.
+
+- While bound and every sender knows: at most N in any span, as of an exact limit.
+- After a jump of demand to L calls a millisecond: senders' reports come spread over R, so the allocator knows
+  after R + D at the latest and senders after another D. The exposure is R + 2 D, and ends in any case after
+  ``lease_cache.FRESH_MS`` for a sender that the allocator does not reach. Calls of a span that touches it: at
+  most N + root of N + L (R + 2 D), and never more than senders x ``use_ledger.MAX_UNACKNOWLEDGED`` above N.
+- While free with no jump: the mean is below ``BIND_AT`` of N, and a span of N + 2 x root of N + 2 calls is a
+  rare accident of its spread (measured in ``benchmarks.hollow_fleet``).
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from math import inf, sqrt
+
+from springspread.fleet.demand import DemandEstimate
+from springspread.fleet.limits import Limit
+
+BIND_AT = 0.75  # of the limit, as smoothed demand
+RELEASE_AT = 0.5
+HOLD_MS = 10_000.0  # five of the usual spans: as long as the smoothing looks back
+FAILING_CALLS = 3
+FAILING_PART = 0.5
+
+
+class Cause(Enum):
+    """Why a limit is bound."""
+
+    DEMAND = "demand near the limit"
+    BURST = "a span over the limit"
+    FAILING = "the destination fails"
+    LOWERED = "the limit fell"
+    LEARNING = "asked for while the allocator learns"
+
+
+class Binding:
+    """The status of one adaptive limit, and what is known of its demand."""
+
+    __slots__ = ("_demand", "_failures", "_pressed_at", "bound", "limit")
+
+    def __init__(self, limit: Limit) -> None:
+        self.limit = limit
+        self.bound = False
+        self._demand = DemandEstimate(limit.span_ms)
+        self._failures: DemandEstimate | None = None
+        self._pressed_at = -inf  # when there was last a reason to be bound
+
+    def used(self, now: float, calls: int, failed: int = 0) -> Cause | None:
+        """Calls were made, with or without leases; the cause if that binds the limit."""
+        self._demand.add(now, calls)
+        if failed:
+            if self._failures is None:
+                self._failures = DemandEstimate(self.limit.span_ms)
+            self._failures.add(now, failed)
+        return self._bind(now, self._cause(now))
+
+    def asked(self, now: float, learning: bool) -> Cause | None:
+        """Somebody asks for a lease; the cause if that binds the limit."""
+        return self._bind(now, Cause.LEARNING if learning else None)
+
+    def changed(self, now: float, limit: Limit) -> Cause | None:
+        """The limit is another one from now on; the cause if that binds it."""
+        lowered = limit.calls * self.limit.span_ms < self.limit.calls * limit.span_ms
+        if limit.span_ms != self.limit.span_ms:
+            self._demand, self._failures = DemandEstimate(limit.span_ms), None
+        self.limit = limit
+        return self._bind(now, Cause.LOWERED if lowered else None)
+
+    def contended(self, now: float) -> None:
+        """Somebody waits for a lease that is not free."""
+        self._pressed_at = now
+
+    def released(self, now: float) -> bool:
+        """Whether the limit lets go now."""
+        if not self.bound or now < self._pressed_at + HOLD_MS:
+            return False
+        if self._cause(now) is not None or self._above(now, RELEASE_AT):
+            return False
+        self.bound = False
+        return True
+
+    def recent_calls(self, now: float) -> int:
+        """No fewer calls than were reported for the span that ends now."""
+        return self._demand.at_most(now)
+
+    def _bind(self, now: float, cause: Cause | None) -> Cause | None:
+        if cause is None:
+            return None
+        self._pressed_at = now
+        if self.bound:
+            return None
+        self.bound = True
+        return cause
+
+    def _cause(self, now: float) -> Cause | None:
+        calls, recent = self.limit.calls, self._demand.recent(now)
+        if self._failures is not None:
+            failed = self._failures.recent(now)
+            if failed >= FAILING_CALLS and failed >= FAILING_PART * recent:
+                return Cause.FAILING
+        if recent >= calls + sqrt(calls):
+            return Cause.BURST
+        if self._demand.smoothed(now) >= BIND_AT * calls:
+            return Cause.DEMAND
+        return None
+
+    def _above(self, now: float, part: float) -> bool:
+        most = part * self.limit.calls
+        return self._demand.smoothed(now) > most or self._demand.recent(now) > max(most, 1.0)
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -1,4 +1,4 @@
-"""An instance's driver for its lease_cache: it connects to the allocator, asks, reports and takes leases in.
+"""An instance's driver for its session with the allocator: it connects, asks, reports and takes leases in.
 
 While the allocator is away the instance goes on with the leases that it holds, to their ends, and then makes
 no call to a limited destination: a floor of none is the one that keeps every limit, whatever their number.
@@ -17,16 +17,15 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
 from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
+from springspread.fleet.sender_session import IDLE_MS, POLL_MS, SenderSession
 from springspread.fleet.wire import (
     Document,
     Fit,
-    LeaseGrant,
-    LeaseRequest,
-    LimitedKeys,
     Lines,
     Message,
+    PolicyMessage,
     Question,
-    Register,
     Returning,
     Unreadable,
     write,
@@ -36,11 +35,8 @@
 from springspread.rollout.participant import Participant
 from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
-POLL_MS = 10.0
-IDLE_MS = 250.0
 AGAIN_MS = 100.0
 SAY_MS = 1_000.0  # what it acts under is said this often, and when that changes
-REPEAT_MS = 150.0
 POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
 RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allocator's slack
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
@@ -55,22 +51,29 @@
     """Asked by ``core.clearance`` before each call, and by the loop for what to tell the decision module."""
 
     def __init__(
-        self, path: Path, name: str, epoch: int, log: Log, clock: Clock = SYSTEM, policy: int = 0
+        self,
+        path: Path,
+        name: str,
+        epoch: int,
+        log: Log,
+        clock: Clock = SYSTEM,
+        policy: int = 0,
+        fleet: str = "",
     ) -> None:
-        """``policy``: the number of the policy that this process was started with; 0: there is none."""
-        self._path, self._hello, self._log, self._clock = path, Register(name, epoch), log, clock
+        """``policy``: the number of the policy that this process was started with; 0: there is none.
+        ``fleet``: the fleet that it belongs to, as the allocator knows it.
+        """
+        self._path, self._log, self._clock = path, log, clock
         self.policy = policy
         self._rights = Participant()
         self._texts: dict[int, str] = {}
         self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
         self._holding, self._unfit = False, 0
         self._votes: deque[Vote | Fit] = deque()
-        self._lease_cache = LeaseCache()
+        self._cache = LeaseCache()
+        self._session = SenderSession(name, epoch, fleet, self._cache)
         self._arrived = threading.Condition()
         self._ring = threading.Event()
-        self._told: dict[str, float] = {}
-        self._new: dict[str, float] = {}
-        self._rates: dict[str, float] = {}
         self._open = True
         self._usable: Callable[[str], Config] = _nobody_asked
         self._put: Callable[[NewPolicy], None] = _nobody_hears
@@ -111,21 +114,24 @@
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
-        while self._lease_cache.take(key, now := self._clock.now()) > 0.0:
+        while self._cache.take(key, now := self._clock.now()) > 0.0:
             self._ring.set()
             if now >= until:
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
-        return now + RIGHT_MS if self._lease_cache.binds(key) else inf
+        return now + RIGHT_MS if self._cache.is_limited(key) else inf
+
+    def failed(self, endpoint: Endpoint) -> None:
+        """A call to an endpoint failed."""
+        self._cache.failed(key_of(endpoint))
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of an endpoint's limit: this instance's part of it."""
         key = key_of(endpoint)
-        if load.limit_per_s and self._told.get(key) != load.limit_per_s:
-            self._told[key] = self._new[key] = load.limit_per_s
+        if load.limit_per_s and self._session.partner_rate(key, load.limit_per_s):
             self._ring.set()
-        rate = self._rates.get(key)
+        rate = self._session.rates.get(key)
         return load if rate is None else Load(load.left_share, rate)
 
     def close(self) -> None:
@@ -149,36 +155,29 @@
 
     def _talk(self, sock: socket.socket) -> None:
         self._votes.clear()  # of another connection: whoever asked has gone on
-        sock.sendall(write(self._hello))
-        self._new = dict(self._told)  # a new allocator knows none of it
+        sock.sendall(b"".join(map(write, self._session.connected(self._clock.now()))))
         over = threading.Event()
         reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
         reader.start()
-        asked: Mapping[str, int] = {}
         said_at = 0.0
-        said = (-1, 0.0)  # what it acts under, and when that was said
+        said = -1  # what it acts under, as it was said then
         told_of: Returning | None = None
         while self._open and not over.is_set():
             now = self._clock.now()
+            due: list[Message] = []
             while self._votes:
-                sock.sendall(write(self._votes.popleft()))
+                due.append(self._votes.popleft())
             acting = 0 if self._holding else self.policy
-            if self.policy and (acting != said[0] or now >= said[1] + SAY_MS):
-                said = (acting, now)
-                sock.sendall(write(Acting(acting)))
+            if self.policy and (acting != said or now >= said_at + SAY_MS):
+                said, said_at = acting, now
+                due.append(Acting(acting))
             if (start := self._returning()) is not None and start != told_of:
                 told_of = start
-                sock.sendall(write(start))
-            wants, reports = self._lease_cache.wants(now), self._lease_cache.done(now)
-            told, self._new = self._new, {}
-            # What waits is said again now and then: the allocator forgets who is silent.
-            if wants != asked or reports or told or (wants and now >= said_at + REPEAT_MS):
-                said_at = now
-                gone = dict.fromkeys(asked.keys() - wants.keys(), 0)
-                sock.sendall(write(LeaseRequest({**gone, **wants}, reports, told)))
-                asked = wants
-            busy = bool(wants) or self._lease_cache.holding
-            self._ring.wait(min(POLL_MS if busy else IDLE_MS, self._turn(now)) / 1000.0)
+                due.append(start)
+            due += self._session.due(now)
+            if due:
+                sock.sendall(b"".join(map(write, due)))
+            self._ring.wait(min(self._session.wait_ms(now), self._turn(now)) / 1000.0)
             self._ring.clear()
 
     def _turn(self, now: float) -> float:
@@ -205,7 +204,7 @@
         since = self._rights.next_since(now)
         return IDLE_MS if since is None else max(since - now, 0.0) + 0.2
 
-    def _policy(self, message: Message) -> None:
+    def _policy(self, message: PolicyMessage) -> None:
         if isinstance(message, Document):
             # Few at a time: the one that holds, the one that follows, and one that is asked about.
             with self._reading:
@@ -235,13 +234,12 @@
         try:
             while data := sock.recv(65536):
                 for message in lines.feed(data):
-                    if isinstance(message, LimitedKeys):
-                        self._lease_cache.limited(set(message.keys))
-                    elif isinstance(message, LeaseGrant):
-                        self._rates[message.lease.key] = message.per_s
-                        self._lease_cache.received(message.lease, self._clock.now())
-                    else:
+                    if isinstance(message, Welcome | KeyStatuses | LeaseGrants):
+                        self._session.received(self._clock.now(), message)
+                    elif isinstance(message, PolicyMessage):
                         self._policy(message)
+                    else:
+                        raise Unreadable(f"not expected: {type(message).__name__}")
                 with self._arrived:
                     self._arrived.notify_all()
         except (OSError, Unreadable) as exc:
@@ -267,7 +265,8 @@
     try:
         path, name = Path(env["SPRINGSPREAD_FLEET"]), env["SPRINGSPREAD_INSTANCE"]
         epoch, policy = int(env["SPRINGSPREAD_EPOCH"]), int(env.get("SPRINGSPREAD_POLICY", "0"))
-        return FleetShares(path, name, epoch, log, policy=policy)
+        fleet = env.get("SPRINGSPREAD_FLEET_ID", "")
+        return FleetShares(path, name, epoch, log, policy=policy, fleet=fleet)
     except KeyError as exc:
         raise ConfigError(f"{exc.args[0]}: not set, though SPRINGSPREAD_FLEET is") from exc
     except ValueError:
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -1,17 +1,47 @@
-"""An instance's side of the shares: the leases that it holds, and what it waits for.
+"""A sender's rights to call: the leases that it holds, the statuses of keys, and what it waits for.
 
-Asked by the threads that write, before each call's first byte; fed by the thread that talks to the allocator.
-A lease is looked at against the clock as the call asks: an instance that was frozen finds its leases over.
+Theory of operation. Before each call the sender asks ``take`` for the right to it. What that needs follows
+from the key's status, which the allocator tells (``messages.KeyStatus``):
+
+    status      right to a call                                                   while the allocator is
+    silent
+    UNLIMITED   always                                                            as before
+    FREE        while the allocator's last acknowledgement is fresh, and fewer    ends after ``FRESH_MS``
+                than ``use_ledger.MAX_UNACKNOWLEDGED`` calls are unacknowledged
+    BOUND       against a lease that has not ended                                ends with the leases
+
+A lease and an acknowledgement are looked at against the clock as the call asks: a sender that was frozen
+finds that both are over. An acknowledgement counts from when the acknowledged report was sent, not from
+when the answer came, so that no answer that was held up extends a right, and no two clocks are compared.
+
+It is asked by the threads that write, before each call's first byte, and fed by the thread that talks to the
+allocator. Times are milliseconds.
 """
 
 from __future__ import annotations
 
 import threading
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-
-from springspread.fleet.allocator import Lease
+from math import inf
+
+from springspread.fleet.limits import Lease
+from springspread.fleet.messages import (
+    Fingerprint,
+    KeyStatus,
+    KeyStatuses,
+    LeaseReport,
+    UseReport,
+    Welcome,
+    fingerprint,
+)
+from springspread.fleet.use_ledger import UseLedger
+
+FRESH_MS = 2_000.0  # the longest exposure after a limit becomes bound: a silent allocator may have bound it
+REPORT_MS = 1_000.0  # the interval of use reports; with the way there and back well below FRESH_MS
+IDLE_MS = 10_000.0  # without a free call for so long, no heartbeats are sent
+EARLY_MS = 50.0  # the least between two reports
 
 
 @dataclass(slots=True)
@@ -24,18 +54,8 @@
     last_at: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Report:
-    """A lease that is done with: so many calls were made against it, the last one then."""
-
-    key: str
-    serial: int
-    made: int
-    last_at: float
-
-
 class LeaseCache:
-    """Leases by limit. Until it is told which keys are limited, all are."""
+    """Leases and statuses by key. Until it is welcomed, every call needs a lease."""
 
     def __init__(self, retry_ms: float = 25.0, want_ms: float = 60.0, keep_ms: float = 60.0) -> None:
         """``retry_ms``: after how long a call that got nothing may ask again.
@@ -46,35 +66,84 @@
         self._retry_ms, self._want_ms, self._keep_ms = retry_ms, want_ms, keep_ms
         self._lock = threading.Lock()
         self._held: dict[str, deque[HeldLease]] = {}
-        self._limited: set[str] | None = None
+        self._default = KeyStatus.BOUND
+        self._statuses: dict[Fingerprint, KeyStatus] = {}
         self._wants: dict[str, deque[float]] = {}
         self._known: dict[int, float] = {}  # serials of leases that are not over yet, and their ends
+        self._ledger = UseLedger()
+        self._fresh_until = -inf
+        self._reported_at = -inf
+        self._free_used_at = -inf  # when a free call was last made, or asked for in vain
 
-    def limited(self, keys: set[str]) -> None:
-        """Which keys need a lease from now on."""
+    def welcomed(self, message: Welcome, sent_at: float) -> None:
+        """The allocator answers a ``Register`` that was sent then."""
         with self._lock:
-            self._limited = set(keys)
+            if message.complete or message.default is KeyStatus.BOUND:
+                self._statuses.clear()
+            self._default = message.default
+            self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
 
-    def binds(self, key: str) -> bool:
-        """Whether calls to a key need a lease."""
+    def statuses_changed(self, message: KeyStatuses) -> None:
+        """Statuses change, and reports are acknowledged."""
         with self._lock:
-            return self._limited is None or key in self._limited
+            self._set(message.bound, KeyStatus.BOUND)
+            self._set(message.free, KeyStatus.FREE)
+            self._set(message.unlimited, KeyStatus.UNLIMITED)
+            sent_at = self._ledger.acknowledged(message.acknowledged)
+            if sent_at is not None:
+                self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
+
+    def _set(self, fingerprints: Sequence[Fingerprint], status: KeyStatus) -> None:
+        for one in fingerprints:
+            if status is self._default:
+                self._statuses.pop(one, None)
+            else:
+                self._statuses[one] = status
+
+    def _status(self, key: str) -> KeyStatus:
+        return self._statuses.get(fingerprint(key), self._default)
+
+    def is_limited(self, key: str) -> bool:
+        """Whether calls to a key need a right."""
+        with self._lock:
+            return self._status(key) is not KeyStatus.UNLIMITED
 
     def take(self, key: str, now: float) -> float:
         """Take the right to one call, at once; else the milliseconds after which to ask again."""
         with self._lock:
-            if self._limited is not None and key not in self._limited:
-                return 0.0
-            for held in self._held.get(key, ()):
-                if now < held.lease.until and held.made < held.lease.calls:
-                    held.made += 1
-                    held.last_at = now
+            match self._status(key):
+                case KeyStatus.UNLIMITED:
                     return 0.0
-            times = self._wants.setdefault(key, deque())
-            while times and times[0] + self._want_ms <= now:
-                times.popleft()  # guards memory while nobody asks for them, as the allocator is away
-            times.append(now)
+                case KeyStatus.FREE:
+                    return self._take_free(key, now)
+                case KeyStatus.BOUND:
+                    return self._take_leased(key, now)
+
+    def _take_free(self, key: str, now: float) -> float:
+        self._free_used_at = now
+        if now >= self._fresh_until or not self._ledger.allows(key):
+            self._ledger.early = True
             return self._retry_ms
+        self._ledger.add(key, now)
+        return 0.0
+
+    def _take_leased(self, key: str, now: float) -> float:
+        for held in self._held.get(key, ()):
+            if now < held.lease.until and held.made < held.lease.calls:
+                held.made += 1
+                held.last_at = now
+                return 0.0
+        times = self._wants.setdefault(key, deque())
+        while times and times[0] + self._want_ms <= now:
+            times.popleft()  # guards memory while nobody asks for them, as the allocator is away
+        times.append(now)
+        return self._retry_ms
+
+    def failed(self, key: str) -> None:
+        """A call to a key failed: its destination may be down."""
+        with self._lock:
+            if self._status(key) is not KeyStatus.UNLIMITED:
+                self._ledger.add_failure(key)
 
     def received(self, lease: Lease, now: float) -> None:
         """A lease came in: so many calls wait no longer. One that comes again gives nothing more."""
@@ -95,14 +164,14 @@
             for key, times in list(self._wants.items()):
                 while times and times[0] + self._want_ms <= now:
                     times.popleft()
-                if not times:
+                if not times or self._status(key) is not KeyStatus.BOUND:
                     del self._wants[key]
                     continue
                 found[key] = len(times)
             return found
 
-    def done(self, now: float) -> list[Report]:
-        """Leases that are used up, over or idle: they are told to the allocator, once, and forgotten."""
+    def done(self, now: float) -> list[LeaseReport]:
+        """Leases that are used up, over or idle: they are reported to the allocator, once, and forgotten."""
         with self._lock:
             reports = []
             for key, line in list(self._held.items()):
@@ -112,13 +181,38 @@
                     if now < held.lease.until and not used_up and not idle:
                         kept.append(held)
                         continue
-                    reports.append(Report(key, held.lease.serial, held.made, held.last_at))
+                    reports.append(LeaseReport(key, held.lease.serial, held.made, held.last_at))
                 if kept:
                     self._held[key] = kept
                 else:
                     del self._held[key]
             return reports
 
+    def use_report(self, now: float) -> UseReport | None:
+        """The report of free calls that is due now: after an interval, or early where much is unreported."""
+        with self._lock:
+            if now < self._use_report_at(now):
+                return None
+            self._reported_at = now
+            return self._ledger.report(now)
+
+    def use_report_at(self, now: float) -> float:
+        """When the next report is due; inf: there is nothing to report."""
+        with self._lock:
+            return self._use_report_at(now)
+
+    def _use_report_at(self, now: float) -> float:
+        if self._ledger.early:
+            return self._reported_at + EARLY_MS
+        if self._ledger.unreported or now < self._free_used_at + IDLE_MS:
+            return self._reported_at + REPORT_MS
+        return inf
+
+    def resend(self, now: float) -> list[UseReport]:
+        """Reports that a connection which broke may have lost."""
+        with self._lock:
+            return self._ledger.resend(now)
+
     @property
     def holding(self) -> bool:
         """Whether it holds any lease."""
--- a/springspread/fleet/limits.py
+++ b/springspread/fleet/limits.py
@@ -1,4 +1,4 @@
-"""What a limit is: a number of calls in any span of time, and how strictly it is kept.
+"""What a limit is: a number of calls in any span of time, and how strictly it is kept; what a lease is.
 
 Values only: no I/O, no clock, and no import from the rest of the program.
 """
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from difflib import get_close_matches
 from enum import Enum
-from math import floor
+from math import floor, sqrt
 
 
 class LimitMode(Enum):
@@ -37,6 +37,26 @@
     mode: LimitMode = LimitMode.EXACT
 
     @staticmethod
-    def of_rate(per_s: float, span_ms: float) -> Limit:
+    def of_rate(per_s: float, span_ms: float, mode: LimitMode = LimitMode.EXACT) -> Limit:
         """A limit given as a rate, counted over a span; at least one call in it."""
-        return Limit(max(floor(per_s * span_ms / 1000.0 + 1e-9), 1), span_ms)
+        return Limit(max(floor(per_s * span_ms / 1000.0 + 1e-9), 1), span_ms, mode)
+
+    @property
+    def tolerated(self) -> float:
+        """The calls of a span up to which an adaptive limit may be overshot: N + 2 x root of N + 2."""
+        return self.calls + 2.0 * sqrt(self.calls) + 2.0
+
+
+Owner = tuple[str, int]
+"""An instance and its epoch: each start of an instance is another owner."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """The right of one owner to begin so many calls before ``until`` (ms)."""
+
+    serial: int
+    owner: Owner
+    key: str
+    calls: int
+    until: float
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -13,7 +13,7 @@
 from struct import Struct
 from zlib import crc32
 
-from springspread.fleet.allocator import Lease
+from springspread.fleet.limits import Lease
 
 HEAD = Struct("<II")  # length and checksum of the rest
 BODY = Struct("<QQIdHH")
--- /dev/null
+++ b/springspread/fleet/sender_session.py
@@ -0,0 +1,92 @@
+"""A sender's side of its talk with one allocator about limits: what to write when. No socket, no clock.
+
+A driver connects, writes what ``connected`` gives, hands in what it reads, and writes what ``due`` gives
+when ``wait_ms`` is over or a call waits. Everything that one call of ``due`` gives goes out in one write.
+Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from itertools import islice
+
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limits import Lease
+from springspread.fleet.messages import (
+    MAX_KEYS,
+    PROTOCOL_VERSION,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    Welcome,
+)
+
+POLL_MS = 10.0  # while anything waits or is held
+IDLE_MS = 250.0
+REPEAT_MS = 150.0  # what waits is said again after this: the allocator forgets who is silent
+
+
+class SenderSession:
+    """Outlives connections; ``rates`` holds the calls a second to count on, by key."""
+
+    def __init__(self, name: str, epoch: int, fleet: str, cache: LeaseCache) -> None:
+        self._cache = cache
+        self._owner = (name, epoch)
+        self._register = Register(PROTOCOL_VERSION, fleet, name, epoch)
+        self._registered_at = 0.0
+        self._partner_rates: dict[str, float] = {}
+        self._new_rates: dict[str, float] = {}
+        self._requested: Mapping[str, int] = {}
+        self._requested_at = 0.0
+        self.rates: dict[str, float] = {}
+
+    def connected(self, now: float) -> list[LimitMessage]:
+        """The first messages of a connection."""
+        self._registered_at = now
+        self._requested = {}
+        self._new_rates = dict(self._partner_rates)  # the allocator at its other end may know none of it
+        return [self._register, *self._cache.resend(now)]
+
+    def partner_rate(self, key: str, per_s: float) -> bool:
+        """A partner tells its limit (calls a second); whether that is news."""
+        if self._partner_rates.get(key) == per_s:
+            return False
+        self._partner_rates[key] = self._new_rates[key] = per_s
+        return True
+
+    def due(self, now: float) -> list[LimitMessage]:
+        """What is to be written now."""
+        made: list[LimitMessage] = []
+        wants, reports = self._cache.wants(now), self._cache.done(now)
+        rates = dict(islice(self._new_rates.items(), MAX_KEYS))
+        for key in rates:
+            del self._new_rates[key]
+        again = bool(wants) and now >= self._requested_at + REPEAT_MS
+        if wants != self._requested or reports or rates or again:
+            self._requested_at = now
+            gone = dict.fromkeys(self._requested.keys() - wants.keys(), 0)
+            made.append(LeaseRequest({**gone, **wants}, tuple(reports), rates))
+            self._requested = wants
+        if (report := self._cache.use_report(now)) is not None:
+            made.append(report)
+        return made
+
+    def wait_ms(self, now: float) -> float:
+        """How long until ``due`` may have something new, unless a call begins to wait meanwhile."""
+        busy = bool(self._requested or self._new_rates) or self._cache.holding
+        wait_ms = POLL_MS if busy else IDLE_MS
+        return max(min(wait_ms, self._cache.use_report_at(now) - now), 0.0)
+
+    def received(self, now: float, message: Welcome | KeyStatuses | LeaseGrants) -> None:
+        """The allocator says something."""
+        match message:
+            case Welcome():
+                self._cache.welcomed(message, self._registered_at)
+            case KeyStatuses():
+                self._cache.statuses_changed(message)
+            case LeaseGrants():
+                for one in message.leases:
+                    self.rates[one.key] = one.per_s
+                    self._cache.received(Lease(one.serial, self._owner, one.key, one.calls, one.until), now)
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -1,64 +1,33 @@
-"""Between an instance and the allocator: one JSON object a line, both ways. Bytes in, messages out.
-
-Theory of operation. The instance opens with ``Register`` and from then on sends ``LeaseRequest`` whenever
-what it waits for, what it is done with or what it was told changes. The allocator answers ``LimitedKeys``
-(which limits there are, at first and when one comes) and ``LeaseGrant``. Either side ends the connection
-at the first line that it can't read: what is lost with it costs time and never a limit, as leases count
-whether they arrive or not.
+"""Lines between a sender and the allocator: one JSON value a line, both ways. Bytes in, messages out.
+
+Theory of operation. Messages about limits (``messages``) are arrays; the rarer ones about policies are
+objects with their ``kind``. The sender opens with ``Register``; it then sends ``LeaseRequest`` whenever
+what it waits for, what it is done with or what it was told changes, and ``UseReport`` at an interval. The
+allocator answers ``Welcome``, then ``KeyStatuses`` and ``LeaseGrants``. Either side ends the connection at
+the first line that it can't read: what is lost with it costs time and never an exact limit, as leases
+count whether they arrive or not. Lines of protocol version 1 are refused by name.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Mapping, Sequence
-from dataclasses import asdict, dataclass, field
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
 from typing import Any
 
-from springspread.fleet.allocator import Lease
-from springspread.fleet.lease_cache import Report
+import msgspec
+
+from springspread.fleet.messages import MAX_KEY_CHARS, PROTOCOL_VERSION, LimitMessage
 from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
 LINE_BYTES = 1 << 18
-KEYS = 4096  # asked for, reported or told in one line
-KEY_CHARS = 200
+VERSION_ONE_KINDS = ("hello", "asking", "limited", "granted")
 
 
 class Unreadable(Exception):
     """A line that is no message; the text says why."""
 
 
-@dataclass(frozen=True, slots=True)
-class Register:
-    """An instance begins, or begins again after the allocator was away."""
-
-    name: str
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseRequest:
-    """How many calls wait by key, leases that are done with, and limits (calls a second) that were told."""
-
-    wants: Mapping[str, int] = field(default_factory=dict)
-    reports: Sequence[Report] = ()
-    told: Mapping[str, float] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class LimitedKeys:
-    """Which keys need leases."""
-
-    keys: Sequence[str]
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseGrant:
-    """A lease, and the rate (calls a second) that its owner may count on there for now."""
-
-    lease: Lease
-    per_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Document:
     """The text of a policy, ahead of the first grant or proposal that names it."""
@@ -98,35 +67,20 @@
     damaged: int
 
 
-Message = (
-    Register
-    | LeaseRequest
-    | LimitedKeys
-    | LeaseGrant
-    | Document
-    | Prepare
-    | Grant
-    | Vote
-    | Acting
-    | Question
-    | Fit
-    | Returning
-)
-
-
-KINDS: Mapping[type[Message], str] = {
-    Register: "hello",
-    LeaseRequest: "asking",
-    LimitedKeys: "limited",
-    LeaseGrant: "granted",
-}
-"""Kinds on the wire that are not the class's own name: processes of earlier versions speak them."""
+PolicyMessage = Document | Prepare | Grant | Vote | Acting | Question | Fit | Returning
+Message = LimitMessage | PolicyMessage
+
+
+_DECODER = msgspec.json.Decoder(LimitMessage)
+_ENCODER = msgspec.json.Encoder()
 
 
 def write(message: Message) -> bytes:
     """As a line."""
-    kind = KINDS.get(type(message), type(message).__name__.lower())
-    return json.dumps({"kind": kind, **asdict(message)}, separators=(",", ":")).encode() + b"\n"
+    if isinstance(message, LimitMessage):
+        return _ENCODER.encode(message) + b"\n"
+    raw = {"kind": type(message).__name__.lower(), **asdict(message)}
+    return json.dumps(raw, separators=(",", ":")).encode() + b"\n"
 
 
 class Lines:
@@ -144,30 +98,22 @@
 
 
 def _read(line: bytes) -> Message:
+    if line.startswith(b"["):
+        try:
+            return _DECODER.decode(line)
+        except (msgspec.MsgspecError, RecursionError) as exc:
+            raise Unreadable(f"not a message: {exc}") from exc
     try:
         raw = json.loads(line)
         kind = raw["kind"]
-        if kind == "hello":
-            return Register(_text(raw["name"]), _whole(raw["epoch"]))
-        if kind == "asking":
-            reports = [
-                Report(_text(one["key"]), _whole(one["serial"]), _whole(one["made"]), _number(one["last_at"]))
-                for one in _few(raw["reports"])
-            ]
-            wants = {_text(key): _whole(calls) for key, calls in _few(raw["wants"].items())}
-            told = {_text(key): _number(rate) for key, rate in _few(raw["told"].items())}
-            return LeaseRequest(wants, reports, told)
         if kind in POLICY:
             return POLICY[kind](raw)
-        if kind == "limited":
-            return LimitedKeys([_text(key) for key in raw["keys"]])
-        if kind == "granted":
-            one = raw["lease"]
-            owner = (_text(one["owner"][0]), _whole(one["owner"][1]))
-            serial, key, calls = _whole(one["serial"]), _text(one["key"]), _whole(one["calls"])
-            return LeaseGrant(Lease(serial, owner, key, calls, _number(one["until"])), _number(raw["per_s"]))
     except (ValueError, KeyError, TypeError, AttributeError, IndexError, RecursionError) as exc:
         raise Unreadable(f"not a message: {exc!r}") from exc
+    if kind in VERSION_ONE_KINDS:
+        raise Unreadable(
+            f"{kind!r} is of protocol version 1, this is {PROTOCOL_VERSION}: restart that process"
+        )
     raise Unreadable(f"no such kind: {kind!r}")
 
 
@@ -209,15 +155,8 @@
 """What is said of policies, each read whole; the machines are in ``springspread.rollout``."""
 
 
-def _few(values: Any) -> list[Any]:
-    found = list(values)
-    if len(found) > KEYS:
-        raise ValueError(f"more than {KEYS} keys")
-    return found
-
-
 def _text(value: object) -> str:
-    if not isinstance(value, str) or not 0 < len(value) <= KEY_CHARS:
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_KEY_CHARS:
         raise ValueError(f"not a name: {value!r}")
     return value
 
--- a/springspread/rig/daemon.py
+++ b/springspread/rig/daemon.py
@@ -15,9 +15,9 @@
 from typing import Any
 
 from springspread.fleet import daemon as whole
-from springspread.fleet.allocator import Owner
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.daemon import Daemon
+from springspread.fleet.limits import Owner
 from springspread.fleet.plan import read_fleet
 from springspread.fleet.wire import Message
 from springspread.logs import make_log
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -36,11 +36,23 @@
     Scope,
     Verdict,
 )
-from springspread.fleet.allocator import Allocator, Lease, Owner
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.allocator_server import SLACK_MS, TICK_MS
-from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
-from springspread.fleet.lease_cache import LeaseCache, Report
-from springspread.fleet.limits import Limit
+from springspread.fleet.client import LEASE_WAIT_MS, key_of
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+)
+from springspread.fleet.sender_session import POLL_MS, SenderSession
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
 from springspread.town.partner import Answer, End, Partner, Trouble
@@ -111,8 +123,7 @@
         self.dead = self._polling = False
         self.owner = (self.name, epoch)
         self.lease_cache = LeaseCache() if town.day.shared else None
-        self.rates: dict[str, float] = {}
-        self._asked: set[str] = set()
+        self.session = SenderSession(self.name, epoch, "", self.lease_cache) if self.lease_cache else None
         raw: dict[str, Any] = {
             "name": self.name,
             "listen": "127.0.0.1:0",
@@ -129,9 +140,8 @@
         self.clearance = Clearance(self.journal, grace, town.clock)
         shares = self if town.day.shared else None
         self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock, shares)
-        if self.lease_cache is not None:
-            self.lease_cache.limited(set(town.allocator.keys))
-            town.allocator.joined(self.owner)
+        if self.session is not None:
+            town.control.register(town.clock.now(), Register(PROTOCOL_VERSION, "", self.name, epoch))
         self.sender.attach(self, self, self)
         self._out: dict[Call, None] = {}
         self._idle: dict[int, list[float]] = {}
@@ -176,24 +186,24 @@
 
     # The fleet
 
-    def granted(self, lease: Lease, per_s: float) -> None:
-        """A lease comes in."""
-        if not self.dead and self.lease_cache is not None:
-            self.rates[lease.key] = per_s
-            self.lease_cache.received(lease, self.town.clock.now())
+    def received(self, messages: list[LimitMessage]) -> None:
+        """The allocator says something."""
+        if self.dead or self.session is None:
+            return
+        for message in messages:
+            assert isinstance(message, Welcome | KeyStatuses | LeaseGrants)
+            self.session.received(self.town.clock.now(), message)
 
     def _poll(self) -> None:
-        """Ask for what waits and report what is done with, as long as there is either."""
+        """Say what is due to the allocator, as long as anything waits or is held."""
         self._polling = False
-        if self.dead or self.lease_cache is None:
+        if self.dead or self.session is None or self.lease_cache is None:
             return
         now = self.town.clock.now()
-        wants, reports = self.lease_cache.wants(now), self.lease_cache.done(now)
-        if wants or reports or self._asked:
-            told = {**dict.fromkeys(self._asked, 0), **wants}
-            self.town.at(now + MEDIUM_MS, self.town.asked, self.owner, told, reports)
-        self._asked = set(wants)
-        if wants or reports or self.lease_cache.holding:
+        due = self.session.due(now)
+        if due:
+            self.town.at(now + MEDIUM_MS, self.town.received, self.owner, due)
+        if self.session.wait_ms(now) <= POLL_MS:
             self._polling = True
             self.town.at(now + POLL_MS, self._poll)
 
@@ -238,9 +248,14 @@
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of a limit: this instance's part of it."""
-        rate = self.rates.get(key_of(endpoint))
+        rate = self.session.rates.get(key_of(endpoint)) if self.session is not None else None
         return load if rate is None else Load(load.left_share, rate)
 
+    def failed(self, endpoint: Endpoint) -> None:
+        """A call failed; the allocator hears of it with the next report."""
+        if self.lease_cache is not None:
+            self.lease_cache.failed(key_of(endpoint))
+
     # Executor
 
     def start(self, call: Call) -> None:
@@ -446,14 +461,15 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
-        self.allocator = Allocator(slack_ms=SLACK_MS)
+        allocator = Allocator(slack_ms=SLACK_MS)
+        self.control = AllocatorControl("", LimitMode.EXACT, {}, allocator, 0.0)
         self.fleet_messages = 0
         self._allocating = False
         for name, group in self._group.items():
             habit = self.partners[group].habit
             if habit.limit_per_s:
                 key = f"r{group}/{name}" if habit.apart else f"g{group}"
-                self.allocator.limited(key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
+                self.control.limited(0.0, key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
         for cut in day.outages:
             if cut.service is Service.PLATFORM:
                 self.checker.platform_away(cut.begin, cut.end)
@@ -489,27 +505,26 @@
         self._count += 1
         heappush(self._moments, (when, self._count, work, values))
 
-    def asked(self, owner: Owner, wants: dict[str, int], reports: list[Report]) -> None:
-        """An instance's message comes to the allocator."""
+    def received(self, owner: Owner, messages: list[LimitMessage]) -> None:
+        """An instance's messages come to the allocator."""
         now = self.clock.now()
-        self.fleet_messages += 1
-        for one in reports:
-            self.allocator.report(now, owner, one.key, one.serial, one.made, one.last_at)
-        for key, calls in wants.items():
-            self.allocator.ask(now, owner, key, calls)
-        if self.allocator.waiting and not self._allocating:
+        self.fleet_messages += len(messages)
+        for message in messages:
+            assert isinstance(message, LeaseRequest | UseReport)
+            self.control.received(now, owner, message)
+        if not self._allocating:
             self._allocating = True
             self.at(now, self._allocate)
 
     def _allocate(self) -> None:
         now = self.clock.now()
-        for lease in self.allocator.allocate(now):
-            self.fleet_messages += 1
-            instance = self.instances[int(lease.owner[0][1:])]
-            if instance.owner == lease.owner:
-                per_s = self.allocator.rate(now, lease.key, lease.owner)
-                self.at(now + MEDIUM_MS, instance.granted, lease, per_s)
-        self._allocating = self.allocator.waiting
+        self.control.grant(now, self.control.tick(now))
+        for owner, messages in self.control.take_messages().items():
+            self.fleet_messages += len(messages)
+            instance = self.instances[int(owner[0][1:])]
+            if instance.owner == owner:
+                self.at(now + MEDIUM_MS, instance.received, messages)
+        self._allocating = self.control.busy
         if self._allocating:
             self.at(now + TICK_MS, self._allocate)
 
--- a/tests/fleet/test_allocator.py
+++ b/tests/fleet/test_allocator.py
@@ -19,9 +19,9 @@
     run_state_machine_as_test,
 )
 
-from springspread.fleet.allocator import Allocator, Lease, Owner, divide
+from springspread.fleet.allocator import Allocator, divide
 from springspread.fleet.lease_cache import LeaseCache
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Lease, Limit, Owner
 
 SPAN = 200.0
 LEASE = 40.0
@@ -34,9 +34,6 @@
     lease_cache: LeaseCache = field(default_factory=LeaseCache)
     frozen: bool = False
 
-    def __post_init__(self) -> None:
-        self.lease_cache.limited({KEY})
-
 
 class Fleet(RuleBasedStateMachine):
     """Instances that come, go, freeze and call; messages that are lost or late; allocators replaced."""
@@ -202,8 +199,6 @@
         self.allocator.limited(KEY, limit)
         self.lease_caches = {(f"n{n:02}", 1): LeaseCache() for n in range(count)}
         self.made: list[tuple[float, Owner]] = []
-        for lease_cache in self.lease_caches.values():
-            lease_cache.limited({KEY})
 
     def step(self, demand: dict[Owner, int], ms: float = 10.0) -> None:
         self.now += ms
@@ -273,7 +268,6 @@
 
 def test_a_lease_ends_by_the_clock_of_the_one_that_holds_it() -> None:
     lease_cache = LeaseCache()
-    lease_cache.limited({KEY})
     lease_cache.received(Lease(1, ("n0", 1), KEY, 2, 100.0), 0.0)
     assert lease_cache.take(KEY, 99.0) == 0.0
     assert lease_cache.take(KEY, 100.0) > 0.0  # it was frozen meanwhile
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -16,7 +16,8 @@
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
 from springspread.fleet.limits import Limit
-from springspread.fleet.wire import LeaseRequest, Register, write
+from springspread.fleet.messages import PROTOCOL_VERSION, LeaseRequest, Register
+from springspread.fleet.wire import write
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -116,7 +117,7 @@
 def test_one_that_does_not_read_holds_nobody_up(place: Place) -> None:
     with socket.socket(socket.AF_UNIX) as frozen:
         frozen.connect(str(place.path))
-        frozen.sendall(write(Register("frozen", 1)))
+        frozen.sendall(write(Register(PROTOCOL_VERSION, "", "frozen", 1)))
         until(lambda: place.server.members == [("frozen", 1)], "its hello")
         for _ in range(200):
             frozen.sendall(write(LeaseRequest({"g1": 1})))
--- a/tests/fleet/test_border.py
+++ b/tests/fleet/test_border.py
@@ -10,8 +10,8 @@
 from springspread.fleet.change import BOOT_ID
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.limits import Limit
+from springspread.fleet.messages import PROTOCOL_VERSION, LeaseRequest, Register
 from springspread.fleet.plan import read_fleet
-from springspread.fleet.wire import LeaseRequest
 from springspread.rollout.record import PolicyRecord
 from springspread.rollout.terms import Decided, Proposed
 from tests.fleet.test_allocator_server import Quiet
@@ -22,7 +22,7 @@
 def test_limits_change_at_the_border_and_the_smaller_one_before(tmp_path: Path) -> None:
     old = {"g1": Limit(40, 2000.0), "g2": Limit(10, 1000.0), "g4": Limit(3, 1000.0)}
     server = AllocatorServer(tmp_path / "allot", tmp_path, old, Quiet())
-    allocator = server._allocator
+    allocator = server.control
     since = SYSTEM.now() + 400.0
     server.follow({"g1": Limit(8, 2000.0), "g2": Limit(100, 1000.0), "g3": Limit(5, 1000.0)}, since)
     before = {key: allocator.limit(key) for key in ("g1", "g2", "g3", "g4")}
@@ -56,7 +56,7 @@
     record.append(Decided(2, since))
     record.close()
     second = Daemon(read_fleet(file), Quiet())
-    allocator = second._server._allocator
+    allocator = second._server.control
     before = allocator.limit("g1")
     assert SYSTEM.now() < since and before == Limit(10, 1000.0)
     until(lambda: allocator.limit("g1") == Limit(100, 1000.0), "the border is reached")
@@ -66,8 +66,9 @@
 
 def test_what_a_partner_told_binds_again_when_the_operators_limit_goes(tmp_path: Path) -> None:
     server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(40, 2000.0)}, Quiet())
-    server._asking(("n000", 1), LeaseRequest(told={"g1": 5.0}))
-    assert server._allocator.limit("g1") == Limit(40, 2000.0)
+    owner = server.control.register(SYSTEM.now(), Register(PROTOCOL_VERSION, "", "n000", 1))
+    server.control.received(SYSTEM.now(), owner, LeaseRequest(partner_rates={"g1": 5.0}))
+    assert server.control.limit("g1") == Limit(40, 2000.0)
     server.follow({}, SYSTEM.now())
-    until(lambda: server._allocator.limit("g1") == Limit(10, 2000.0), "the partner's own limit binds")
+    until(lambda: server.control.limit("g1") == Limit(10, 2000.0), "the partner's own limit binds")
     server.close()
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -9,25 +9,30 @@
 from hypothesis import strategies as st
 
 from springspread.fleet import wire
-from springspread.fleet.allocator import Lease
-from springspread.fleet.lease_cache import Report
-from springspread.fleet.record import FILE_BYTES, Record
-from springspread.fleet.wire import (
-    LeaseGrant,
+from springspread.fleet.limits import Lease
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    GrantedLease,
+    KeyStatus,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseReport,
     LeaseRequest,
-    LimitedKeys,
-    Lines,
-    Message,
     Register,
-    Unreadable,
-    write,
+    UseReport,
+    Welcome,
 )
+from springspread.fleet.record import FILE_BYTES, Record
+from springspread.fleet.wire import Document, Lines, Message, Unreadable, write
 
 MESSAGES: list[Message] = [
-    Register("n001", 7),
-    LeaseRequest({"g1": 3, "r2/é": 0}, [Report("g1", 9, 2, 12.5)], {"g1": 4.5}),
-    LimitedKeys(["g1", "r2/s-1"]),
-    LeaseGrant(Lease(9, ("n001", 7), "g1", 2, 200.0), 1.5),
+    Register(PROTOCOL_VERSION, "fleet", "n001", 7),
+    LeaseRequest({"g1": 3, "r2/é": 0}, (LeaseReport("g1", 9, 2, 12.5),), {"g1": 4.5}),
+    UseReport(3, 12.5, {"g1": 4}, {"g1": 1}),
+    Welcome(KeyStatus.FREE, True),
+    KeyStatuses(3, (1, 4294967295), (), (7,)),
+    LeaseGrants((GrantedLease("g1", 9, 2, 200.0, 1.5),)),
+    Document(1, "{}"),
 ]
 
 
@@ -52,12 +57,20 @@
 @pytest.mark.parametrize(
     "line",
     [
-        b'{"kind":"hello","name":"","epoch":1}',
-        b'{"kind":"hello","name":"a","epoch":-1}',
-        b'{"kind":"hello","name":"a","epoch":true}',
-        b'{"kind":"asking","wants":{"g1":"3"},"reports":[],"told":{}}',
-        b'{"kind":"asking","wants":{},"reports":[],"told":{"g1":NaN}}',
-        b'{"kind":"granted","lease":{},"per_s":1}',
+        b'[1,2,"fleet","",1]',
+        b'[1,2,"fleet","a",-1]',
+        b'[1,2,"fleet","a",true]',
+        b'[2,{"g1":"3"},[],{}]',
+        b'[2,{},[],{"g1":NaN}]',
+        b'[2,{"":1},[],{}]',
+        b"[3,-1,0,{},{}]",
+        b'[3,1,0,{"g1":-4},{}]',
+        b"[4,7,true]",
+        b"[5,0,[4294967296],[],[]]",
+        b'[6,[["g1",1,1,1]]]',
+        b"[9,1]",
+        b'{"kind":"document","number":-1,"text":"{}"}',
+        b'{"kind":"vote","number":1,"yes":1,"fault":""}',
         b'{"kind":"other"}',
         b"[" * 100_000,
         b"x" * (wire.LINE_BYTES + 1),
@@ -68,6 +81,12 @@
         Lines().feed(line + b"\n")
 
 
+@pytest.mark.parametrize("kind", ["hello", "asking", "limited", "granted"])
+def test_a_line_of_the_version_before_is_refused_by_name(kind: str) -> None:
+    with pytest.raises(Unreadable, match=f"'{kind}' is of protocol version 1"):
+        Lines().feed(b'{"kind":"%s","name":"a","epoch":1}\n' % kind.encode())
+
+
 def lease(serial: int, until: float = 100.0) -> Lease:
     return Lease(serial, ("n000", 1), "g1", 3, until)
 
