Statuses of listed destinations are asked ahead, so that one cut off knows what is free

Cause: a sender that lost its allocator before its first call to a destination without a limit could not call it any more (test_one_that_is_cut_off_acts_to_the_end_of_its_right failed each time alone).

--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -457,6 +457,8 @@
         named = {entry.route for entry in listed.entries}
         for member in news.members:
             self._clearance.leaving(self._endpoints.endpoint(member), member.state, news.told_at)
+        if self._shares is not None:
+            self._shares.listed([self._endpoints.endpoint(member) for member in news.members])
         lacking = news.scope in (Scope.WHOLE, Scope.CACHED)
         for number, endpoint in list(self._endpoints.by_number.items()):
             if endpoint in replaced or (lacking and number not in named):
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -321,6 +321,9 @@
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of an endpoint's limit: the instance's part of it."""
 
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Endpoints are on the list: calls to them may follow."""
+
     def failed(self, endpoint: Endpoint) -> None:
         """An attempt at an endpoint failed or was rejected: its destination may be down or full."""
 
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -118,7 +118,7 @@
         self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
         self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
         self._ready: dict[Owner, None] = {}  # those with news
-        self._informed: dict[str, dict[Owner, None]] = {}  # who knows another status than the default, by key
+        self._informed: dict[Owner, set[str]] = {}  # keys whose status other than the default it knows
         self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
         self._sources = LimitSources(limits)
         self.causes: dict[Cause, int] = dict.fromkeys(Cause, 0)  # how often limits were bound, and why
@@ -143,7 +143,7 @@
 
     def _count_as_used(self, now: float, key: str, limit: Limit) -> None:
         """A key that had no limit: senders that know it as unlimited have called it uncounted."""
-        if key in self._informed:
+        if any(key in keys for keys in self._informed.values()):
             self._allocator.limited(key, limit)
             self._allocator.count_unleased(now, key, limit.calls, now)
 
@@ -190,10 +190,11 @@
         if self._default is KeyStatus.FREE:
             self._tell_everybody(key, status)
             return
-        for owner in self._informed.get(key, ()):
-            self._tell(owner, key, status)
-        if status is KeyStatus.BOUND:
-            self._informed.pop(key, None)
+        for owner, keys in self._informed.items():
+            if key in keys:
+                self._tell(owner, key, status)
+                if status is KeyStatus.BOUND:
+                    keys.discard(key)
 
     def _tell_everybody(self, key: str, status: KeyStatus) -> None:
         known = key in self._bound
@@ -223,6 +224,7 @@
             raise RegisterRefused(f"{message.name}: a later start of it is known than {message.epoch}")
         self._forget_earlier(owner)
         complete = now >= self._learning_until
+        self._informed[owner] = set()
         outbox = self._outboxes[owner] = Outbox(Welcome(self._default, complete))
         for key in self._bound:
             outbox.statuses[fingerprint(key)] = KeyStatus.BOUND
@@ -236,6 +238,7 @@
     def left(self, owner: Owner) -> None:
         """Its connection is over; its leases are not."""
         self._outboxes.pop(owner, None)
+        self._informed.pop(owner, None)
         self._ready.pop(owner, None)
 
     def received(self, now: float, owner: Owner, message: LeaseRequest | UseReport) -> None:
@@ -266,9 +269,9 @@
         status = self._status(key)
         if status is KeyStatus.BOUND:
             self._allocator.ask(now, owner, key, calls)
-        elif calls:
+        elif calls or key not in self._informed[owner]:
             if self._default is KeyStatus.BOUND:
-                self._informed.setdefault(key, {})[owner] = None
+                self._informed[owner].add(key)
             self._tell(owner, key, status)
 
     def _use(self, now: float, owner: Owner, message: UseReport) -> None:
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -9,7 +9,7 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from math import inf
 from pathlib import Path
 
@@ -122,6 +122,11 @@
                 self._arrived.wait(POLL_MS / 1000.0)
         return now + RIGHT_MS if self._cache.is_limited(key) else inf
 
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Endpoints are on the list: whether calls to them need rights is asked ahead."""
+        if self._session.listed(map(key_of, endpoints)):
+            self._ring.set()
+
     def failed(self, endpoint: Endpoint) -> None:
         """A call to an endpoint failed."""
         self._cache.failed(key_of(endpoint))
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -63,7 +63,8 @@
 class LeaseRequest(Struct, frozen=True, array_like=True, tag=2):
     """How many calls wait by key, leases that are done with, and limits (calls a second) that partners told.
 
-    A count replaces the one before; zero asks for nothing more.
+    A count replaces the one before; zero asks for no lease any more, and for the key's status where that
+    is not known yet.
     """
 
     demands: Counts = {}
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from itertools import islice
 
 from springspread.fleet.lease_cache import LeaseCache
@@ -15,6 +15,7 @@
 from springspread.fleet.messages import (
     MAX_KEYS,
     PROTOCOL_VERSION,
+    KeyStatus,
     KeyStatuses,
     LeaseGrants,
     LeaseRequest,
@@ -40,6 +41,9 @@
         self._new_rates: dict[str, float] = {}
         self._requested: Mapping[str, int] = {}
         self._requested_at = 0.0
+        self._asks_ahead = False
+        self._listed: dict[str, None] = {}
+        self._new_listed: dict[str, None] = {}
         self.rates: dict[str, float] = {}
 
     def connected(self, now: float) -> list[LimitMessage]:
@@ -56,6 +60,19 @@
         self._partner_rates[key] = self._new_rates[key] = per_s
         return True
 
+    def listed(self, keys: Iterable[str]) -> bool:
+        """Calls to these keys may follow; whether there is anything new to ask.
+
+        Where unknown keys need leases, whether these do is asked ahead, so that a sender that loses its
+        allocator knows which need none. Of very many keys the rest is asked with the first call.
+        """
+        room = MAX_KEYS - len(self._listed)
+        fresh = dict.fromkeys(islice((key for key in keys if key not in self._listed), room))
+        self._listed |= fresh
+        if self._asks_ahead:
+            self._new_listed |= fresh
+        return self._asks_ahead and bool(fresh)
+
     def due(self, now: float) -> list[LimitMessage]:
         """What is to be written now."""
         made: list[LimitMessage] = []
@@ -63,11 +80,12 @@
         rates = dict(islice(self._new_rates.items(), MAX_KEYS))
         for key in rates:
             del self._new_rates[key]
+        ahead, self._new_listed = dict.fromkeys(self._new_listed, 0), {}
         again = bool(wants) and now >= self._requested_at + REPEAT_MS
-        if wants != self._requested or reports or rates or again:
+        if wants != self._requested or reports or rates or ahead or again:
             self._requested_at = now
             gone = dict.fromkeys(self._requested.keys() - wants.keys(), 0)
-            made.append(LeaseRequest({**gone, **wants}, tuple(reports), rates))
+            made.append(LeaseRequest({**ahead, **gone, **wants}, tuple(reports), rates))
             self._requested = wants
         if (report := self._cache.use_report(now)) is not None:
             made.append(report)
@@ -75,7 +93,7 @@
 
     def wait_ms(self, now: float) -> float:
         """How long until ``due`` may have something new, unless a call begins to wait meanwhile."""
-        busy = bool(self._requested or self._new_rates) or self._cache.holding
+        busy = bool(self._requested or self._new_rates or self._new_listed) or self._cache.holding
         wait_ms = POLL_MS if busy else IDLE_MS
         return max(min(wait_ms, self._cache.use_report_at(now) - now), 0.0)
 
@@ -84,6 +102,8 @@
         match message:
             case Welcome():
                 self._cache.welcomed(message, self._registered_at)
+                self._asks_ahead = message.default is KeyStatus.BOUND
+                self._new_listed = dict(self._listed) if self._asks_ahead else {}
             case KeyStatuses():
                 self._cache.statuses_changed(message)
             case LeaseGrants():
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
@@ -251,6 +251,9 @@
         rate = self.session.rates.get(key_of(endpoint)) if self.session is not None else None
         return load if rate is None else Load(load.left_share, rate)
 
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Asked with the first call, as nobody is cut off from the allocator here."""
+
     def failed(self, endpoint: Endpoint) -> None:
         """A call failed; the allocator hears of it with the next report."""
         if self.lease_cache is not None:
