A fleet's default mode can change, and lead time covers free calls of senders cut off

Cause: a limit that becomes exact had the lead of a lease (200 ms); a sender that is cut off makes free calls for 2 s. A message of a replaced start found nothing of its owner and would have ended its thread. Change: lead_ms adds lease_cache.FRESH_MS where a limit was free; the default of unknown keys changes with a policy, by a new Welcome to each sender; what a replaced start says ends its connection with a log line.

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -300,6 +300,11 @@
         """How much of a limit counts as used now."""
         return self._state(key).taken(now)
 
+    @property
+    def keys(self) -> Iterable[str]:
+        """Which keys have a limit; only for what concerns all of them, as a change of the fleet's default."""
+        return self._limits.keys()
+
     @property
     def waiting(self) -> bool:
         """Whether anybody asks for anything."""
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -111,6 +111,7 @@
         self._allocator = allocator
         self._default_mode = default_mode
         self._default = KeyStatus.BOUND if default_mode is LimitMode.EXACT else KeyStatus.FREE
+        self._next_default = default_mode
         self._learning_until = now + LEARNING_MS if learning else now
         self._began_at = now
         self._bindings: dict[str, Binding] = {}  # adaptive limits that were used or asked for
@@ -158,17 +159,36 @@
         """The limit of a key, where one is known."""
         return self._allocator.limit(key)
 
-    def follow(self, now: float, limits: Mapping[str, Limit], since: float) -> None:
-        """Other operators' limits hold from a moment on. Until then each key keeps the stricter one."""
+    def follow(
+        self, now: float, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
+    ) -> None:
+        """Other limits of the operators hold from a moment on; until then the stricter ones."""
         for key, limit in self._sources.announce(limits, since).items():
             self.limited(now, key, limit)
+        self._next_default = default_mode or self._default_mode
+        if self._next_default is LimitMode.EXACT:
+            self._set_default(LimitMode.EXACT)
 
     def _limits_due(self, now: float) -> None:
+        if now < self._sources.next_at:
+            return
         for key, limit in self._sources.due(now).items():
             if limit is None:
                 self.unlimited(key)
             else:
                 self.limited(now, key, limit)
+        self._set_default(self._next_default)
+
+    def _set_default(self, mode: LimitMode) -> None:
+        if mode is self._default_mode:
+            return
+        self._default_mode = mode
+        self._default = KeyStatus.BOUND if mode is LimitMode.EXACT else KeyStatus.FREE
+        self._bound = {}
+        if mode is LimitMode.ADAPTIVE:
+            self._bound = {key: None for key in self._allocator.keys if self.is_bound(key)}
+        for owner in self._outboxes:
+            self._welcome(owner, complete=True)
 
     def is_bound(self, key: str) -> bool:
         """Whether calls to a key need leases."""
@@ -223,13 +243,16 @@
         if not self._allocator.joined(owner):
             raise RegisterRefused(f"{message.name}: a later start of it is known than {message.epoch}")
         self._forget_earlier(owner)
-        complete = now >= self._learning_until
+        self._outboxes[owner] = Outbox()
+        self._welcome(owner, complete=now >= self._learning_until)
+        return owner
+
+    def _welcome(self, owner: Owner, *, complete: bool) -> None:
         self._informed[owner] = set()
-        outbox = self._outboxes[owner] = Outbox(Welcome(self._default, complete))
-        for key in self._bound:
-            outbox.statuses[fingerprint(key)] = KeyStatus.BOUND
+        outbox = self._outboxes[owner]
+        outbox.welcome = Welcome(self._default, complete)
+        outbox.statuses = {fingerprint(key): KeyStatus.BOUND for key in self._bound}
         self._ready[owner] = None
-        return owner
 
     def _forget_earlier(self, owner: Owner) -> None:
         for other in [other for other in self._outboxes if other[0] == owner[0] and other != owner]:
@@ -242,7 +265,9 @@
         self._ready.pop(owner, None)
 
     def received(self, now: float, owner: Owner, message: LeaseRequest | UseReport) -> None:
-        """A registered sender says something."""
+        """A registered sender says something; raises ``RegisterRefused`` where a later start replaced it."""
+        if owner not in self._outboxes:
+            raise RegisterRefused(f"{owner[0]}: start {owner[1]} is not registered any more")
         if isinstance(message, UseReport):
             self._use(now, owner, message)
         else:
@@ -283,9 +308,9 @@
                 self._count_use(now, made_at, key, calls, message.failed.get(key, 0))
             for key in message.failed.keys() - message.calls.keys():
                 self._count_use(now, made_at, key, 0, message.failed[key])
-        if (outbox := self._outboxes.get(owner)) is not None:
-            outbox.acknowledged = max(outbox.acknowledged, message.sequence)
-            self._ready[owner] = None
+        outbox = self._outboxes[owner]
+        outbox.acknowledged = max(outbox.acknowledged, message.sequence)
+        self._ready[owner] = None
 
     def _count_use(self, now: float, made_at: float, key: str, calls: int, failed: int) -> None:
         limit = self._allocator.limit(key)
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -138,8 +138,7 @@
                 raise Unreadable(f"not expected before it registers: {type(message).__name__}")
             match message:
                 case LeaseRequest() | UseReport():
-                    self.control.received(self._clock.now(), owner, message)
-                    self._news.set()
+                    self._received(owner, message)
                 case Vote() | Acting() | Fit():
                     if self._heard is not None:
                         self._heard(owner, message, True)
@@ -159,6 +158,13 @@
         if self._heard is not None:
             self._heard(owner, None, True)
 
+    def _received(self, owner: Owner, message: LeaseRequest | UseReport) -> None:
+        try:
+            self.control.received(self._clock.now(), owner, message)
+        except RegisterRefused as exc:
+            raise Unreadable(str(exc)) from exc
+        self._news.set()
+
     def tell(self, owner: Owner, message: Message) -> None:
         """Send a message to an instance, if it is connected. Never waits."""
         with self._lock:
@@ -166,10 +172,12 @@
             if member is not None:
                 self._send(member, [message])
 
-    def follow(self, limits: Mapping[str, Limit], since: float) -> None:
-        """Other operators' limits hold from a moment on. Until then each key keeps the stricter one."""
+    def follow(
+        self, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
+    ) -> None:
+        """Other limits of the operators hold from a moment on; until then the stricter ones."""
         with self._lock:
-            self.control.follow(self._clock.now(), limits, since)
+            self.control.follow(self._clock.now(), limits, since, default_mode)
             self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
         self._news.set()
 
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -16,6 +16,7 @@
 from math import inf
 from typing import Any
 
+from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.settings import SettingsError, flatten, read_settings
 
@@ -25,6 +26,7 @@
 SLACK_MS = 100.0
 MAX_LIMITS = 200_000
 MAX_POLICY_BYTES = 16 << 20  # of its text: 140,000 limits with keys of 90 characters
+MAX_SETTINGS_BYTES = 100 << 10  # of them: quoted in a line to an instance, below ``wire.LINE_BYTES``
 
 
 class PolicyFault(Exception):
@@ -59,6 +61,11 @@
             raw["default_mode"] = self.default_mode.value
         return json.dumps(raw, sort_keys=True, separators=(",", ":"))
 
+    @cached_property
+    def settings_text(self) -> str:
+        """What instances are sent of it: its settings. Limits concern the allocator alone."""
+        return json.dumps({"settings": self.settings}, sort_keys=True, separators=(",", ":"))
+
     @cached_property
     def digest(self) -> str:
         """SHA-256 of its text."""
@@ -85,6 +92,9 @@
         settings = len(json.dumps(policy.settings))
         key = "settings" if 2 * settings > size else "limits"
         raise PolicyTooLarge(f"{key}: {oversize('policy', size, MAX_POLICY_BYTES)}")
+    size = len(policy.settings_text)
+    if size > MAX_SETTINGS_BYTES:
+        raise PolicyTooLarge(f"settings: they have {size:,} bytes; the bound is {MAX_SETTINGS_BYTES:,}")
 
 
 def oversize(what: str, size: int, bound: int, *, at_least: bool = False) -> str:
@@ -141,8 +151,14 @@
 
 def lead_ms(old: Policy, new: Policy) -> float:
     """How long before the new policy holds its stricter limits must bind, so that every span keeps them."""
-    spans = (limit.span_ms for limit in shrunk(old, new).values())
-    return max((span_ms + LEASE_MS + SLACK_MS for span_ms in spans), default=0.0)
+    return max((_lead_ms(old, key, limit) for key, limit in shrunk(old, new).items()), default=0.0)
+
+
+def _lead_ms(old: Policy, key: str, limit: Limit) -> float:
+    """A span, after the last call by an earlier right: against a lease, or a free one by a sender cut off."""
+    before = old.limits.get(key)
+    was_free = LimitMode.ADAPTIVE is (old.default_mode if before is None else before.mode)
+    return limit.span_ms + SLACK_MS + (max(FRESH_MS, LEASE_MS) if was_free else LEASE_MS)
 
 
 def _stricter(old: Limit, new: Limit) -> bool:
