--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -22,13 +22,12 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
 from springspread.fleet.adoption import adopt
-from springspread.fleet.allocator import Owner
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.change import Changes
 from springspread.fleet.control import ControlSocket
 from springspread.fleet.instance_files import pending_messages, policy_started_with
 from springspread.fleet.launcher import Launcher
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, Owner
 from springspread.fleet.members import Row, scaled
 from springspread.fleet.orders import Refused
 from springspread.fleet.plan import FleetPlan
--- a/springspread/fleet/policy_orders.py
+++ b/springspread/fleet/policy_orders.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from springspread.core.clock import Clock
-from springspread.fleet.allocator import Owner
 from springspread.fleet.change import Changes
+from springspread.fleet.limits import Owner
 from springspread.fleet.members import Row
 from springspread.fleet.orders import Refused
 from springspread.rollout.document import Policy, PolicyFault, check, differences, parsed
--- a/springspread/fleet/supervisor.py
+++ b/springspread/fleet/supervisor.py
@@ -19,11 +19,11 @@
 from springspread.core.clock import Clock
 from springspread.core.types import Log
 from springspread.fleet.adoption import MEMBERS_FILE
-from springspread.fleet.allocator import Owner
 from springspread.fleet.change import Changes
 from springspread.fleet.folder import process_start, write_members
 from springspread.fleet.instance_files import first_deadline, listen_address, pending_messages, rotate_log
 from springspread.fleet.launcher import Launcher, Start
+from springspread.fleet.limits import Owner
 from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
 from springspread.fleet.orders import Refused
 from springspread.fleet.plan import FleetPlan
