The fleet's file sets the default mode, instances name their fleet, and get settings alone

Cause: instances were sent the whole policy, with every limit, in one line of at most 256 KB; a policy with 140,000 limits could reach none.

--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
 from math import inf
@@ -16,7 +16,7 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.wire import Document, Fit, Message, Question
 from springspread.net.threads import spawn
 from springspread.rollout import coordinator
@@ -62,14 +62,14 @@
         self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
         self._acting: dict[Owner, tuple[int, float]] = {}
         self._tell: Callable[[Owner, Message], None] = _nobody
-        self._limits: Callable[[dict[str, Limit], float], None] = _no_limits
+        self._limits: Callable[[Mapping[str, Limit], float, LimitMode], None] = _no_limits
         self._over = threading.Event()
 
     def begin(
         self,
         alive: Iterable[Owner],
         tell: Callable[[Owner, Message], None],
-        limits: Callable[[dict[str, Limit], float], None],
+        limits: Callable[[Mapping[str, Limit], float, LimitMode], None],
     ) -> None:
         """Start deciding. ``alive``: whose processes may run; ``limits`` is told which hold from when."""
         self._tell, self._limits = tell, limits
@@ -111,7 +111,7 @@
         told: dict[Owner, str | None] = dict.fromkeys(owners)
         self._asked[id] = told
         for owner in list(told):
-            self._tell(owner, Question(id, policy.text))
+            self._tell(owner, Question(id, policy.settings_text))
         end = self._clock.now() + self._times.vote_ms
         while None in list(told.values()) and self._clock.now() < end:
             self._clock.sleep(LOOK_MS / 2.0)
@@ -230,8 +230,8 @@
                     self._not_written(before, effect, str(exc))
                     return
                 if isinstance(effect.entry, Decided):
-                    limits = self.record.policy(effect.entry.number).limits
-                    self._limits(dict(limits), effect.entry.since)
+                    policy = self.record.policy(effect.entry.number)
+                    self._limits(policy.limits, effect.entry.since, policy.default_mode)
                 self._log.info("policy record", entry=repr(effect.entry))
                 continue
             message = effect.message
@@ -239,7 +239,7 @@
             told = self._told.setdefault(effect.owner, set())
             if number not in told:
                 told.add(number)
-                self._tell(effect.owner, Document(number, self.record.policy(number).text))
+                self._tell(effect.owner, Document(number, self.record.policy(number).settings_text))
             self._tell(effect.owner, message)
         self._state = after
 
@@ -260,5 +260,5 @@
     """Nothing is told before ``begin``."""
 
 
-def _no_limits(limits: dict[str, Limit], since: float) -> None:
+def _no_limits(limits: Mapping[str, Limit], since: float, default_mode: LimitMode) -> None:
     """Nothing is told before ``begin``."""
--- a/springspread/fleet/launcher.py
+++ b/springspread/fleet/launcher.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 
 SEED_STEP = 7919  # between the seeds of instances
 SEED_RANGE = 1 << 63
+FLEET_ID_CHARS = 16
 OWN_VARIABLES = ("RELAY_", "SPRINGSPREAD_")  # of the daemon; only what sets its log is handed on
 
 
@@ -30,6 +32,11 @@
     policy: Policy
 
 
+def fleet_id(folder: Path) -> str:
+    """What tells a fleet from others: the same for each daemon of its folder."""
+    return sha256(str(folder.resolve()).encode()).hexdigest()[:FLEET_ID_CHARS]
+
+
 class Launcher:
     """Makes processes of instances. What one needs beside the fleet's files comes from ``own_settings``."""
 
@@ -93,4 +100,5 @@
             "SPRINGSPREAD_INSTANCE": start.name,
             "SPRINGSPREAD_EPOCH": str(start.epoch),
             "SPRINGSPREAD_POLICY": str(start.policy_number),
+            "SPRINGSPREAD_FLEET_ID": fleet_id(self._plan.folder),
         }
--- a/springspread/rig/virtual.py
+++ b/springspread/rig/virtual.py
@@ -129,7 +129,7 @@
             number = message.number if isinstance(message, Prepare) else message.version
             if number not in self._told[owner]:
                 self._told[owner].add(number)
-                self._send(owner, Document(number, self.policy.text))
+                self._send(owner, Document(number, self.policy.settings_text))
             self._send(owner, message)
 
     def _send(self, owner: Owner, message: Message) -> None:
--- a/tests/fleet/test_launcher.py
+++ b/tests/fleet/test_launcher.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from springspread.fleet.launcher import Launcher, Start
+from springspread.fleet.launcher import Launcher, Start, fleet_id
 from springspread.fleet.plan import FleetPlan
 from springspread.rollout.document import Policy
 
@@ -73,4 +73,5 @@
         "SPRINGSPREAD_INSTANCE": "n002",
         "SPRINGSPREAD_EPOCH": "3",
         "SPRINGSPREAD_POLICY": "4",
+        "SPRINGSPREAD_FLEET_ID": fleet_id(made._plan.folder),
     }
