--- /dev/null
+++ b/springspread/fleet/allocator_server.py
@@ -0,0 +1,229 @@
+"""The allocator's driver: a Unix socket that instances connect to, a record on disk, and a thread that ticks.
+
+What is decided stands in ``allocator_control``. A frozen instance blocks nobody: what it does not read is
+dropped with its connection, and its leases run out.
+"""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+
+from springspread.core.clock import SYSTEM, Clock
+from springspread.core.types import Log
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import TOLD_SPAN_MS, AllocatorControl, RegisterRefused
+from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.messages import LeaseRequest, Register, UseReport
+from springspread.fleet.record import Record
+from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
+from springspread.net.threads import spawn
+from springspread.rollout.terms import Acting, Vote
+
+TICK_MS = 5.0
+IDLE_MS = 200.0
+SLACK_MS = 75.0  # from a call's right to its last byte at the partner: a held last byte and the way there
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One instance's connection; without an owner until it has registered."""
+
+    sock: socket.socket
+    owner: Owner | None = None
+
+
+class AllocatorServer:
+    """Serves until ``close``. ``limits`` are the operator's; others are taken from what partners tell."""
+
+    def __init__(
+        self,
+        path: Path,
+        folder: Path,
+        limits: Mapping[str, Limit],
+        log: Log,
+        clock: Clock = SYSTEM,
+        heard: Callable[[Owner, Vote | Acting | Fit | None, bool], None] | None = None,
+        began_before: bool = False,
+        default_mode: LimitMode = LimitMode.EXACT,
+        fleet: str = "",
+    ) -> None:
+        """``heard`` is told who joined (true) or left (false), votes, and what they act under.
+        ``began_before``: there were instances before, so that no record is a lost one. ``default_mode``: how
+        keys that a sender knows nothing of are treated. ``fleet``: what instances have to name as theirs.
+
+        Raises ``OSError`` where the socket or the record can't be opened."""
+        self._log, self._clock = log, clock
+        self._lock = threading.Lock()
+        self._news = threading.Event()
+        self._members: dict[Owner, Member] = {}
+        self._heard = heard
+        self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
+        longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
+        self._record = Record(folder, longest + SLACK_MS)
+        self.control = self._control(fleet, default_mode, limits, began_before)
+        path.unlink(missing_ok=True)
+        self._listener = socket.socket(socket.AF_UNIX)
+        self._listener.bind(str(path))
+        path.chmod(0o600)
+        self._listener.listen(1024)
+        self._open = True
+        spawn("fleet-accept", self._accept, log)
+        spawn("fleet-allocate", self._run, log)
+
+    def _control(
+        self, fleet: str, default_mode: LimitMode, limits: Mapping[str, Limit], began_before: bool
+    ) -> AllocatorControl:
+        now, record = self._clock.now(), self._record
+        allocator = Allocator(slack_ms=SLACK_MS)
+        allocator.restore(record.before)
+        if not record.whole or (began_before and not record.found):
+            # Guards limits after a power loss, or a record that is lost: anything may have been given out.
+            self._log.warning("leases not known; limits count as used up")
+            allocator.presume(now)
+        learning = began_before or record.found
+        return AllocatorControl(fleet, default_mode, limits, allocator, now, learning)
+
+    @property
+    def members(self) -> list[Owner]:
+        """Who is connected."""
+        with self._lock:
+            return sorted(self._members)
+
+    def returning(self, owner: Owner) -> Returning | None:
+        """How far an instance's start has come, as it last said."""
+        epoch, said = self._returning.get(owner[0], (-1, None))
+        return said if epoch == owner[1] else None
+
+    def _accept(self) -> None:
+        while self._open:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            spawn("fleet-member", partial(self._serve, Member(sock)), self._log, vital=False)
+
+    def _serve(self, member: Member) -> None:
+        lines = Lines()
+        try:
+            while self._open and (data := member.sock.recv(65536)):
+                for message in lines.feed(data):
+                    self._take(member, message)
+        except Unreadable as exc:
+            self._log.warning("instance not understood", owner=member.owner, fault=str(exc))
+        except OSError:
+            pass
+        finally:
+            with self._lock:
+                known = member.owner is not None and self._members.get(member.owner) is member
+                if known and member.owner is not None:
+                    del self._members[member.owner]
+                    self.control.left(member.owner)
+            if known and member.owner is not None and self._heard is not None:
+                self._heard(member.owner, None, False)
+            member.sock.close()
+
+    def _take(self, member: Member, message: Message) -> None:
+        with self._lock:
+            if isinstance(message, Register):
+                self._register(member, message)
+                return
+            owner = member.owner
+            if owner is None:
+                raise Unreadable(f"not expected before it registers: {type(message).__name__}")
+            match message:
+                case LeaseRequest() | UseReport():
+                    self._received(owner, message)
+                case Vote() | Acting() | Fit():
+                    if self._heard is not None:
+                        self._heard(owner, message, True)
+                case Returning():
+                    self._returning[owner[0]] = (owner[1], message)
+                case _:
+                    raise Unreadable(f"not expected: {type(message).__name__}")
+
+    def _register(self, member: Member, message: Register) -> None:
+        try:
+            owner = self.control.register(self._clock.now(), message)
+        except RegisterRefused as exc:
+            raise Unreadable(str(exc)) from exc
+        member.owner = owner
+        self._members[owner] = member
+        self._news.set()
+        if self._heard is not None:
+            self._heard(owner, None, True)
+
+    def _received(self, owner: Owner, message: LeaseRequest | UseReport) -> None:
+        try:
+            self.control.received(self._clock.now(), owner, message)
+        except RegisterRefused as exc:
+            raise Unreadable(str(exc)) from exc
+        self._news.set()
+
+    def tell(self, owner: Owner, message: Message) -> None:
+        """Send a message to an instance, if it is connected. Never waits."""
+        with self._lock:
+            member = self._members.get(owner)
+            if member is not None:
+                self._send(member, [message])
+
+    def follow(
+        self, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
+    ) -> None:
+        """Other limits of the operators hold from a moment on; until then the stricter ones."""
+        with self._lock:
+            self.control.follow(self._clock.now(), limits, since, default_mode)
+            self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
+        self._news.set()
+
+    def _run(self) -> None:
+        while self._open:
+            with self._lock:
+                self._news.clear()
+                self._tick(self._clock.now())
+                busy = self.control.busy
+                wait_ms = min(IDLE_MS, max(self.control.next_at - self._clock.now(), TICK_MS))
+            if busy:
+                self._clock.sleep(TICK_MS)
+            else:
+                self._news.wait(wait_ms / 1000.0)
+
+    def _tick(self, now: float) -> None:
+        leases = self.control.tick(now)
+        try:
+            if leases:
+                self._record.append(leases, now)
+            self.control.grant(now, leases)
+        except OSError as exc:
+            # Guards the limit against a successor that would not know of them: they run out untold.
+            self._log.error("leases not on record", error=str(exc))
+        for owner, messages in self.control.take_messages().items():
+            member = self._members.get(owner)
+            if member is not None:
+                self._send(member, messages)
+
+    def _send(self, member: Member, messages: Iterable[Message]) -> None:
+        """Never waits: whoever does not read loses its connection."""
+        try:
+            data = b"".join(map(write, messages))
+            if member.sock.send(data, socket.MSG_DONTWAIT) < len(data):
+                raise BlockingIOError
+        except OSError:
+            with suppress(OSError):  # it may be gone already
+                member.sock.shutdown(socket.SHUT_RDWR)  # its reader ends the rest
+
+    def close(self) -> None:
+        """End every connection; instances go on with what they hold and connect anew."""
+        self._open = False
+        self._news.set()
+        self._listener.close()
+        with self._lock:
+            members = list(self._members.values())
+        for member in members:
+            with suppress(OSError):
+                member.sock.shutdown(socket.SHUT_RDWR)
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -1,6 +1,6 @@
-"""An instance's driver for its wallet: it connects to the allotter, asks, reports and takes leases in.
+"""An instance's driver for its session with the allocator: it connects, asks, reports and takes leases in.
 
-While the allotter is away the instance goes on with the leases that it holds, to their ends, and then makes
+While the allocator is away the instance goes on with the leases that it holds, to their ends, and then makes
 no call to a limited destination: a floor of none is the one that keeps every limit, whatever their number.
 """
 
@@ -9,40 +9,37 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from math import inf
 from pathlib import Path
 
-from springspread.accord import participant
-from springspread.accord.participant import Participant
-from springspread.accord.terms import Acting, Grant, Prepare, Vote
 from springspread.config import Config, ConfigError
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
-from springspread.fleet.wallet import Wallet
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
+from springspread.fleet.sender_session import IDLE_MS, POLL_MS, SenderSession
 from springspread.fleet.wire import (
-    Asking,
     Document,
     Fit,
-    Granted,
-    Hello,
-    Limited,
     Lines,
     Message,
+    PolicyMessage,
     Question,
     Returning,
     Unreadable,
     write,
 )
 from springspread.net.threads import spawn
+from springspread.rollout import participant
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
-POLL_MS = 10.0
-IDLE_MS = 250.0
 AGAIN_MS = 100.0
 SAY_MS = 1_000.0  # what it acts under is said this often, and when that changes
-REPEAT_MS = 150.0
 POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
-RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allotter's slack
+RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allocator's slack
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -55,22 +52,29 @@
     """Asked by ``core.clearance`` before each call, and by the loop for what to tell the decision module."""
 
     def __init__(
-        self, path: Path, name: str, epoch: int, log: Log, clock: Clock = SYSTEM, policy: int = 0
+        self,
+        path: Path,
+        name: str,
+        epoch: int,
+        log: Log,
+        clock: Clock = SYSTEM,
+        policy: int = 0,
+        fleet: str = "",
     ) -> None:
-        """``policy``: the number of the policy that this process was started with; 0: there is none."""
-        self._path, self._hello, self._log, self._clock = path, Hello(name, epoch), log, clock
+        """``policy``: the number of the policy that this process was started with; 0: there is none.
+        ``fleet``: the fleet that it belongs to, as the allocator knows it.
+        """
+        self._path, self._log, self._clock = path, log, clock
         self.policy = policy
         self._rights = Participant()
         self._texts: dict[int, str] = {}
         self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
         self._holding, self._unfit = False, 0
         self._votes: deque[Vote | Fit] = deque()
-        self._wallet = Wallet()
+        self._cache = LeaseCache()
+        self._session = SenderSession(name, epoch, fleet, self._cache)
         self._arrived = threading.Condition()
         self._ring = threading.Event()
-        self._told: dict[str, float] = {}
-        self._new: dict[str, float] = {}
-        self._rates: dict[str, float] = {}
         self._open = True
         self._usable: Callable[[str], Config] = _nobody_asked
         self._put: Callable[[NewPolicy], None] = _nobody_hears
@@ -111,21 +115,29 @@
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
-        while self._wallet.take(key, now := self._clock.now()) > 0.0:
+        while self._cache.take(key, now := self._clock.now()) > 0.0:
             self._ring.set()
             if now >= until:
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
-        return now + RIGHT_MS if self._wallet.binds(key) else inf
+        return now + RIGHT_MS if self._cache.is_limited(key) else inf
+
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Endpoints are on the list: whether calls to them need rights is asked ahead."""
+        if self._session.listed(map(key_of, endpoints)):
+            self._ring.set()
+
+    def failed(self, endpoint: Endpoint) -> None:
+        """A call to an endpoint failed."""
+        self._cache.failed(key_of(endpoint))
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of an endpoint's limit: this instance's part of it."""
         key = key_of(endpoint)
-        if load.limit_per_s and self._told.get(key) != load.limit_per_s:
-            self._told[key] = self._new[key] = load.limit_per_s
+        if load.limit_per_s and self._session.partner_rate(key, load.limit_per_s):
             self._ring.set()
-        rate = self._rates.get(key)
+        rate = self._session.rates.get(key)
         return load if rate is None else Load(load.left_share, rate)
 
     def close(self) -> None:
@@ -143,42 +155,46 @@
                     sock.settimeout(None)
                     self._talk(sock)
             except (OSError, Unreadable) as exc:
-                self._log.warning("no allotter", error=str(exc))
+                self._log.warning("no allocator", error=str(exc))
             # What was heard before the connection broke still takes hold at its moment.
             self._clock.sleep(min(AGAIN_MS, self._turn(self._clock.now())))
 
     def _talk(self, sock: socket.socket) -> None:
         self._votes.clear()  # of another connection: whoever asked has gone on
-        sock.sendall(write(self._hello))
-        self._new = dict(self._told)  # a new allotter knows none of it
+        sock.sendall(b"".join(map(write, self._session.connected(self._clock.now()))))
         over = threading.Event()
         reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
         reader.start()
-        asked: Mapping[str, int] = {}
+        try:
+            self._write_until(sock, over)
+        finally:
+            # Guards freshness: an answer of this connection that is read after the next one has begun would
+            # acknowledge what was sent again there.
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            reader.join()
+
+    def _write_until(self, sock: socket.socket, over: threading.Event) -> None:
+        """Write what is due until the connection is over."""
         said_at = 0.0
-        said = (-1, 0.0)  # what it acts under, and when that was said
+        said = -1  # what it acts under, as it was said then
         told_of: Returning | None = None
         while self._open and not over.is_set():
             now = self._clock.now()
+            due: list[Message] = []
             while self._votes:
-                sock.sendall(write(self._votes.popleft()))
+                due.append(self._votes.popleft())
             acting = 0 if self._holding else self.policy
-            if self.policy and (acting != said[0] or now >= said[1] + SAY_MS):
-                said = (acting, now)
-                sock.sendall(write(Acting(acting)))
+            if self.policy and (acting != said or now >= said_at + SAY_MS):
+                said, said_at = acting, now
+                due.append(Acting(acting))
             if (start := self._returning()) is not None and start != told_of:
                 told_of = start
-                sock.sendall(write(start))
-            wants, reports = self._wallet.wants(now), self._wallet.done(now)
-            told, self._new = self._new, {}
-            # What waits is said again now and then: the allotter forgets who is silent.
-            if wants != asked or reports or told or (wants and now >= said_at + REPEAT_MS):
-                said_at = now
-                gone = dict.fromkeys(asked.keys() - wants.keys(), 0)
-                sock.sendall(write(Asking({**gone, **wants}, reports, told)))
-                asked = wants
-            busy = bool(wants) or self._wallet.holding
-            self._ring.wait(min(POLL_MS if busy else IDLE_MS, self._turn(now)) / 1000.0)
+                due.append(start)
+            due += self._session.due(now)
+            if due:
+                sock.sendall(b"".join(map(write, due)))
+            self._ring.wait(min(self._session.wait_ms(now), self._turn(now)) / 1000.0)
             self._ring.clear()
 
     def _turn(self, now: float) -> float:
@@ -205,7 +221,7 @@
         since = self._rights.next_since(now)
         return IDLE_MS if since is None else max(since - now, 0.0) + 0.2
 
-    def _policy(self, message: Message) -> None:
+    def _policy(self, message: PolicyMessage) -> None:
         if isinstance(message, Document):
             # Few at a time: the one that holds, the one that follows, and one that is asked about.
             with self._reading:
@@ -235,17 +251,16 @@
         try:
             while data := sock.recv(65536):
                 for message in lines.feed(data):
-                    if isinstance(message, Limited):
-                        self._wallet.limited(set(message.keys))
-                    elif isinstance(message, Granted):
-                        self._rates[message.lease.key] = message.per_s
-                        self._wallet.received(message.lease, self._clock.now())
-                    else:
+                    if isinstance(message, Welcome | KeyStatuses | LeaseGrants):
+                        self._session.received(self._clock.now(), message)
+                    elif isinstance(message, PolicyMessage):
                         self._policy(message)
+                    else:
+                        raise Unreadable(f"not expected: {type(message).__name__}")
                 with self._arrived:
                     self._arrived.notify_all()
         except (OSError, Unreadable) as exc:
-            self._log.warning("allotter lost", error=str(exc))
+            self._log.warning("allocator lost", error=str(exc))
         over.set()
         self._ring.set()
 
@@ -267,7 +282,8 @@
     try:
         path, name = Path(env["SPRINGSPREAD_FLEET"]), env["SPRINGSPREAD_INSTANCE"]
         epoch, policy = int(env["SPRINGSPREAD_EPOCH"]), int(env.get("SPRINGSPREAD_POLICY", "0"))
-        return FleetShares(path, name, epoch, log, policy=policy)
+        fleet = env.get("SPRINGSPREAD_FLEET_ID", "")
+        return FleetShares(path, name, epoch, log, policy=policy, fleet=fleet)
     except KeyError as exc:
         raise ConfigError(f"{exc.args[0]}: not set, though SPRINGSPREAD_FLEET is") from exc
     except ValueError:
--- /dev/null
+++ b/springspread/rollout/document.py
@@ -0,0 +1,203 @@
+"""What a policy is: the senders' settings and the fleet's limits, as one document that never changes.
+
+It also says what may differ between one policy and the next. What numbers discovery's list (kinds, zones,
+report fields) and what a process is built with serve a start; a class keeps its effect for ever, as a
+message that was taken under one policy may be recovered under any later one.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from difflib import get_close_matches
+from functools import cached_property
+from hashlib import sha256
+from math import inf
+from typing import Any
+
+from springspread.fleet.lease_cache import FRESH_MS
+from springspread.fleet.limits import Limit, LimitMode
+from springspread.settings import SettingsError, flatten, read_settings
+
+FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
+FIXED_PARTS = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
+LEASE_MS = 200.0  # of a share of a limit: what was given out before a limit shrank is used or over by then
+SLACK_MS = 100.0
+MAX_LIMITS = 200_000
+MAX_POLICY_BYTES = 16 << 20  # of its text: 140,000 limits with keys of 90 characters
+MAX_SETTINGS_BYTES = 100 << 10  # of them: quoted in a line to an instance, below ``wire.LINE_BYTES``
+
+
+class PolicyFault(Exception):
+    """A document that can't become the policy; the text begins with the faulty key."""
+
+
+class PolicyTooLarge(PolicyFault):
+    """A document over ``MAX_LIMITS`` or ``MAX_POLICY_BYTES``."""
+
+
+@dataclass(frozen=True)
+class Policy:
+    """``settings`` as in a sender's configuration; ``limits`` by key of a destination.
+
+    ``default_mode`` holds for a destination that a sender knows nothing of.
+    """
+
+    settings: Mapping[str, Any]
+    limits: Mapping[str, Limit]
+    default_mode: LimitMode = LimitMode.EXACT
+
+    @cached_property
+    def text(self) -> str:
+        """The one form in which it is kept, sent and hashed.
+
+        A mode stands in it only where it is not ``exact``: what was written before there were modes keeps
+        its text and digest.
+        """
+        limits = {key: _written(limit) for key, limit in self.limits.items()}
+        raw: dict[str, Any] = {"settings": self.settings, "limits": limits}
+        if self.default_mode is not LimitMode.EXACT:
+            raw["default_mode"] = self.default_mode.value
+        return json.dumps(raw, sort_keys=True, separators=(",", ":"))
+
+    @cached_property
+    def settings_text(self) -> str:
+        """What instances are sent of it: its settings. Limits concern the allocator alone."""
+        return json.dumps({"settings": self.settings}, sort_keys=True, separators=(",", ":"))
+
+    @cached_property
+    def digest(self) -> str:
+        """SHA-256 of its text."""
+        return sha256(self.text.encode()).hexdigest()
+
+
+def parsed(text: str) -> Policy:
+    """A policy out of its text; raises ``PolicyFault``."""
+    try:
+        raw = json.loads(text)
+        limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
+        default_mode = _read_mode("default_mode", raw.get("default_mode", LimitMode.EXACT.value))
+        return Policy(dict(raw["settings"]), limits, default_mode)
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
+        raise PolicyFault(f"not a policy: {exc!r}") from exc
+
+
+def check_bounds(policy: Policy) -> None:
+    """Raise ``PolicyTooLarge`` where it has too many limits or too long a text."""
+    if len(policy.limits) > MAX_LIMITS:
+        raise PolicyTooLarge(f"limits: there are {len(policy.limits):,}; the bound is {MAX_LIMITS:,}")
+    size = len(policy.text)  # ASCII: a byte a character
+    if size > MAX_POLICY_BYTES:
+        settings = len(json.dumps(policy.settings))
+        key = "settings" if 2 * settings > size else "limits"
+        raise PolicyTooLarge(f"{key}: {oversize('policy', size, MAX_POLICY_BYTES)}")
+    size = len(policy.settings_text)
+    if size > MAX_SETTINGS_BYTES:
+        raise PolicyTooLarge(f"settings: they have {size:,} bytes; the bound is {MAX_SETTINGS_BYTES:,}")
+
+
+def oversize(what: str, size: int, bound: int, *, at_least: bool = False) -> str:
+    """What is said of something that is too long; ``at_least``: it was not read to its end."""
+    return f"the {what} has {'at least ' if at_least else ''}{size:,} bytes; the bound is {bound:,}"
+
+
+def differences(old: Policy, new: Policy) -> list[str]:
+    """Every key that differs, with both values."""
+    before, after = _flat(old), _flat(new)
+    keys = sorted(key for key in before | after if before.get(key) != after.get(key))
+    return [f"{key}: {before.get(key, 'not set')} -> {after.get(key, 'not set')}" for key in keys]
+
+
+def check(new: Policy, history: Iterable[Policy]) -> None:
+    """Raise ``PolicyFault`` where it can't be used at all, or not after the policies of the history, oldest
+    first.
+    """
+    check_bounds(new)
+    try:
+        specs = read_settings(flatten(new.settings)).classes
+    except SettingsError as exc:
+        raise PolicyFault(f"settings.{exc}") from exc
+    past = list(history)
+    if not past:
+        return
+    effects = {}
+    for policy in past:
+        effects.update({spec.name: spec.effect for spec in read_settings(flatten(policy.settings)).classes})
+    for spec in specs:
+        if effects.get(spec.name, spec.effect) is not spec.effect:
+            was = effects[spec.name].value
+            raise PolicyFault(f"settings.classes.{spec.name}.effect: is {was} for ever; use another class")
+    known, flat = flatten(past[-1].settings), flatten(new.settings)
+    for key in sorted(known.keys() | flat.keys()):
+        fixed = key.split(".")[0] in FIXED or key.startswith(FIXED_PARTS)
+        if fixed and known.get(key) != flat.get(key):
+            raise PolicyFault(f"settings.{key}: serves a start, and can't change while the fleet runs")
+    roots = {key.split(".")[0] for key in known}
+    for root in sorted({key.split(".")[0] for key in flat} - roots):
+        near = get_close_matches(root, roots, 1, 0.8)
+        if near:
+            raise PolicyFault(f"settings.{root}: no such key; did you mean {near[0]}?")
+
+
+def shrunk(old: Policy, new: Policy) -> dict[str, Limit]:
+    """Limits that are stricter in the new policy, or only there."""
+    return {
+        key: limit
+        for key, limit in new.limits.items()
+        if key not in old.limits or _stricter(old.limits[key], limit)
+    }
+
+
+def lead_ms(old: Policy, new: Policy) -> float:
+    """How long before the new policy holds its stricter limits must bind, so that every span keeps them."""
+    return max((_lead_ms(old, key, limit) for key, limit in shrunk(old, new).items()), default=0.0)
+
+
+def _lead_ms(old: Policy, key: str, limit: Limit) -> float:
+    """A span, after the last call by an earlier right: against a lease, or a free one by a sender cut off."""
+    before = old.limits.get(key)
+    was_free = LimitMode.ADAPTIVE is (old.default_mode if before is None else before.mode)
+    return limit.span_ms + SLACK_MS + (max(FRESH_MS, LEASE_MS) if was_free else LEASE_MS)
+
+
+def _stricter(old: Limit, new: Limit) -> bool:
+    if old.mode is LimitMode.ADAPTIVE and new.mode is LimitMode.EXACT:
+        return True
+    return _rate(new) < _rate(old) or new.calls < old.calls
+
+
+def _rate(limit: Limit) -> float:
+    return limit.calls / limit.span_ms if limit.span_ms else inf
+
+
+def _written(limit: Limit) -> list[Any]:
+    entry: list[Any] = [limit.calls, limit.span_ms]
+    return entry if limit.mode is LimitMode.EXACT else [*entry, limit.mode.value]
+
+
+def _read_limit(key: str, entry: Any) -> Limit:
+    calls, span_ms, *mode = entry
+    if not mode:
+        return Limit(int(calls), float(span_ms))
+    (name,) = mode
+    return Limit(int(calls), float(span_ms), _read_mode(f"limits.{key}.mode", name))
+
+
+def _read_mode(key: str, name: object) -> LimitMode:
+    try:
+        return LimitMode.named(name)
+    except ValueError as exc:
+        raise PolicyFault(f"{key}: {exc}") from exc
+
+
+def _flat(policy: Policy) -> dict[str, str]:
+    flat = {f"limits.{key}": _described(limit) for key, limit in policy.limits.items()}
+    if policy.default_mode is not LimitMode.EXACT:
+        flat["default_mode"] = policy.default_mode.value
+    return flat | {f"settings.{key}": value for key, value in flatten(policy.settings).items()}
+
+
+def _described(limit: Limit) -> str:
+    mode = "" if limit.mode is LimitMode.EXACT else f", {limit.mode.value}"
+    return f"{limit.calls} in {limit.span_ms:g} ms{mode}"
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
@@ -36,10 +36,23 @@
     Scope,
     Verdict,
 )
-from springspread.fleet.client import LEASE_WAIT_MS, POLL_MS, key_of
-from springspread.fleet.server import SLACK_MS, TICK_MS
-from springspread.fleet.shares import Allotter, Lease, Limit, Owner
-from springspread.fleet.wallet import Report, Wallet
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.allocator_server import SLACK_MS, TICK_MS
+from springspread.fleet.client import LEASE_WAIT_MS, key_of
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+)
+from springspread.fleet.sender_session import POLL_MS, SenderSession
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
 from springspread.town.partner import Answer, End, Partner, Trouble
@@ -52,7 +65,7 @@
     End.RESET: Result.BROKEN,
     End.SPOILT: Result.SPOILT,
 }
-MEDIUM_MS = 0.5  # between an instance and the allotter, one way
+MEDIUM_MS = 0.5  # between an instance and the allocator, one way
 KEPT_MS = 3_500.0  # a connection idle for longer is opened anew
 EPOCH_MS = 1.8e12  # what the day's zero is on the wall
 
@@ -109,9 +122,8 @@
         self.town, self.index, self.name = town, index, f"n{index}"
         self.dead = self._polling = False
         self.owner = (self.name, epoch)
-        self.wallet = Wallet() if town.day.shared else None
-        self.rates: dict[str, float] = {}
-        self._asked: set[str] = set()
+        self.lease_cache = LeaseCache() if town.day.shared else None
+        self.session = SenderSession(self.name, epoch, "", self.lease_cache) if self.lease_cache else None
         raw: dict[str, Any] = {
             "name": self.name,
             "listen": "127.0.0.1:0",
@@ -128,9 +140,8 @@
         self.clearance = Clearance(self.journal, grace, town.clock)
         shares = self if town.day.shared else None
         self.sender = Sender(self.config, self.journal, self.clearance, town.log, town.clock, shares)
-        if self.wallet is not None:
-            self.wallet.limited(set(town.allotter.keys))
-            town.allotter.joined(self.owner)
+        if self.session is not None:
+            town.control.register(town.clock.now(), Register(PROTOCOL_VERSION, "", self.name, epoch))
         self.sender.attach(self, self, self)
         self._out: dict[Call, None] = {}
         self._idle: dict[int, list[float]] = {}
@@ -175,31 +186,31 @@
 
     # The fleet
 
-    def granted(self, lease: Lease, per_s: float) -> None:
-        """A lease comes in."""
-        if not self.dead and self.wallet is not None:
-            self.rates[lease.key] = per_s
-            self.wallet.received(lease, self.town.clock.now())
+    def received(self, messages: list[LimitMessage]) -> None:
+        """The allocator says something."""
+        if self.dead or self.session is None:
+            return
+        for message in messages:
+            assert isinstance(message, Welcome | KeyStatuses | LeaseGrants)
+            self.session.received(self.town.clock.now(), message)
 
     def _poll(self) -> None:
-        """Ask for what waits and report what is done with, as long as there is either."""
+        """Say what is due to the allocator, as long as anything waits or is held."""
         self._polling = False
-        if self.dead or self.wallet is None:
+        if self.dead or self.session is None or self.lease_cache is None:
             return
         now = self.town.clock.now()
-        wants, reports = self.wallet.wants(now), self.wallet.done(now)
-        if wants or reports or self._asked:
-            told = {**dict.fromkeys(self._asked, 0), **wants}
-            self.town.at(now + MEDIUM_MS, self.town.asked, self.owner, told, reports)
-        self._asked = set(wants)
-        if wants or reports or self.wallet.holding:
+        due = self.session.due(now)
+        if due:
+            self.town.at(now + MEDIUM_MS, self.town.received, self.owner, due)
+        if self.session.wait_ms(now) <= POLL_MS:
             self._polling = True
             self.town.at(now + POLL_MS, self._poll)
 
     def _lacks(self, call: Call) -> bool:
         """Whether a call has to wait for a lease, or to end without one."""
         now = self.town.clock.now()
-        if self.wallet is None or self.wallet.take(key_of(call.endpoint), now) == 0.0:
+        if self.lease_cache is None or self.lease_cache.take(key_of(call.endpoint), now) == 0.0:
             return False
         if not self._polling:
             self._polling = True
@@ -237,9 +248,17 @@
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of a limit: this instance's part of it."""
-        rate = self.rates.get(key_of(endpoint))
+        rate = self.session.rates.get(key_of(endpoint)) if self.session is not None else None
         return load if rate is None else Load(load.left_share, rate)
 
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Asked with the first call, as nobody is cut off from the allocator here."""
+
+    def failed(self, endpoint: Endpoint) -> None:
+        """A call failed; the allocator hears of it with the next report."""
+        if self.lease_cache is not None:
+            self.lease_cache.failed(key_of(endpoint))
+
     # Executor
 
     def start(self, call: Call) -> None:
@@ -264,8 +283,10 @@
 
     def _overrides(self, result: Result) -> bool:
         knobs = self.town.knobs
-        return knobs.ignore_waits and result is Result.REJECTED or (
-            knobs.ignore_drains and result is Result.NOT_SENT
+        return (
+            knobs.ignore_waits
+            and result is Result.REJECTED
+            or (knobs.ignore_drains and result is Result.NOT_SENT)
         )
 
     def _handshake(self, endpoint: Endpoint, way: float) -> float:
@@ -414,7 +435,7 @@
     checker: Checker
     calls: int
     logged: dict[str, int] = field(default_factory=dict)
-    fleet_messages: int = 0  # between instances and the allotter
+    fleet_messages: int = 0  # between instances and the allocator
 
 
 class Town:
@@ -430,9 +451,7 @@
             for spec in day.partners
         }
         self._kinds = {spec.group: KINDS.index(spec.kind) for spec in day.partners}
-        self._group = {
-            name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)
-        }
+        self._group = {name: spec.group for spec in day.partners for name in (*spec.names, *spec.later)}
         self._ports = {name: 1000 + n for n, name in enumerate(self._group)}
         self._holders = {port: name for name, port in self._ports.items()}
         listed = {name for spec in day.partners for name in spec.names}
@@ -445,14 +464,15 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
-        self.allotter = Allotter(slack_ms=SLACK_MS)
+        allocator = Allocator(slack_ms=SLACK_MS)
+        self.control = AllocatorControl("", LimitMode.EXACT, {}, allocator, 0.0)
         self.fleet_messages = 0
-        self._allotting = False
+        self._allocating = False
         for name, group in self._group.items():
             habit = self.partners[group].habit
             if habit.limit_per_s:
                 key = f"r{group}/{name}" if habit.apart else f"g{group}"
-                self.allotter.limited(key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
+                self.control.limited(0.0, key, Limit.of_rate(habit.limit_per_s, SPAN_MS))
         for cut in day.outages:
             if cut.service is Service.PLATFORM:
                 self.checker.platform_away(cut.begin, cut.end)
@@ -488,29 +508,28 @@
         self._count += 1
         heappush(self._moments, (when, self._count, work, values))
 
-    def asked(self, owner: Owner, wants: dict[str, int], reports: list[Report]) -> None:
-        """An instance's message comes to the allotter."""
+    def received(self, owner: Owner, messages: list[LimitMessage]) -> None:
+        """An instance's messages come to the allocator."""
         now = self.clock.now()
-        self.fleet_messages += 1
-        for one in reports:
-            self.allotter.report(now, owner, one.key, one.serial, one.made, one.last_at)
-        for key, calls in wants.items():
-            self.allotter.ask(now, owner, key, calls)
-        if self.allotter.waiting and not self._allotting:
-            self._allotting = True
-            self.at(now, self._allot)
-
-    def _allot(self) -> None:
+        self.fleet_messages += len(messages)
+        for message in messages:
+            assert isinstance(message, LeaseRequest | UseReport)
+            self.control.received(now, owner, message)
+        if not self._allocating:
+            self._allocating = True
+            self.at(now, self._allocate)
+
+    def _allocate(self) -> None:
         now = self.clock.now()
-        for lease in self.allotter.allot(now):
-            self.fleet_messages += 1
-            instance = self.instances[int(lease.owner[0][1:])]
-            if instance.owner == lease.owner:
-                per_s = self.allotter.rate(now, lease.key, lease.owner)
-                self.at(now + MEDIUM_MS, instance.granted, lease, per_s)
-        self._allotting = self.allotter.waiting
-        if self._allotting:
-            self.at(now + TICK_MS, self._allot)
+        self.control.grant(now, self.control.tick(now))
+        for owner, messages in self.control.take_messages().items():
+            self.fleet_messages += len(messages)
+            instance = self.instances[int(owner[0][1:])]
+            if instance.owner == owner:
+                self.at(now + MEDIUM_MS, instance.received, messages)
+        self._allocating = self.control.busy
+        if self._allocating:
+            self.at(now + TICK_MS, self._allocate)
 
     def key(self, endpoint: str) -> str:
         """What a limit and a told wait bind."""
