Bad peers lose their connection with a log line; CPU a call in the chaos minute

Change: tests of eight bad peers and of one that claims another's leases against the real allocator's socket; benchmarks.fleet_chaos tells the CPU of the fleet's processes for each call. Measured: test_allocator_server and test_allocator_control: 42 passed.

--- a/benchmarks/fleet_chaos.py
+++ b/benchmarks/fleet_chaos.py
@@ -39,7 +39,8 @@
 
 
 def play(day: Day) -> dict[str, object]:
-    """Play it once; what came of it."""
+    """Play it once; what came of it. CPU is that of the fleet's processes, for each call that they made."""
+    before = _children_cpu_s()
     with tempfile.TemporaryDirectory(prefix="springspread-chaos-") as folder:
         town = SocketTown(day, Path(folder))
         try:
@@ -66,9 +67,16 @@
         "failed": tally.failed,
         "service": round(tally.service, 4),
         "late_ms_p99": round(live.late_ms[0], 1),
+        "cpu_ms_a_call": round(1000.0 * (_children_cpu_s() - before) / max(tally.calls, 1), 3),
     }
 
 
+def _children_cpu_s() -> float:
+    """CPU of processes that have ended and were waited for, by this one or by such a process."""
+    usage = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return usage.ru_utime + usage.ru_stime
+
+
 def main() -> None:
     """Play and tell."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -190,6 +190,10 @@
         for owner in self._outboxes:
             self._welcome(owner, complete=True)
 
+    def given_out(self, key: str, now: float) -> int:
+        """How many calls of a key count against its limit now."""
+        return self._allocator.taken(now, key)
+
     def is_bound(self, key: str) -> bool:
         """Whether calls to a key need leases."""
         return self._status(key) is KeyStatus.BOUND
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -67,6 +67,7 @@
         longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
+        self.path = path
         path.unlink(missing_ok=True)
         self._listener = socket.socket(socket.AF_UNIX)
         self._listener.bind(str(path))
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -238,9 +238,9 @@
     assert not frozen.call("g1", fleet.now)  # before it hears anything
     report = frozen.session.due(fleet.now)
     assert [type(one) for one in report] == [UseReport]
-    before = fleet.control._allocator.taken(fleet.now, "g1")
+    before = fleet.control.given_out("g1", fleet.now)
     fleet.deliver(frozen, report[0])
-    assert fleet.control._allocator.taken(fleet.now, "g1") == before  # its calls are out of every span
+    assert fleet.control.given_out("g1", fleet.now) == before  # its calls are out of every span
     frozen.frozen = False
     resumed = fleet.now
     fleet.run(resumed + 6_000.0, {"g1": 1})
@@ -378,7 +378,7 @@
     assert sum(lease.calls for lease in leases) == 10
     for lease in leases:
         control.received(3.0, other, LeaseRequest({"g1": 0}, (LeaseReport("g1", lease.serial, 0, 0.0),)))
-    assert control._allocator.taken(3.0, "g1") == 10
+    assert control.given_out("g1", 3.0) == 10
 
 
 def test_a_fleet_that_changes_its_default_tells_each_sender_and_keeps_the_stricter_one_until_then() -> None:
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -16,8 +16,15 @@
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
 from springspread.fleet.limits import Limit
-from springspread.fleet.messages import PROTOCOL_VERSION, LeaseRequest, Register
-from springspread.fleet.wire import write
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    KeyStatus,
+    LeaseReport,
+    LeaseRequest,
+    Register,
+    Welcome,
+)
+from springspread.fleet.wire import LINE_BYTES, write
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -126,6 +133,68 @@
         callers.stop()
 
 
+class Noted(Quiet):
+    """A log that keeps its warnings."""
+
+    def __init__(self) -> None:
+        self.warnings: list[str] = []
+
+    def warning(self, event: str, **values: object) -> None:
+        self.warnings.append(f"{event}: {values}")
+
+
+BAD_PEERS = {
+    "a line that is too long": (b"[" + b"1" * (LINE_BYTES + 10), "a line of more than"),
+    "a line that is torn": (write(Register(PROTOCOL_VERSION, "", "n1", 1))[:-9] + b"\n", "not a message"),
+    "an unknown version": (write(Register(9, "", "n1", 1)), "protocol version 9, this is 2"),
+    "the version before": (b'{"kind":"hello","name":"n1","epoch":1}\n', "of protocol version 1"),
+    "another fleet": (write(Register(PROTOCOL_VERSION, "other", "n1", 1)), "another fleet: other"),
+    "an older start": (write(Register(PROTOCOL_VERSION, "", "n0", 0)), "n0: a later start of it is known"),
+    "a request before it registers": (write(LeaseRequest({"g1": 1})), "not expected before it registers"),
+    "what only an allocator says": (
+        write(Register(PROTOCOL_VERSION, "", "n1", 1)) + write(Welcome(KeyStatus.FREE, True)),
+        "not expected: Welcome",
+    ),
+}
+
+
+@pytest.mark.parametrize(("data", "fault"), BAD_PEERS.values(), ids=BAD_PEERS)
+def test_a_bad_peer_loses_its_connection_with_a_log_line_and_nothing_is_forgotten(
+    tmp_path: Path, data: bytes, fault: str
+) -> None:
+    log = Noted()
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(100, 60_000.0)}, log)
+    good = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: good.acquire(LINK), "a call of a good one")
+    given_out = server.control.given_out("g1", SYSTEM.now())
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(server.path))
+        peer.settimeout(5.0)
+        peer.sendall(data)
+        while peer.recv(65536):
+            pass  # a welcome may have come before the end
+    until(lambda: log.warnings, "its log line")
+    assert len(log.warnings) == 1 and fault in log.warnings[0]
+    assert server.control.given_out("g1", SYSTEM.now()) >= min(given_out, 1)
+    until(lambda: good.acquire(LINK), "the good one goes on")
+    good.close()
+    server.close()
+
+
+def test_a_peer_that_claims_anothers_lease_lowers_no_count(place: Place) -> None:
+    owner = place.join("n0")
+    until(lambda: owner.acquire(LINK), "a lease")
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        before = place.server.control.given_out("g1", SYSTEM.now())
+        reports = tuple(LeaseReport("g1", serial, 0, 0.0) for serial in range(1, 50))
+        peer.sendall(write(LeaseRequest({}, reports)))
+        peer.sendall(write(LeaseRequest({"g1": 1})))
+        until(lambda: b'[6,[["g1"' in peer.recv(65536), "the answer to what came after")
+    assert place.server.control.given_out("g1", SYSTEM.now()) >= before
+
+
 def test_without_an_allocator_nothing_limited_is_called(tmp_path: Path) -> None:
     alone = FleetShares(tmp_path / "none", "n0", 1, Quiet())
     begun = time.monotonic()
