The fleet's default mode reaches the allocator, at its start and with each policy

Cause: the allocator takes a default mode, but the daemon and the driver of policies handed it none, so that default_mode in the file had no effect.

--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
 from math import inf
@@ -16,7 +16,7 @@
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.wire import Document, Fit, Message, Question
 from springspread.net.threads import spawn
 from springspread.rollout import coordinator
@@ -27,6 +27,8 @@
 
 LOOK_MS = 20.0
 HEARD_MS = 2_500.0  # an instance that has said nothing for so long is not known to act
+LimitsReceiver = Callable[[Mapping[str, Limit], float, LimitMode], None]
+"""Takes the limits and the default mode of a policy, and the moment (ms) from which they hold."""
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -62,14 +64,14 @@
         self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
         self._acting: dict[Owner, tuple[int, float]] = {}
         self._tell: Callable[[Owner, Message], None] = _nobody
-        self._limits: Callable[[dict[str, Limit], float], None] = _no_limits
+        self._limits: LimitsReceiver = _no_limits
         self._over = threading.Event()
 
     def begin(
         self,
         alive: Iterable[Owner],
         tell: Callable[[Owner, Message], None],
-        limits: Callable[[dict[str, Limit], float], None],
+        limits: LimitsReceiver,
     ) -> None:
         """Start deciding. ``alive``: whose processes may run; ``limits`` is told which hold from when."""
         self._tell, self._limits = tell, limits
@@ -230,8 +232,8 @@
                     self._not_written(before, effect, str(exc))
                     return
                 if isinstance(effect.entry, Decided):
-                    limits = self.record.policy(effect.entry.number).limits
-                    self._limits(dict(limits), effect.entry.since)
+                    policy = self.record.policy(effect.entry.number)
+                    self._limits(policy.limits, effect.entry.since, policy.default_mode)
                 self._log.info("policy record", entry=repr(effect.entry))
                 continue
             message = effect.message
@@ -260,5 +262,5 @@
     """Nothing is told before ``begin``."""
 
 
-def _no_limits(limits: dict[str, Limit], since: float) -> None:
+def _no_limits(limits: Mapping[str, Limit], since: float, default_mode: LimitMode) -> None:
     """Nothing is told before ``begin``."""
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -27,7 +27,7 @@
 from springspread.fleet.control import ControlSocket
 from springspread.fleet.instance_files import pending_messages, policy_started_with
 from springspread.fleet.launcher import Launcher
-from springspread.fleet.limits import Limit, Owner
+from springspread.fleet.limits import Owner
 from springspread.fleet.members import Row, scaled
 from springspread.fleet.orders import Refused
 from springspread.fleet.plan import FleetPlan
@@ -110,17 +110,22 @@
     def _serve_limits(self, began_before: bool) -> AllocatorServer:
         history, clock = self._changes.record.history, self._clock
         undecided = clock.now() < history.since  # the daemon before decided it, for a moment to come
-        limits = self._limits(history.before if undecided else history.in_force)
-        received = self._changes.received
-        path = self.folder / "allot"
-        server = AllocatorServer(path, self.folder, limits, self._log, clock, received, began_before)
+        current = self._changes.policy(history.before if undecided else history.in_force)
+        server = AllocatorServer(
+            self.folder / "allot",
+            self.folder,
+            current.limits,
+            self._log,
+            clock,
+            self._changes.received,
+            began_before,
+            current.default_mode,
+        )
         if undecided:
-            server.follow(self._limits(history.in_force), history.since)
+            decided = self._changes.policy(history.in_force)
+            server.follow(decided.limits, history.since, decided.default_mode)
         return server
 
-    def _limits(self, number: int) -> dict[str, Limit]:
-        return dict(self._changes.policy(number).limits)
-
     def given(self, name: str) -> dict[str, Any]:
         """What an instance's configuration has beside the fleet's; all have the same."""
         return {}
--- a/springspread/rig/sabotage.py
+++ b/springspread/rig/sabotage.py
@@ -15,7 +15,7 @@
 from springspread.config import decoded
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.rig.schedule import Act, Kind
 from springspread.rollout import coordinator, participant
 from springspread.rollout.participant import Participant
@@ -115,8 +115,14 @@
 def _raises_limits_at_once() -> None:
     real = AllocatorServer.follow
 
-    def follow(self: AllocatorServer, limits: Mapping[str, Limit], since: float) -> None:
-        real(self, {key: replace(limit, calls=limit.calls * 2) for key, limit in limits.items()}, since)
+    def follow(
+        self: AllocatorServer,
+        limits: Mapping[str, Limit],
+        since: float,
+        default_mode: LimitMode | None = None,
+    ) -> None:
+        doubled = {key: replace(limit, calls=limit.calls * 2) for key, limit in limits.items()}
+        real(self, doubled, since, default_mode)
 
     setattr(AllocatorServer, "follow", follow)  # noqa: B010
 
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -23,6 +23,7 @@
 from springspread.rollout import document
 from springspread.rollout.document import MAX_POLICY_BYTES, Policy
 from tests.fleet.test_allocator_server import Quiet
+from tests.peer import until
 from tests.test_config import make
 
 TOML = """folder = "fleet"
@@ -71,6 +72,20 @@
     assert kept["policy"] == Policy(place.settings, limits).text
 
 
+def test_the_default_mode_of_a_policy_reaches_the_allocator_and_its_successor(place: Place) -> None:
+    text = Policy(place.settings, {"g7": Limit(50, 10.0)}, LimitMode.ADAPTIVE).text
+    answer = asked(place.control, {"do": "propose", "policy": text, "within": 5.0}, 5.0)
+    assert answer["state"] == "in force"
+
+    def default_mode() -> LimitMode:
+        return place.daemon._server.control._default_mode
+
+    until(lambda: default_mode() is LimitMode.ADAPTIVE, "unknown keys are free")
+    place.daemon.leave()
+    place.daemon = Daemon(read_fleet(place.file), Quiet())
+    assert default_mode() is LimitMode.ADAPTIVE
+
+
 def test_the_daemon_refuses_a_policy_that_is_too_large_by_size_and_bound(place: Place) -> None:
     policy = Policy(
         place.settings, {f"g{'x' * (MAX_POLICY_BYTES // 4)}{n}": Limit(5, 10.0) for n in range(4)}
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -84,7 +84,7 @@
     record.append(Proposed(1, policy(slots=5).digest))
     record.close()
     changes = Changes(tmp_path, policy(), Quiet())
-    changes.begin((), lambda owner, message: None, lambda limits, since: None)
+    changes.begin((), lambda owner, message: None, lambda limits, since, default_mode: None)
     assert changes.in_force == 2 and changes.policy(2) == policy()
     assert changes.outcome(1) == ("refused", "the daemon ended before it was decided")
     changes.close()
