--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -35,7 +35,7 @@
 from springspread.fleet.binding import Binding, Cause
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limit_sources import LimitSources
-from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
+from springspread.fleet.limits import PARTNER_SPAN_MS, Lease, Limit, LimitMode, Owner
 from springspread.fleet.messages import (
     MAX_KEYS,
     PROTOCOL_VERSION,
@@ -54,7 +54,6 @@
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
 LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
-TOLD_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
 
 
 class RegisterRefused(Exception):
@@ -285,7 +284,7 @@
                 binding.used(now, report.made)
         for key, per_s in message.partner_rates.items():
             if per_s > 0:
-                limit = Limit.of_rate(per_s, TOLD_SPAN_MS, self._default_mode)
+                limit = Limit.of_rate(per_s, PARTNER_SPAN_MS, self._default_mode)
                 if self._sources.partner_told(key, limit):
                     self.limited(now, key, limit)
         for key, calls in message.demands.items():
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -17,8 +17,8 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
 from springspread.fleet.allocator import Allocator
-from springspread.fleet.allocator_control import TOLD_SPAN_MS, AllocatorControl, RegisterRefused
-from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.allocator_control import AllocatorControl, RegisterRefused
+from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode, Owner
 from springspread.fleet.messages import LeaseRequest, Register, UseReport
 from springspread.fleet.record import Record
 from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
@@ -64,7 +64,7 @@
         self._members: dict[Owner, Member] = {}
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
-        longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
+        longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
         self.path = path
--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -27,6 +27,8 @@
 
 LOOK_MS = 20.0
 HEARD_MS = 2_500.0  # an instance that has said nothing for so long is not known to act
+LimitsReceiver = Callable[[Mapping[str, Limit], float, LimitMode], None]
+"""Takes the limits and the default mode of a policy, and the moment (ms) from which they hold."""
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -62,14 +64,14 @@
         self._told: dict[Owner, set[int]] = {}  # whose texts an owner's connection has had
         self._acting: dict[Owner, tuple[int, float]] = {}
         self._tell: Callable[[Owner, Message], None] = _nobody
-        self._limits: Callable[[Mapping[str, Limit], float, LimitMode], None] = _no_limits
+        self._limits: LimitsReceiver = _no_limits
         self._over = threading.Event()
 
     def begin(
         self,
         alive: Iterable[Owner],
         tell: Callable[[Owner, Message], None],
-        limits: Callable[[Mapping[str, Limit], float, LimitMode], None],
+        limits: LimitsReceiver,
     ) -> None:
         """Start deciding. ``alive``: whose processes may run; ``limits`` is told which hold from when."""
         self._tell, self._limits = tell, limits
--- a/springspread/fleet/limits.py
+++ b/springspread/fleet/limits.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from math import floor, sqrt
 
+PARTNER_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
+
 
 class LimitMode(Enum):
     """How a limit is kept."""
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from springspread.fleet.lease_cache import FRESH_MS
-from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode
 from springspread.settings import SettingsError, flatten, read_settings
 
 FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
@@ -151,7 +151,10 @@
 
 def lead_ms(old: Policy, new: Policy) -> float:
     """How long before the new policy holds its stricter limits must bind, so that every span keeps them."""
-    return max((_lead_ms(old, key, limit) for key, limit in shrunk(old, new).items()), default=0.0)
+    leads = [_lead_ms(old, key, limit) for key, limit in shrunk(old, new).items()]
+    if old.default_mode is LimitMode.ADAPTIVE and new.default_mode is LimitMode.EXACT:
+        leads.append(PARTNER_SPAN_MS + SLACK_MS + FRESH_MS)  # limits that partners tell become exact, too
+    return max(leads, default=0.0)
 
 
 def _lead_ms(old: Policy, key: str, limit: Limit) -> float:
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -166,6 +166,11 @@
     assert str(caught.value).startswith(fault)
 
 
+def test_a_default_that_becomes_exact_leaves_time_for_limits_that_partners_tell() -> None:
+    adaptive, exact = Policy({}, {}, LimitMode.ADAPTIVE), Policy({}, {})
+    assert lead_ms(adaptive, exact) == 4100.0 and lead_ms(exact, adaptive) == 0.0
+
+
 def test_a_limit_that_becomes_exact_binds_before_the_border() -> None:
     adaptive = Policy({}, {"g1": Limit(40, 2000.0, LimitMode.ADAPTIVE)})
     exact = Policy({}, {"g1": Limit(40, 2000.0)})
