--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -118,6 +118,20 @@
     _order(file, {"do": "status"}, as_json)
 
 
+@fleet.command()
+@click.argument("file", type=FILE)
+@JSON
+def limits(file: Path, as_json: bool) -> None:
+    """Show how many limits there are, and which adaptive ones are bound, and why."""
+    status = _ask(_plan(file), {"do": "limits"})["limits"]
+    if as_json:
+        click.echo(json.dumps(status))
+        return
+    click.echo(f"{status['limits']} limits, {status['adaptive_bound']} adaptive ones bound")
+    for key, cause in status["bound"].items():
+        click.echo(f"  {key}  {cause}")
+
+
 @fleet.command()
 @click.argument("file", type=FILE)
 @JSON
--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -27,7 +27,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import floor, inf
@@ -302,7 +302,7 @@
         return self._state(key).taken(now)
 
     @property
-    def keys(self) -> Iterable[str]:
+    def keys(self) -> Collection[str]:
         """Which keys have a limit; only for what concerns all of them, as a change of the fleet's default."""
         return self._limits.keys()
 
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -193,6 +193,25 @@
         """How many calls of a key count against its limit now."""
         return self._allocator.taken(now, key)
 
+    def bound_limits(self, most: int) -> dict[str, Cause]:
+        """Adaptive limits that are bound, and why; at most so many of them."""
+        bound: dict[str, Cause] = {}
+        for _, key in self._checks:
+            binding = self._bindings.get(key)
+            if binding is not None and binding.cause is not None and len(bound) < most:
+                bound[key] = binding.cause
+        return bound
+
+    @property
+    def adaptive_bound(self) -> int:
+        """How many adaptive limits are bound."""
+        return sum(self._bindings[key].bound for _, key in self._checks if key in self._bindings)
+
+    @property
+    def limit_count(self) -> int:
+        """How many keys have a limit."""
+        return len(self._allocator.keys)
+
     def is_bound(self, key: str) -> bool:
         """Whether calls to a key need leases."""
         return self._status(key) is KeyStatus.BOUND
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
@@ -96,6 +97,16 @@
         with self._lock:
             return sorted(self._members)
 
+    def limits_status(self, most: int) -> dict[str, Any]:
+        """How many limits there are and how many adaptive ones are bound; at most so many of them by key."""
+        with self._lock:
+            bound = self.control.bound_limits(most)
+            return {
+                "limits": self.control.limit_count,
+                "adaptive_bound": self.control.adaptive_bound,
+                "bound": {key: cause.value for key, cause in bound.items()},
+            }
+
     def returning(self, owner: Owner) -> Returning | None:
         """How far an instance's start has come, as it last said."""
         epoch, said = self._returning.get(owner[0], (-1, None))
--- a/springspread/fleet/binding.py
+++ b/springspread/fleet/binding.py
@@ -54,11 +54,11 @@
 class Binding:
     """The status of one adaptive limit, and what is known of its demand."""
 
-    __slots__ = ("_demand", "_failures", "_pressed_at", "bound", "limit")
+    __slots__ = ("_demand", "_failures", "_pressed_at", "cause", "limit")
 
     def __init__(self, limit: Limit) -> None:
         self.limit = limit
-        self.bound = False
+        self.cause: Cause | None = None  # why it is bound; none: it is free
         self._demand = DemandEstimate(limit.span_ms)
         self._failures: DemandEstimate | None = None
         self._pressed_at = -inf  # when there was last a reason to be bound
@@ -94,9 +94,14 @@
             return False
         if self._cause(now) is not None or self._above(now, RELEASE_AT):
             return False
-        self.bound = False
+        self.cause = None
         return True
 
+    @property
+    def bound(self) -> bool:
+        """Whether each call needs a lease."""
+        return self.cause is not None
+
     def recent_calls(self, now: float) -> int:
         """No fewer calls than were reported for the span that ends now."""
         return self._demand.at_most(now)
@@ -107,7 +112,7 @@
         self._pressed_at = now
         if self.bound:
             return None
-        self.bound = True
+        self.cause = cause
         return cause
 
     def _cause(self, now: float) -> Cause | None:
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -41,6 +41,7 @@
 MAX_INSTANCES = 1000
 MAX_WITHIN_S = 600.0
 MAX_DIFFERENCES_LOGGED = 20
+MAX_BOUND_SHOWN = 100
 
 
 class Daemon:
@@ -166,6 +167,8 @@
         match order:
             case {"do": "recovery"}:
                 return {"recovery": self._recovery()}
+            case {"do": "limits"}:
+                return {"limits": self._server.limits_status(MAX_BOUND_SHOWN)}
             case {"do": "status"}:
                 pass
             case {"do": "scale", "count": int(count)} if 0 <= count <= MAX_INSTANCES:
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -13,10 +13,13 @@
 
 from springspread.cli.main import cli
 from springspread.core.clock import SYSTEM
+from springspread.core.types import Endpoint
 from springspread.fleet import control as control_module
 from springspread.fleet import plan as plan_module
+from springspread.fleet.client import FleetShares
 from springspread.fleet.control import MAX_ORDER_BYTES, ControlSocket
 from springspread.fleet.daemon import Daemon
+from springspread.fleet.launcher import fleet_id
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.orders import asked
 from springspread.fleet.plan import read_fleet
@@ -203,3 +206,24 @@
     place.daemon.leave()
     code, output = place.command("propose")
     assert code == 1 and "no daemon answers" in output
+
+
+def test_the_limits_order_shows_which_adaptive_limits_are_bound_and_why(place: Place) -> None:
+    limits = {"g7": Limit(50, 2_000.0, LimitMode.ADAPTIVE), "g8": Limit(5, 2_000.0)}
+    text = Policy(place.settings, limits, LimitMode.ADAPTIVE).text
+    assert asked(place.control, {"do": "propose", "policy": text, "within": 5.0}, 5.0)["state"] == "in force"
+    until(lambda: place.daemon._server.control.limit("g7") == limits["g7"], "the limits are in force")
+    shown = asked(place.control, {"do": "limits"})["limits"]
+    assert shown == {"limits": 2, "adaptive_bound": 0, "bound": {}}
+    folder = place.daemon.folder
+    shares = FleetShares(folder / "allot", "n9", 1, Quiet(), fleet=fleet_id(folder))
+    endpoint = Endpoint(1, "s-1", "127.0.0.1", 1, 7, False, 1)
+
+    def fails() -> bool:
+        shares.acquire(endpoint)
+        shares.failed(endpoint)
+        return bool(asked(place.control, {"do": "limits"})["limits"]["adaptive_bound"])
+
+    until(fails, "failures bind it")
+    assert asked(place.control, {"do": "limits"})["limits"]["bound"] == {"g7": "the destination fails"}
+    shares.close()
--- a/tests/fleet/test_plan.py
+++ b/tests/fleet/test_plan.py
@@ -91,3 +91,14 @@
 def test_the_bounds_have_room_for_140_000_limits_with_long_keys() -> None:
     keys = [f"r{number:06}/{'x' * 70}" for number in range(140_000)]
     document.check_bounds(document.Policy({}, dict.fromkeys(keys, Limit(500, 2000.0, LimitMode.ADAPTIVE))))
+
+
+def test_the_example_of_the_operators_page_is_a_fleets_file(tmp_path: Path) -> None:
+    page = (Path(__file__).parents[2] / "docs" / "fleet.md").read_text()
+    section = page.partition("## Limits: exact and adaptive")[2].partition("\n## ")[0]
+    example = "\n".join(line[4:] for line in section.splitlines() if line.startswith("    "))
+    file = tmp_path / "fleet.toml"
+    file.write_text('folder = "fleet"\nconfig = "sender.json"\n' + example)
+    plan = read_fleet(file)
+    assert plan.default_mode is LimitMode.ADAPTIVE
+    assert plan.shared == {"g7": Limit(40, 2000.0, LimitMode.ADAPTIVE), "g8": Limit(4, 2000.0)}
