Many free calls of one key wake the thread that reports them

Cause: a sender's sixteenth unreported call of a key asked for an early report that waited for up to 250 ms; at 32 its calls were held up. Change: the call wakes the thread. Its test fails without that.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -193,6 +193,11 @@
         """How many calls of a key count against its limit now."""
         return self._allocator.taken(now, key)
 
+    def reported_calls(self, key: str, now: float) -> int:
+        """Calls of an adaptive limit that were reported for the span that ends now, and no fewer."""
+        binding = self._bindings.get(key)
+        return binding.recent_calls(now) if binding is not None else 0
+
     def bound_limits(self, most: int) -> dict[str, Cause]:
         """Adaptive limits that are bound, and why; at most so many of them."""
         bound: dict[str, Cause] = {}
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -121,6 +121,8 @@
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
+        if self._cache.reports_early:
+            self._ring.set()
         return now + RIGHT_MS if self._cache.is_limited(key) else inf
 
     def listed(self, endpoints: Sequence[Endpoint]) -> None:
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -196,6 +196,11 @@
             self._reported_at = now
             return self._ledger.report(now)
 
+    @property
+    def reports_early(self) -> bool:
+        """Whether so many calls are unreported that a report should not wait for its interval."""
+        return self._ledger.early
+
     def use_report_at(self, now: float) -> float:
         """When the next report is due; inf: there is nothing to report."""
         with self._lock:
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -15,7 +15,7 @@
 from springspread.core.types import Endpoint, Load
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.messages import (
     PROTOCOL_VERSION,
     KeyStatus,
@@ -24,6 +24,7 @@
     Register,
     Welcome,
 )
+from springspread.fleet.use_ledger import EARLY_CALLS
 from springspread.fleet.wire import LINE_BYTES, write
 from tests.peer import until
 
@@ -195,6 +196,31 @@
     assert place.server.control.given_out("g1", SYSTEM.now()) >= before
 
 
+class CountedEvent(threading.Event):
+    """Knows how often it was set."""
+
+    sets = 0
+
+    def set(self) -> None:
+        self.sets += 1
+        super().set()
+
+
+def test_many_free_calls_wake_the_one_that_reports_them(tmp_path: Path) -> None:
+    limits = {"g1": Limit(100_000, 60_000.0, LimitMode.ADAPTIVE)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    shares = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: shares.acquire(LINK), "a first call")
+    until(lambda: server.control.reported_calls("g1", SYSTEM.now()) >= 1, "its report")
+    shares._ring = wakes = CountedEvent()
+    for _ in range(EARLY_CALLS):
+        assert shares.acquire(LINK)
+    assert wakes.sets >= 1
+    until(lambda: server.control.reported_calls("g1", SYSTEM.now()) > EARLY_CALLS, "their report")
+    shares.close()
+    server.close()
+
+
 def test_without_an_allocator_nothing_limited_is_called(tmp_path: Path) -> None:
     alone = FleetShares(tmp_path / "none", "n0", 1, Quiet())
     begun = time.monotonic()
