A welcome and its statuses take effect together

Cause: the statuses that differ from an adaptive default came in lines after the welcome. A sender that had read the welcome and not yet the next line took exact and bound limits for free, at each new connection and at a change of the default. Change: a welcome says how many status messages belong to it (a trailing field that is left out by nobody who does not need it); the session hands all of them to the cache at once. Result: two new tests, seen to fail before; two tests of the messages expect the count.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -31,6 +31,8 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from msgspec.structs import replace
+
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.binding import Binding, Cause
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
@@ -71,11 +73,21 @@
 
     def messages(self) -> list[LimitMessage]:
         """In the order in which they are to be read."""
-        made: list[LimitMessage] = [self.welcome] if self.welcome is not None else []
+        statuses = self._status_messages()
+        made: list[LimitMessage] = []
+        if self.welcome is not None:
+            made.append(replace(self.welcome, following=len(statuses)))
+        made += statuses
+        for start in range(0, len(self.leases), MAX_KEYS):
+            made.append(LeaseGrants(tuple(self.leases[start : start + MAX_KEYS])))
+        return made
+
+    def _status_messages(self) -> list[KeyStatuses]:
         by_status: dict[KeyStatus, list[Fingerprint]] = {status: [] for status in KeyStatus}
         for one, status in self.statuses.items():
             by_status[status].append(one)
         longest = max(map(len, by_status.values()))
+        made = []
         for start in range(0, max(longest, 1 if self.acknowledged else 0), MAX_KEYS):
             part = {status: tuple(ones[start : start + MAX_KEYS]) for status, ones in by_status.items()}
             made.append(
@@ -86,8 +98,6 @@
                     part[KeyStatus.UNLIMITED],
                 )
             )
-        for start in range(0, len(self.leases), MAX_KEYS):
-            made.append(LeaseGrants(tuple(self.leases[start : start + MAX_KEYS])))
         return made
 
 
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -75,23 +75,28 @@
         self._reported_at = -inf
         self._free_used_at = -inf  # when a free call was last made, or asked for in vain
 
-    def welcomed(self, message: Welcome, sent_at: float) -> None:
-        """The allocator answers a ``Register`` that was sent then."""
+    def welcomed(self, message: Welcome, sent_at: float, statuses: Sequence[KeyStatuses] = ()) -> None:
+        """The allocator answers a ``Register`` that was sent then; ``statuses`` belong to the answer."""
         with self._lock:
             if message.complete or message.default is KeyStatus.BOUND:
                 self._statuses.clear()
             self._default = message.default
             self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
+            for one in statuses:
+                self._change(one)
 
     def statuses_changed(self, message: KeyStatuses) -> None:
         """Statuses change, and reports are acknowledged."""
         with self._lock:
-            self._set(message.bound, KeyStatus.BOUND)
-            self._set(message.free, KeyStatus.FREE)
-            self._set(message.unlimited, KeyStatus.UNLIMITED)
-            sent_at = self._ledger.acknowledged(message.acknowledged)
-            if sent_at is not None:
-                self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
+            self._change(message)
+
+    def _change(self, message: KeyStatuses) -> None:
+        self._set(message.bound, KeyStatus.BOUND)
+        self._set(message.free, KeyStatus.FREE)
+        self._set(message.unlimited, KeyStatus.UNLIMITED)
+        sent_at = self._ledger.acknowledged(message.acknowledged)
+        if sent_at is not None:
+            self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
 
     def _set(self, fingerprints: Sequence[Fingerprint], status: KeyStatus) -> None:
         for one in fingerprints:
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -90,11 +90,14 @@
     """The answer to ``Register``.
 
     ``default``: the status of keys that the sender is told nothing of. ``complete``: the statuses that follow
-    are all that differ from it; otherwise the sender keeps what it knows.
+    are all that differ from it; otherwise the sender keeps what it knows. ``following``: so many
+    ``KeyStatuses`` come next and belong to it. They take effect together, as a key that needs leases would
+    look free between them.
     """
 
     default: KeyStatus
     complete: bool
+    following: Count = 0
 
 
 class KeyStatuses(Struct, frozen=True, array_like=True, tag=5):
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -44,11 +44,14 @@
         self._asks_ahead = False
         self._listed: dict[str, None] = {}
         self._new_listed: dict[str, None] = {}
+        self._welcome: Welcome | None = None  # one whose statuses have not all come
+        self._welcome_statuses: list[KeyStatuses] = []
         self.rates: dict[str, float] = {}
 
     def connected(self, now: float) -> list[LimitMessage]:
         """The first messages of a connection."""
         self._registered_at = now
+        self._welcome = None
         self._requested = {}
         self._new_rates = dict(self._partner_rates)  # the allocator at its other end may know none of it
         return [self._register, *self._cache.resend(now)]
@@ -101,12 +104,24 @@
         """The allocator says something."""
         match message:
             case Welcome():
-                self._cache.welcomed(message, self._registered_at)
-                self._asks_ahead = message.default is KeyStatus.BOUND
-                self._new_listed = dict(self._listed) if self._asks_ahead else {}
+                self._welcome, self._welcome_statuses = message, []
+                self._take_welcome(message)
             case KeyStatuses():
-                self._cache.statuses_changed(message)
+                if self._welcome is None:
+                    self._cache.statuses_changed(message)
+                else:
+                    self._welcome_statuses.append(message)
+                    self._take_welcome(self._welcome)
             case LeaseGrants():
                 for one in message.leases:
                     self.rates[one.key] = one.per_s
                     self._cache.received(Lease(one.serial, self._owner, one.key, one.calls, one.until), now)
+
+    def _take_welcome(self, message: Welcome) -> None:
+        """Take a welcome in once all of its statuses are there."""
+        if len(self._welcome_statuses) < message.following:
+            return
+        self._cache.welcomed(message, self._registered_at, self._welcome_statuses)
+        self._welcome, self._welcome_statuses = None, []
+        self._asks_ahead = message.default is KeyStatus.BOUND
+        self._new_listed = dict(self._listed) if self._asks_ahead else {}
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -269,7 +269,7 @@
         counted(16.0, old, UseReport(9, 0.0, {"g1": 5}))  # of the start before
     assert binding.recent_calls(16.0) == 10
     (first, *_) = control.take_messages()[new]
-    assert first == Welcome(KeyStatus.FREE, True)
+    assert first == Welcome(KeyStatus.FREE, True, 1)
 
 
 @pytest.mark.parametrize("known", [True, False])
@@ -408,4 +408,5 @@
         KeyStatuses(0, bound=bound)
     ]
     late = control.register(2.0, Register(PROTOCOL_VERSION, "fleet", "n9", 1))
-    assert control.take_messages()[late] == [Welcome(KeyStatus.FREE, True), KeyStatuses(0, bound=bound)]
+    told_late = control.take_messages()[late]
+    assert told_late == [Welcome(KeyStatus.FREE, True, 1), KeyStatuses(0, bound=bound)]
--- /dev/null
+++ b/tests/fleet/test_limits_review.py
@@ -0,0 +1,75 @@
+"""Faults that a review of exact and adaptive limits found, each by the fewest events that show it."""
+
+from __future__ import annotations
+
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+)
+from springspread.fleet.sender_session import SenderSession
+
+SPAN = 2_000.0
+EXACT, ADAPTIVE = LimitMode.EXACT, LimitMode.ADAPTIVE
+
+
+class Pair:
+    """One sender and one allocator; a test hands over each message."""
+
+    def __init__(self, default: LimitMode, limits: dict[str, Limit]) -> None:
+        self.control = AllocatorControl("fleet", default, limits, Allocator(), 0.0)
+        self.cache = LeaseCache()
+        self.session = SenderSession("n0", 1, "fleet", self.cache)
+        self.owner: Owner = ("n0", 1)
+
+    def upward(self, now: float, messages: list[LimitMessage]) -> None:
+        for message in messages:
+            if isinstance(message, Register):
+                self.control.register(now, message)
+            else:
+                assert isinstance(message, LeaseRequest | UseReport)
+                self.control.received(now, self.owner, message)
+
+    def downward(self, now: float) -> list[LimitMessage]:
+        self.control.grant(now, self.control.tick(now))
+        return self.control.take_messages().get(self.owner, [])
+
+    def heard(self, now: float, messages: list[LimitMessage]) -> None:
+        for message in messages:
+            assert isinstance(message, Welcome | KeyStatuses | LeaseGrants)
+            self.session.received(now, message)
+
+    def exchange(self, now: float) -> None:
+        self.upward(now, self.session.due(now))
+        self.heard(now, self.downward(now))
+
+
+def test_between_a_welcome_and_its_statuses_no_exact_limit_looks_free() -> None:
+    pair = Pair(ADAPTIVE, {f"g{n}": Limit(1, SPAN) for n in range(5_000)})
+    pair.upward(0.0, pair.session.connected(0.0))
+    messages = pair.downward(0.0)
+    assert len(messages) == 3  # the welcome, and exact limits in two messages
+    for message in messages:
+        pair.heard(1.0, [message])
+        assert pair.cache.take("g1", 1.0) > 0.0 and pair.cache.take("g4999", 1.0) > 0.0
+    assert pair.cache.take("g5000", 1.0) == 0.0
+
+
+def test_a_default_that_becomes_adaptive_lets_no_exact_limit_look_free_on_its_way() -> None:
+    limits = {"g1": Limit(1, SPAN)}
+    pair = Pair(EXACT, limits)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.control.follow(1.0, limits, 2.0, ADAPTIVE)
+    for message in pair.downward(3.0):
+        pair.heard(3.0, [message])
+        assert pair.cache.take("g1", 3.0) > 0.0
+    assert pair.cache.take("g2", 3.0) == 0.0
