A limit that lease reports bind is told to senders

Cause: calls that were reported with their leases could bind an adaptive limit, and what followed from that was left out: no sender was told, no check was due, and as the limit counted as bound already it was never told later. It comes about where an exact limit becomes adaptive, or one is let go, while leases are out. Change: such a cause is noted like any other. Result: a new test, seen to fail before.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -291,7 +291,7 @@
             self._allocator.report(now, owner, report.key, report.serial, report.made, report.last_at)
             binding = self._bindings.get(report.key)
             if binding is not None and report.made:
-                binding.used(now, report.made)
+                self._note(now, report.key, binding.used(now, report.made))
         for key, per_s in message.partner_rates.items():
             if per_s > 0:
                 limit = Limit.of_rate(per_s, PARTNER_SPAN_MS, self._default_mode)
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -9,11 +9,13 @@
 from springspread.fleet.messages import (
     KeyStatuses,
     LeaseGrants,
+    LeaseReport,
     LeaseRequest,
     LimitMessage,
     Register,
     UseReport,
     Welcome,
+    fingerprint,
 )
 from springspread.fleet.sender_session import SenderSession
 
@@ -73,3 +75,23 @@
         pair.heard(3.0, [message])
         assert pair.cache.take("g1", 3.0) > 0.0
     assert pair.cache.take("g2", 3.0) == 0.0
+
+
+def test_a_limit_that_lease_reports_bind_is_told_and_looked_at_again() -> None:
+    limits = {"g1": Limit(1, SPAN)}
+    pair = Pair(ADAPTIVE, limits)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.control.received(1.0, pair.owner, LeaseRequest({"g1": 1}))
+    leases = pair.control.tick(2.0)
+    assert sum(lease.calls for lease in leases) == 1
+    pair.control.follow(3.0, {"g1": Limit(1, SPAN, ADAPTIVE)}, 4.0)
+    pair.heard(5.0, pair.downward(5.0))
+    assert not pair.control.is_bound("g1")
+    pair.control.received(6.0, pair.owner, UseReport(1, 0.0, {"g1": 1}))
+    reports = tuple(LeaseReport("g1", lease.serial, lease.calls, 2.0) for lease in leases)
+    pair.control.received(7.0, pair.owner, LeaseRequest({}, reports))
+    assert pair.control.is_bound("g1")
+    told = [one for one in pair.downward(8.0) if isinstance(one, KeyStatuses)]
+    assert any(fingerprint("g1") in one.bound for one in told)
+    assert pair.control.next_at < 10_000.0  # to let go of it again
