Keys that share a fingerprint share the strictest of their statuses

Cause: statuses are told by 32 bits of a key, and the last one told held for every key with those bits. A key without a limit, or a free one, so freed an exact limit whose key has the same fingerprint; the docstring said that this could not be. Change: the allocator knows which of its limited keys share a fingerprint and tells the strictest status of them; it keeps what it told by fingerprint. A key without a limit that so needs leases gets them at once.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -56,6 +56,8 @@
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
 LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
+# For a key that has none, and needs leases as another key with a limit has its fingerprint.
+NO_LIMIT = Limit(1_000_000, PARTNER_SPAN_MS, LimitMode.ADAPTIVE)
 
 
 class RegisterRefused(Exception):
@@ -124,11 +126,12 @@
         self._learning_until = now + LEARNING_MS if learning else now
         self._began_at = now
         self._bindings: dict[str, Binding] = {}  # adaptive limits that were used or asked for
-        self._bound: dict[str, None] = {}  # keys of limits that need leases, where that is not the default
+        self._limited_keys: dict[Fingerprint, tuple[str, ...]] = {}  # keys that have a limit
+        self._bound: dict[Fingerprint, None] = {}  # limits that need leases, where that is not the default
         self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
         self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
         self._ready: dict[Owner, None] = {}  # those with news
-        self._informed: dict[Owner, set[str]] = {}  # keys whose status other than the default it knows
+        self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
         self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
         self._sources = LimitSources(limits)
         self.causes: dict[Cause, int] = dict.fromkeys(Cause, 0)  # how often limits were bound, and why
@@ -144,6 +147,8 @@
             return
         if known is None:  # calls that nobody counted may have been made
             self._count_as_used(now, key, limit)
+            one = fingerprint(key)
+            self._limited_keys[one] = (*self._limited_keys.get(one, ()), key)
         self._allocator.limited(key, limit)
         if limit.mode is LimitMode.EXACT:
             self._bindings.pop(key, None)
@@ -153,13 +158,18 @@
 
     def _count_as_used(self, now: float, key: str, limit: Limit) -> None:
         """A key that had no limit: senders that know it as unlimited have called it uncounted."""
-        if any(key in keys for keys in self._informed.values()):
+        if any(fingerprint(key) in known for known in self._informed.values()):
             self._allocator.limited(key, limit)
             self._allocator.count_unleased(now, key, limit.calls, now)
 
     def unlimited(self, key: str) -> None:
         """A key has no limit any more."""
-        before = self._status(key)
+        if self._allocator.limit(key) is None:
+            return
+        before, one = self._status(key), fingerprint(key)
+        self._limited_keys[one] = tuple(other for other in self._limited_keys[one] if other != key)
+        if not self._limited_keys[one]:
+            del self._limited_keys[one]
         self._allocator.unlimited(key)
         self._bindings.pop(key, None)
         self._status_changed(key, before)
@@ -195,7 +205,7 @@
         self._default = KeyStatus.BOUND if mode is LimitMode.EXACT else KeyStatus.FREE
         self._bound = {}
         if mode is LimitMode.ADAPTIVE:
-            self._bound = {key: None for key in self._allocator.keys if self.is_bound(key)}
+            self._bound = {fingerprint(key): None for key in self._allocator.keys if self.is_bound(key)}
         for owner in self._outboxes:
             self._welcome(owner, complete=True)
 
@@ -208,6 +218,14 @@
         return self._status(key) is KeyStatus.BOUND
 
     def _status(self, key: str) -> KeyStatus:
+        """The strictest of the keys that share its fingerprint: senders can't tell them apart."""
+        status = self._own_status(key)
+        for other in self._limited_keys.get(fingerprint(key), ()):
+            if other != key:
+                status = min(status, self._own_status(other))
+        return status
+
+    def _own_status(self, key: str) -> KeyStatus:
         limit = self._allocator.limit(key)
         if limit is None:
             return KeyStatus.UNLIMITED if self._default_mode is LimitMode.EXACT else KeyStatus.FREE
@@ -217,31 +235,31 @@
         return KeyStatus.BOUND if binding is not None and binding.bound else KeyStatus.FREE
 
     def _status_changed(self, key: str, before: KeyStatus) -> None:
-        status = self._status(key)
-        if status is before and (status is not KeyStatus.BOUND or key in self._bound):
+        status, one = self._status(key), fingerprint(key)
+        if status is before and (status is not KeyStatus.BOUND or one in self._bound):
             return
         if self._default is KeyStatus.FREE:
-            self._tell_everybody(key, status)
+            self._tell_everybody(one, status)
             return
-        for owner, keys in self._informed.items():
-            if key in keys:
-                self._tell(owner, key, status)
+        for owner, known in self._informed.items():
+            if one in known:
+                self._tell(owner, one, status)
                 if status is KeyStatus.BOUND:
-                    keys.discard(key)
+                    known.discard(one)
 
-    def _tell_everybody(self, key: str, status: KeyStatus) -> None:
-        known = key in self._bound
+    def _tell_everybody(self, one: Fingerprint, status: KeyStatus) -> None:
+        known = one in self._bound
         if status is KeyStatus.BOUND:
-            self._bound[key] = None
+            self._bound[one] = None
         else:
-            self._bound.pop(key, None)
+            self._bound.pop(one, None)
         if known is not (status is KeyStatus.BOUND):
             for owner in self._outboxes:
-                self._tell(owner, key, status)
+                self._tell(owner, one, status)
 
-    def _tell(self, owner: Owner, key: str, status: KeyStatus) -> None:
+    def _tell(self, owner: Owner, one: Fingerprint, status: KeyStatus) -> None:
         if (outbox := self._outboxes.get(owner)) is not None:
-            outbox.statuses[fingerprint(key)] = status
+            outbox.statuses[one] = status
             self._ready[owner] = None
 
     # Senders
@@ -264,7 +282,7 @@
         self._informed[owner] = set()
         outbox = self._outboxes[owner]
         outbox.welcome = Welcome(self._default, complete)
-        outbox.statuses = {fingerprint(key): KeyStatus.BOUND for key in self._bound}
+        outbox.statuses = dict.fromkeys(self._bound, KeyStatus.BOUND)
         self._ready[owner] = None
 
     def _forget_earlier(self, owner: Owner) -> None:
@@ -304,13 +322,15 @@
         limit = self._allocator.limit(key)
         if calls and limit is not None and limit.mode is LimitMode.ADAPTIVE and now < self._learning_until:
             self._note(now, key, self._binding(key, limit).asked(now, learning=True))
-        status = self._status(key)
+        status, one = self._status(key), fingerprint(key)
         if status is KeyStatus.BOUND:
+            if calls and limit is None:
+                self.limited(now, key, NO_LIMIT)
             self._allocator.ask(now, owner, key, calls)
-        elif calls or key not in self._informed[owner]:
+        elif calls or one not in self._informed[owner]:
             if self._default is KeyStatus.BOUND:
-                self._informed[owner].add(key)
-            self._tell(owner, key, status)
+                self._informed[owner].add(one)
+            self._tell(owner, one, status)
 
     def _use(self, now: float, owner: Owner, message: UseReport) -> None:
         name, epoch = owner
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -36,8 +36,8 @@
 def fingerprint(key: str) -> int:
     """The 32 bits that stand for a key where its status is told.
 
-    Two keys with one fingerprint share a status: one of them may need leases while its limit would not ask
-    for them, which costs time and never a limit.
+    Keys with one fingerprint share a status, the strictest of them: one may need leases while its limit
+    would not ask for them, which costs time and never a limit.
     """
     return crc32(key.encode())
 
