--- /dev/null
+++ b/benchmarks/capacity/allocator.py
@@ -0,0 +1,289 @@
+"""What the allocator costs: a limit, a sender of a limit, a lease, a request, a report, a tick, a joiner."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from benchmarks.capacity import mechanism
+from benchmarks.capacity.measurement import Measurement, Values, resident_bytes
+
+IN_USE = 100
+SENDERS = 20
+PER_S = 200
+SECONDS = 4.0
+RATES = (0, 50, 100, 200, 400)
+LIMITS = (1_000, 4_000, 16_000, 64_000, 140_000)
+LOAD_LIMITS = (100, 500, 1_000, 2_000, 5_000, 10_000, 30_000)
+LOAD_SENDERS = (5, 10, 20, 40, 80)
+STORM_LIMITS = 5_000
+
+
+def microseconds(work: Callable[[], object], least_s: float = 0.5, least_times: int = 3) -> float:
+    """Processor time of one call of ``work``."""
+    times, begun = 0, time.process_time()
+    while (took := time.process_time() - begun) < least_s or times < least_times:
+        work()
+        times += 1
+    return 1e6 * took / times
+
+
+def memory_by_limits(limits: int) -> Values:
+    """What an allocator holds for limits that nobody uses."""
+    before = resident_bytes()
+    kept = mechanism.allocator_of(limits)
+    return {"memory_by_limits": resident_bytes() - before + 0 * len(kept.keys)}
+
+
+def memory_by_pairs(pairs: int) -> Values:
+    """What it holds for pairs of sender and limit, each with one lease within its span."""
+    allocator = mechanism.allocator_of(IN_USE, mechanism.Limit(10_000_000, 2_000.0))
+    before = resident_bytes()
+    leases = mechanism.lease_each(allocator, 1.0, mechanism.owners(pairs // IN_USE), mechanism.keys(IN_USE))
+    count = len(leases)
+    del leases
+    return {"memory_by_pairs": resident_bytes() - before if count else "no lease was given"}
+
+
+def memory_by_leases(leases: int) -> Values:
+    """What it holds for leases of the same pairs, all within their spans."""
+    allocator = mechanism.allocator_of(IN_USE, mechanism.Limit(10_000_000, 2_000.0))
+    before, given, who = resident_bytes(), 0, mechanism.owners(10)
+    while given < leases:
+        given += len(mechanism.lease_each(allocator, 1.0, who, mechanism.keys(IN_USE)))
+    return {"memory_by_leases": resident_bytes() - before}
+
+
+def cpu_by_sharers(senders: int) -> Values:
+    """A lease where so many senders share one limit: asked for, given, used up and reported."""
+    allocator = mechanism.allocator_of(1, mechanism.Limit(10_000_000, 2_000.0))
+    who, moment = mechanism.owners(senders), [0.0]
+
+    def round_of_all() -> None:
+        moment[0] += 2_500.0
+        leases = mechanism.lease_each(allocator, moment[0], who, mechanism.keys(1))
+        mechanism.report_all(allocator, moment[0], leases)
+
+    return {"lease_cpu_by_sharers": microseconds(round_of_all) / senders}
+
+
+def cpu_by_limits(limits: int) -> Values:
+    """A tick with the same few limits in use, a sender that joins, and a request, by known limits."""
+    allocator, who, what = mechanism.allocator_of(limits), mechanism.owners(1), mechanism.keys(IN_USE)
+    moment = [0.0]
+
+    def tick() -> None:
+        moment[0] += 2_500.0
+        mechanism.report_all(allocator, moment[0], mechanism.lease_each(allocator, moment[0], who, what))
+
+    def join() -> None:
+        allocator.joined(("n1", int(moment[0])))
+
+    values: dict[str, float | str] = {
+        "tick_cpu_by_limits": microseconds(tick),
+        "join_cpu_by_limits": microseconds(join),
+    }
+    line = mechanism.join_lines(limits)
+    values["join_bytes_by_limits"] = float(len(line))
+    values["join_write_cpu_by_limits"] = microseconds(lambda: mechanism.join_lines(limits))
+    try:
+        values["join_read_cpu_by_limits"] = microseconds(lambda: mechanism.decode(line))
+    except Exception as exc:  # whatever the coding raises is the reason
+        values["join_read_cpu_by_limits"] = f"the reader refuses it: {exc}"
+    try:
+        requests = max(20, 200_000 // limits)
+        cpu = mechanism.requests_cpu_s(limits, requests, 0)
+        values["request_cpu_by_limits"] = 1e6 * cpu / requests
+    except (OSError, ValueError) as exc:
+        values["request_cpu_by_limits"] = f"the server ended it: {exc}"
+    return values
+
+
+def coding_by_messages(count: int) -> Values:
+    """Bytes and processor time (both sides) of requests, reports and leases, by how many go together."""
+    request, report = mechanism.request_line(count), mechanism.report_line(count)
+    leases = mechanism.lease_lines(count)
+    return {
+        "request_bytes": float(len(request)),
+        "report_bytes": float(len(report)),
+        "lease_bytes": float(len(leases)),
+        "request_coding_cpu": microseconds(lambda: mechanism.decode(mechanism.request_line(count)), 0.2),
+        "report_coding_cpu": microseconds(lambda: mechanism.decode(mechanism.report_line(count)), 0.2),
+        "lease_coding_cpu": microseconds(lambda: mechanism.decode(mechanism.lease_lines(count)), 0.2),
+    }
+
+
+def server_cpu_by_reports(reports: int) -> Values:
+    """The server's processor time for a request, by the reports in it, at 1,000 limits."""
+    return {"request_cpu_by_reports": 1e6 * mechanism.requests_cpu_s(1_000, 100, reports) / 100}
+
+
+def record_by_leases(leases: int) -> Values:
+    """Leases put on record."""
+    with tempfile.TemporaryDirectory() as one, tempfile.TemporaryDirectory() as other:
+        cpu_s = mechanism.append_s(Path(one), leases)
+        return {
+            "record_cpu_by_leases": 1e6 * cpu_s,
+            "record_bytes_by_leases": float(mechanism.record_of(Path(other), leases)),
+        }
+
+
+LOAD_UNITS = {
+    "server_ms": "ms/s",
+    "sender_ms": "ms/s",
+    "up_bytes": "B/s",
+    "down_bytes": "B/s",
+    "up_writes": "1/s",
+    "down_writes": "1/s",
+    "held": "part",
+}
+
+
+def _load(by: str, senders: int, limits: int, per_s: int) -> Values:
+    found = mechanism.load(senders, limits, per_s, SECONDS)
+    reason = next((value for value in found.values() if isinstance(value, str)), None)
+    return {f"load_{what}_by_{by}": reason or found[what] for what in LOAD_UNITS}
+
+
+def _load_units(by: str) -> dict[str, str]:
+    return {f"load_{what}_by_{by}": unit for what, unit in LOAD_UNITS.items()}
+
+
+def load_by_rate(per_s: int) -> Values:
+    """Twenty senders with the real client, 1,000 limits, by calls a second of all."""
+    return _load("rate", SENDERS, 1_000, per_s)
+
+
+def load_by_limits(limits: int) -> Values:
+    """The same at 200 calls a second, by limits."""
+    return _load("limits", SENDERS, limits, PER_S)
+
+
+def load_by_senders(senders: int) -> Values:
+    """The same at 200 calls a second of all and 1,000 limits, by senders."""
+    return _load("senders", senders, 1_000, PER_S)
+
+
+def joins_by_senders(joiners: int) -> Values:
+    """Senders that join at once, at 5,000 limits."""
+    found = mechanism.join_at_once(joiners, STORM_LIMITS)
+    return {
+        "storm_ms_by_senders": found["took_ms"],
+        "storm_cpu_by_senders": found.get("cpu_ms", "see storm_ms"),
+    }
+
+
+def joins_by_limits(limits: int) -> Values:
+    """250 senders that join at once, by limits."""
+    found = mechanism.join_at_once(250, limits)
+    return {
+        "storm_ms_by_limits": found["took_ms"],
+        "storm_cpu_by_limits": found.get("cpu_ms", "see storm_ms"),
+    }
+
+
+MEASUREMENTS = (
+    Measurement("load_by_rate", "calls/s", RATES, (0, 50, 100, 200), _load_units("rate"), load_by_rate),
+    Measurement(
+        "load_by_limits",
+        "limits",
+        LOAD_LIMITS,
+        (100, 500, 1_000, 2_000),
+        _load_units("limits"),
+        load_by_limits,
+    ),
+    Measurement(
+        "load_by_senders", "senders", LOAD_SENDERS, (5, 10, 20, 40), _load_units("senders"), load_by_senders
+    ),
+    Measurement(
+        "memory_by_limits", "limits", LIMITS, LIMITS[:4], {"memory_by_limits": "B"}, memory_by_limits
+    ),
+    Measurement(
+        "memory_by_pairs",
+        "pairs",
+        (10_000, 30_000, 100_000, 300_000),
+        (10_000, 20_000, 30_000, 50_000),
+        {"memory_by_pairs": "B"},
+        memory_by_pairs,
+    ),
+    Measurement(
+        "memory_by_leases",
+        "leases",
+        (10_000, 30_000, 100_000, 300_000),
+        (10_000, 20_000, 30_000, 50_000),
+        {"memory_by_leases": "B"},
+        memory_by_leases,
+    ),
+    Measurement(
+        "cpu_by_sharers",
+        "senders",
+        (1, 10, 50, 200, 500, 1_100),
+        (1, 10, 50, 200),
+        {"lease_cpu_by_sharers": "us"},
+        cpu_by_sharers,
+    ),
+    Measurement(
+        "cpu_by_limits",
+        "limits",
+        (1_000, 4_000, 10_000, 29_000, 64_000, 140_000),
+        LIMITS[:4],
+        {
+            "tick_cpu_by_limits": "us",
+            "join_cpu_by_limits": "us",
+            "join_bytes_by_limits": "B",
+            "join_write_cpu_by_limits": "us",
+            "join_read_cpu_by_limits": "us",
+            "request_cpu_by_limits": "us",
+        },
+        cpu_by_limits,
+    ),
+    Measurement(
+        "coding_by_messages",
+        "messages",
+        (1, 10, 100, 1_000),
+        (1, 5, 10, 50),
+        {
+            "request_bytes": "B",
+            "report_bytes": "B",
+            "lease_bytes": "B",
+            "request_coding_cpu": "us",
+            "report_coding_cpu": "us",
+            "lease_coding_cpu": "us",
+        },
+        coding_by_messages,
+    ),
+    Measurement(
+        "server_cpu_by_reports",
+        "reports",
+        (1, 10, 100, 500, 1_000),
+        (1, 10, 50, 100),
+        {"request_cpu_by_reports": "us"},
+        server_cpu_by_reports,
+    ),
+    Measurement(
+        "record_by_leases",
+        "leases",
+        (1_000, 3_000, 10_000, 30_000),
+        (500, 1_000, 2_000, 4_000),
+        {"record_cpu_by_leases": "us", "record_bytes_by_leases": "B"},
+        record_by_leases,
+    ),
+    Measurement(
+        "joins_by_senders",
+        "senders",
+        (10, 50, 100, 250),
+        (5, 10, 20, 40),
+        {"storm_ms_by_senders": "ms", "storm_cpu_by_senders": "ms"},
+        joins_by_senders,
+    ),
+    Measurement(
+        "joins_by_limits",
+        "limits",
+        (1_000, 2_000, 5_000, 10_000, 29_000),
+        (250, 500, 1_000, 2_000),
+        {"storm_ms_by_limits": "ms", "storm_cpu_by_limits": "ms"},
+        joins_by_limits,
+    ),
+)
--- /dev/null
+++ b/benchmarks/capacity/mechanism.py
@@ -0,0 +1,310 @@
+"""The allocator, the lease cache and their coding, as the measurements use them: all that touches their API.
+
+The rest of the package goes through this module, so that a change of that API is followed here alone.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from springspread.core.clock import SYSTEM
+from springspread.core.types import Endpoint
+from springspread.fleet.allocator import Allocator, Lease, Limit, Owner
+from springspread.fleet.allocator_server import AllocatorServer
+from springspread.fleet.client import FleetShares
+from springspread.fleet.lease_cache import Report
+from springspread.fleet.record import Record
+from springspread.fleet.wire import LINE_BYTES, LeaseGrant, LeaseRequest, LimitedKeys, Lines, Register, write
+from springspread.logs import make_log
+
+PLENTY = Limit(200, 2_000.0)  # far above the demand of any measurement: nothing waits for it
+FREE_KEY_GROUP = 10_000_000  # a destination without a limit
+ALONE = ("n0", 1)
+
+
+def keys(count: int) -> list[str]:
+    """Keys of so many destinations."""
+    return [f"g{number}" for number in range(count)]
+
+
+def owners(count: int) -> list[Owner]:
+    """So many senders."""
+    return [(f"n{number:04}", 1) for number in range(count)]
+
+
+def allocator_of(limits: int, limit: Limit = PLENTY) -> Allocator:
+    """An allocator that knows so many limits."""
+    made = Allocator()
+    for key in keys(limits):
+        made.limited(key, limit)
+    return made
+
+
+def lease_each(allocator: Allocator, now: float, who: Sequence[Owner], what: Sequence[str]) -> list[Lease]:
+    """A lease of one call for each pair of sender and limit."""
+    for key in what:
+        for owner in who:
+            allocator.ask(now, owner, key, 1)
+    return allocator.allocate(now)
+
+
+def report_all(allocator: Allocator, now: float, leases: Sequence[Lease]) -> None:
+    """The leases are used up."""
+    for lease in leases:
+        allocator.report(now, lease.owner, lease.key, lease.serial, lease.calls, now)
+
+
+# Coding
+
+
+def request_line(wants: int) -> bytes:
+    """What a sender sends that waits for one call to each of so many destinations."""
+    return write(LeaseRequest(dict.fromkeys(keys(wants), 1)))
+
+
+def report_line(reports: int) -> bytes:
+    """What a sender sends that is done with so many leases."""
+    made = [Report(key, 1_000_000 + n, 1, 1_234_567.891) for n, key in enumerate(keys(reports))]
+    return write(LeaseRequest({}, made))
+
+
+def lease_lines(leases: int) -> bytes:
+    """What the allocator sends for so many leases."""
+    made = (Lease(1_000_000 + n, ("n0000", 12), key, 1, 1_234_567.891) for n, key in enumerate(keys(leases)))
+    return b"".join(write(LeaseGrant(lease, 100.0)) for lease in made)
+
+
+def join_lines(limits: int) -> bytes:
+    """What the allocator sends to a sender that joins."""
+    return write(LimitedKeys(keys(limits)))
+
+
+def decode(data: bytes) -> int:
+    """Read lines as a peer would; the number of messages. Raises the coding's error where it refuses them."""
+    return len(Lines().feed(data))
+
+
+# Records of leases
+
+
+def record_of(folder: Path, leases: int) -> int:
+    """A record of so many leases on 1,000 destinations; its bytes."""
+    record = Record(folder, 1e9)
+    now, known = SYSTEM.now(), keys(1_000)
+    made = [Lease(n + 1, ("n0000", 1), known[n % 1_000], 1, now + 200.0) for n in range(leases)]
+    for first in range(0, leases, 20):
+        record.append(made[first : first + 20], now)
+    record.close()
+    return sum(path.stat().st_size for path in folder.glob("leases.*"))
+
+
+def append_s(folder: Path, leases: int) -> float:
+    """Seconds of processor time to put leases on record one by one."""
+    record, now = Record(folder, 2_000.0), SYSTEM.now()
+    made = [Lease(n + 1, ("n0000", 1), "g1000", 1, now + 200.0) for n in range(leases)]
+    begun = time.process_time()
+    for lease in made:
+        record.append([lease], now)
+    return time.process_time() - begun
+
+
+# A server and its load
+
+
+@contextmanager
+def serving(limits: int, folder: Path) -> Iterator[AllocatorServer]:
+    """A server with so many limits, on a socket in the folder."""
+    log, _ = make_log("capacity", 1)
+    server = AllocatorServer(folder / "allot", folder, dict.fromkeys(keys(limits), PLENTY), log)
+    try:
+        yield server
+    finally:
+        server.close()
+
+
+class Traffic:
+    """Counts what goes over sockets of this process, at the socket's calls, whatever the coding."""
+
+    def __init__(self) -> None:
+        self.sent = self.received = self.writes = self.reads = 0
+        self.lock = threading.Lock()
+
+    def install(self) -> None:
+        """Every socket made from now on is counted."""
+        counts = self
+
+        class Counted(socket.socket):
+            def sendall(self, data: Any, *flags: int) -> None:
+                with counts.lock:
+                    counts.sent += len(data)
+                    counts.writes += 1
+                super().sendall(data, *flags)
+
+            def send(self, data: Any, *flags: int) -> int:
+                done = super().send(data, *flags)
+                with counts.lock:
+                    counts.sent += done
+                    counts.writes += 1
+                return done
+
+            def recv(self, *args: int) -> bytes:
+                data = super().recv(*args)
+                with counts.lock:
+                    counts.received += len(data)
+                    counts.reads += 1
+                return data
+
+        socket.socket = Counted  # type: ignore[misc]
+
+    @property
+    def now(self) -> tuple[int, int]:
+        """Bytes sent and writes made so far."""
+        with self.lock:
+            return self.sent, self.writes
+
+
+def load(senders: int, limits: int, per_s: int, seconds: float) -> dict[str, float | str]:
+    """A server in this process, and senders with the real client in another that make calls at a rate.
+
+    Values are per second of the loaded part; ``held`` is the part of the calls that got no lease in time.
+    """
+    traffic = Traffic()
+    traffic.install()
+    with tempfile.TemporaryDirectory() as name, serving(limits, Path(name)) as server:
+        line = [sys.executable, "-m", "benchmarks.capacity.mechanism", str(Path(name) / "allot")]
+        line += [str(senders), str(limits), str(per_s), str(seconds)]
+        driver = subprocess.Popen(line, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        assert driver.stdin is not None and driver.stdout is not None
+        try:
+            end = time.monotonic() + 20.0
+            while len(server.members) < senders and time.monotonic() < end:
+                time.sleep(0.05)
+            time.sleep(1.0)  # those that can't read what they are told leave again
+            if len(server.members) < senders:
+                return {"held": f"{len(server.members)} of {senders} senders could join"}
+            driver.stdin.write("go\n")
+            driver.stdin.flush()
+            assert driver.stdout.readline() == "loaded\n"
+            cpu, (sent, writes) = time.process_time(), traffic.now
+            told = json.loads(driver.stdout.readline())
+            cpu, (sent2, writes2) = time.process_time() - cpu, traffic.now
+        finally:
+            driver.kill()
+            driver.wait()
+    took = told.pop("took")
+    return told | {
+        "server_ms": 1000.0 * cpu / took,
+        "down_bytes": (sent2 - sent) / took,
+        "down_writes": (writes2 - writes) / took,
+    }
+
+
+def _drive(path: Path, senders: int, limits: int, per_s: int, seconds: float) -> None:
+    """The senders of ``load``: idle, then calls without limits, then calls with limits."""
+    traffic = Traffic()
+    traffic.install()
+    log, _ = make_log("capacity", 1)
+    shares = [FleetShares(path, name, epoch, log) for name, epoch in owners(senders)]
+    sys.stdin.readline()
+    pool, rng = ThreadPoolExecutor(64), random.Random(1)
+    for _ in pool.map(lambda _: time.sleep(0.01), range(64)):
+        pass
+
+    def call(group: int) -> bool:
+        link = Endpoint(1, "s-1", "127.0.0.1", group, group, False, 1)
+        return shares[rng.randrange(senders)].acquire(link) > 0.0
+
+    def phase(limited: bool, rate: int, length: float) -> tuple[float, int, int]:
+        """Processor time (s), calls made, and those that got no lease."""
+        begun, cpu, made = time.monotonic(), time.process_time(), []
+        while (now := time.monotonic()) < begun + length:
+            while len(made) < rate * (now - begun):
+                made.append(pool.submit(call, rng.randrange(limits) if limited else FREE_KEY_GROUP))
+            time.sleep(0.002)
+        held = sum(not one.result() for one in made)
+        return time.process_time() - cpu, len(made), held
+
+    idle = phase(False, 0, 1.0)[0]
+    beside = phase(False, per_s, seconds / 2.0)[0] / (seconds / 2.0) - idle
+    print("loaded", flush=True)
+    (sent, writes), begun = traffic.now, time.monotonic()
+    cpu, made, held = phase(True, per_s, seconds)
+    took, (sent2, writes2) = time.monotonic() - begun, traffic.now
+    told = {
+        "took": took,
+        "sender_ms": 1000.0 * (cpu / took - beside),
+        "up_bytes": (sent2 - sent) / took,
+        "up_writes": (writes2 - writes) / took,
+        "held": held / max(made, 1),
+    }
+    print(json.dumps(told), flush=True)
+    sys.stdin.readline()
+
+
+def join_at_once(joiners: int, limits: int) -> dict[str, float | str]:
+    """So many bare connections say hello at once: until all are told which limits there are."""
+    from selectors import EVENT_READ, DefaultSelector
+
+    with tempfile.TemporaryDirectory() as name, serving(limits, Path(name)):
+        selector, heard, refused = DefaultSelector(), 0, 0
+        begun, cpu = time.monotonic(), time.process_time()
+        for who in owners(joiners):
+            sock = socket.socket(socket.AF_UNIX)
+            sock.connect(str(Path(name) / "allot"))
+            sock.sendall(write(Register(*who)))
+            selector.register(sock, EVENT_READ, [])
+        while heard + refused < joiners and time.monotonic() < begun + 60.0:
+            for item, _ in selector.select(0.1):
+                sock, parts = item.fileobj, item.data
+                data = sock.recv(1 << 20)  # type: ignore[union-attr]
+                parts.append(data)
+                if data and b"\n" not in data:
+                    continue
+                whole = sum(map(len, parts)) <= LINE_BYTES and bool(data)
+                heard, refused = heard + whole, refused + (not whole)
+                selector.unregister(sock)
+        took, cpu = time.monotonic() - begun, time.process_time() - cpu
+    if heard < joiners:
+        return {"took_ms": f"{heard} of {joiners} were told a line that can be read"}
+    return {"took_ms": 1000.0 * took, "cpu_ms": 1000.0 * cpu}
+
+
+def requests_cpu_s(limits: int, requests: int, reports: int) -> float:
+    """The server's processor time (s) for requests that report leases it does not know, one by one."""
+    with tempfile.TemporaryDirectory() as name, serving(limits, Path(name)):
+        sock = socket.socket(socket.AF_UNIX)
+        sock.connect(str(Path(name) / "allot"))
+        sock.sendall(write(Register(*ALONE)))
+        _read_until(sock, b'"limited"')
+        line, last = report_line(reports) if reports else write(LeaseRequest()), request_line(1)
+        cpu = time.process_time()
+        for _ in range(requests):
+            sock.sendall(line)
+        sock.sendall(last)
+        _read_until(sock, b'"granted"')
+        return time.process_time() - cpu
+
+
+def _read_until(sock: socket.socket, mark: bytes) -> None:
+    """Read until a message of a kind is there, whole."""
+    data = b""
+    while mark not in data or not data.endswith(b"\n"):
+        if not (more := sock.recv(1 << 20)):
+            raise ConnectionError("the server ended the connection")
+        data = (data + more)[-(1 << 21) :]
+
+
+if __name__ == "__main__":
+    _drive(Path(sys.argv[1]), *map(int, sys.argv[2:5]), float(sys.argv[5]))
