--- a/benchmarks/capacity/mechanism.py
+++ b/benchmarks/capacity/mechanism.py
@@ -66,6 +66,29 @@
         allocator.report(now, lease.owner, lease.key, lease.serial, lease.calls, now)
 
 
+def share_taken_over_ms(sharers: int) -> float:
+    """One of the senders that share a limit falls silent with its leases: until the others were given 0.9 of
+    the limit within a span. Virtual time.
+    """
+    limit, tick_ms = Limit(400, 2_000.0), 5.0
+    allocator = Allocator()
+    allocator.limited("g0", limit)
+    who, given = owners(sharers), list[tuple[float, int]]()
+    dies_at, now = 6_000.0, 0.0
+    while now < 60_000.0:
+        now += tick_ms
+        alive = who if now < dies_at else who[1:]
+        for owner in alive:
+            allocator.ask(now, owner, "g0", limit.calls)
+        leases = [lease for lease in allocator.allocate(now) if lease.owner in alive]
+        report_all(allocator, now, leases)
+        given += [(now, sum(lease.calls for lease in leases if lease.owner != who[0]))]
+        given = [one for one in given if one[0] > now - limit.span_ms]
+        if now > dies_at and sum(calls for _, calls in given) >= 0.9 * limit.calls:
+            return now - dies_at
+    return 60_000.0
+
+
 # Coding
 
 
--- /dev/null
+++ b/benchmarks/capacity/membership.py
@@ -0,0 +1,191 @@
+"""What a daemon and its instances cost, how soon a death is found, and what a successor takes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from benchmarks.capacity import mechanism
+from benchmarks.capacity.measurement import Measurement, Values, status_of
+from springspread.fleet.orders import asked
+
+IDLE_S = 6.0
+WAIT_S = 40.0
+LOOK_S = 0.02
+
+
+def fleet_by_instances(instances: int) -> Values:
+    """A real daemon with so many idle instances: cost, one instance killed, then the daemon killed."""
+    from tests.peer import Peer
+    from tests.test_config import make
+
+    peer = Peer()
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        raw = make(folder, discovery=f"127.0.0.1:{peer.port}", known=peer.members())
+        (folder / "sender.json").write_text(json.dumps(raw))
+        file = folder / "fleet.toml"
+        text = f'folder = "f"\nconfig = "sender.json"\ninstances = {instances}\n[limits.g7]\ncalls = 40\n'
+        file.write_text(text)
+        fleet = Fleet(file)
+        try:
+            return fleet.measured(instances)
+        finally:
+            fleet.close()
+
+
+class Fleet:
+    """A daemon and its instances."""
+
+    def __init__(self, file: Path) -> None:
+        self._file, self._control = file, file.parent / "f" / "control"
+        self._daemon = self._run()
+
+    def _run(self) -> subprocess.Popen[bytes]:
+        line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
+        return subprocess.Popen(line, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+
+    def rows(self) -> list[dict[str, Any]]:
+        """The instances, as the daemon tells them; none where it does not."""
+        try:
+            told: list[dict[str, Any]] = asked(self._control, {"do": "status"}).get("instances", [])
+        except (OSError, ValueError):
+            return []
+        return told
+
+    def _until(self, holds: Callable[[], bool]) -> float:
+        """Milliseconds until something holds; raises ``TimeoutError``."""
+        begun = time.monotonic()
+        while not holds():
+            if time.monotonic() > begun + WAIT_S:
+                raise TimeoutError("the fleet did not come so far")
+            time.sleep(LOOK_S)
+        return 1000.0 * (time.monotonic() - begun)
+
+    def _all_serve(self, instances: int) -> bool:
+        return (
+            sum(bool(row["in_fleet"] and row["listen"] and row["policy"]) for row in self.rows()) >= instances
+        )
+
+    def measured(self, instances: int) -> Values:
+        """All figures of one size."""
+        start_ms = self._until(lambda: self._all_serve(instances))
+        time.sleep(2.0)
+        pids = [int(row["pid"]) for row in self.rows()]
+        before = {pid: status_of(pid)[0] for pid in [self._daemon.pid, *pids]}
+        time.sleep(IDLE_S)
+        after = {pid: status_of(pid) for pid in before}
+        used = {pid: 1000.0 * (after[pid][0] - before[pid]) / IDLE_S for pid in before}
+        victim = self.rows()[0]
+        os.kill(int(victim["pid"]), signal.SIGKILL)
+        found_ms = self._until(lambda: self._row(victim["name"])["pid"] != victim["pid"])
+        again_ms = found_ms + self._until(lambda: self._all_serve(instances))
+        os.kill(self._daemon.pid, signal.SIGKILL)
+        self._daemon.wait()
+        self._daemon = self._run()
+        successor_ms = self._until(lambda: self._all_serve(instances))
+        return {
+            "fleet_start_by_instances": start_ms,
+            "daemon_cpu_by_instances": used[self._daemon_before(before)],
+            "daemon_memory_by_instances": after[self._daemon_before(before)][1],
+            "instance_cpu_by_instances": statistics.mean(used[pid] for pid in pids),
+            "instance_memory_by_instances": statistics.median(after[pid][1] for pid in pids),
+            "death_found_by_instances": found_ms,
+            "death_replaced_by_instances": again_ms,
+            "daemon_successor_by_instances": successor_ms,
+        }
+
+    def _row(self, name: str) -> dict[str, Any]:
+        return next((row for row in self.rows() if row["name"] == name), {"pid": 0})
+
+    @staticmethod
+    def _daemon_before(before: dict[int, float]) -> int:
+        return next(iter(before))
+
+    def close(self) -> None:
+        """End the daemon, which ends its instances."""
+        self._daemon.terminate()
+        try:
+            self._daemon.wait(15.0)
+        except subprocess.TimeoutExpired:
+            self._daemon.kill()
+            self._daemon.wait()
+
+
+def successor_by_leases(leases: int) -> Values:
+    """A server that begins on a record of so many leases, 1,000 limits."""
+    return {"successor_ms_by_leases": _successor_ms(leases, 1_000)}
+
+
+def successor_by_limits(limits: int) -> Values:
+    """A server that begins on a record of 4,000 leases, by its limits."""
+    return {"successor_ms_by_limits": _successor_ms(4_000, limits)}
+
+
+def _successor_ms(leases: int, limits: int) -> float:
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        mechanism.record_of(folder, leases)
+        begun = time.process_time()
+        with mechanism.serving(limits, folder):
+            return 1000.0 * (time.process_time() - begun)
+
+
+def share_by_sharers(sharers: int) -> Values:
+    """A sender of a contended limit dies: until the others have 0.9 of it in a span (virtual time)."""
+    return {"share_taken_over_by_sharers": mechanism.share_taken_over_ms(sharers)}
+
+
+MEASUREMENTS = (
+    Measurement(
+        "fleet_by_instances",
+        "instances",
+        (1, 2, 4, 8, 16),
+        (1, 2, 3, 4),
+        {
+            "fleet_start_by_instances": "ms",
+            "daemon_cpu_by_instances": "ms/s",
+            "daemon_memory_by_instances": "B",
+            "instance_cpu_by_instances": "ms/s",
+            "instance_memory_by_instances": "B",
+            "death_found_by_instances": "ms",
+            "death_replaced_by_instances": "ms",
+            "daemon_successor_by_instances": "ms",
+        },
+        fleet_by_instances,
+        150.0,
+    ),
+    Measurement(
+        "successor_by_leases",
+        "leases",
+        (1_000, 4_000, 16_000, 64_000),
+        (250, 500, 1_000, 2_000),
+        {"successor_ms_by_leases": "ms"},
+        successor_by_leases,
+    ),
+    Measurement(
+        "successor_by_limits",
+        "limits",
+        (1_000, 4_000, 10_000, 30_000),
+        (250, 500, 1_000, 2_000),
+        {"successor_ms_by_limits": "ms"},
+        successor_by_limits,
+    ),
+    Measurement(
+        "share_by_sharers",
+        "sharers",
+        (2, 5, 20, 100),
+        (2, 3, 5, 10),
+        {"share_taken_over_by_sharers": "ms"},
+        share_by_sharers,
+    ),
+)
--- /dev/null
+++ b/benchmarks/capacity/policy.py
@@ -0,0 +1,237 @@
+"""What a change of policy costs: bytes, processor time and time to force, by senders, document and change.
+
+The daemon's side (allocator server, record, coordinator) runs in the measuring process; the senders' side
+(the real client, which reads and checks each document) in another.
+
+    python -m benchmarks.capacity.policy SOCKET CONFIGURATION SENDERS
+
+is that other process: it tells when all senders act under each policy.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping
+from pathlib import Path
+
+from benchmarks.capacity.measurement import Measurement, Values
+from benchmarks.capacity.mechanism import Traffic, keys, owners
+from benchmarks.capacity.sender import configuration
+from springspread import config
+from springspread.core.clock import SYSTEM
+from springspread.fleet.allocator import Limit
+from springspread.fleet.allocator_server import AllocatorServer
+from springspread.fleet.change import Changes
+from springspread.fleet.client import FleetShares
+from springspread.fleet.fit import under_policy
+from springspread.logs import make_log
+from springspread.rollout.document import Policy
+
+IDLE_S = 4.0
+FORCE_S = 20.0
+JOIN_S = 10.0
+SENDERS = 10
+LIMITS = 100
+CALLS, SPAN_MS = 200, 2_000.0
+
+
+class NothingOwed:
+    """A journal that holds nothing."""
+
+    owed: Mapping[int, object] = {}
+
+
+def change(senders: int, limits: int, changed: int, idle: bool = False) -> dict[str, float | str]:
+    """One change of so many limits, each of which rises by a call; ``idle``: after a few idle seconds."""
+    traffic = Traffic()
+    traffic.install()
+    log, _ = make_log("capacity", 1)
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        file = configuration(folder, 200)
+        settings = json.loads(file.read_text())["settings"]
+        held = dict.fromkeys(keys(limits), (CALLS, SPAN_MS))
+        changes = Changes(folder / "policy", Policy(settings, held), log)
+        bound = {key: Limit(*limit) for key, limit in held.items()}
+        server = AllocatorServer(folder / "allot", folder, bound, log, heard=changes.heard)
+        changes.begin([], server.tell, server.follow)
+        line = [sys.executable, "-m", "benchmarks.capacity.policy", str(folder / "allot"), str(file)]
+        other = subprocess.Popen(
+            [*line, str(senders)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "RELAY_CONFIG": str(file)},
+        )
+        assert other.stdin is not None and other.stdout is not None
+
+        def asked(order: str) -> dict[str, float]:
+            assert other.stdin is not None and other.stdout is not None
+            other.stdin.write(order + "\n")
+            other.stdin.flush()
+            told: dict[str, float] = json.loads(other.stdout.readline())
+            return told
+
+        try:
+            if asked(f"policy 1 {JOIN_S}")["at"] < 0.0:
+                return {"fault": f"{len(server.members)} of {senders} senders act under the first policy"}
+            time.sleep(1.0)
+            found = _idle(senders, traffic, asked) if idle else {}
+            new = {**held, **dict.fromkeys(keys(changed), (CALLS + 1, SPAN_MS))}
+            before, cpu, own = traffic.now, time.process_time(), asked("now")
+            proposed_at = SYSTEM.now()
+            proposal = changes.propose(Policy(settings, new))
+            proposal.taken.wait(FORCE_S)
+            if proposal.fault:
+                return {"fault": f"refused: {proposal.fault[:80]}"}
+            told = asked(f"policy {proposal.number} {FORCE_S}")
+            if told["at"] < 0.0:
+                return {"fault": f"not in force everywhere within {FORCE_S:g} s"}
+            after = traffic.now
+            return found | {
+                "force_ms": told["at"] - proposed_at,
+                "change_bytes": (after[0] - before[0]) / senders,
+                "change_writes": (after[1] - before[1]) / senders,
+                "change_daemon_cpu": 1000.0 * (time.process_time() - cpu),
+                "change_sender_cpu": 1000.0 * (told["cpu"] - own["cpu"]) / senders,
+            }
+        finally:
+            other.kill()
+            other.wait()
+
+
+def _idle(senders: int, traffic: Traffic, asked: object) -> dict[str, float | str]:
+    """A few seconds in which nothing happens."""
+    assert callable(asked)
+    before, cpu, own = traffic.now, time.process_time(), asked("now")
+    time.sleep(IDLE_S)
+    after, own_after = traffic.now, asked("now")
+    return {
+        "idle_down_bytes": (after[0] - before[0]) / senders / IDLE_S,
+        "idle_down_writes": (after[1] - before[1]) / senders / IDLE_S,
+        "idle_up_bytes": (own_after["sent"] - own["sent"]) / senders / IDLE_S,
+        "idle_up_writes": (own_after["writes"] - own["writes"]) / senders / IDLE_S,
+        "idle_daemon_cpu": 1000.0 * (time.process_time() - cpu) / IDLE_S,
+        "idle_sender_cpu": 1000.0 * (own_after["cpu"] - own["cpu"]) / senders / IDLE_S,
+    }
+
+
+def _senders(path: Path, file: Path, count: int) -> None:
+    """So many senders that follow the policy; answers one JSON line to each line of the standard input."""
+    traffic = Traffic()
+    traffic.install()
+    log, _ = make_log("capacity", 1)
+    running = config.read(json.loads(file.read_text()), {})
+    shares = [FleetShares(path, name, epoch, log, policy=1) for name, epoch in owners(count)]
+    for one in shares:
+        one.follow(lambda text: under_policy(running, NothingOwed(), text), lambda news: None)  # type: ignore[arg-type]
+    for order in sys.stdin:
+        told = {"at": 0.0}
+        if order.startswith("policy"):
+            number, wait_s = int(order.split()[1]), float(order.split()[2])
+            told["at"] = _reached(shares, number, SYSTEM.now() + 1000.0 * wait_s)
+        sent, writes = traffic.now
+        told |= {"cpu": time.process_time(), "sent": float(sent), "writes": float(writes)}
+        print(json.dumps(told), flush=True)
+
+
+def _reached(shares: list[FleetShares], number: int, end: float) -> float:
+    """When all act under a policy (ms, the clock that all share); negative: not in time."""
+    left = list(shares)
+    while SYSTEM.now() < end:
+        left = [one for one in left if one.policy < number or not one.may(one.policy)]
+        if not left:
+            return SYSTEM.now()
+        time.sleep(0.005)
+    return -1.0
+
+
+CHANGE_UNITS = {
+    "force_ms": "ms",
+    "change_bytes": "B",
+    "change_writes": "writes",
+    "change_daemon_cpu": "ms",
+    "change_sender_cpu": "ms",
+}
+IDLE_UNITS = {
+    "idle_down_bytes": "B/s",
+    "idle_down_writes": "1/s",
+    "idle_up_bytes": "B/s",
+    "idle_up_writes": "1/s",
+    "idle_daemon_cpu": "ms/s",
+    "idle_sender_cpu": "ms/s",
+}
+
+
+def _named(found: dict[str, float | str], by: str, units: Mapping[str, str]) -> Values:
+    fault = found.get("fault")
+    return {f"{what}_by_{by}": found.get(what, fault or "no value told") for what in units}
+
+
+def by_senders(senders: int) -> Values:
+    """One limit of 100 changes."""
+    return _named(change(senders, LIMITS, 1, idle=True), "senders", CHANGE_UNITS | IDLE_UNITS)
+
+
+def by_limits(limits: int) -> Values:
+    """One limit of so many changes, ten senders."""
+    return _named(change(SENDERS, limits, 1), "limits", CHANGE_UNITS)
+
+
+def by_change(changed: int) -> Values:
+    """So many limits of 1,000 change, ten senders."""
+    return _named(change(SENDERS, 1_000, changed), "change", CHANGE_UNITS)
+
+
+def document_bytes(limits: int) -> Values:
+    """The text of a policy."""
+    held = dict.fromkeys(keys(limits), (CALLS, SPAN_MS))
+    return {"document_bytes_by_limits": float(len(Policy({}, held).text))}
+
+
+def _units(by: str, units: Mapping[str, str]) -> dict[str, str]:
+    return {f"{what}_by_{by}": unit for what, unit in units.items()}
+
+
+MEASUREMENTS = (
+    Measurement(
+        "by_senders",
+        "senders",
+        (5, 10, 20, 50, 100),
+        (2, 4, 6, 8),
+        _units("senders", CHANGE_UNITS | IDLE_UNITS),
+        by_senders,
+    ),
+    Measurement(
+        "by_limits",
+        "limits",
+        (100, 500, 1_000, 2_000, 4_000, 10_000, 140_000),
+        (10, 50, 100, 200),
+        _units("limits", CHANGE_UNITS),
+        by_limits,
+    ),
+    Measurement(
+        "by_change",
+        "limits changed",
+        (1, 10, 100, 1_000),
+        (1, 10, 100, 1_000),
+        _units("change", CHANGE_UNITS),
+        by_change,
+    ),
+    Measurement(
+        "document_bytes",
+        "limits",
+        (1_000, 10_000, 50_000, 140_000),
+        (100, 200, 500, 1_000),
+        {"document_bytes_by_limits": "B"},
+        document_bytes,
+    ),
+)
+
+if __name__ == "__main__":
+    _senders(Path(sys.argv[1]), Path(sys.argv[2]), int(sys.argv[3]))
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 NOT_MEASURED = "not measured"
+PROGRAM = "springspread"
 COLUMNS = ("what", "size", "value", "unit", "commit", "machine", "label")
 
 
@@ -89,6 +90,8 @@
 
 
 def commit() -> str:
-    """The commit that is checked out, short."""
-    done = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=True)
-    return done.stdout.strip()
+    """The last commit that changed the program, short; with a plus where it was changed since."""
+    line = ["git", "log", "-1", "--format=%h", "--", PROGRAM]
+    short = subprocess.run(line, capture_output=True, text=True, check=True).stdout.strip()
+    changed = subprocess.run(["git", "diff", "--quiet", "HEAD", "--", PROGRAM], check=False).returncode
+    return short + ("+" if changed else "")
