Capacity page: its tables are written from the slopes, and a test holds it to them

Costs of each role as formulas over the fitted lines, the budgets they break and the part of the target at which they do. The tables say not measured until the measurements are in: they wait for the machine.

--- a/benchmarks/capacity/allocator.py
+++ b/benchmarks/capacity/allocator.py
@@ -39,7 +39,7 @@
 
 def memory_by_pairs(pairs: int) -> Values:
     """What it holds for pairs of sender and limit, each with one lease within its span."""
-    allocator = mechanism.allocator_of(IN_USE, mechanism.Limit(10_000_000, 2_000.0))
+    allocator = mechanism.allocator_of(IN_USE, mechanism.wide_limit())
     before = resident_bytes()
     leases = mechanism.lease_each(allocator, 1.0, mechanism.owners(pairs // IN_USE), mechanism.keys(IN_USE))
     count = len(leases)
@@ -49,7 +49,7 @@
 
 def memory_by_leases(leases: int) -> Values:
     """What it holds for leases of the same pairs, all within their spans."""
-    allocator = mechanism.allocator_of(IN_USE, mechanism.Limit(10_000_000, 2_000.0))
+    allocator = mechanism.allocator_of(IN_USE, mechanism.wide_limit())
     before, given, who = resident_bytes(), 0, mechanism.owners(10)
     while given < leases:
         given += len(mechanism.lease_each(allocator, 1.0, who, mechanism.keys(IN_USE)))
@@ -58,7 +58,7 @@
 
 def cpu_by_sharers(senders: int) -> Values:
     """A lease where so many senders share one limit: asked for, given, used up and reported."""
-    allocator = mechanism.allocator_of(1, mechanism.Limit(10_000_000, 2_000.0))
+    allocator = mechanism.allocator_of(1, mechanism.wide_limit())
     who, moment = mechanism.owners(senders), [0.0]
 
     def round_of_all() -> None:
--- /dev/null
+++ b/benchmarks/capacity/budgets.py
@@ -0,0 +1,385 @@
+"""Costs of each role at the full size, as formulas over the fitted lines, and the budgets they break.
+
+A formula takes the lines of one label and the part of the target at which its driver stands; all else stands
+at the full size. The part at which a budget breaks is where the formula reaches it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from math import inf, sqrt
+
+from benchmarks.capacity.fit import Fit
+from benchmarks.capacity.rows import NotMeasured
+from benchmarks.capacity.target import TARGET
+
+LEAST_PART, MOST_PART = 1e-6, 1e3
+LOAD_SENDERS = 20  # of ``load_by_rate``
+POLICY_SENDERS = 10  # of ``policy.by_limits``
+SUCCESSOR_LEASES = 4_000  # of ``membership.successor_by_limits``
+SPAN_S, LEASE_S = 2.0, 0.2  # of a limit that partners tell; of a lease
+LINE_BYTES = 262_144.0  # the longest line and order that is read
+TICK_US = 5_000.0  # between two looks of the allocator
+POLICY_LEASE_MS = 5_000.0  # without a daemon for longer, senders call nobody
+MOST_INSTANCES = 1_000.0  # of one daemon
+CORE_MS = 1_000.0
+
+ROLES = (
+    "sender",
+    "allocator",
+    "policy distribution",
+    "directory and lists",
+    "health",
+    "journal and backlog",
+    "membership and restarts",
+    "region links",
+)
+
+Lines = Mapping[str, Fit]
+"""Fitted lines of one label by ``ROLE.WHAT``."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mechanism:
+    """What carries a cost at the full size, or would."""
+
+    name: str
+    missing: bool = True
+    this_round: bool = False
+
+
+CHANGE_AND_CONTENTION = Mechanism("limits by change and contention", this_round=True)
+SHARDS = Mechanism("real shards")
+HOSTS = Mechanism("transport between hosts")
+POLICY_DELTAS = Mechanism("deltas of policies")
+BACKLOG_ON_DISK = Mechanism("backlog on disk")
+SHARED_HEALTH = Mechanism("shared health")
+SMALL_STATE = Mechanism("state only for destinations in use")
+LEASE_RECORD = Mechanism("a record of leases by limit")
+PRESENT = Mechanism("as it is", missing=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """One cost of a role. ``budget`` 0: the target names none.
+
+    ``uses`` are the lines it is made of; ``hollow`` is the value of the hollow fleet that stands for it after
+    the change: role, what and statistic.
+    """
+
+    role: str
+    kind: str  # state, messages, processor time, memory or time
+    what: str
+    driver: str
+    formula: str
+    uses: Sequence[str]
+    at: Callable[[Lines, float], float]
+    unit: str
+    mechanism: Mechanism
+    budget: float = 0.0
+    hollow: tuple[str, str, str] | None = None
+
+
+def full_cost(cost: Cost, lines: Lines) -> float | NotMeasured:
+    """A cost at the full size; a reason where a line of its formula is missing."""
+    lost = [name for name in cost.uses if name not in lines]
+    return NotMeasured(f"no line of {', '.join(lost)}") if lost else cost.at(lines, 1.0)
+
+
+def breaking_part(cost: Cost, lines: Lines) -> float | NotMeasured | None:
+    """The part of the target at which the budget breaks; ``None``: there is no budget; 0: at any size."""
+    if not cost.budget:
+        return None
+    full = full_cost(cost, lines)
+    if isinstance(full, NotMeasured):
+        return full
+    low, high = LEAST_PART, MOST_PART
+    if cost.at(lines, low) > cost.budget:
+        return 0.0
+    if cost.at(lines, high) <= cost.budget:
+        return inf
+    while high / low > 1.0 + 1e-6:
+        middle = sqrt(low * high)
+        low, high = (middle, high) if cost.at(lines, middle) <= cost.budget else (low, middle)
+    return low
+
+
+def _load_sender_ms(lines: Lines, part: float) -> float:
+    line = lines["allocator.load_sender_ms_by_rate"]
+    return line.fixed / LOAD_SENDERS + line.slope * TARGET.events_per_sender * part
+
+
+def _load_bytes(lines: Lines, part: float) -> float:
+    def of_sender(what: str) -> float:
+        line = lines[f"allocator.load_{what}_by_rate"]
+        return line.fixed / LOAD_SENDERS + line.slope * TARGET.events_per_sender * part
+
+    payload = of_sender("up_bytes") + of_sender("down_bytes")
+    return payload + TARGET.header_bytes * (of_sender("up_writes") + of_sender("down_writes"))
+
+
+def _idle_bytes(lines: Lines, part: float) -> float:
+    def of_sender(what: str) -> float:
+        return lines[f"policy.idle_{what}_by_senders"].at(TARGET.senders * part)
+
+    payload = of_sender("up_bytes") + of_sender("down_bytes")
+    return payload + TARGET.header_bytes * (of_sender("up_writes") + of_sender("down_writes"))
+
+
+def _list_memory(lines: Lines, part: float) -> float:
+    count = TARGET.destinations * part
+    listed = lines["sender.memory_listed_by_destinations"].at(count)
+    used = lines["sender.memory_used_by_destinations"].at(count)
+    down = lines["sender.memory_down_by_destinations"].at(count)
+    whole = lines["sender.program_memory_by_destinations"].at(count)
+    return whole + (used - listed) + TARGET.down_share * (down - used)
+
+
+def _allocator_memory(lines: Lines, part: float) -> float:
+    leases = TARGET.events_per_s * (SPAN_S + LEASE_S)
+    limits = lines["allocator.memory_by_limits"].at(TARGET.destinations * part)
+    return limits + lines["allocator.memory_by_pairs"].at(leases * part)
+
+
+def _health_ms(lines: Lines, part: float) -> float:
+    each = lines["health.attempts_by_senders"].at(TARGET.senders)
+    event_ms = lines["sender.program_cpu_by_rate"].slope
+    return each * event_ms * TARGET.down * part / TARGET.senders
+
+
+def _one_host_ms(lines: Lines, part: float) -> float:
+    line = lines["sender.program_cpu_by_rate"]
+    return line.at(TARGET.events_per_sender) * TARGET.senders * part
+
+
+def _successor_ms(lines: Lines, part: float) -> float:
+    line = lines["membership.successor_ms_by_limits"]
+    leases = TARGET.events_per_s * (SPAN_S + LEASE_S)
+    return line.fixed + line.slope * TARGET.destinations * part * leases / SUCCESSOR_LEASES
+
+
+def _at(name: str, size: float, times: float = 1.0) -> Callable[[Lines, float], float]:
+    """A line at a part of a size, times a constant."""
+    return lambda lines, part: times * lines[name].at(size * part)
+
+
+LOAD_LINES = tuple(
+    f"allocator.load_{what}_by_rate" for what in ("up_bytes", "down_bytes", "up_writes", "down_writes")
+)
+IDLE_LINES = tuple(
+    f"policy.idle_{what}_by_senders" for what in ("up_bytes", "down_bytes", "up_writes", "down_writes")
+)
+LIST_LINES = (
+    "sender.program_memory_by_destinations",
+    "sender.memory_listed_by_destinations",
+    "sender.memory_used_by_destinations",
+    "sender.memory_down_by_destinations",
+)
+
+COSTS = (
+    Cost(
+        "sender", "messages", "control bytes a second, headers included", "events a second and sender",
+        "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events", LOAD_LINES,
+        _load_bytes, "B/s", CHANGE_AND_CONTENTION, TARGET.control_bytes_per_s,
+        ("sender", "bytes_with_headers", "p99"),
+    ),
+    Cost(
+        "sender", "processor time", "control a second", "events a second and sender",
+        "fixed / 20 + slope x events", ("allocator.load_sender_ms_by_rate",), _load_sender_ms, "ms/s",
+        CHANGE_AND_CONTENTION, TARGET.control_ms_per_s, ("sender", "control_cpu_share", "p99"),
+    ),
+    Cost(
+        "sender", "messages", "control bytes an idle second, headers included", "senders",
+        "(up + down bytes) + 60 x (up + down writes) of one sender", IDLE_LINES, _idle_bytes, "B/s", PRESENT,
+        TARGET.control_bytes_per_s,
+    ),
+    Cost(
+        "sender", "memory", "destinations: listed, all used, 2.8% down", "destinations",
+        "program's list + (used - listed) + 0.028 x (down - used)", LIST_LINES, _list_memory, "B",
+        SMALL_STATE, TARGET.control_memory_bytes, ("sender", "memory", "max"),
+    ),
+    Cost(
+        "sender", "processor time", "an event outside control, one interpreter", "events a second and sender",
+        "fixed + slope x events", ("sender.program_cpu_by_rate",),
+        _at("sender.program_cpu_by_rate", TARGET.events_per_sender), "ms/s", PRESENT, CORE_MS,
+    ),
+    Cost(
+        "allocator", "processor time", "calls of all senders, one process at 1,000 limits",
+        "events a second", "fixed + slope x events", ("allocator.load_server_ms_by_rate",),
+        _at("allocator.load_server_ms_by_rate", TARGET.events_per_s), "ms/s", CHANGE_AND_CONTENTION, CORE_MS,
+        ("allocator", "cpu_core_share", "max"),
+    ),
+    Cost(
+        "allocator", "messages", "the line that tells a joining sender all limits", "destinations",
+        "fixed + slope x limits", ("allocator.join_bytes_by_limits",),
+        _at("allocator.join_bytes_by_limits", TARGET.destinations), "B", CHANGE_AND_CONTENTION, LINE_BYTES,
+    ),
+    Cost(
+        "allocator", "processor time", "one request, without what it asks for", "destinations",
+        "fixed + slope x limits", ("allocator.request_cpu_by_limits",),
+        _at("allocator.request_cpu_by_limits", TARGET.destinations), "us", CHANGE_AND_CONTENTION,
+        TARGET.machines_us_per_event,
+    ),
+    Cost(
+        "allocator", "processor time", "a tick with 100 limits in use", "destinations",
+        "fixed + slope x limits", ("allocator.tick_cpu_by_limits",),
+        _at("allocator.tick_cpu_by_limits", TARGET.destinations), "us", CHANGE_AND_CONTENTION, TICK_US,
+    ),
+    Cost(
+        "allocator", "time", "calls held up by control, 200 a second of 20 senders", "destinations",
+        "fixed + slope x limits", ("allocator.load_held_by_limits",),
+        _at("allocator.load_held_by_limits", TARGET.destinations), "of calls", CHANGE_AND_CONTENTION,
+        TARGET.held_share, ("fleet", "held_share", "all"),
+    ),
+    Cost(
+        "allocator", "time", "250 senders that join at once", "destinations", "fixed + slope x limits",
+        ("allocator.storm_ms_by_limits",), _at("allocator.storm_ms_by_limits", TARGET.destinations), "ms",
+        CHANGE_AND_CONTENTION, TARGET.ready_ms,
+    ),
+    Cost(
+        "allocator", "processor time", "a lease where all senders share a limit", "senders",
+        "fixed + slope x sharers", ("allocator.lease_cpu_by_sharers",),
+        _at("allocator.lease_cpu_by_sharers", TARGET.senders), "us", PRESENT, TARGET.machines_us_per_event,
+    ),
+    Cost(
+        "allocator", "memory", "limits, and a lease a call for 2.2 s", "events and destinations",
+        "limits x slope + 2.2 s x events x slope of a pair",
+        ("allocator.memory_by_limits", "allocator.memory_by_pairs"), _allocator_memory, "B", PRESENT,
+    ),
+    Cost(
+        "allocator", "state", "leases on record, written a second", "events a second",
+        "slope x events", ("allocator.record_bytes_by_leases",),
+        lambda lines, part: lines["allocator.record_bytes_by_leases"].slope * TARGET.events_per_s * part,
+        "B/s", CHANGE_AND_CONTENTION,
+    ),
+    Cost(
+        "policy distribution", "state", "the document, as one order or line", "destinations",
+        "fixed + slope x limits", ("policy.document_bytes_by_limits",),
+        _at("policy.document_bytes_by_limits", TARGET.destinations), "B", POLICY_DELTAS, LINE_BYTES,
+    ),
+    Cost(
+        "policy distribution", "messages", "changes a second, to each sender", "destinations",
+        "(fixed + slope x limits) x changes a second", ("policy.change_bytes_by_limits",),
+        _at("policy.change_bytes_by_limits", TARGET.destinations, TARGET.changes_per_s), "B/s",
+        POLICY_DELTAS, TARGET.control_bytes_per_s,
+    ),
+    Cost(
+        "policy distribution", "processor time", "the daemon's, for all senders", "destinations",
+        "(fixed + slope x limits) / 10 x senders x changes a second", ("policy.change_daemon_cpu_by_limits",),
+        _at(
+            "policy.change_daemon_cpu_by_limits", TARGET.destinations,
+            TARGET.senders / POLICY_SENDERS * TARGET.changes_per_s,
+        ),
+        "ms/s", POLICY_DELTAS, CORE_MS,
+    ),
+    Cost(
+        "policy distribution", "processor time", "a sender's, for each change", "destinations",
+        "(fixed + slope x limits) x changes a second", ("policy.change_sender_cpu_by_limits",),
+        _at("policy.change_sender_cpu_by_limits", TARGET.destinations, TARGET.changes_per_s), "ms/s",
+        POLICY_DELTAS, TARGET.control_ms_per_s,
+    ),
+    Cost(
+        "policy distribution", "time", "until a change is in force, 10 senders", "destinations",
+        "fixed + slope x limits", ("policy.force_ms_by_limits",),
+        _at("policy.force_ms_by_limits", TARGET.destinations), "ms", POLICY_DELTAS, TARGET.force_ms,
+    ),
+    Cost(
+        "policy distribution", "time", "until a change is in force, 100 limits", "senders",
+        "fixed + slope x senders", ("policy.force_ms_by_senders",),
+        _at("policy.force_ms_by_senders", TARGET.senders), "ms", PRESENT, TARGET.force_ms,
+    ),
+    Cost(
+        "directory and lists", "time", "the whole list, as a sender takes it in", "destinations",
+        "fixed + slope x destinations", ("sender.program_list_ms_by_destinations",),
+        _at("sender.program_list_ms_by_destinations", TARGET.destinations), "ms", PRESENT, TARGET.ready_ms,
+    ),
+    Cost(
+        "directory and lists", "processor time", "changed lines, one a change", "destinations",
+        "(fixed + slope x destinations) x changes a second", ("sender.line_cpu_by_destinations",),
+        _at("sender.line_cpu_by_destinations", TARGET.destinations, TARGET.changes_per_s / 1_000.0), "ms/s",
+        PRESENT, TARGET.control_ms_per_s,
+    ),
+    Cost(
+        "directory and lists", "time", "one changed line, in one step", "destinations",
+        "fixed + slope x destinations", ("sender.line_cpu_by_destinations",),
+        _at("sender.line_cpu_by_destinations", TARGET.destinations, 1e-3), "ms", PRESENT,
+    ),
+    Cost(
+        "health", "processor time", "attempts on what is down, a sender's", "destinations down",
+        "attempts a second x events' slope x destinations down / senders",
+        ("health.attempts_by_senders", "sender.program_cpu_by_rate"), _health_ms, "ms/s", SHARED_HEALTH,
+        TARGET.control_ms_per_s,
+    ),
+    Cost(
+        "health", "messages", "handshakes on what is down, of all senders", "destinations down",
+        "handshakes a second x destinations down", ("health.handshakes_by_senders",),
+        lambda lines, part: lines["health.handshakes_by_senders"].at(TARGET.senders) * TARGET.down * part,
+        "1/s", SHARED_HEALTH,
+    ),
+    Cost(
+        "health", "time", "until a sender knows that a destination is down", "senders",
+        "fixed + slope x senders", ("health.time_to_know_by_senders",),
+        _at("health.time_to_know_by_senders", TARGET.senders), "s", SHARED_HEALTH,
+    ),
+    Cost(
+        "journal and backlog", "time", "a start, until what is owed is taken up", "owed messages a sender",
+        "fixed + slope x owed", ("sender.start_ms_by_owed",),
+        _at("sender.start_ms_by_owed", TARGET.owed_per_sender), "ms", BACKLOG_ON_DISK, TARGET.ready_ms,
+    ),
+    Cost(
+        "journal and backlog", "memory", "what is owed", "owed messages a sender", "fixed + slope x owed",
+        ("sender.start_memory_by_owed",), _at("sender.start_memory_by_owed", TARGET.owed_per_sender), "B",
+        BACKLOG_ON_DISK, TARGET.control_memory_bytes,
+    ),
+    Cost(
+        "journal and backlog", "state", "the journal's files", "owed messages a sender",
+        "fixed + slope x owed", ("sender.journal_bytes_by_owed",),
+        _at("sender.journal_bytes_by_owed", TARGET.owed_per_sender), "B", PRESENT,
+    ),
+    Cost(
+        "membership and restarts", "processor time", "all senders on the daemon's one host, 8 cores",
+        "senders", "(fixed + slope x events) x senders", ("sender.program_cpu_by_rate",), _one_host_ms,
+        "ms/s", HOSTS, CORE_MS * TARGET.cores,
+    ),
+    Cost(
+        "membership and restarts", "processor time", "the daemon's, idle", "senders",
+        "fixed + slope x instances", ("membership.daemon_cpu_by_instances",),
+        _at("membership.daemon_cpu_by_instances", TARGET.senders), "ms/s", PRESENT, CORE_MS,
+    ),
+    Cost(
+        "membership and restarts", "memory", "the daemon's", "senders", "fixed + slope x instances",
+        ("membership.daemon_memory_by_instances",),
+        _at("membership.daemon_memory_by_instances", TARGET.senders), "B", PRESENT,
+    ),
+    Cost(
+        "membership and restarts", "state", "instances of one daemon", "senders", "bound of the program", (),
+        lambda lines, part: TARGET.senders * part, "instances", PRESENT, MOST_INSTANCES,
+    ),
+    Cost(
+        "membership and restarts", "time", "until a death is found", "senders", "fixed + slope x instances",
+        ("membership.death_found_by_instances",),
+        _at("membership.death_found_by_instances", TARGET.senders), "ms", PRESENT, TARGET.force_ms,
+    ),
+    Cost(
+        "membership and restarts", "time", "a daemon's successor, until all are in the fleet again",
+        "senders", "fixed + slope x instances", ("membership.daemon_successor_by_instances",),
+        _at("membership.daemon_successor_by_instances", TARGET.senders), "ms", PRESENT, POLICY_LEASE_MS,
+    ),
+    Cost(
+        "membership and restarts", "time", "an allocator's successor, 2.2 s of leases on record",
+        "destinations", "fixed + slope / 4,000 x limits x leases", ("membership.successor_ms_by_limits",),
+        _successor_ms, "ms", LEASE_RECORD, TARGET.ready_ms,
+    ),
+    Cost(
+        "membership and restarts", "time", "until a dead sender's share is used elsewhere", "sharers",
+        "fixed + slope x sharers", ("membership.share_taken_over_by_sharers",),
+        _at("membership.share_taken_over_by_sharers", TARGET.senders), "ms", PRESENT, TARGET.force_ms,
+    ),
+    Cost(
+        "region links", "messages", "control of the senders outside the allocator's region",
+        "events a second", "control bytes of a sender x senders x 3 / 4", LOAD_LINES,
+        lambda lines, part: _load_bytes(lines, part) * TARGET.senders * (1.0 - 1.0 / TARGET.regions),
+        "B/s", HOSTS,
+    ),
+)  # fmt: skip
--- a/benchmarks/capacity/mechanism.py
+++ b/benchmarks/capacity/mechanism.py
@@ -14,7 +14,7 @@
 import threading
 import time
 from collections.abc import Iterator, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -34,6 +34,11 @@
 ALONE = ("n0", 1)
 
 
+def wide_limit() -> Limit:
+    """A limit that no measurement reaches, in calls of one span."""
+    return Limit(10_000_000, 2_000.0)
+
+
 def keys(count: int) -> list[str]:
     """Keys of so many destinations."""
     return [f"g{number}" for number in range(count)]
@@ -221,12 +226,12 @@
             driver.stdin.flush()
             assert driver.stdout.readline() == "loaded\n"
             cpu, (sent, writes) = time.process_time(), traffic.now
-            told = json.loads(driver.stdout.readline())
+            told: dict[str, float | str] = json.loads(driver.stdout.readline())
             cpu, (sent2, writes2) = time.process_time() - cpu, traffic.now
         finally:
             driver.kill()
             driver.wait()
-    took = told.pop("took")
+    took = float(told.pop("took"))
     return told | {
         "server_ms": 1000.0 * cpu / took,
         "down_bytes": (sent2 - sent) / took,
@@ -251,7 +256,8 @@
 
     def phase(limited: bool, rate: int, length: float) -> tuple[float, int, int]:
         """Processor time (s), calls made, and those that got no lease."""
-        begun, cpu, made = time.monotonic(), time.process_time(), []
+        begun, cpu = time.monotonic(), time.process_time()
+        made: list[Future[bool]] = []
         while (now := time.monotonic()) < begun + length:
             while len(made) < rate * (now - begun):
                 made.append(pool.submit(call, rng.randrange(limits) if limited else FREE_KEY_GROUP))
@@ -287,17 +293,17 @@
             sock = socket.socket(socket.AF_UNIX)
             sock.connect(str(Path(name) / "allot"))
             sock.sendall(write(Register(*who)))
-            selector.register(sock, EVENT_READ, [])
+            selector.register(sock, EVENT_READ, (sock, []))
         while heard + refused < joiners and time.monotonic() < begun + 60.0:
             for item, _ in selector.select(0.1):
-                sock, parts = item.fileobj, item.data
-                data = sock.recv(1 << 20)  # type: ignore[union-attr]
+                link, parts = item.data
+                data = link.recv(1 << 20)
                 parts.append(data)
                 if data and b"\n" not in data:
                     continue
                 whole = sum(map(len, parts)) <= LINE_BYTES and bool(data)
                 heard, refused = heard + whole, refused + (not whole)
-                selector.unregister(sock)
+                selector.unregister(link)
         took, cpu = time.monotonic() - begun, time.process_time() - cpu
     if heard < joiners:
         return {"took_ms": f"{heard} of {joiners} were told a line that can be read"}
@@ -330,4 +336,4 @@
 
 
 if __name__ == "__main__":
-    _drive(Path(sys.argv[1]), *map(int, sys.argv[2:5]), float(sys.argv[5]))
+    _drive(Path(sys.argv[1]), int(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]), float(sys.argv[5]))
--- a/benchmarks/capacity/sender.py
+++ b/benchmarks/capacity/sender.py
@@ -10,7 +10,7 @@
 import tempfile
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 from benchmarks.capacity.allocator import microseconds
@@ -224,7 +224,8 @@
             for _ in pool.map(lambda n: program.hand_in(f"warm{n}"), range(20)):
                 pass
             time.sleep(1.0)
-            begun, (cpu, _), made = time.monotonic(), status_of(program.process.pid), []
+            begun, (cpu, _) = time.monotonic(), status_of(program.process.pid)
+            made: list[Future[int]] = []
             while (now := time.monotonic()) < begun + PROGRAM_S:
                 while len(made) < per_s * (now - begun):
                     made.append(pool.submit(program.hand_in, f"m{len(made)}"))
--- /dev/null
+++ b/tests/benchmarks/test_capacity_page.py
@@ -0,0 +1,126 @@
+from dataclasses import replace
+from math import inf
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity.budgets import COSTS, PRESENT, ROLES, Cost, breaking_part, full_cost
+from benchmarks.capacity.fit import Fit
+from benchmarks.capacity.page import (
+    TABLE,
+    TABLES,
+    UnknownTable,
+    number,
+    part,
+    part_of,
+    read_figures,
+    with_tables,
+)
+from benchmarks.capacity.rows import NotMeasured, Row, write_rows
+from benchmarks.capacity.target import TARGET
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / "docs" / "CAPACITY.md"
+FOLDER = ROOT / "docs" / "data" / "capacity"
+LINE = Fit("sender", "cost_by_limits", "before", "us", 2.0, 10.0, 0.0, 0.0, 2.0, 4, 1.0, 100.0)
+
+
+def cost(budget: float) -> Cost:
+    return Cost(
+        "sender",
+        "state",
+        "something",
+        "limits",
+        "fixed + slope x limits",
+        ("sender.cost_by_limits",),
+        lambda lines, part: lines["sender.cost_by_limits"].at(1_000.0 * part),
+        "us",
+        PRESENT,
+        budget,
+    )
+
+
+def test_the_page_holds_what_its_figures_say() -> None:
+    """Write it with ``python -m benchmarks.capacity_page`` where this fails."""
+    held = PAGE.read_text()
+    assert with_tables(held, read_figures(FOLDER)) == held
+
+
+def test_a_page_differs_as_soon_as_a_figure_does(tmp_path: Path) -> None:
+    def page_with(server_ms: float) -> str:
+        rows = [
+            Row("load_server_ms_by_rate", float(size), server_ms * size, "ms/s", "abc", "a machine", "before")
+            for size in SIZES
+        ]
+        write_rows(tmp_path / "allocator.csv", rows)
+        return with_tables(PAGE.read_text(), read_figures(tmp_path))
+
+    page = page_with(1.0)
+    assert with_tables(page, read_figures(tmp_path)) == page
+    assert page_with(3.0) != page
+
+
+def test_every_role_and_table_has_its_place_on_the_page() -> None:
+    named = [match["name"] for match in TABLE.finditer(PAGE.read_text())]
+    assert sorted(named) == sorted(TABLES)
+    assert {role.replace(" ", "-") for role in ROLES} <= set(named)
+    assert {one.role for one in COSTS} == set(ROLES)
+
+
+def test_an_unknown_table_is_refused_by_name() -> None:
+    with pytest.raises(UnknownTable, match="fractoins"):
+        with_tables("<!-- table fractoins -->\n<!-- end of table -->", read_figures(FOLDER))
+
+
+@pytest.mark.parametrize(
+    ("budget", "expected"), [(110.0, 0.05), (2_010.0, 1.0), (5.0, 0.0), (4_010.0, 2.0), (1e9, inf)]
+)
+def test_a_budget_breaks_where_the_formula_reaches_it(budget: float, expected: float) -> None:
+    found = breaking_part(cost(budget), {"sender.cost_by_limits": LINE})
+    assert found == pytest.approx(expected, rel=1e-4)
+
+
+def test_without_a_line_there_is_no_number() -> None:
+    assert isinstance(full_cost(cost(1.0), {}), NotMeasured)
+    found = breaking_part(cost(1.0), {})
+    assert isinstance(found, NotMeasured)
+    assert part(found) == "not measured"
+
+
+def test_rows_of_before_never_stand_for_after(tmp_path: Path) -> None:
+    rows = [
+        Row("cost_by_limits", float(size), 1.0 * size, "us", "abc", "a machine", "before") for size in SIZES
+    ]
+    write_rows(tmp_path / "sender.csv", rows)
+    figures = read_figures(tmp_path)
+    assert part_of(cost(100.0), figures, "before") == pytest.approx(0.1, rel=1e-3)
+    assert isinstance(part_of(cost(100.0), figures, "after"), NotMeasured)
+
+
+def test_the_hollow_fleet_stands_for_after_where_it_told_a_value(tmp_path: Path) -> None:
+    key = ("sender", "bytes", "p99")
+    head, tail = "run,role,what,statistic,value,unit,commit,machine\n", "B/s,abc,a machine\n"
+    told = replace(cost(100.0), hollow=key)
+    (tmp_path / "hollow.csv").write_text(f"{head}full,sender,bytes,p99,400.0,{tail}")
+    assert part_of(told, read_figures(tmp_path), "after") == 0.25
+    (tmp_path / "hollow.csv").write_text(f"{head}full,sender,bytes,p99,not measured: no run,{tail}")
+    assert isinstance(part_of(told, read_figures(tmp_path), "after"), NotMeasured)
+
+
+def test_the_operators_divisions() -> None:
+    """The letter's own figures: 182 events a second, 33 bytes and 209 us an event, 480 us on the machines."""
+    assert round(TARGET.events_per_sender) == 182
+    assert round(TARGET.bytes_per_event) == 33
+    assert round(TARGET.sender_us_per_event) == 209
+    assert round(TARGET.machines_us_per_event) == 480
+    assert round(TARGET.down) == 3_920
+
+
+@pytest.mark.parametrize(
+    ("value", "told"), [(1_234_567.0, "1,230,000"), (0.01234, "0.0123"), (1_000.0, "1,000"), (999.6, "1,000")]
+)
+def test_numbers_have_three_digits(value: float, told: str) -> None:
+    assert number(value) == told
+
+
+SIZES = (1, 10, 100, 1_000)
