--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -213,7 +213,12 @@
         "allocator", "processor time", "calls of all senders, one process at 1,000 limits",
         "events a second", "fixed + slope x events", ("allocator.load_server_ms_by_rate",),
         _at("allocator.load_server_ms_by_rate", TARGET.events_per_s), "ms/s", CHANGE_AND_CONTENTION, CORE_MS,
-        ("allocator", "cpu_core_share", "max"),
+    ),
+    Cost(
+        "allocator", "processor time", "the same, if 12 shards of a core each shared it evenly",
+        "events a second", "(fixed + slope x events) / 12", ("allocator.load_server_ms_by_rate",),
+        _at("allocator.load_server_ms_by_rate", TARGET.events_per_s, 1.0 / TARGET.control_machines), "ms/s",
+        CHANGE_AND_CONTENTION, CORE_MS, ("allocator", "cpu_core_share", "max"),
     ),
     Cost(
         "allocator", "messages", "the line that tells a joining sender all limits", "destinations",
@@ -313,8 +318,8 @@
     Cost(
         "health", "processor time", "attempts on what is down, a sender's", "destinations down",
         "max(1, attempts an event) x events on what is down x slope of an event / senders",
-        ("health.attempts_per_event_by_senders", "sender.program_cpu_by_rate"), _health_ms, "ms/s", SHARED_HEALTH,
-        TARGET.control_ms_per_s,
+        ("health.attempts_per_event_by_senders", "sender.program_cpu_by_rate"), _health_ms, "ms/s",
+        SHARED_HEALTH, TARGET.control_ms_per_s,
     ),
     Cost(
         "health", "messages", "handshakes on what is down, of all senders", "destinations down",
@@ -376,9 +381,10 @@
         _successor_ms, "ms", LEASE_RECORD, TARGET.ready_ms,
     ),
     Cost(
-        "membership and restarts", "time", "until a dead sender's share is used elsewhere", "sharers",
-        "fixed + slope x sharers", ("membership.share_taken_over_by_sharers",),
-        _at("membership.share_taken_over_by_sharers", TARGET.senders), "ms", PRESENT, TARGET.force_ms,
+        "membership and restarts", "time", "until a dead sender's share is used elsewhere, at two sharers",
+        "nothing", "fixed + slope x 2", ("membership.share_taken_over_by_sharers",),
+        lambda lines, part: lines["membership.share_taken_over_by_sharers"].at(2.0), "ms", PRESENT,
+        TARGET.force_ms,
     ),
     Cost(
         "region links", "messages", "control of the senders outside the allocator's region",
