--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -7,15 +7,20 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from pydantic import Field, ValidationError
+from pydantic import BeforeValidator, Field, ValidationError
 
 from springspread.checked import PlanError, Strict, faults_of
-from springspread.fleet.allocator import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.members import Pauses
 from springspread.rollout.coordinator import Times
-from springspread.rollout.document import Policy
+from springspread.rollout.document import MAX_LIMITS, Policy, PolicyTooLarge, check_bounds
 
 Name = Annotated[str, Field(pattern=r"^[gr][A-Za-z0-9/._-]{1,100}$")]
+Mode = Annotated[LimitMode, BeforeValidator(LimitMode.named)]
+
+
+class PlanTooLarge(PlanError):
+    """A file that is over a bound of its size; the text names the key and the bound."""
 
 
 class LimitEntry(Strict):
@@ -23,6 +28,12 @@
 
     calls: Annotated[int, Field(ge=1, le=10_000_000)]
     span_ms: Annotated[float, Field(ge=10.0, le=600_000.0)] = 2_000.0
+    mode: Mode = LimitMode.EXACT
+
+    @property
+    def limit(self) -> Limit:
+        """As the policy and the allocator take it."""
+        return Limit(self.calls, self.span_ms, self.mode)
 
 
 class Restarts(Strict):
@@ -65,6 +76,7 @@
     host: str = "127.0.0.1"
     first_port: Annotated[int, Field(ge=0, le=65_000)] = 0
     limits: dict[Name, LimitEntry] = Field(default_factory=dict)
+    default_mode: Mode = LimitMode.EXACT  # of a destination that a sender knows nothing of
     restarts: Restarts = Restarts()
     policy_times: PolicyTimes = PolicyTimes()
     recovery: Recovery = Recovery()
@@ -76,10 +88,14 @@
         return Times(told.lease_ms, told.vote_ms, cut_ms=told.vote_ms + 200.0)
 
     def policy(self, base: Mapping[str, Any]) -> Policy:
-        """What the files ask for, given the decoded configuration."""
+        """What the files ask for, given the decoded configuration. Raises ``PlanTooLarge``."""
         settings = base.get("settings")
-        limits = {key: (entry.calls, entry.span_ms) for key, entry in self.limits.items()}
-        return Policy(settings if isinstance(settings, dict) else {}, limits)
+        policy = Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
+        try:
+            check_bounds(policy)
+        except PolicyTooLarge as exc:
+            raise PlanTooLarge(str(exc)) from exc
+        return policy
 
     @property
     def pauses(self) -> Pauses:
@@ -89,7 +105,7 @@
     @property
     def shared(self) -> dict[str, Limit]:
         """As the allocator takes them."""
-        return {key: Limit(entry.calls, entry.span_ms) for key, entry in self.limits.items()}
+        return {key: entry.limit for key, entry in self.limits.items()}
 
 
 PARTS = {
@@ -103,7 +119,9 @@
 def read_fleet(path: Path) -> FleetPlan:
     """Read an operator file; raises ``PlanError``. Relative paths count from the file's folder."""
     try:
-        plan = FleetPlan.model_validate(tomllib.loads(path.read_text()))
+        raw = tomllib.loads(path.read_text())
+        _check_count(path, raw.get("limits"))
+        plan = FleetPlan.model_validate(raw)
     except OSError as exc:
         raise PlanError(f"{path}: {exc.strerror}") from exc
     except ValidationError as exc:
@@ -113,3 +131,9 @@
         raise PlanError(f"{path}: not TOML: {exc}") from exc
     here = path.resolve().parent
     return plan.model_copy(update={"folder": here / plan.folder, "config": here / plan.config})
+
+
+def _check_count(path: Path, limits: object) -> None:
+    """Guards the time that it takes to check each limit of a file that has too many."""
+    if isinstance(limits, dict) and len(limits) > MAX_LIMITS:
+        raise PlanTooLarge(f"{path}: limits: there are {len(limits):,}; the bound is {MAX_LIMITS:,}")
