Requests, reports and grants of many or long keys fit their messages

Cause: a request held all that was to be asked. With 4,096 destinations asked ahead and one more that waited it had more keys than a message may have; keys of some length made lines longer than are read. The allocator ended the connection at each, and the same came again over the next one, without end. Change: what names keys is split by count and bytes; a use report takes in as many keys as fit its line. Requests and reports of usual keys are written as before.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -38,6 +38,7 @@
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limit_sources import LimitSources
 from springspread.fleet.limits import PARTNER_SPAN_MS, Lease, Limit, LimitMode, Owner
+from springspread.fleet.line_parts import parts
 from springspread.fleet.messages import (
     MAX_KEYS,
     PROTOCOL_VERSION,
@@ -80,8 +81,7 @@
         if self.welcome is not None:
             made.append(replace(self.welcome, following=len(statuses)))
         made += statuses
-        for start in range(0, len(self.leases), MAX_KEYS):
-            made.append(LeaseGrants(tuple(self.leases[start : start + MAX_KEYS])))
+        made += [LeaseGrants(tuple(leases)) for leases in parts(self.leases, lambda lease: lease.key)]
         return made
 
     def _status_messages(self) -> list[KeyStatuses]:
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -14,6 +14,7 @@
 from msgspec import Meta, Struct
 
 PROTOCOL_VERSION = 2  # version 1 was JSON objects alone
+LINE_BYTES = 1 << 18  # the longest line that is read
 MAX_KEYS = 4096  # in one message
 MAX_KEY_CHARS = 200
 
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -8,16 +8,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from itertools import islice
+from itertools import islice, zip_longest
 
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limits import Lease
+from springspread.fleet.line_parts import COUNT_BYTES, parts
 from springspread.fleet.messages import (
     MAX_KEYS,
     PROTOCOL_VERSION,
     KeyStatus,
     KeyStatuses,
     LeaseGrants,
+    LeaseReport,
     LeaseRequest,
     LimitMessage,
     Register,
@@ -88,7 +90,7 @@
         if wants != self._requested or reports or rates or ahead or again:
             self._requested_at = now
             gone = dict.fromkeys(self._requested.keys() - wants.keys(), 0)
-            made.append(LeaseRequest({**ahead, **gone, **wants}, tuple(reports), rates))
+            made += _requests({**ahead, **gone, **wants}, reports, rates)
             self._requested = wants
         if (report := self._cache.use_report(now)) is not None:
             made.append(report)
@@ -125,3 +127,16 @@
         self._welcome, self._welcome_statuses = None, []
         self._asks_ahead = message.default is KeyStatus.BOUND
         self._new_listed = dict(self._listed) if self._asks_ahead else {}
+
+
+def _requests(
+    demands: Mapping[str, int], reports: Iterable[LeaseReport], rates: Mapping[str, float]
+) -> list[LimitMessage]:
+    """One request where all of it fits one, which is usual."""
+    split = zip_longest(
+        parts(demands.items(), lambda entry: entry[0], COUNT_BYTES),
+        parts(reports, lambda report: report.key),
+        parts(rates.items(), lambda entry: entry[0]),
+        fillvalue=(),
+    )
+    return [LeaseRequest(dict(some), tuple(done), dict(told)) for some, done, told in split]
--- a/springspread/fleet/use_ledger.py
+++ b/springspread/fleet/use_ledger.py
@@ -10,10 +10,12 @@
 from collections import deque
 from dataclasses import dataclass
 
-from springspread.fleet.messages import MAX_KEYS, UseReport
+from springspread.fleet.line_parts import COUNT_BYTES, key_bytes
+from springspread.fleet.messages import LINE_BYTES, MAX_KEYS, UseReport
 
 MAX_UNACKNOWLEDGED = 32  # calls of one key
 EARLY_CALLS = MAX_UNACKNOWLEDGED // 2  # as many of one key are reported at once
+REPORT_BYTES = 7 * LINE_BYTES // 16  # the keys of the calls of a report, and those of its failures
 MAX_IN_FLIGHT = 16  # reports; more wait for an acknowledgement
 
 
@@ -36,24 +38,33 @@
         self._in_flight: deque[SentReport] = deque()
         self._unacknowledged: dict[str, int] = {}
         self._made_at = 0.0
+        self._calls_bytes = self._failed_bytes = 0  # of their keys, as they will be written
         self.early = False  # whether a report should not wait for its interval
 
     def allows(self, key: str) -> bool:
         """Whether one more call of a key may go unacknowledged."""
-        return self._unacknowledged.get(key, 0) < MAX_UNACKNOWLEDGED and len(self._calls) < MAX_KEYS
+        if self._unacknowledged.get(key, 0) >= MAX_UNACKNOWLEDGED:
+            return False
+        return len(self._calls) < MAX_KEYS and self._calls_bytes < REPORT_BYTES
 
     def add(self, key: str, now: float) -> None:
         """A call is made without a lease."""
+        if key not in self._calls:
+            self._calls_bytes += key_bytes(key) + COUNT_BYTES
         calls = self._calls.get(key, 0) + 1
         self._calls[key] = calls
         self._unacknowledged[key] = self._unacknowledged.get(key, 0) + 1
         self._made_at = now
-        self.early = self.early or calls >= EARLY_CALLS or len(self._calls) >= MAX_KEYS // 2
+        half_full = len(self._calls) >= MAX_KEYS // 2 or self._calls_bytes >= REPORT_BYTES // 2
+        self.early = self.early or calls >= EARLY_CALLS or half_full
 
     def add_failure(self, key: str) -> None:
         """A call of a key failed."""
-        if len(self._failed) < MAX_KEYS:
-            self._failed[key] = self._failed.get(key, 0) + 1
+        if key in self._failed:
+            self._failed[key] += 1
+        elif len(self._failed) < MAX_KEYS and self._failed_bytes < REPORT_BYTES:
+            self._failed_bytes += key_bytes(key) + COUNT_BYTES
+            self._failed[key] = 1
 
     @property
     def unreported(self) -> bool:
@@ -69,6 +80,7 @@
         report = UseReport(self._sequence, round(age_ms, 1), self._calls, self._failed)
         self._in_flight.append(SentReport(report, now, self._made_at))
         self._calls, self._failed, self.early = {}, {}, False
+        self._calls_bytes = self._failed_bytes = 0
         return report
 
     def acknowledged(self, sequence: int) -> float | None:
--- a/springspread/fleet/wire.py
+++ b/springspread/fleet/wire.py
@@ -17,10 +17,10 @@
 
 import msgspec
 
+from springspread.fleet.messages import LINE_BYTES as LINE_BYTES
 from springspread.fleet.messages import MAX_KEY_CHARS, PROTOCOL_VERSION, LimitMessage
 from springspread.rollout.terms import Acting, Grant, Prepare, Vote
 
-LINE_BYTES = 1 << 18
 VERSION_ONE_KINDS = ("hello", "asking", "limited", "granted")
 
 
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -9,6 +9,7 @@
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limits import Limit, LimitMode, Owner
 from springspread.fleet.messages import (
+    MAX_KEYS,
     KeyStatuses,
     LeaseGrants,
     LeaseReport,
@@ -20,6 +21,7 @@
     fingerprint,
 )
 from springspread.fleet.sender_session import SenderSession
+from springspread.fleet.wire import Lines, write
 
 SPAN = 2_000.0
 EXACT, ADAPTIVE = LimitMode.EXACT, LimitMode.ADAPTIVE
@@ -153,3 +155,33 @@
     pair.control.limited(20_002.0, one, Limit(30, SPAN, ADAPTIVE))
     told = [item for item in pair.downward(20_003.0) if isinstance(item, KeyStatuses)]
     assert any(fingerprint(one) in item.bound for item in told)
+
+
+def test_a_request_never_holds_more_keys_than_a_message_may() -> None:
+    pair = Pair(EXACT, {})
+    keys = [f"g{n}" for n in range(2 * MAX_KEYS)]
+    pair.session.listed(keys)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    for key in keys[MAX_KEYS:]:
+        pair.cache.take(key, 1.0)
+    pair.cache.take("g" + "9" * 20, 1.0)
+    requests = [one for one in pair.session.due(2.0) if isinstance(one, LeaseRequest)]
+    heard = [message for one in requests for message in Lines().feed(write(one))]
+    assert heard == requests
+    assert {key for one in requests for key in one.demands} == {*keys, "g" + "9" * 20}
+
+
+def test_requests_and_reports_of_long_keys_fit_their_lines() -> None:
+    pair = Pair(ADAPTIVE, {})
+    keys = [f"r{n}/" + "é" * 190 for n in range(MAX_KEYS)]
+    pair.upward(0.0, pair.session.connected(0.0))
+    for key in keys:
+        pair.session.partner_rate(key, 5.0)
+        pair.cache.take(key, 1.0)
+    pair.heard(0.0, pair.downward(0.0))
+    for key in keys:
+        pair.cache.take(key, 1.0)
+    messages = pair.session.due(2.0)
+    assert [message for one in messages for message in Lines().feed(write(one))] == messages
+    assert {key for one in messages if isinstance(one, LeaseRequest) for key in one.partner_rates} == {*keys}
