An allocator survives large news, large requests, failed accepts and a second register

Cause, each in the allocator's driver: (1) news that the socket did not take at once ended the connection, so with tens of thousands of limits that differ from the default no sender was ever served; (2) a request for more than 2^32 calls ended the daemon, as the record can't hold it; (3) one failed accept (too many open files) ended the accepting thread in silence; (4) a second register on one connection left the first name connected for ever. Change: the rest of a write is kept and sent in later ticks, and a connection that takes nothing for a second is dropped; what is asked for is bounded; a failed accept is tried again; a second register is refused. Result: five new tests; four seen to fail before (the fifth keeps that one who never reads is dropped).

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -34,6 +34,7 @@
 
 from springspread.fleet.limits import Lease, Limit, Owner
 
+MAX_LEASE_CALLS = (1 << 32) - 1  # as the record holds it
 PACE = 1.1  # times the limit: what was late is made up for
 
 
@@ -177,7 +178,7 @@
         if key not in self._limits or owner[1] < self._epochs.get(owner[0], 0):
             return
         if calls > 0:
-            self._state(key).wants[owner] = Demand(calls, now)
+            self._state(key).wants[owner] = Demand(min(calls, MAX_LEASE_CALLS), now)
             self._waiting[key] = None
         elif (state := self._states.get(key)) is not None:
             state.wants.pop(owner, None)
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -1,7 +1,7 @@
 """The allocator's driver: a Unix socket that instances connect to, a record on disk, and a thread that ticks.
 
-What is decided stands in ``allocator_control``. A frozen instance blocks nobody: what it does not read is
-dropped with its connection, and its leases run out.
+What is decided stands in ``allocator_control``. A frozen instance blocks nobody: what its socket does not
+take is kept for ``STALLED_MS`` and then dropped with its connection, and its leases run out.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 
@@ -27,6 +27,8 @@
 
 TICK_MS = 5.0
 IDLE_MS = 200.0
+STALLED_MS = 1_000.0  # an instance that reads nothing for so long loses its connection
+ACCEPT_AGAIN_MS = 100.0
 SLACK_MS = 75.0  # from a call's right to its last byte at the partner: a held last byte and the way there
 
 
@@ -36,6 +38,8 @@
 
     sock: socket.socket
     owner: Owner | None = None
+    unsent: bytearray = field(default_factory=bytearray)  # what its socket has not taken yet
+    sent_at: float = 0.0  # when it last took anything, while there is more
 
 
 class AllocatorServer:
@@ -62,6 +66,7 @@
         self._lock = threading.Lock()
         self._news = threading.Event()
         self._members: dict[Owner, Member] = {}
+        self._unsent: dict[Member, None] = {}  # those whose socket has not taken all
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
         longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
@@ -105,8 +110,11 @@
         while self._open:
             try:
                 sock, _ = self._listener.accept()
-            except OSError:
-                return
+            except OSError as exc:
+                if self._open:  # too many open files, or a peer that is gone already
+                    self._log.warning("no instance accepted", error=str(exc))
+                    self._clock.sleep(ACCEPT_AGAIN_MS)
+                continue
             spawn("fleet-member", partial(self._serve, Member(sock)), self._log, vital=False)
 
     def _serve(self, member: Member) -> None:
@@ -121,6 +129,7 @@
             pass
         finally:
             with self._lock:
+                self._unsent.pop(member, None)
                 known = member.owner is not None and self._members.get(member.owner) is member
                 if known and member.owner is not None:
                     del self._members[member.owner]
@@ -149,6 +158,8 @@
                     raise Unreadable(f"not expected: {type(message).__name__}")
 
     def _register(self, member: Member, message: Register) -> None:
+        if member.owner is not None:
+            raise Unreadable("it has registered already")
         try:
             owner = self.control.register(self._clock.now(), message)
         except RegisterRefused as exc:
@@ -172,6 +183,8 @@
             member = self._members.get(owner)
             if member is not None:
                 self._send(member, [message])
+                if member.unsent:
+                    self._news.set()
 
     def follow(
         self, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
@@ -187,7 +200,7 @@
             with self._lock:
                 self._news.clear()
                 self._tick(self._clock.now())
-                busy = self.control.busy
+                busy = self.control.busy or bool(self._unsent)
                 wait_ms = min(IDLE_MS, max(self.control.next_at - self._clock.now(), TICK_MS))
             if busy:
                 self._clock.sleep(TICK_MS)
@@ -195,6 +208,8 @@
                 self._news.wait(wait_ms / 1000.0)
 
     def _tick(self, now: float) -> None:
+        for blocked in list(self._unsent):
+            self._send_rest(blocked, now)
         leases = self.control.tick(now)
         try:
             if leases:
@@ -209,14 +224,37 @@
                 self._send(member, messages)
 
     def _send(self, member: Member, messages: Iterable[Message]) -> None:
-        """Never waits: whoever does not read loses its connection."""
+        """Never waits: what the socket does not take goes out in a later tick."""
+        now = self._clock.now()
+        if not member.unsent:
+            member.sent_at = now
+        member.unsent += b"".join(map(write, messages))
+        self._send_rest(member, now)
+
+    def _send_rest(self, member: Member, now: float) -> None:
         try:
-            data = b"".join(map(write, messages))
-            if member.sock.send(data, socket.MSG_DONTWAIT) < len(data):
-                raise BlockingIOError
+            sent = member.sock.send(member.unsent, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            sent = 0
         except OSError:
-            with suppress(OSError):  # it may be gone already
-                member.sock.shutdown(socket.SHUT_RDWR)  # its reader ends the rest
+            self._drop(member)
+            return
+        del member.unsent[:sent]
+        if sent:
+            member.sent_at = now
+        if not member.unsent:
+            self._unsent.pop(member, None)
+        elif now < member.sent_at + STALLED_MS:
+            self._unsent[member] = None
+        else:
+            self._drop(member)
+
+    def _drop(self, member: Member) -> None:
+        """End its connection; its reader does the rest."""
+        member.unsent.clear()
+        self._unsent.pop(member, None)
+        with suppress(OSError):  # it may be gone already
+            member.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """End every connection; instances go on with what they hold and connect anew."""
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import threading
 import time
@@ -15,7 +16,7 @@
 from springspread.core.types import Endpoint, Load
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.messages import (
     PROTOCOL_VERSION,
     KeyStatus,
@@ -251,3 +252,63 @@
     until(lambda: len(callers.made) >= 35, "calls with the last one")
     callers.stop()
     assert callers.most() <= 8
+
+
+def test_a_sender_that_is_told_of_more_limits_than_its_socket_takes_at_once_is_served(tmp_path: Path) -> None:
+    limits = {f"g{n}": Limit(8, SPAN_MS) for n in range(70_000)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: sender.acquire(LINK), "a call")
+    sender.close()
+    server.close()
+
+
+def test_one_that_never_reads_loses_its_connection(tmp_path: Path) -> None:
+    limits = {f"g{n}": Limit(8, SPAN_MS) for n in range(70_000)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    with socket.socket(socket.AF_UNIX) as frozen:
+        frozen.connect(str(server.path))
+        frozen.sendall(write(Register(PROTOCOL_VERSION, "", "frozen", 1)))
+        until(lambda: server.members == [("frozen", 1)], "its hello")
+        until(lambda: server.members == [], "its end")
+    server.close()
+
+
+def test_a_connection_registers_once(place: Place) -> None:
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n2", 1)))
+        while peer.recv(65536):
+            pass
+    until(lambda: place.server.members == [], "the end of both names")
+
+
+def test_no_request_however_large_ends_the_allocator(tmp_path: Path) -> None:
+    limits = {"g1": Limit(1 << 50, SPAN_MS)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet())
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(server.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(LeaseRequest({"g1": 1 << 61}, (), {"g2": 1e17})))
+        until(lambda: b'[6,[["g1"' in peer.recv(65536), "a lease")
+    server.close()
+
+
+def test_an_accept_that_fails_is_tried_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    accept, failed = socket.socket.accept, threading.Event()
+
+    def fails_once(listener: socket.socket) -> tuple[socket.socket, object]:
+        if not failed.is_set():
+            failed.set()
+            raise OSError(errno.EMFILE, "too many open files")
+        return accept(listener)
+
+    monkeypatch.setattr(socket.socket, "accept", fails_once)
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(8, SPAN_MS)}, Quiet())
+    sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: sender.acquire(LINK), "a call")
+    sender.close()
+    server.close()
