--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -186,7 +186,7 @@
             self.limited(now, key, limit)
         self._next_default = default_mode or self._default_mode
         if self._next_default is LimitMode.EXACT:
-            self._set_default(LimitMode.EXACT)
+            self._set_default(now, LimitMode.EXACT)
 
     def _limits_due(self, now: float) -> None:
         if now < self._sources.next_at:
@@ -196,14 +196,16 @@
                 self.unlimited(key)
             else:
                 self.limited(now, key, limit)
-        self._set_default(self._next_default)
+        self._set_default(now, self._next_default)
 
-    def _set_default(self, mode: LimitMode) -> None:
+    def _set_default(self, now: float, mode: LimitMode) -> None:
         if mode is self._default_mode:
             return
         self._default_mode = mode
         self._default = KeyStatus.BOUND if mode is LimitMode.EXACT else KeyStatus.FREE
-        self._bound = {}
+        self._bound, self._informed = {}, {}  # everybody is welcomed anew
+        for key, limit in self._sources.partner_mode(mode).items():
+            self.limited(now, key, limit)
         if mode is LimitMode.ADAPTIVE:
             self._bound = {fingerprint(key): None for key in self._allocator.keys if self.is_bound(key)}
         for owner in self._outboxes:
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -78,8 +78,8 @@
     def welcomed(self, message: Welcome, sent_at: float, statuses: Sequence[KeyStatuses] = ()) -> None:
         """The allocator answers a ``Register`` that was sent then; ``statuses`` belong to the answer."""
         with self._lock:
-            if message.complete or message.default is KeyStatus.BOUND:
-                self._statuses.clear()
+            if message.complete or message.default is KeyStatus.BOUND or message.default is not self._default:
+                self._statuses.clear()  # those of another default say nothing of this one
             self._default = message.default
             self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
             for one in statuses:
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from math import ceil
+
 import pytest
 
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limit_sources import stricter
 from springspread.fleet.limits import Limit, LimitMode, Owner
 from springspread.fleet.messages import (
     MAX_KEYS,
+    KeyStatus,
     KeyStatuses,
     LeaseGrants,
     LeaseReport,
@@ -185,3 +189,81 @@
     messages = pair.session.due(2.0)
     assert [message for one in messages for message in Lines().feed(write(one))] == messages
     assert {key for one in messages if isinstance(one, LeaseRequest) for key in one.partner_rates} == {*keys}
+
+
+def test_limits_that_partners_told_take_on_the_fleets_new_default() -> None:
+    pair = Pair(ADAPTIVE, {})
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.session.partner_rate("g1", 5.0)
+    pair.exchange(1.0)
+    assert pair.control.limit("g1") == Limit(10, SPAN, ADAPTIVE)
+    pair.control.follow(2.0, {"g2": Limit(4, SPAN, ADAPTIVE)}, 3.0, EXACT)
+    pair.heard(4.0, pair.downward(4.0))
+    assert pair.control.limit("g1") == Limit(10, SPAN, EXACT)
+    assert pair.control.limit("g2") == Limit(4, SPAN, ADAPTIVE)  # the operators say so
+    pair.cache.take("g1", 5.0)
+    pair.exchange(6.0)
+    assert pair.cache.is_limited("g1") and pair.control.is_bound("g1")
+    pair.control.follow(7.0, {}, 8.0, ADAPTIVE)
+    pair.heard(9.0, pair.downward(9.0))
+    assert pair.control.limit("g1") == Limit(10, SPAN, ADAPTIVE)
+
+
+def test_a_new_default_leaves_the_mode_of_an_operators_limit_that_is_to_come() -> None:
+    pair = Pair(ADAPTIVE, {})
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.session.partner_rate("g1", 5.0)
+    pair.exchange(1.0)
+    pair.control.follow(2.0, {"g1": Limit(4, SPAN, ADAPTIVE)}, 10.0, EXACT)
+    assert pair.control.limit("g1") == Limit(4, SPAN, ADAPTIVE)
+    pair.downward(11.0)
+    assert pair.control.limit("g1") == Limit(4, SPAN, ADAPTIVE)
+
+
+def test_a_sender_forgets_statuses_of_another_default() -> None:
+    cache = LeaseCache()
+    cache.welcomed(Welcome(KeyStatus.BOUND, True), 0.0)
+    cache.statuses_changed(KeyStatuses(0, unlimited=(fingerprint("g1"),)))
+    # A successor of the allocator, which learns, under another policy that has an adaptive limit for it.
+    cache.welcomed(Welcome(KeyStatus.FREE, False), 10.0)
+    assert cache.take("g1", 11.0) == 0.0
+    report = cache.use_report(2_000.0)
+    assert report is not None and report.calls == {"g1": 1}  # else nobody would ever know
+
+
+@pytest.mark.parametrize(
+    ("one", "other"),
+    [
+        (Limit(10, 1_000.0), Limit(99, 10_000.0)),
+        (Limit(99, 10_000.0), Limit(10, 1_000.0)),
+        (Limit(10, 1_000.0), Limit(15, 1_500.0)),
+        (Limit(1, 1_000.0), Limit(3, 60_000.0)),
+        (Limit(5, 1_000.0, ADAPTIVE), Limit(5, 1_000.0)),
+        (Limit(200, 2_000.0), Limit(20, 2_000.0, ADAPTIVE)),
+        (Limit(7, 2_000.0), Limit(70, 20_000.0)),
+    ],
+)
+def test_the_stricter_of_two_limits_keeps_both(one: Limit, other: Limit) -> None:
+    strict = stricter(one, other)
+    assert strict.calls >= 1
+    for limit in (one, other):  # the most calls that the stricter one allows in a span of this one
+        assert ceil(limit.span_ms / strict.span_ms) * strict.calls <= limit.calls
+    rates = [limit.calls / limit.span_ms for limit in (one, other)]
+    assert strict.calls / strict.span_ms >= 0.5 * min(rates)
+
+
+def test_a_second_announcement_takes_back_what_the_first_one_made_stricter() -> None:
+    pair = Pair(EXACT, {"g1": Limit(20, SPAN)})
+    pair.control.follow(0.0, {"g1": Limit(5, SPAN)}, 1_000.0)
+    assert pair.control.limit("g1") == Limit(5, SPAN)
+    pair.control.follow(10.0, {"g1": Limit(20, SPAN)}, 1_500.0)
+    pair.downward(1_500.0)
+    assert pair.control.limit("g1") == Limit(20, SPAN)
+
+
+def test_a_second_announcement_without_a_limit_that_the_first_one_brought_removes_it() -> None:
+    pair = Pair(EXACT, {})
+    pair.control.follow(0.0, {"g1": Limit(5, SPAN)}, 1_000.0)
+    pair.control.follow(10.0, {}, 1_500.0)
+    pair.downward(1_500.0)
+    assert pair.control.limit("g1") is None
