A proposed limit is within bounds, and leads wherever the one before does not keep it

Cause: (1) a policy that came as text could hold a limit of no calls or no span, which would end the allocator's thread and with it the daemon, at each start anew, as the policy is on record; an endless count raised past the refusal; (2) a limit over a longer span with the same or a higher rate got no lead, though the one before lets more calls into its span (10 in 1 s, 15 in 1.5 s). Change: a proposal is checked against the bounds that files have; a limit leads unless the one before keeps it.

--- a/springspread/fleet/limits.py
+++ b/springspread/fleet/limits.py
@@ -10,6 +10,8 @@
 from enum import Enum
 from math import floor, sqrt
 
+MAX_CALLS = 10_000_000  # of an operators' limit, and the spans that it may have
+MIN_SPAN_MS, MAX_SPAN_MS = 10.0, 600_000.0
 PARTNER_SPAN_MS = 2_000.0  # a limit that a partner tells as a rate is counted over this
 
 
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -10,7 +10,7 @@
 from pydantic import BeforeValidator, Field, ValidationError
 
 from springspread.checked import PlanError, Strict, faults_of
-from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, Limit, LimitMode
 from springspread.fleet.members import Pauses
 from springspread.rollout.coordinator import Times
 from springspread.rollout.document import MAX_LIMITS, Policy, PolicyTooLarge, check_bounds
@@ -26,8 +26,8 @@
 class LimitEntry(Strict):
     """So many calls in any span, whatever number of instances makes them."""
 
-    calls: Annotated[int, Field(ge=1, le=10_000_000)]
-    span_ms: Annotated[float, Field(ge=10.0, le=600_000.0)] = 2_000.0
+    calls: Annotated[int, Field(ge=1, le=MAX_CALLS)]
+    span_ms: Annotated[float, Field(ge=MIN_SPAN_MS, le=MAX_SPAN_MS)] = 2_000.0
     mode: Mode = LimitMode.EXACT
 
     @property
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -13,11 +13,11 @@
 from difflib import get_close_matches
 from functools import cached_property
 from hashlib import sha256
-from math import inf
+from math import ceil
 from typing import Any
 
 from springspread.fleet.lease_cache import FRESH_MS
-from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode
+from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, PARTNER_SPAN_MS, Limit, LimitMode
 from springspread.settings import SettingsError, flatten, read_settings
 
 FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
@@ -79,14 +79,23 @@
         limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
         default_mode = _read_mode("default_mode", raw.get("default_mode", LimitMode.EXACT.value))
         return Policy(dict(raw["settings"]), limits, default_mode)
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as exc:
+    except (ValueError, OverflowError, KeyError, TypeError, AttributeError, RecursionError) as exc:
         raise PolicyFault(f"not a policy: {exc!r}") from exc
 
 
 def check_bounds(policy: Policy) -> None:
-    """Raise ``PolicyTooLarge`` where it has too many limits or too long a text."""
+    """Raise ``PolicyTooLarge`` where it has too many limits or too long a text.
+
+    Raises ``PolicyFault`` for a limit that no allocator can keep.
+    """
     if len(policy.limits) > MAX_LIMITS:
         raise PolicyTooLarge(f"limits: there are {len(policy.limits):,}; the bound is {MAX_LIMITS:,}")
+    for key, limit in policy.limits.items():
+        if not (1 <= limit.calls <= MAX_CALLS and MIN_SPAN_MS <= limit.span_ms <= MAX_SPAN_MS):
+            raise PolicyFault(
+                f"limits.{key}: {_described(limit)}: the calls must be 1 to {MAX_CALLS:,},"
+                f" the span {MIN_SPAN_MS:.0f} to {MAX_SPAN_MS:.0f} ms"
+            )
     size = len(policy.text)  # ASCII: a byte a character
     if size > MAX_POLICY_BYTES:
         settings = len(json.dumps(policy.settings))
@@ -167,11 +176,7 @@
 def _stricter(old: Limit, new: Limit) -> bool:
     if old.mode is LimitMode.ADAPTIVE and new.mode is LimitMode.EXACT:
         return True
-    return _rate(new) < _rate(old) or new.calls < old.calls
-
-
-def _rate(limit: Limit) -> float:
-    return limit.calls / limit.span_ms if limit.span_ms else inf
+    return ceil(new.span_ms / old.span_ms) * old.calls > new.calls  # what the old one lets into its span
 
 
 def _written(limit: Limit) -> list[Any]:
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -4,6 +4,7 @@
 
 import copy
 import errno
+import json
 import os
 from math import inf
 from pathlib import Path
@@ -176,3 +177,33 @@
     exact = Policy({}, {"g1": Limit(40, 2000.0)})
     assert shrunk(adaptive, exact) == exact.limits and lead_ms(adaptive, exact) == 4100.0
     assert shrunk(exact, adaptive) == {} and lead_ms(exact, adaptive) == 0.0
+
+
+@pytest.mark.parametrize(
+    "entry", ["[0,2000]", "[5,0]", "[5,NaN]", "[5,1e400]", "[-1,2000]", "[20000000,2000]"]
+)
+def test_a_proposed_limit_that_no_allocator_can_keep_is_refused_by_its_key(entry: str) -> None:
+    settings = json.dumps(SETTINGS)
+    with pytest.raises(PolicyFault, match="g7"):
+        check(parsed(f'{{"limits":{{"g7":{entry}}},"settings":{settings}}}'), [policy()])
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "leads"),
+    [
+        (Limit(10, 1_000.0), Limit(15, 1_500.0), True),  # 20 calls may have been made in 1.5 s
+        (Limit(10, 1_000.0), Limit(20, 2_000.0), False),
+        (Limit(10, 1_000.0), Limit(30, 2_000.0), False),
+        (Limit(20, 2_000.0), Limit(10, 1_000.0), True),
+    ],
+)
+def test_a_limit_over_another_span_leads_where_the_one_before_does_not_keep_it(
+    before: Limit, after: Limit, leads: bool
+) -> None:
+    old, new = Policy({}, {"g1": before}), Policy({}, {"g1": after})
+    assert (lead_ms(old, new) > 0.0) is leads
+
+
+def test_a_document_with_an_endless_count_is_refused() -> None:
+    with pytest.raises(PolicyFault, match="not a policy"):
+        parsed('{"settings":{},"limits":{"g1":[1e400,2000]}}')
