A sender forgets rates of limits that need no leases, and loses no partner's news; short writes are seen

Cause: (1) the rate that a lease carried was told to the decision module for ever, also where the limit had become free, and kept for each key that ever had a lease; (2) a rate that a partner told while the writing thread put the one before into a request was dropped, and never told as it counted as known; (3) a record that a full disk cut short was taken as whole, and its leases were told. Change: a rate holds while its key needs leases; news are taken out one by one; a short write is undone and raises, so that its leases are not told. Result: three new tests, seen to fail before.

--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -137,7 +137,7 @@
         key = key_of(endpoint)
         if load.limit_per_s and self._session.partner_rate(key, load.limit_per_s):
             self._ring.set()
-        rate = self._session.rates.get(key)
+        rate = self._session.rate(key)
         return load if rate is None else Load(load.left_share, rate)
 
     def close(self) -> None:
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -113,6 +113,11 @@
         with self._lock:
             return self._status(key) is not KeyStatus.UNLIMITED
 
+    def is_bound(self, key: str) -> bool:
+        """Whether each call to a key needs a lease."""
+        with self._lock:
+            return self._status(key) is KeyStatus.BOUND
+
     def take(self, key: str, now: float) -> float:
         """Take the right to one call, at once; else the milliseconds after which to ask again."""
         with self._lock:
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from collections.abc import Sequence
 from pathlib import Path
@@ -59,10 +60,14 @@
 
     def append(self, leases: Sequence[Lease], now: float) -> None:
         """Put leases on record; raises ``OSError``, and then none of them may be told."""
-        other = 1 - self._turn
-        if os.fstat(self._file).st_size > FILE_BYTES and self._ends[other] + self._keep_ms < now:
+        other, size = 1 - self._turn, os.fstat(self._file).st_size
+        if size > FILE_BYTES and self._ends[other] + self._keep_ms < now:
             self._open(other, 0)
-        os.write(self._file, b"".join(map(_pack, leases)))
+            size = os.fstat(self._file).st_size
+        data = b"".join(map(_pack, leases))
+        if os.write(self._file, data) < len(data):
+            os.ftruncate(self._file, size)  # guards what is appended later against a torn middle
+            raise OSError(errno.ENOSPC, f"{self._paths[self._turn]}: not whole on disk")
         self._ends[self._turn] = max([self._ends[self._turn], *(lease.until for lease in leases)])
 
     def counts_for(self, keep_ms: float) -> None:
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -32,7 +32,7 @@
 
 
 class SenderSession:
-    """Outlives connections; ``rates`` holds the calls a second to count on, by key."""
+    """Outlives connections. Partners' rates, listed keys and ``rate`` may come from other threads."""
 
     def __init__(self, name: str, epoch: int, fleet: str, cache: LeaseCache) -> None:
         self._cache = cache
@@ -48,7 +48,7 @@
         self._new_listed: dict[str, None] = {}
         self._welcome: Welcome | None = None  # one whose statuses have not all come
         self._welcome_statuses: list[KeyStatuses] = []
-        self.rates: dict[str, float] = {}
+        self.rates: dict[str, float] = {}  # calls a second to count on, by key, as leases said
 
     def connected(self, now: float) -> list[LimitMessage]:
         """The first messages of a connection."""
@@ -65,6 +65,14 @@
         self._partner_rates[key] = self._new_rates[key] = per_s
         return True
 
+    def rate(self, key: str) -> float | None:
+        """The calls a second of a key to count on; none where calls to it need no leases, or had none yet."""
+        rate = self.rates.get(key)
+        if rate is not None and not self._cache.is_bound(key):
+            self.rates.pop(key, None)
+            return None
+        return rate
+
     def listed(self, keys: Iterable[str]) -> bool:
         """Calls to these keys may follow; whether there is anything new to ask.
 
@@ -82,9 +90,10 @@
         """What is to be written now."""
         made: list[LimitMessage] = []
         wants, reports = self._cache.wants(now), self._cache.done(now)
-        rates = dict(islice(self._new_rates.items(), MAX_KEYS))
-        for key in rates:
-            del self._new_rates[key]
+        rates: dict[str, float] = {}
+        while self._new_rates and len(rates) < MAX_KEYS:
+            key, per_s = self._new_rates.popitem()  # in one step: another thread may tell the key anew
+            rates[key] = per_s
         ahead, self._new_listed = dict.fromkeys(self._new_listed, 0), {}
         again = bool(wants) and now >= self._requested_at + REPEAT_MS
         if wants != self._requested or reports or rates or ahead or again:
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -248,7 +248,7 @@
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """What the decision module is told of a limit: this instance's part of it."""
-        rate = self.session.rates.get(key_of(endpoint)) if self.session is not None else None
+        rate = self.session.rate(key_of(endpoint)) if self.session is not None else None
         return load if rate is None else Load(load.left_share, rate)
 
     def listed(self, endpoints: Sequence[Endpoint]) -> None:
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import os
+import sys
 from math import ceil
+from pathlib import Path
+from types import FrameType
+from typing import Any
 
 import pytest
 
@@ -10,9 +15,10 @@
 from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limit_sources import stricter
-from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
 from springspread.fleet.messages import (
     MAX_KEYS,
+    GrantedLease,
     KeyStatus,
     KeyStatuses,
     LeaseGrants,
@@ -24,6 +30,7 @@
     Welcome,
     fingerprint,
 )
+from springspread.fleet.record import Record
 from springspread.fleet.sender_session import SenderSession
 from springspread.fleet.wire import Lines, write
 
@@ -267,3 +274,62 @@
     pair.control.follow(10.0, {}, 1_500.0)
     pair.downward(1_500.0)
     assert pair.control.limit("g1") is None
+
+
+def test_the_rate_of_a_lease_is_forgotten_with_the_need_for_leases() -> None:
+    cache = LeaseCache()
+    session = SenderSession("n0", 1, "fleet", cache)
+    session.connected(0.0)
+    session.received(0.0, Welcome(KeyStatus.FREE, True, 1))
+    session.received(0.0, KeyStatuses(0, bound=(fingerprint("g1"),)))
+    session.received(0.0, LeaseGrants((GrantedLease("g1", 1, 2, 200.0, 0.5),)))
+    assert session.rate("g1") == 0.5
+    session.received(1.0, KeyStatuses(0, free=(fingerprint("g1"),)))
+    assert session.rate("g1") is None and session.rates == {}
+
+
+def test_what_a_partner_tells_is_passed_on_whenever_it_comes() -> None:
+    """News at each line of ``due``, as another thread may bring it there."""
+    lines = 0
+    while True:
+        session = SenderSession("n0", 1, "fleet", LeaseCache())
+        session.connected(0.0)
+        session.partner_rate("g1", 5.0)
+        seen = 0
+
+        def at_line(frame: FrameType, event: str, _: object, nth: int = lines) -> Any:
+            nonlocal seen
+            if frame.f_code is not SenderSession.due.__code__:
+                return None
+            if event == "line":
+                seen += 1
+                if seen == nth:
+                    sys.settrace(None)
+                    session.partner_rate("g1", 7.0)  # noqa: B023
+            return at_line  # noqa: B023
+
+        sys.settrace(at_line)
+        first = session.due(1.0)
+        sys.settrace(None)
+        told = [one for one in [*first, *session.due(2.0)] if isinstance(one, LeaseRequest)]
+        if seen < lines:
+            return
+        if lines:
+            assert told[-1].partner_rates == {"g1": 7.0}, lines
+        lines += 1
+
+
+def test_leases_that_are_not_whole_on_record_are_not_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    record, whole = Record(tmp_path, SPAN), os.write
+    record.append([Lease(1, ("n0", 1), "g1", 1, 200.0)], 0.0)
+    monkeypatch.setattr(os, "write", lambda file, data: whole(file, data[: len(data) // 2]))  # a full disk
+    with pytest.raises(OSError, match="not whole"):
+        record.append([Lease(2, ("n0", 1), "g1", 1, 200.0)], 1.0)
+    monkeypatch.undo()
+    record.append([Lease(3, ("n0", 1), "g1", 1, 200.0)], 2.0)
+    record.close()
+    again = Record(tmp_path, SPAN)
+    assert again.whole and [lease.serial for lease in again.before] == [1, 3]
+    again.close()
