--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -78,8 +78,8 @@
     def welcomed(self, message: Welcome, sent_at: float, statuses: Sequence[KeyStatuses] = ()) -> None:
         """The allocator answers a ``Register`` that was sent then; ``statuses`` belong to the answer."""
         with self._lock:
-            if message.complete or message.default is KeyStatus.BOUND:
-                self._statuses.clear()
+            if message.complete or message.default is KeyStatus.BOUND or message.default is not self._default:
+                self._statuses.clear()  # those of another default say nothing of this one
             self._default = message.default
             self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
             for one in statuses:
@@ -113,6 +113,11 @@
         with self._lock:
             return self._status(key) is not KeyStatus.UNLIMITED
 
+    def is_bound(self, key: str) -> bool:
+        """Whether each call to a key needs a lease."""
+        with self._lock:
+            return self._status(key) is KeyStatus.BOUND
+
     def take(self, key: str, now: float) -> float:
         """Take the right to one call, at once; else the milliseconds after which to ask again."""
         with self._lock:
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -8,16 +8,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from itertools import islice
+from itertools import islice, zip_longest
 
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limits import Lease
+from springspread.fleet.line_parts import COUNT_BYTES, parts
 from springspread.fleet.messages import (
     MAX_KEYS,
     PROTOCOL_VERSION,
     KeyStatus,
     KeyStatuses,
     LeaseGrants,
+    LeaseReport,
     LeaseRequest,
     LimitMessage,
     Register,
@@ -30,7 +32,7 @@
 
 
 class SenderSession:
-    """Outlives connections; ``rates`` holds the calls a second to count on, by key."""
+    """Outlives connections. Partners' rates, listed keys and ``rate`` may come from other threads."""
 
     def __init__(self, name: str, epoch: int, fleet: str, cache: LeaseCache) -> None:
         self._cache = cache
@@ -46,7 +48,7 @@
         self._new_listed: dict[str, None] = {}
         self._welcome: Welcome | None = None  # one whose statuses have not all come
         self._welcome_statuses: list[KeyStatuses] = []
-        self.rates: dict[str, float] = {}
+        self.rates: dict[str, float] = {}  # calls a second to count on, by key, as leases said
 
     def connected(self, now: float) -> list[LimitMessage]:
         """The first messages of a connection."""
@@ -63,6 +65,14 @@
         self._partner_rates[key] = self._new_rates[key] = per_s
         return True
 
+    def rate(self, key: str) -> float | None:
+        """The calls a second of a key to count on; none where calls to it need no leases, or had none yet."""
+        rate = self.rates.get(key)
+        if rate is not None and not self._cache.is_bound(key):
+            self.rates.pop(key, None)
+            return None
+        return rate
+
     def listed(self, keys: Iterable[str]) -> bool:
         """Calls to these keys may follow; whether there is anything new to ask.
 
@@ -80,15 +90,16 @@
         """What is to be written now."""
         made: list[LimitMessage] = []
         wants, reports = self._cache.wants(now), self._cache.done(now)
-        rates = dict(islice(self._new_rates.items(), MAX_KEYS))
-        for key in rates:
-            del self._new_rates[key]
+        rates: dict[str, float] = {}
+        while self._new_rates and len(rates) < MAX_KEYS:
+            key, per_s = self._new_rates.popitem()  # in one step: another thread may tell the key anew
+            rates[key] = per_s
         ahead, self._new_listed = dict.fromkeys(self._new_listed, 0), {}
         again = bool(wants) and now >= self._requested_at + REPEAT_MS
         if wants != self._requested or reports or rates or ahead or again:
             self._requested_at = now
             gone = dict.fromkeys(self._requested.keys() - wants.keys(), 0)
-            made.append(LeaseRequest({**ahead, **gone, **wants}, tuple(reports), rates))
+            made += _requests({**ahead, **gone, **wants}, reports, rates)
             self._requested = wants
         if (report := self._cache.use_report(now)) is not None:
             made.append(report)
@@ -125,3 +136,16 @@
         self._welcome, self._welcome_statuses = None, []
         self._asks_ahead = message.default is KeyStatus.BOUND
         self._new_listed = dict(self._listed) if self._asks_ahead else {}
+
+
+def _requests(
+    demands: Mapping[str, int], reports: Iterable[LeaseReport], rates: Mapping[str, float]
+) -> list[LimitMessage]:
+    """One request where all of it fits one, which is usual."""
+    split = zip_longest(
+        parts(demands.items(), lambda entry: entry[0], COUNT_BYTES),
+        parts(reports, lambda report: report.key),
+        parts(rates.items(), lambda entry: entry[0]),
+        fillvalue=(),
+    )
+    return [LeaseRequest(dict(some), tuple(done), dict(told)) for some, done, told in split]
