--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -19,7 +19,8 @@
 POLICY_SENDERS = 2  # of ``policy.by_limits``
 SUCCESSOR_LEASES = 4_000  # of ``membership.successor_by_limits``
 SPAN_S, LEASE_S = 2.0, 0.2  # of a limit that partners tell; of a lease
-LINE_BYTES = 262_144.0  # the longest line and order that is read
+LINE_BYTES = 262_144.0  # the longest line that is read, and before also the longest order
+POLICY_BYTES = 16.0 * 2**20  # the longest policy after the change
 TICK_US = 5_000.0  # between two looks of the allocator
 POLICY_LEASE_MS = 5_000.0  # without a daemon for longer, senders call nobody
 MOST_INSTANCES = 1_000.0  # of one daemon
@@ -50,6 +51,7 @@
 
 
 CHANGE_AND_CONTENTION = Mechanism("limits by change and contention", this_round=True)
+EXACT = Mechanism("none: exact limits are for few destinations", missing=False)
 SHARDS = Mechanism("real shards")
 HOSTS = Mechanism("transport between hosts")
 POLICY_DELTAS = Mechanism("deltas of policies")
@@ -57,12 +59,13 @@
 SHARED_HEALTH = Mechanism("shared health")
 SMALL_STATE = Mechanism("state only for destinations in use")
 LEASE_RECORD = Mechanism("a record of leases by limit")
-PRESENT = Mechanism("as it is", missing=False)
+PRESENT = Mechanism("as it is; no mechanism planned", missing=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Cost:
-    """One cost of a role. ``budget`` 0: the target names none.
+    """One cost of a role. ``budget`` 0: the target names none; ``bound_after``: a bound of the program that
+    is another one after the change.
 
     ``uses`` are the lines it is made of; ``hollow`` is the value of the hollow fleet that stands for it after
     the change: role, what and statistic.
@@ -79,6 +82,11 @@
     mechanism: Mechanism
     budget: float = 0.0
     hollow: tuple[str, str, str] | None = None
+    bound_after: float = 0.0
+
+    def budget_of(self, label: str) -> float:
+        """The budget of a program; 0: none."""
+        return self.bound_after if label == "after" and self.bound_after else self.budget
 
 
 def full_cost(cost: Cost, lines: Lines) -> float | NotMeasured:
@@ -87,36 +95,52 @@
     return NotMeasured(f"no line of {', '.join(lost)}") if lost else cost.at(lines, 1.0)
 
 
-def breaking_part(cost: Cost, lines: Lines) -> float | NotMeasured | None:
+def breaking_part(cost: Cost, lines: Lines, label: str = "before") -> float | NotMeasured | None:
     """The part of the target at which the budget breaks; ``None``: there is no budget; 0: at any size."""
-    if not cost.budget:
+    budget = cost.budget_of(label)
+    if not budget:
         return None
     full = full_cost(cost, lines)
     if isinstance(full, NotMeasured):
         return full
     low, high = LEAST_PART, MOST_PART
-    if cost.at(lines, low) > cost.budget:
+    if cost.at(lines, low) > budget:
         return 0.0
-    if cost.at(lines, high) <= cost.budget:
+    if cost.at(lines, high) <= budget:
         return inf
     while high / low > 1.0 + 1e-6:
         middle = sqrt(low * high)
-        low, high = (middle, high) if cost.at(lines, middle) <= cost.budget else (low, middle)
+        low, high = (middle, high) if cost.at(lines, middle) <= budget else (low, middle)
     return low
 
 
-def _load_sender_ms(lines: Lines, part: float) -> float:
-    line = lines["allocator.load_sender_ms_by_rate"]
+def _of_sender(line: Fit, part: float) -> float:
+    """A line by the rate of all senders of ``load_by_rate``, for one sender at the full rate."""
     return line.fixed / LOAD_SENDERS + line.slope * TARGET.events_per_sender * part
 
 
-def _load_bytes(lines: Lines, part: float) -> float:
-    def of_sender(what: str) -> float:
-        line = lines[f"allocator.load_{what}_by_rate"]
-        return line.fixed / LOAD_SENDERS + line.slope * TARGET.events_per_sender * part
+def _load_sender_ms(by: str) -> Callable[[Lines, float], float]:
+    return lambda lines, part: _of_sender(lines[f"allocator.load_sender_ms_by_{by}"], part)
 
-    payload = of_sender("up_bytes") + of_sender("down_bytes")
-    return payload + TARGET.header_bytes * (of_sender("up_writes") + of_sender("down_writes"))
+
+def _load_bytes(by: str) -> Callable[[Lines, float], float]:
+    def at(lines: Lines, part: float) -> float:
+        def told(what: str) -> float:
+            return _of_sender(lines[f"allocator.load_{what}_by_{by}"], part)
+
+        headers = TARGET.header_bytes * (told("up_writes") + told("down_writes"))
+        return told("up_bytes") + told("down_bytes") + headers
+
+    return at
+
+
+def _all_bytes(lines: Lines, part: float) -> float:
+    return _load_bytes("rate")(lines, part) + _idle_bytes(lines, 1.0)
+
+
+def _region_bytes(lines: Lines, part: float) -> float:
+    away = TARGET.senders * (1.0 - 1.0 / TARGET.regions)
+    return _all_bytes(lines, part) * away
 
 
 def _idle_bytes(lines: Lines, part: float) -> float:
@@ -169,9 +193,12 @@
     return lambda lines, part: times * lines[name].at(size * part)
 
 
-LOAD_LINES = tuple(
-    f"allocator.load_{what}_by_rate" for what in ("up_bytes", "down_bytes", "up_writes", "down_writes")
-)
+def _load_lines(by: str) -> tuple[str, ...]:
+    return tuple(
+        f"allocator.load_{what}_by_{by}" for what in ("up_bytes", "down_bytes", "up_writes", "down_writes")
+    )
+
+
 IDLE_LINES = tuple(
     f"policy.idle_{what}_by_senders" for what in ("up_bytes", "down_bytes", "up_writes", "down_writes")
 )
@@ -185,15 +212,26 @@
 COSTS = (
     Cost(
         "sender", "messages", "control bytes a second, headers included", "events a second and sender",
-        "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events", LOAD_LINES,
-        _load_bytes, "B/s", CHANGE_AND_CONTENTION, TARGET.control_bytes_per_s,
+        "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events, and an idle second's",
+        _load_lines("rate") + IDLE_LINES, _all_bytes, "B/s", CHANGE_AND_CONTENTION, TARGET.control_bytes_per_s,
         ("sender", "bytes_with_headers", "p99"),
     ),
     Cost(
         "sender", "processor time", "control a second", "events a second and sender",
-        "fixed / 20 + slope x events", ("allocator.load_sender_ms_by_rate",), _load_sender_ms, "ms/s",
+        "fixed / 20 + slope x events", ("allocator.load_sender_ms_by_rate",), _load_sender_ms("rate"),
+        "ms/s",
         CHANGE_AND_CONTENTION, TARGET.control_ms_per_s, ("sender", "control_cpu_share", "p99"),
     ),
+    Cost(
+        "sender", "messages", "control bytes a second, were all limits exact", "events a second and sender",
+        "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events",
+        _load_lines("exact_rate"), _load_bytes("exact_rate"), "B/s", EXACT, TARGET.control_bytes_per_s,
+    ),
+    Cost(
+        "sender", "processor time", "control a second, were all limits exact", "events a second and sender",
+        "fixed / 20 + slope x events", ("allocator.load_sender_ms_by_exact_rate",),
+        _load_sender_ms("exact_rate"), "ms/s", EXACT, TARGET.control_ms_per_s,
+    ),
     Cost(
         "sender", "messages", "control bytes an idle second, headers included", "senders",
         "(up + down bytes) + 60 x (up + down writes) of one sender", IDLE_LINES, _idle_bytes, "B/s", PRESENT,
@@ -267,6 +305,7 @@
         "policy distribution", "state", "the document, as one order or line", "destinations",
         "fixed + slope x limits", ("policy.document_bytes_by_limits",),
         _at("policy.document_bytes_by_limits", TARGET.destinations), "B", POLICY_DELTAS, LINE_BYTES,
+        bound_after=POLICY_BYTES,
     ),
     Cost(
         "policy distribution", "messages", "changes a second, to each sender", "destinations",
@@ -388,8 +427,8 @@
     ),
     Cost(
         "region links", "messages", "control of the senders outside the allocator's region",
-        "events a second", "control bytes of a sender x senders x 3 / 4", LOAD_LINES,
-        lambda lines, part: _load_bytes(lines, part) * TARGET.senders * (1.0 - 1.0 / TARGET.regions),
+        "events a second", "control bytes of a sender x senders x 3 / 4",
+        _load_lines("rate") + IDLE_LINES, _region_bytes,
         "B/s", HOSTS,
     ),
 )  # fmt: skip
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -23,6 +23,7 @@
 TABLE = re.compile(r"(<!-- table (?P<name>[a-z0-9-]+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
 LABELS = ("before", "after")
 LINK = "data/capacity"
+NOTHING = 1e-9  # what a fit leaves of a zero
 HOLLOW_COLUMNS = ("run", "role", "what", "statistic", "value", "unit")
 Value = float | NotMeasured | None
 
@@ -58,6 +59,7 @@
     for role, found in rows.items():
         for fit in fit_rows(role, found):
             lines[fit.label][f"{role}.{fit.what}"] = fit
+    lines["before"] |= _exact_alone(lines["before"])
     hollow = folder / "hollow.csv"
     told: list[dict[str, str]] = []
     if hollow.exists():
@@ -66,6 +68,15 @@
     return Figures(rows, lines, told)
 
 
+def _exact_alone(lines: Lines) -> dict[str, Fit]:
+    """The lines of loads under exact limits: the program before had no others."""
+    return {
+        name.replace("_by_", "_by_exact_"): fit
+        for name, fit in lines.items()
+        if name.startswith("allocator.load_") and name.endswith(("_by_rate", "_by_limits"))
+    }
+
+
 def with_tables(page: str, figures: Figures) -> str:
     """The page with its tables as the figures have them. Raises ``UnknownTable``."""
 
@@ -85,7 +96,7 @@
     """Three digits, thousands apart."""
     if value in (inf, -inf):
         return "any"
-    rounded = float(f"{value:.3g}")
+    rounded = float(f"{value:.3g}") if abs(value) > NOTHING else 0.0
     return f"{rounded:,.0f}" if abs(rounded) >= 1_000.0 else f"{rounded:.3g}"
 
 
@@ -144,8 +155,8 @@
     """The part of the target at which a budget breaks; of the hollow fleet's value, in proportion."""
     seen = figures.hollow_value(cost.hollow) if label == "after" else None
     if seen is not None and cost.budget:
-        return cost.budget / seen if seen > 0.0 else inf
-    return budgets.breaking_part(cost, figures.lines[label])
+        return cost.budget_of(label) / seen if seen > 0.0 else inf
+    return budgets.breaking_part(cost, figures.lines[label], label)
 
 
 def _order(value: Value) -> float:
@@ -160,7 +171,7 @@
         return cost.mechanism.name + ("" if after >= 1.0 else "; not enough")
     if cost.mechanism.missing:
         return f"missing: {cost.mechanism.name}"
-    return "as it is; no mechanism planned" if isinstance(before, float) else "as it is"
+    return cost.mechanism.name if isinstance(before, float) else "as it is"
 
 
 # Tables
@@ -252,10 +263,10 @@
 def _formula(cost: Cost, figures: Figures) -> str:
     lines = [cost.formula]
     for name in cost.uses:
-        fit = figures.lines["before"].get(name) or figures.lines["after"].get(name)
         role, what = name.split(".")
-        link = f"[{what}]({LINK}/{role}.csv)"
-        lines.append(f"{link}: {NOT_MEASURED if fit is None else line_text(fit)}")
+        known = [(label, figures.lines[label].get(name)) for label in LABELS]
+        told = "; ".join(f"{label} {line_text(fit)}" for label, fit in known if fit is not None)
+        lines.append(f"[{what}]({LINK}/{role}.csv): {told or NOT_MEASURED}")
     return "<br>".join(lines)
 
 
@@ -274,6 +285,8 @@
     for label in LABELS:
         for name, fit in sorted(figures.lines[label].items()):
             role, what = name.split(".")
+            if what != fit.what:
+                continue  # another name of a line that stands here already
             bend = f"{number(fit.bend)}: {number(fit.slope_after)}" if fit.bend else "none"
             rows.append(
                 (label, f"[{role}]({LINK}/{role}.csv)", what, fit.unit, number(fit.slope), number(fit.fixed),
