--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -213,7 +213,8 @@
     Cost(
         "sender", "messages", "control bytes a second, headers included", "events a second and sender",
         "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events, and an idle second's",
-        _load_lines("rate") + IDLE_LINES, _all_bytes, "B/s", CHANGE_AND_CONTENTION, TARGET.control_bytes_per_s,
+        _load_lines("rate") + IDLE_LINES, _all_bytes, "B/s", CHANGE_AND_CONTENTION,
+        TARGET.control_bytes_per_s,
         ("sender", "bytes_with_headers", "p99"),
     ),
     Cost(
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -205,19 +205,43 @@
     return table(("role", "budget of", "driver", "budget", "before", "after", "carried by"), rows)
 
 
+def first_table(figures: Figures) -> str:
+    """The budget that breaks first, of each program."""
+    rows = []
+    for label in LABELS:
+        found = [(cost, part_of(cost, figures, label)) for cost in COSTS]
+        known = [(cost, at) for cost, at in found if isinstance(at, float)]
+        if label == "after" and any(_awaited(cost, figures) for cost in COSTS):
+            rows.append((label, NOT_MEASURED, "-", "-"))
+            continue
+        cost, at = min(known, key=lambda one: one[1])
+        rows.append((label, f"{cost.role}: {cost.what}", part(at), cost.mechanism.name))
+    return table(("program", "budget that breaks first", "at", "mechanism that is missing"), rows)
+
+
+def _awaited(cost: Cost, figures: Figures) -> bool:
+    """Whether a part is known of the program before alone."""
+    before, after = (part_of(cost, figures, label) for label in LABELS)
+    return isinstance(before, float) and isinstance(after, NotMeasured)
+
+
 def later_table(figures: Figures) -> str:
     """The mechanisms that are missing and not of this round, with the smallest part that waits for each."""
     rows = []
     for mechanism in LATER:
-        waits = [(cost, part_of(cost, figures, "before")) for cost in COSTS if cost.mechanism is mechanism]
-        waits = [(cost, at) for cost, at in waits if at is not None]
-        if not waits:
-            rows.append((mechanism.name, "-", "-"))
-            continue
-        cost, at = min(waits, key=lambda one: _order(one[1]))
-        rows.append((mechanism.name, f"{cost.role}: {cost.what}", part(at)))
-    rows.append((budgets.SHARDS.name, *_shards(figures)))
-    return table(("mechanism", "what waits for it first", "breaks at"), rows)
+        row = [mechanism.name]
+        for label in LABELS:
+            waits = [(cost, part_of(cost, figures, label)) for cost in COSTS if cost.mechanism is mechanism]
+            waits = [(cost, at) for cost, at in waits if at is not None]
+            cost, at = min(waits, key=lambda one: _order(one[1]))
+            row += [f"{cost.role}: {cost.what}", part(at)]
+        rows.append(row)
+    name = "allocator.load_server_ms_by_rate"
+    alone = next(one for one in COSTS if one.uses == (name,) and one.hollow is None)
+    cells = [(f"{alone.role}: {alone.what}", part(part_of(alone, figures, label))) for label in LABELS]
+    rows.append([budgets.SHARDS.name, *cells[0], *cells[1]])
+    head = ("mechanism", "what waits for it first, before", "breaks at", "after", "breaks at")
+    return table(head, rows)
 
 
 LATER = (
@@ -230,15 +254,6 @@
 )
 
 
-def _shards(figures: Figures) -> tuple[str, str]:
-    """One allocator's processor time is what waits for shards, once a call costs less."""
-    name = "allocator.load_server_ms_by_rate"
-    cost = next(one for one in COSTS if one.uses == (name,) and one.hollow is None)
-    after, before = part_of(cost, figures, "after"), part_of(cost, figures, "before")
-    label, value = ("before", before) if isinstance(after, NotMeasured) else ("after", after)
-    return f"{cost.role}: {cost.what} ({label})", part(value)
-
-
 def role_table(role: str) -> Callable[[Figures], str]:
     """What a role costs at the full size."""
 
@@ -330,6 +345,7 @@
 TABLES: Mapping[str, Callable[[Figures], str]] = {
     "target": target_table,
     "fractions": fractions_table,
+    "first": first_table,
     "later": later_table,
     "slopes": slopes_table,
     "not-measured": unmeasured_table,
