Allocator: a withdrawn demand no longer outlives its limit's state (KeyError in allocate)

Cause: _forget_ended drops a state without wants, but the key stays in _waiting when its demand was withdrawn after the last look; allocate then looks the state up in the same call. Change: both go together.

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -276,6 +276,7 @@
             ends = [count.over_at for count in (*state.counts.values(), *state.unleased)]
             if not state.wants and max(ends, default=now) <= now and state.filled_at + self._burst_ms <= now:
                 del self._states[key]
+                self._waiting.pop(key, None)  # its demand may have been withdrawn in this tick
             else:
                 again = max(max(ends, default=now), state.filled_at + self._burst_ms, now + self._burst_ms)
                 heappush(self._ends, (again, key))
--- a/tests/fleet/test_allocator.py
+++ b/tests/fleet/test_allocator.py
@@ -316,3 +316,15 @@
     assert lease_cache.take("g1", 1_032.0) > 0.0
     lease_cache.received(Lease(8, ("n00", 1), "g1", 1, 1_300.0), 1_201.0)
     assert lease_cache.take("g1", 1_202.0) == 0.0
+
+
+def test_a_demand_that_is_withdrawn_before_its_limit_is_forgotten_leaves_nothing_behind() -> None:
+    allocator, owner = Allocator(LEASE), ("a", 1)
+    allocator.limited(KEY, Limit(1, SPAN))
+    allocator.ask(0.0, owner, KEY, 2)
+    assert [lease.calls for lease in allocator.allocate(0.0)] == [1]
+    assert allocator.allocate(5.0) == []
+    allocator.ask(10.0, owner, KEY, 0)
+    assert allocator.allocate(10_000.0) == []
+    assert not allocator.waiting
+    assert allocator.states == 0
