--- /dev/null
+++ b/springspread/rig/hollow/allocator.py
@@ -0,0 +1,156 @@
+"""One allocator process of the fleet: the real ``AllocatorControl`` and coding, with modelled sockets.
+
+It ticks when ``fleet.allocator_server`` would: at once at news while nobody waits for a lease, else every
+``TICK_MS``. Its processor time is that of decoding, deciding and encoding, without the kernel's part and
+without the write of the record, which the form on real sockets has.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from math import inf
+from time import perf_counter_ns
+
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import TOLD_SPAN_MS, AllocatorControl
+from springspread.fleet.allocator_server import IDLE_MS, SLACK_MS, TICK_MS
+from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    KeyStatuses,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+)
+from springspread.fleet.wire import write
+from springspread.rig.hollow.connection import Connection
+from springspread.rig.hollow.events import EventQueue
+from springspread.rig.hollow.meter import Meter
+from springspread.rig.hollow.network import Zone
+
+FLEET = "hollow"
+OBSERVER = Register(PROTOCOL_VERSION, FLEET, "observer", 0)  # is told of statuses, at no modelled cost
+
+StatusListener = Callable[[float, KeyStatuses], None]
+
+
+class AllocatorProcess:
+    """The allocator of one shard, and its successors."""
+
+    def __init__(
+        self,
+        queue: EventQueue,
+        name: str,
+        zone: Zone,
+        limits: Mapping[str, Limit],
+        default_mode: LimitMode,
+        listener: StatusListener,
+    ) -> None:
+        """``listener`` is told of each status that every sender is told of."""
+        self._queue, self.name, self.zone = queue, name, zone
+        self.limits, self._default_mode = dict(limits), default_mode
+        self._listener = listener
+        self.meter = Meter()
+        self.connections: dict[Connection, None] = {}
+        self._by_owner: dict[Owner, Connection] = {}
+        self._record: list[Lease] = []
+        self.alive = False
+        self._tick_at = inf
+        self.leases = self.leased_calls = 0
+        self.start()
+
+    def start(self, successor: bool = False, with_record: bool = True) -> None:
+        """A process begins. ``successor``: there was one before, whose leases it knows ``with_record``."""
+        now = self._queue.now
+        allocator = Allocator(slack_ms=SLACK_MS)
+        if successor and with_record:
+            allocator.restore(self._record)
+        elif successor:
+            allocator.presume(now)
+        self.control = AllocatorControl(FLEET, self._default_mode, self.limits, allocator, now, successor)
+        self._observer = self.control.register(now, OBSERVER)
+        self.alive = True
+        self._tick_at = inf
+        self._schedule(now)
+
+    def kill(self) -> None:
+        """The process ends without a word."""
+        self.alive = False
+        for connection in list(self.connections):
+            connection.close()
+
+    def change_limit(self, key: str, limit: Limit) -> None:
+        """The operators change one limit at once."""
+        self.limits[key] = limit
+        self.control.limited(self._queue.now, key, limit)
+        self._news()
+
+    def accept(self, connection: Connection) -> None:
+        """A connection is open; nothing is known of it until it registers."""
+
+    def arrived(self, connection: Connection, data: bytes) -> None:
+        """Bytes of a sender have come in."""
+        now = self._queue.now
+        begun = perf_counter_ns()
+        messages = connection.up_lines.feed(data)
+        for message in messages:
+            if isinstance(message, Register):
+                connection.owner = self.control.register(now, message)
+                self._by_owner[connection.owner] = connection
+            else:
+                assert isinstance(message, LeaseRequest | UseReport) and connection.owner is not None
+                self.control.received(now, connection.owner, message)
+        self.meter.cpu_ns += perf_counter_ns() - begun
+        self.meter.received.add(len(messages), len(data))
+        self._news()
+
+    def closed(self, connection: Connection) -> None:
+        """A connection has ended."""
+        owner = connection.owner
+        if owner is not None and self._by_owner.get(owner) is connection:
+            del self._by_owner[owner]
+            self.control.left(owner)
+
+    def _news(self) -> None:
+        if not self.control.busy or self._tick_at is inf:
+            self._schedule(self._queue.now)
+
+    def _schedule(self, at: float) -> None:
+        if at < self._tick_at:
+            self._tick_at = at
+            self._queue.at(at, self._tick, at)
+
+    def _tick(self, planned: float) -> None:
+        if planned != self._tick_at or not self.alive:
+            return  # another tick came before
+        self._tick_at = inf
+        now = self._queue.now
+        begun = perf_counter_ns()
+        leases = self.control.tick(now)
+        self.control.grant(now, leases)
+        outgoing = self.control.take_messages()
+        observed = outgoing.pop(self._observer, [])
+        written = [(owner, b"".join(map(write, messages))) for owner, messages in outgoing.items()]
+        self.meter.cpu_ns += perf_counter_ns() - begun
+        for owner, data in written:
+            if (connection := self._by_owner.get(owner)) is not None:
+                self.meter.sent.add(len(outgoing[owner]), len(data))
+                connection.send_down(data)
+        self._observe(now, observed)
+        self._put_on_record(now, leases)
+        busy, wait_ms = self.control.busy, max(self.control.next_at - now, TICK_MS)
+        self._schedule(now + (TICK_MS if busy else min(wait_ms, IDLE_MS)))
+
+    def _observe(self, now: float, messages: list[LimitMessage]) -> None:
+        for message in messages:
+            if isinstance(message, KeyStatuses):
+                self._listener(now, message)
+
+    def _put_on_record(self, now: float, leases: list[Lease]) -> None:
+        self.leases += len(leases)
+        self.leased_calls += sum(lease.calls for lease in leases)
+        self._record += leases
+        if len(self._record) > 20_000:
+            oldest = now - TOLD_SPAN_MS - SLACK_MS
+            self._record = [lease for lease in self._record if lease.until > oldest]
--- /dev/null
+++ b/springspread/rig/hollow/connection.py
@@ -0,0 +1,106 @@
+"""A modelled TCP connection between a sender and a control process: bytes, in order, after a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from springspread.fleet.limits import Owner
+from springspread.fleet.wire import Lines
+from springspread.rig.hollow.events import EventQueue
+from springspread.rig.hollow.network import Network, Zone
+
+
+class Acceptor(Protocol):
+    """A control process that senders connect to."""
+
+    zone: Zone
+    alive: bool
+    connections: dict[Connection, None]
+
+    def accept(self, connection: Connection) -> None:
+        """A connection is open."""
+
+    def arrived(self, connection: Connection, data: bytes) -> None:
+        """Bytes of a sender have come in."""
+
+    def closed(self, connection: Connection) -> None:
+        """A connection has ended."""
+
+
+class Connector(Protocol):
+    """A sender's end of connections to one control process."""
+
+    zone: Zone
+
+    def opened(self, connection: Connection) -> None:
+        """The connection that was asked for is open."""
+
+    def arrived(self, connection: Connection, data: bytes) -> None:
+        """Bytes of the control process have come in."""
+
+    def lost(self) -> None:
+        """There is no connection: none could be made, or it ended."""
+
+
+class Connection:
+    """Both ends and what is on the way. Bytes that are on the way as it ends are lost."""
+
+    __slots__ = (
+        "_arrives_down",
+        "_arrives_up",
+        "_network",
+        "_queue",
+        "_way_ms",
+        "acceptor",
+        "connector",
+        "down_lines",
+        "open",
+        "owner",
+        "up_lines",
+    )
+
+    def __init__(self, queue: EventQueue, network: Network, connector: Connector, acceptor: Acceptor) -> None:
+        self._queue, self._network = queue, network
+        self.connector, self.acceptor = connector, acceptor
+        self.owner: Owner | None = None  # as the control process knows the sender
+        self.up_lines, self.down_lines = Lines(), Lines()
+        self._way_ms = network.way_ms(connector.zone, acceptor.zone)
+        self._arrives_up = self._arrives_down = 0.0
+        self.open = False
+        queue.at(queue.now + 2.0 * self._way_ms * network.jitter(), self._open)
+
+    def _open(self) -> None:
+        reachable = self._network.reachable(self.connector.zone, self.acceptor.zone)
+        if not self.acceptor.alive or not reachable:
+            self.connector.lost()
+            return
+        self.open = True
+        self.acceptor.connections[self] = None
+        self.acceptor.accept(self)
+        self.connector.opened(self)
+
+    def send_up(self, data: bytes) -> None:
+        """The sender writes."""
+        self._arrives_up = self._arrival(self._arrives_up)
+        self._queue.at(self._arrives_up, self._deliver, self.acceptor.arrived, data)
+
+    def send_down(self, data: bytes) -> None:
+        """The control process writes."""
+        self._arrives_down = self._arrival(self._arrives_down)
+        self._queue.at(self._arrives_down, self._deliver, self.connector.arrived, data)
+
+    def _arrival(self, earlier: float) -> float:
+        return max(self._queue.now + self._way_ms * self._network.jitter(), earlier)
+
+    def _deliver(self, take: Callable[[Connection, bytes], None], data: bytes) -> None:
+        if self.open:
+            take(self, data)
+
+    def close(self) -> None:
+        """It breaks; both ends notice at once."""
+        if self.open:
+            self.open = False
+            del self.acceptor.connections[self]
+            self.acceptor.closed(self)
+            self.connector.lost()
--- /dev/null
+++ b/springspread/rig/hollow/fleet.py
@@ -0,0 +1,190 @@
+"""A hollow fleet: traffic, senders, allocators by shard, and the distribution of policies, in virtual time.
+
+Theory of operation. Calls come in stretches from ``traffic`` and are merged with the heap of events, so that
+each asks its sender's lease cache at its own time, after everything that came before it. Keys are given to
+shards by ``ShardMap``; senders and allocators take turns over the zones. What processes compute is measured
+around their control code alone: the simulator's own time, and the kernel's, are not in it. One seed gives
+one history; processor times differ from run to run.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from springspread.fleet.allocator_control import LEARNING_MS
+from springspread.fleet.limits import Limit
+from springspread.fleet.messages import fingerprint
+from springspread.fleet.shard_map import ShardMap
+from springspread.rig.hollow.allocator import AllocatorProcess
+from springspread.rig.hollow.connection import Acceptor
+from springspread.rig.hollow.events import EventQueue
+from springspread.rig.hollow.faults import Fault, FaultKind
+from springspread.rig.hollow.history import HeldUp, History
+from springspread.rig.hollow.meter import Meter
+from springspread.rig.hollow.network import Network, zone_of
+from springspread.rig.hollow.policy import PolicyProcess, PolicySession
+from springspread.rig.hollow.sender import HollowSender, WaitingCall
+from springspread.rig.hollow.traffic import Traffic, TrafficLaw, key_of
+from springspread.rollout.document import Policy
+
+STRETCH_MS = 100.0  # of calls that are drawn at once
+JOIN_MS = 1_000.0  # senders' first processes begin within so long
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How large the fleet is, and the seed of everything that is drawn."""
+
+    senders: int
+    allocators: int
+    law: TrafficLaw
+    seed: int = 1
+
+
+class HollowFleet:
+    """Runs as far as it is told to. Calls begin after ``JOIN_MS``."""
+
+    def __init__(self, size: FleetSize, policy: Policy, faults: Sequence[Fault] = ()) -> None:
+        self.size, self.policy = size, policy
+        self.queue, self.network = EventQueue(), Network(size.seed)
+        self.traffic = Traffic(size.law, size.senders, size.seed)
+        self.keys = [key_of(number) for number in range(size.law.destinations)]
+        fingerprints = {fingerprint(key): number for number, key in enumerate(self.keys)}
+        self.history = History(fingerprints)
+        self.limits: list[Limit] = [self.traffic.limit(number) for number in range(len(self.keys))]
+        names = tuple(f"shard-{number:02}" for number in range(size.allocators))
+        self.shard_map = ShardMap(1, names)
+        number_of = {name: number for number, name in enumerate(names)}
+        self.shard_of = [number_of[self.shard_map.owner(key)] for key in self.keys]
+        self.allocators = [self._allocator(number, name) for number, name in enumerate(names)]
+        self.coordinator = PolicyProcess(self.queue, zone_of(0), policy)
+        self.meters = [Meter() for _ in range(size.senders)]
+        self.senders: list[HollowSender | None] = [None] * size.senders
+        self.policy_sessions: list[PolicySession | None] = [None] * size.senders
+        self._epochs = [0] * size.senders
+        for sender in range(size.senders):
+            self.queue.at(JOIN_MS * sender / size.senders, self._start, sender)
+        for fault in faults:
+            self.queue.at(fault.begin, self._begin, fault)
+            self.queue.at(fault.end, self._end, fault)
+        self.offered = self.unserved = 0  # calls that were drawn, and those whose sender was not there
+        self.queue.run_until(JOIN_MS)
+
+    def _allocator(self, number: int, name: str) -> AllocatorProcess:
+        limits = {
+            key: limit
+            for key, limit, shard in zip(self.keys, self.limits, self.shard_of, strict=True)
+            if shard == number
+        }
+        listener, mode = self.history.status_told, self.size.law.mode
+        return AllocatorProcess(self.queue, name, zone_of(number), limits, mode, listener)
+
+    # Senders
+
+    def _start(self, number: int) -> None:
+        self._epochs[number] += 1
+        sender = HollowSender(
+            self.queue,
+            self.network,
+            number,
+            self._epochs[number],
+            zone_of(number),
+            list[Acceptor](self.allocators),
+            self.meters[number],
+            self._wait_ended,
+        )
+        self.senders[number] = sender
+        self.policy_sessions[number] = PolicySession(sender, self.coordinator)
+
+    def _kill(self, number: int) -> None:
+        sender = self.senders[number]
+        if sender is not None:
+            sender.kill()
+        self.senders[number] = None
+
+    def _wait_ended(self, sender: HollowSender, call: WaitingCall, now: float, began: bool) -> None:
+        held_up = HeldUp(sender.number, call.destination, call.since, now - call.since, began)
+        self.history.held_up.append(held_up)
+        if began:
+            self._began(now, call.destination, sender)
+
+    def _began(self, now: float, destination: int, sender: HollowSender) -> None:
+        self.history.began(now, destination, sender.number)
+        if self.traffic.down[destination]:
+            sender.sessions[self.shard_of[destination]].cache.failed(self.keys[destination])
+
+    # Faults
+
+    def _begin(self, fault: Fault) -> None:
+        now = self.queue.now
+        match fault.kind:
+            case FaultKind.RESTART:
+                for number in fault.targets:
+                    self._kill(number)
+            case FaultKind.CUT:
+                self.network.isolate(frozenset(fault.targets))
+                self._break_connections()
+            case FaultKind.ALLOCATOR | FaultKind.ALLOCATOR_AMNESIA:
+                self.allocators[fault.targets[0]].kill()
+                self.history.disturbed.append((now, fault.end + LEARNING_MS))
+            case FaultKind.JUMP:
+                self.traffic.multiply(fault.targets[0], fault.factor)
+                self.history.jumps.setdefault(fault.targets[0], []).append(now)
+            case FaultKind.LIMIT:
+                self._multiply_limit(fault.targets[0], fault.factor)
+
+    def _end(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.RESTART:
+                for number in fault.targets:
+                    self._start(number)
+            case FaultKind.CUT:
+                self.network.heal(frozenset(fault.targets))
+            case FaultKind.ALLOCATOR | FaultKind.ALLOCATOR_AMNESIA:
+                with_record = fault.kind is FaultKind.ALLOCATOR
+                self.allocators[fault.targets[0]].start(successor=True, with_record=with_record)
+            case FaultKind.JUMP:
+                self.traffic.multiply(fault.targets[0], 1.0)
+            case FaultKind.LIMIT:
+                self._multiply_limit(fault.targets[0], 1.0)
+
+    def _break_connections(self) -> None:
+        processes: list[Acceptor] = [*self.allocators, self.coordinator]
+        for process in processes:
+            for connection in list(process.connections):
+                if not self.network.reachable(connection.connector.zone, process.zone):
+                    connection.close()
+
+    def _multiply_limit(self, destination: int, factor: float) -> None:
+        calls = max(round(self.limits[destination].calls * factor), 1)
+        limit = Limit(calls, self.size.law.span_ms, self.size.law.mode)
+        self.history.limits.setdefault(destination, []).append((self.queue.now, limit))
+        self.allocators[self.shard_of[destination]].change_limit(self.keys[destination], limit)
+
+    # Time
+
+    def run_until(self, end: float) -> None:
+        """Let calls and everything else happen up to a time (ms), which is a whole number of stretches."""
+        while self.queue.now < end:
+            self._stretch(min(self.queue.now + STRETCH_MS, end))
+
+    def _stretch(self, end: float) -> None:
+        queue, senders, shard_of, keys = self.queue, self.senders, self.shard_of, self.keys
+        down, history, traffic = self.traffic.down, self.history, self.traffic
+        calls = traffic.draw(queue.now, end - queue.now)
+        self.offered += len(calls.times)
+        next_at = queue.next_at
+        for now, number, destination in zip(calls.times, calls.senders, calls.destinations, strict=True):
+            if next_at <= now:
+                queue.run_until(now)
+            queue.now = now
+            sender = senders[number]
+            if sender is None:
+                self.unserved += 1
+            elif sender.sessions[shard_of[destination]].call(now, destination, keys[destination]):
+                history.began(now, destination, number)
+                if down[destination]:
+                    sender.sessions[shard_of[destination]].cache.failed(keys[destination])
+            next_at = queue.next_at
+        queue.run_until(end)
--- /dev/null
+++ b/springspread/rig/hollow/network.py
@@ -0,0 +1,73 @@
+"""Zones, regions and the ways between them, and which zones are cut off from the rest.
+
+The one-way times are assumptions, stated here: they stand for four regions on two continents.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+WITHIN_ZONE_MS = 0.2
+WITHIN_REGION_MS = 0.6
+BETWEEN_REGIONS_MS = (
+    (0.0, 8.0, 30.0, 40.0),
+    (8.0, 0.0, 25.0, 35.0),
+    (30.0, 25.0, 0.0, 10.0),
+    (40.0, 35.0, 10.0, 0.0),
+)
+ZONES_BY_REGION = (4, 4, 3, 3)
+JITTER_PART = 0.1  # a message takes up to so much longer
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """One zone of a region."""
+
+    number: int
+    region: int
+
+
+ZONES = tuple(
+    Zone(number, region)
+    for number, region in enumerate(
+        region for region, zones in enumerate(ZONES_BY_REGION) for _ in range(zones)
+    )
+)
+
+
+class Network:
+    """Which ways are open, and how long a message takes."""
+
+    def __init__(self, seed: int) -> None:
+        self._rng = Random(f"{seed}/network")
+        self._isolated: list[frozenset[int]] = []  # sets of zones, each cut off from all others
+
+    def isolate(self, zones: frozenset[int]) -> None:
+        """Cut zones off from all others; among themselves they stay connected."""
+        self._isolated.append(zones)
+
+    def heal(self, zones: frozenset[int]) -> None:
+        """End an isolation."""
+        self._isolated.remove(zones)
+
+    def reachable(self, one: Zone, other: Zone) -> bool:
+        """Whether messages pass between two zones now."""
+        return all((one.number in zones) is (other.number in zones) for zones in self._isolated)
+
+    def way_ms(self, one: Zone, other: Zone) -> float:
+        """The time of a message from one zone to another, or back, without jitter."""
+        if one.number == other.number:
+            return WITHIN_ZONE_MS
+        if one.region == other.region:
+            return WITHIN_REGION_MS
+        return BETWEEN_REGIONS_MS[one.region][other.region]
+
+    def jitter(self) -> float:
+        """The factor of one message's time."""
+        return 1.0 + JITTER_PART * self._rng.random()
+
+
+def zone_of(number: int) -> Zone:
+    """Senders and control processes take turns over the zones."""
+    return ZONES[number % len(ZONES)]
--- /dev/null
+++ b/springspread/rig/hollow/policy.py
@@ -0,0 +1,183 @@
+"""The distribution of policies to hollow senders: the real coordinator, participants and coding.
+
+One process beside the allocators renews each sender's grant and carries out changes; each sender says what
+it acts under once a ``SAY_MS``. A write of the record takes ``SYNC_MS``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from time import perf_counter_ns
+
+from springspread.fleet.change import LOOK_MS
+from springspread.fleet.client import AGAIN_MS, SAY_MS
+from springspread.fleet.limits import Owner
+from springspread.fleet.messages import PROTOCOL_VERSION, Register
+from springspread.fleet.wire import Document, Message, write
+from springspread.rig.hollow.allocator import FLEET
+from springspread.rig.hollow.connection import Connection
+from springspread.rig.hollow.events import EventQueue
+from springspread.rig.hollow.meter import Meter
+from springspread.rig.hollow.network import Zone
+from springspread.rig.hollow.sender import HollowSender
+from springspread.rollout import coordinator, participant
+from springspread.rollout.coordinator import Coordinator, History, Step, Times
+from springspread.rollout.document import Policy
+from springspread.rollout.participant import Participant
+from springspread.rollout.terms import Acting, Decided, Grant, Prepare, Proposed, Vote, Write
+
+SYNC_MS = 4.0  # for the record to reach the disk
+WAY_MS = 50.0  # the longest way between two processes, and as much again as a reserve
+
+
+class PolicyProcess:
+    """The coordinator's process."""
+
+    def __init__(self, queue: EventQueue, zone: Zone, policy: Policy) -> None:
+        self._queue, self.zone, self._policy = queue, zone, policy
+        self.alive = True
+        self.meter = Meter()
+        self.connections: dict[Connection, None] = {}
+        self._by_owner: dict[Owner, Connection] = {}
+        self._documents: dict[Owner, set[int]] = {}  # numbers whose texts an owner has been sent
+        history = History().after(Proposed(1, policy.digest)).after(Decided(1, 0.0))
+        times = Times(lead_ms=WAY_MS)
+        self._state: Coordinator
+        self._carry_out(coordinator.begin(times, history, queue.now, []))
+        self._tick()
+
+    def propose(self) -> None:
+        """Propose a change, which has the same text here under another number."""
+        self._measured(lambda: coordinator.propose(self._state, self._queue.now, self._policy.digest))
+
+    @property
+    def in_force(self) -> tuple[int, float]:
+        """The number of the last policy that was decided, and since when it holds."""
+        return self._state.history.in_force, self._state.history.since
+
+    def accept(self, connection: Connection) -> None:
+        """A connection is open; nothing is known of it until it registers."""
+
+    def arrived(self, connection: Connection, data: bytes) -> None:
+        """Bytes of a sender have come in."""
+        begun = perf_counter_ns()
+        messages = connection.up_lines.feed(data)
+        self.meter.cpu_ns += perf_counter_ns() - begun
+        self.meter.received.add(len(messages), len(data))
+        for message in messages:
+            self._take(connection, message)
+
+    def _take(self, connection: Connection, message: Message) -> None:
+        now = self._queue.now
+        if isinstance(message, Register):
+            owner = connection.owner = (message.name, message.epoch)
+            self._by_owner[owner] = connection
+            self._documents[owner] = set()
+            self._measured(lambda: coordinator.joined(self._state, now, owner))
+        elif isinstance(message, Vote) and connection.owner is not None:
+            voter = connection.owner
+            self._measured(lambda: coordinator.voted(self._state, now, voter, message))
+
+    def closed(self, connection: Connection) -> None:
+        """A connection has ended."""
+        owner = connection.owner
+        if owner is not None and self._by_owner.get(owner) is connection:
+            del self._by_owner[owner]
+            self._state = coordinator.left(self._state, owner)
+
+    def _tick(self) -> None:
+        self._measured(lambda: coordinator.tick(self._state, self._queue.now))
+        self._queue.at(self._queue.now + LOOK_MS, self._tick)
+
+    def _measured(self, step: Callable[[], Step]) -> None:
+        begun = perf_counter_ns()
+        made = step()
+        self.meter.cpu_ns += perf_counter_ns() - begun
+        self._carry_out(made)
+
+    def _carry_out(self, step: Step) -> None:
+        self._state, effects = step
+        wait_ms = 0.0
+        for effect in effects:
+            if isinstance(effect, Write):
+                wait_ms += SYNC_MS
+            else:
+                self._queue.at(self._queue.now + wait_ms, self._send, effect.owner, effect.message)
+
+    def _send(self, owner: Owner, message: Grant | Prepare) -> None:
+        connection = self._by_owner.get(owner)
+        if connection is None:
+            return
+        number = message.number if isinstance(message, Prepare) else message.version
+        messages: list[Message] = [message]
+        if number not in self._documents[owner]:
+            self._documents[owner].add(number)
+            messages = [Document(number, self._policy.text), message]
+        for one in messages:
+            begun = perf_counter_ns()
+            data = write(one)
+            self.meter.cpu_ns += perf_counter_ns() - begun
+            self.meter.sent.add(1, len(data))
+            connection.send_down(data)
+
+
+class PolicySession:
+    """A hollow sender's side of it."""
+
+    def __init__(self, sender: HollowSender, process: PolicyProcess) -> None:
+        self._sender, self._process = sender, process
+        self.zone = sender.zone
+        self._rights = Participant()
+        self._connection: Connection | None = None
+        self._connect()
+
+    def _connect(self) -> None:
+        if self._sender.alive:
+            Connection(self._sender.queue, self._sender.network, self, self._process)
+
+    def opened(self, connection: Connection) -> None:
+        """The connection is open: register, and say now and then what the sender acts under."""
+        self._connection = connection
+        self._write(connection, Register(PROTOCOL_VERSION, FLEET, self._sender.name, self._sender.epoch))
+        self._say(connection)
+
+    def _say(self, connection: Connection) -> None:
+        if not self._sender.alive:
+            connection.close()
+        if connection.open:
+            self._write(connection, Acting(self._rights.version(self._sender.queue.now)))
+            self._sender.queue.at(self._sender.queue.now + SAY_MS, self._say, connection)
+
+    def _write(self, connection: Connection, message: Message) -> None:
+        meter = self._sender.meter
+        begun = perf_counter_ns()
+        data = write(message)
+        meter.cpu_ns += perf_counter_ns() - begun
+        meter.sent.add(1, len(data))
+        connection.send_up(data)
+
+    def lost(self) -> None:
+        """There is no connection; the next try comes after a while."""
+        self._connection = None
+        self._sender.queue.at(self._sender.queue.now + AGAIN_MS, self._connect)
+
+    def arrived(self, connection: Connection, data: bytes) -> None:
+        """Bytes of the coordinator have come in."""
+        now, meter = self._sender.queue.now, self._sender.meter
+        begun = perf_counter_ns()
+        messages = connection.down_lines.feed(data)
+        votes: list[Vote] = []
+        for message in messages:
+            if isinstance(message, Grant):
+                self._rights = participant.granted(self._rights, message, now)
+            elif isinstance(message, Prepare):
+                self._rights, vote = participant.prepared(self._rights, message, "")
+                votes += [vote] if vote is not None else []
+        meter.cpu_ns += perf_counter_ns() - begun
+        meter.received.add(len(messages), len(data))
+        for vote in votes:
+            self._write(connection, vote)
+
+    def version(self, now: float) -> int:
+        """The policy that the sender may act under; 0: none."""
+        return self._rights.version(now)
--- /dev/null
+++ b/springspread/rig/hollow/traffic.py
@@ -0,0 +1,112 @@
+"""The law of traffic: which destination each call goes to, when, from which sender; and the limits.
+
+Calls are a Poisson process of a stated rate. Destinations are drawn by a Zipf law: the one of rank k has a
+weight of k to the power of -``exponent``, and no destination has more than ``hottest_share`` of all calls.
+Each call's sender is drawn uniformly. A limit is ``headroom`` times the mean demand of its destination, in
+calls in ``span_ms``, and at least ``least_calls``; a ``tight_part`` of the destinations has
+``tight_headroom`` instead. Destinations that are down are drawn uniformly over all ranks; senders begin
+``down_attempts`` of the calls to them, and each fails.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import numpy as np
+from numpy.typing import NDArray
+
+from springspread.fleet.limits import Limit, LimitMode
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficLaw:
+    """Numbers of the law; see the module's head."""
+
+    destinations: int
+    per_s: float
+    down_part: float = 0.028
+    down_attempts: float = 0.5
+    exponent: float = 0.9
+    hottest_share: float = 0.005
+    headroom: float = 2.0
+    tight_part: float = 0.0
+    tight_headroom: float = 1.2
+    least_calls: int = 10
+    span_ms: float = 2_000.0
+    mode: LimitMode = LimitMode.ADAPTIVE
+
+
+@dataclass(frozen=True, slots=True)
+class Calls:
+    """Calls of a stretch of time, in order: times (ms), numbers of senders and destinations."""
+
+    times: list[float]
+    senders: list[int]
+    destinations: list[int]
+
+
+class Traffic:
+    """Draws calls, one stretch after the other. ``down`` says which destinations are down."""
+
+    def __init__(self, law: TrafficLaw, senders: int, seed: int) -> None:
+        self.law, self._senders = law, senders
+        self._rng = np.random.default_rng([seed, 1])
+        fixed = np.random.default_rng([seed, 2])
+        ranks = np.arange(1, law.destinations + 1, dtype=float)
+        share = _capped(ranks**-law.exponent, law.hottest_share)
+        self.rates: NDArray[np.float64] = law.per_s * share  # calls a second by destination
+        self.down = np.zeros(law.destinations, dtype=bool)
+        count = round(law.down_part * law.destinations)
+        self.down[fixed.choice(law.destinations, count, replace=False)] = True
+        self._tight = fixed.random(law.destinations) < law.tight_part
+        self._factors: dict[int, float] = {}
+        self._law_changed()
+
+    def multiply(self, destination: int, factor: float) -> None:
+        """The demand of one destination is so many times its mean from the next stretch on."""
+        self._factors[destination] = factor
+        self._law_changed()
+
+    def _law_changed(self) -> None:
+        rates = self.rates.copy()
+        for destination, factor in self._factors.items():
+            rates[destination] *= factor
+        rates[self.down] *= self.law.down_attempts
+        self._total = float(rates.sum())
+        self._cumulative = np.cumsum(rates) / self._total
+
+    def draw(self, begin: float, length_ms: float) -> Calls:
+        """The calls of the stretch of so many milliseconds that begins then."""
+        rng = self._rng
+        count = int(rng.poisson(self._total * length_ms / 1000.0))
+        times = np.sort(rng.uniform(begin, begin + length_ms, count))
+        senders = rng.integers(0, self._senders, count)
+        drawn = np.searchsorted(self._cumulative, rng.random(count), side="right")
+        destinations = np.minimum(drawn, self.law.destinations - 1)
+        return Calls(times.tolist(), senders.tolist(), destinations.tolist())
+
+    def limit(self, destination: int) -> Limit:
+        """The limit of a destination, by its mean demand."""
+        law = self.law
+        headroom = law.tight_headroom if self._tight[destination] else law.headroom
+        calls = headroom * float(self.rates[destination]) * law.span_ms / 1000.0
+        return Limit(max(law.least_calls, round(calls)), law.span_ms, law.mode)
+
+
+def key_of(destination: int) -> str:
+    """The key of a destination's limit, as ``fleet.client.key_of`` makes it."""
+    return f"g{destination}"
+
+
+def _capped(weights: NDArray[np.float64], most: float) -> NDArray[np.float64]:
+    """Shares that sum to one, none above ``most`` where that is possible."""
+    share: NDArray[np.float64] = weights / weights.sum()
+    most = max(most, 1.5 / len(share))
+    for _ in range(100):
+        over = share > most
+        if not over.any():
+            break
+        rest = share[~over].sum()
+        share[~over] *= (1.0 - most * over.sum()) / rest
+        share[over] = most
+    return share
