benchmarks.hollow_fleet: figures of a hollow fleet by sender, allocator, limit and held-up call

Spans are classed by the status of their limit (free, bound, exposed, takeover); memory is the size of all objects that the control state reaches.

--- /dev/null
+++ b/benchmarks/hollow_fleet.py
@@ -0,0 +1,100 @@
+"""A fleet of hollow senders: what control costs each sender and each allocator at a size that is coming.
+
+    python -m benchmarks.hollow_fleet [--senders 1100] [--destinations 140000] [--per-s 200000]
+        [--seconds 15] [--warm-s 6] [--seed 1] [--faults calm] [--tight 0.0] [--csv FILE]
+
+In virtual time, with the real control code; ``springspread.rig.hollow`` says what is modelled. ``--faults``
+is one of the names in ``springspread.rig.hollow.faults.SCHEDULES``, or several joined with ``+``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+from collections.abc import Sequence
+from pathlib import Path
+
+from benchmarks.tables import add
+from springspread.rig.hollow.faults import SCHEDULES
+from springspread.rig.hollow.fleet import FleetSize
+from springspread.rig.hollow.play import Plan, play
+from springspread.rig.hollow.report import Row, digest
+from springspread.rig.hollow.traffic import TrafficLaw
+from springspread.rollout.document import Policy
+
+
+def machine() -> str:
+    """The processors of this machine."""
+    lines = Path("/proc/cpuinfo").read_text().splitlines()
+    models = [line.partition(":")[2].strip() for line in lines if line.startswith("model name")]
+    return f"{len(models)} x {models[0]}" if models else "unknown"
+
+
+def commit() -> str:
+    """The commit of the working copy, marked where it has changes."""
+    line = ["git", "describe", "--always", "--dirty", "--exclude", "*"]
+    return subprocess.run(line, capture_output=True, text=True).stdout.strip() or "unknown"
+
+
+def tell(run: str, rows: Sequence[Row], csv: Path | None) -> None:
+    """Print the figures, and add them to a table."""
+    told_commit, told_machine = commit(), machine()
+    print(f"run {run}")
+    for row in rows:
+        value = float(f"{row.value:.5g}")
+        print(f"  {row.role:10} {row.what:42} {row.statistic:30} {value:>12g} {row.unit}")
+        line = {
+            "run": run,
+            "role": row.role,
+            "what": row.what,
+            "statistic": row.statistic,
+            "value": value,
+            "unit": row.unit,
+            "commit": told_commit,
+            "machine": told_machine,
+        }
+        add(csv, line)
+
+
+def arguments() -> argparse.Namespace:
+    """The command line."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--senders", type=int, default=1_100)
+    parser.add_argument("--destinations", type=int, default=140_000)
+    parser.add_argument("--allocators", type=int, default=12)
+    parser.add_argument("--per-s", type=float, default=200_000.0)
+    parser.add_argument("--seconds", type=float, default=15.0, help="measured virtual seconds")
+    parser.add_argument("--warm-s", type=float, default=6.0, help="virtual seconds of calls before that")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--faults", default="calm", help=", ".join(SCHEDULES))
+    parser.add_argument("--calm", action="store_true", help="the same as --faults calm")
+    parser.add_argument("--headroom", type=float, default=TrafficLaw(1, 1.0).headroom)
+    parser.add_argument("--tight", type=float, default=0.0, help="part of the limits with little headroom")
+    parser.add_argument("--down", type=float, default=TrafficLaw(1, 1.0).down_part)
+    parser.add_argument("--changes", type=int, default=0, help="changes of policy while measured")
+    parser.add_argument("--config", type=Path, default=Path("deploy/sender.json"))
+    parser.add_argument("--csv", type=Path)
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Play and tell."""
+    args = arguments()
+    policy = Policy(json.loads(args.config.read_text())["settings"], {})
+    law = TrafficLaw(
+        args.destinations, args.per_s, down_part=args.down, headroom=args.headroom, tight_part=args.tight
+    )
+    size = FleetSize(args.senders, args.allocators, law, args.seed)
+    faults = "calm" if args.calm else args.faults
+    fleet, rows = play(size, Plan(args.seconds, args.warm_s, faults, args.changes), policy)
+    told = "" if not args.tight else f" tight={args.tight:g}"
+    told += "" if args.down == TrafficLaw(1, 1.0).down_part else f" down={args.down:g}"
+    told += "" if args.headroom == TrafficLaw(1, 1.0).headroom else f" headroom={args.headroom:g}"
+    run = f"virtual {faults}{told} {args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    tell(run, rows, args.csv)
+    print(f"history {digest(fleet)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/springspread/rig/hollow/fleet.py
+++ b/springspread/rig/hollow/fleet.py
@@ -127,7 +127,7 @@
                 self._break_connections()
             case FaultKind.ALLOCATOR | FaultKind.ALLOCATOR_AMNESIA:
                 self.allocators[fault.targets[0]].kill()
-                self.history.disturbed.append((now, fault.end + LEARNING_MS))
+                self.history.takeovers.append((fault.targets[0], now, fault.end + LEARNING_MS))
             case FaultKind.JUMP:
                 self.traffic.multiply(fault.targets[0], fault.factor)
                 self.history.jumps.setdefault(fault.targets[0], []).append(now)
--- a/springspread/rig/hollow/history.py
+++ b/springspread/rig/hollow/history.py
@@ -27,13 +27,13 @@
 
     destination_of: Mapping[Fingerprint, int]
     times: array[float] = field(default_factory=lambda: array("d"))
-    destinations: array[int] = field(default_factory=lambda: array("l"))
-    senders: array[int] = field(default_factory=lambda: array("l"))
+    destinations: array[int] = field(default_factory=lambda: array("q"))
+    senders: array[int] = field(default_factory=lambda: array("q"))
     held_up: list[HeldUp] = field(default_factory=list)
     statuses: dict[int, list[tuple[float, bool]]] = field(default_factory=dict)  # when, and whether bound
     limits: dict[int, list[tuple[float, Limit]]] = field(default_factory=dict)  # changes of limits
     jumps: dict[int, list[float]] = field(default_factory=dict)  # when demand jumped
-    disturbed: list[tuple[float, float]] = field(default_factory=list)  # an allocator is away or learns
+    takeovers: list[tuple[int, float, float]] = field(default_factory=list)  # shard, and while it learns
 
     def began(self, when: float, destination: int, sender: int) -> None:
         """A call begins."""
--- /dev/null
+++ b/springspread/rig/hollow/play.py
@@ -0,0 +1,53 @@
+"""Play a hollow fleet once: warm up, measure, and tell the figures."""
+
+from __future__ import annotations
+
+import gc
+import time
+from dataclasses import dataclass
+from resource import RUSAGE_SELF, getrusage
+
+from springspread.rig.hollow.faults import Stage, schedule
+from springspread.rig.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
+from springspread.rig.hollow.report import Measurement, Row
+from springspread.rollout.document import Policy
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Seconds before the measurement and in it, the schedule's name, and how many policy changes it has."""
+
+    seconds: float
+    warm_s: float
+    faults: str = "calm"
+    changes: int = 0
+
+
+def play(size: FleetSize, plan: Plan, policy: Policy) -> tuple[HollowFleet, list[Row]]:
+    """Play it; raises ``ValueError`` for an unknown schedule.
+
+    The cyclic garbage collector rests meanwhile: in a process as large as the simulator's it would take
+    time that a sender's own would not.
+    """
+    begin = JOIN_MS + 1_000.0 * plan.warm_s
+    end = begin + 1_000.0 * plan.seconds
+    faults = schedule(plan.faults, Stage(size.senders, size.allocators, begin, end, size.seed))
+    begun = time.monotonic()
+    gc.disable()
+    try:
+        fleet = HollowFleet(size, policy, faults)
+        fleet.run_until(begin)
+        measurement = Measurement(fleet)
+        for change in range(plan.changes):
+            fleet.queue.at(begin + (change + 0.5) * (end - begin) / plan.changes, fleet.coordinator.propose)
+        fleet.run_until(end)
+        rows = measurement.rows()
+    finally:
+        gc.enable()
+    took = time.monotonic() - begun
+    most_mb = getrusage(RUSAGE_SELF).ru_maxrss / 1024.0
+    return fleet, [
+        *rows,
+        Row("simulator", "time of the run", "sum", took, "s"),
+        Row("simulator", "memory", "most", most_mb, "MB"),
+    ]
--- /dev/null
+++ b/springspread/rig/hollow/report.py
@@ -0,0 +1,179 @@
+"""What a run of a hollow fleet comes to, as rows of one form: role, what, statistic, value, unit."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import sha256
+
+import numpy as np
+
+from springspread.rig.hollow.fleet import HollowFleet
+from springspread.rig.hollow.history import HeldUp
+from springspread.rig.hollow.memory import reachable_bytes
+from springspread.rig.hollow.meter import Meter, Volume
+from springspread.rig.hollow.spans import SpanClass, find_spans
+
+SAMPLED = 12  # senders whose memory is measured
+NOTICED_MS = 50.0  # a wait that is told apart from shorter ones
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure."""
+
+    role: str
+    what: str
+    statistic: str
+    value: float
+    unit: str
+
+
+class Measurement:
+    """Begins where it is made; ``rows`` tells of the time from then on."""
+
+    def __init__(self, fleet: HollowFleet) -> None:
+        self._fleet = fleet
+        self._begin = fleet.queue.now
+        self._senders = [meter.copy() for meter in fleet.meters]
+        self._allocators = [allocator.meter.copy() for allocator in fleet.allocators]
+        self._coordinator = fleet.coordinator.meter.copy()
+        self._offered, self._unserved = fleet.offered, fleet.unserved
+        self._causes = bindings_by_cause(fleet)
+
+    def rows(self) -> list[Row]:
+        """All figures until now."""
+        fleet = self._fleet
+        seconds = (fleet.queue.now - self._begin) / 1000.0
+        senders = [now.since(then) for now, then in zip(fleet.meters, self._senders, strict=True)]
+        allocators = [
+            now.meter.since(then) for now, then in zip(fleet.allocators, self._allocators, strict=True)
+        ]
+        coordinators = [fleet.coordinator.meter.since(self._coordinator)]
+        return [
+            *process_rows("sender", senders, seconds),
+            *process_rows("allocator", allocators, seconds),
+            *process_rows("policy", coordinators, seconds),
+            *self._memory_rows(),
+            *self._call_rows(seconds),
+            *self._held_up_rows(),
+            *self._span_rows(),
+        ]
+
+    def _memory_rows(self) -> list[Row]:
+        fleet = self._fleet
+        states = []
+        for sender in [sender for sender in fleet.senders if sender is not None][:SAMPLED]:
+            sessions = [part for one in sender.sessions for part in (one.cache, one.session)]
+            states.append(reachable_bytes(sessions) / 1e6)
+        controls = [reachable_bytes([allocator.control]) / 1e6 for allocator in fleet.allocators]
+        return [
+            *spread("sender", "memory of control state", states, "MB"),
+            *spread("allocator", "memory of control state", controls, "MB"),
+        ]
+
+    def _call_rows(self, seconds: float) -> list[Row]:
+        fleet = self._fleet
+        rows = [
+            Row("fleet", "calls offered", "per second", (fleet.offered - self._offered) / seconds, "1/s"),
+            Row("fleet", "calls without a sender", "sum", fleet.unserved - self._unserved, "calls"),
+            Row("fleet", "limits bound", "at the end", bound_now(fleet), "limits"),
+        ]
+        for cause, count in bindings_by_cause(fleet).items():
+            rate = (count - self._causes.get(cause, 0)) / seconds
+            rows.append(Row("fleet", f"bindings: {cause}", "per second", rate, "1/s"))
+        return rows
+
+    def _held_up_rows(self) -> list[Row]:
+        fleet = self._fleet
+        held_up = [one for one in fleet.history.held_up if one.since >= self._begin]
+        calls = max(fleet.offered - self._offered, 1)
+        up = [one for one in held_up if not fleet.traffic.down[one.destination]]
+        waits = [one.wait_ms for one in held_up if one.began]
+        noticed = sum(one.wait_ms > NOTICED_MS for one in up)
+        rows = [
+            Row("fleet", "calls held up", "part of all", len(held_up) / calls, "1"),
+            Row("fleet", "calls held up, destination up", "part of all", len(up) / calls, "1"),
+            Row("fleet", f"... for over {NOTICED_MS:.0f} ms", "part of all", noticed / calls, "1"),
+            Row("fleet", "calls given up", "part of all", given_up(held_up) / calls, "1"),
+            Row("fleet", "calls given up, destination up", "part of all", given_up(up) / calls, "1"),
+        ]
+        return rows + (spread("fleet", "wait of calls held up", waits, "ms") if waits else [])
+
+    def _span_rows(self) -> list[Row]:
+        fleet = self._fleet
+        spans = find_spans(fleet.history, fleet.limits, fleet.shard_of, fleet.size.law.span_ms)
+        rows = []
+        for one in SpanClass:
+            found = spans.fullest(one, self._begin)
+            name = f"spans {one.name.lower()}"
+            rows += [
+                Row("limit", name, "count", found.spans, "spans"),
+                Row("limit", name, "most calls by N", found.ratio, "1"),
+                Row("limit", name, "most calls by N + 2 root N + 2", found.ratio_tolerated, "1"),
+                Row("limit", name, "above N", found.above, "spans"),
+                Row("limit", name, "above N + 2 root N + 2", found.above_tolerated, "spans"),
+            ]
+        return rows
+
+
+def given_up(held_up: Iterable[HeldUp]) -> int:
+    """How many held-up calls never began."""
+    return sum(not one.began for one in held_up)
+
+
+def process_rows(role: str, meters: Sequence[Meter], seconds: float) -> list[Row]:
+    """What processes of one role wrote, read and computed a second."""
+    rows = []
+    for direction, volumes in (("up", [m.sent for m in meters]), ("down", [m.received for m in meters])):
+        if role != "sender":
+            direction = "sent" if direction == "up" else "received"
+        rows += volume_rows(role, direction, volumes, seconds)
+    both = [(m.sent.on_the_wire + m.received.on_the_wire) / seconds for m in meters]
+    rows += spread(role, "bytes both ways with headers", both, "B/s")
+    rows += spread(role, "processor", [m.cpu_ns / 1e7 / seconds for m in meters], "% of a core")
+    return rows
+
+
+def volume_rows(role: str, direction: str, volumes: Sequence[Volume], seconds: float) -> list[Row]:
+    """One direction."""
+    return [
+        *spread(role, f"messages {direction}", [v.messages / seconds for v in volumes], "1/s"),
+        *spread(role, f"writes {direction}", [v.writes / seconds for v in volumes], "1/s"),
+        *spread(role, f"payload {direction}", [v.bytes / seconds for v in volumes], "B/s"),
+        *spread(role, f"bytes {direction} with headers", [v.on_the_wire / seconds for v in volumes], "B/s"),
+    ]
+
+
+def spread(role: str, what: str, values: Sequence[float], unit: str) -> list[Row]:
+    """Median, 99th percentile and most."""
+    return [
+        Row(role, what, "median", float(np.percentile(values, 50)), unit),
+        Row(role, what, "p99", float(np.percentile(values, 99)), unit),
+        Row(role, what, "most", float(max(values)), unit),
+    ]
+
+
+def bindings_by_cause(fleet: HollowFleet) -> dict[str, int]:
+    """How often limits were bound, by cause, since the allocators' last starts."""
+    found: dict[str, int] = {}
+    for allocator in fleet.allocators:
+        for cause, count in allocator.control.causes.items():
+            found[cause.value] = found.get(cause.value, 0) + count
+    return found
+
+
+def bound_now(fleet: HollowFleet) -> int:
+    """How many limits need leases now."""
+    return sum(line[-1][1] for line in fleet.history.statuses.values())
+
+
+def digest(fleet: HollowFleet) -> str:
+    """SHA-256 of everything that happened, without processor times: the same for the same seed."""
+    history, made = fleet.history, sha256()
+    for values in (history.times, history.destinations, history.senders):
+        made.update(values.tobytes())
+    made.update(repr(history.held_up).encode())
+    made.update(repr(sorted(history.statuses.items())).encode())
+    made.update(repr([(meter.sent, meter.received) for meter in fleet.meters]).encode())
+    return made.hexdigest()
--- /dev/null
+++ b/springspread/rig/hollow/spans.py
@@ -0,0 +1,116 @@
+"""The most calls in any span against each limit, by what the limit's status was in that span.
+
+A span begins with a call and holds the calls of its destination in the ``span_ms`` that follow; no other
+span holds more. Its class:
+
+    class     the span
+    exposed   touches the ``EXPOSURE_MS`` after a binding, a jump of demand or a fall of the limit
+    takeover  touches the time in which the limit's allocator is away or learns
+    bound     is neither, and its limit is bound from its begin to its end
+    free      is none of these
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from dataclasses import dataclass
+from enum import IntEnum
+
+import numpy as np
+from numpy.typing import NDArray
+
+from springspread.fleet.lease_cache import FRESH_MS
+from springspread.fleet.limits import Limit
+from springspread.rig.hollow.history import History
+
+EXPOSURE_MS = FRESH_MS
+
+
+class SpanClass(IntEnum):
+    """See the module's head."""
+
+    FREE = 0
+    BOUND = 1
+    EXPOSED = 2
+    TAKEOVER = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Fullest:
+    """Of the spans of one class: how many, the most calls by N and by ``Limit.tolerated``, how many above."""
+
+    spans: int
+    ratio: float
+    ratio_tolerated: float
+    above: int
+    above_tolerated: int
+
+
+@dataclass(frozen=True, slots=True)
+class Spans:
+    """All spans of a run, in one order: begin (ms), destination, calls, and the limit that holds."""
+
+    begins: NDArray[np.float64]
+    destinations: NDArray[np.int64]
+    calls: NDArray[np.int64]
+    limits: NDArray[np.float64]
+    classes: NDArray[np.int8]
+
+    def fullest(self, one: SpanClass, begin: float = 0.0, destination: int | None = None) -> Fullest:
+        """Of a class, of spans that begin from a time on, and of one destination where it is given."""
+        chosen = (self.classes == one) & (self.begins >= begin)
+        if destination is not None:
+            chosen &= self.destinations == destination
+        calls, limits = self.calls[chosen].astype(float), self.limits[chosen]
+        if not len(calls):
+            return Fullest(0, 0.0, 0.0, 0, 0)
+        tolerated = limits + 2.0 * np.sqrt(limits) + 2.0
+        ratio, ratio_tolerated = calls / limits, calls / tolerated
+        return Fullest(
+            len(calls),
+            float(ratio.max()),
+            float(ratio_tolerated.max()),
+            int((ratio > 1.0).sum()),
+            int((ratio_tolerated > 1.0).sum()),
+        )
+
+
+def find_spans(history: History, limits: list[Limit], shard_of: list[int], span_ms: float) -> Spans:
+    """Every span of a run. ``limits`` and ``shard_of`` by destination; the limits at the begin."""
+    times = np.frombuffer(history.times, dtype=np.float64)
+    numbers = np.frombuffer(history.destinations, dtype=np.int64)
+    order = np.lexsort((times, numbers))
+    begins, destinations = times[order], numbers[order]
+    apart = float(times.max() if len(times) else 0.0) + 10.0 * span_ms
+    lines = destinations * apart + begins
+    calls = np.searchsorted(lines, lines + span_ms - 1e-3, side="left") - np.arange(len(lines))
+    held = np.array([limit.calls for limit in limits], dtype=float)[destinations]
+    classes = np.full(len(lines), SpanClass.FREE, dtype=np.int8)
+    spans = Spans(begins, destinations, calls, held, classes)
+    for destination in history.statuses.keys() | history.jumps.keys() | history.limits.keys():
+        _classify(history, spans, destination, span_ms)
+    shards = np.array(shard_of)[destinations] if len(destinations) else destinations
+    for shard, begin, end in history.takeovers:
+        touched = (shards == shard) & (begins < end) & (begins + span_ms > begin)
+        classes[touched] = SpanClass.TAKEOVER
+    return spans
+
+
+def _classify(history: History, spans: Spans, destination: int, span_ms: float) -> None:
+    """Set the classes, and limits that changed, of one destination's spans."""
+    begin, end = np.searchsorted(spans.destinations, [destination, destination + 1])
+    begins, classes = spans.begins[begin:end], spans.classes[begin:end]
+    statuses = history.statuses.get(destination, [])
+    changes = history.limits.get(destination, [])
+    moments = [when for when, _ in statuses]
+    for at, when in enumerate(begins):
+        now = bisect_right(moments, when)
+        if now and statuses[now - 1][1] and (now == len(moments) or moments[now] >= when + span_ms):
+            classes[at] = SpanClass.BOUND
+    exposed = [when for when, bound in statuses if bound]
+    exposed += history.jumps.get(destination, [])
+    exposed += [when for when, _ in changes]
+    for when in exposed:
+        classes[(begins < when + EXPOSURE_MS) & (begins + span_ms > when)] = SpanClass.EXPOSED
+    for when, limit in changes:
+        spans.limits[begin:end][begins >= when] = limit.calls
