--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -27,7 +27,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import floor, inf
@@ -206,7 +206,7 @@
         if over_at <= now or calls <= 0:
             return
         state.fill(now, self._burst_ms)
-        state.level -= calls
+        state.level = max(state.level - calls, 0.0)  # it is a pace, no debt: the count keeps the limit
         if state.unleased and 0.0 <= over_at - state.unleased[-1].over_at <= MERGE_MS:
             state.unleased[-1].calls += calls
             state.unleased[-1].over_at = over_at
@@ -276,7 +276,7 @@
             ends = [count.over_at for count in (*state.counts.values(), *state.unleased)]
             if not state.wants and max(ends, default=now) <= now and state.filled_at + self._burst_ms <= now:
                 del self._states[key]
-                self._waiting.pop(key, None)  # its demand may have been withdrawn in this tick
+                self._waiting.pop(key, None)  # whoever waited has taken it back
             else:
                 again = max(max(ends, default=now), state.filled_at + self._burst_ms, now + self._burst_ms)
                 heappush(self._ends, (again, key))
@@ -301,6 +301,11 @@
         """How much of a limit counts as used now."""
         return self._state(key).taken(now)
 
+    @property
+    def keys(self) -> Collection[str]:
+        """Which keys have a limit; only for what concerns all of them, as a change of the fleet's default."""
+        return self._limits.keys()
+
     @property
     def waiting(self) -> bool:
         """Whether anybody asks for anything."""
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -13,12 +13,13 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Log
 from springspread.fleet.allocator import Allocator
-from springspread.fleet.allocator_control import TOLD_SPAN_MS, AllocatorControl, RegisterRefused
-from springspread.fleet.limits import Limit, LimitMode, Owner
+from springspread.fleet.allocator_control import AllocatorControl, RegisterRefused
+from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode, Owner
 from springspread.fleet.messages import LeaseRequest, Register, UseReport
 from springspread.fleet.record import Record
 from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
@@ -64,9 +65,10 @@
         self._members: dict[Owner, Member] = {}
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
-        longest = max([TOLD_SPAN_MS, *(limit.span_ms for limit in limits.values())])
+        longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
         self._record = Record(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
+        self.path = path
         path.unlink(missing_ok=True)
         self._listener = socket.socket(socket.AF_UNIX)
         self._listener.bind(str(path))
@@ -95,6 +97,16 @@
         with self._lock:
             return sorted(self._members)
 
+    def limits_status(self, most: int) -> dict[str, Any]:
+        """How many limits there are and how many adaptive ones are bound; at most so many of them by key."""
+        with self._lock:
+            bound = self.control.bound_limits(most)
+            return {
+                "limits": self.control.limit_count,
+                "adaptive_bound": self.control.adaptive_bound,
+                "bound": {key: cause.value for key, cause in bound.items()},
+            }
+
     def returning(self, owner: Owner) -> Returning | None:
         """How far an instance's start has come, as it last said."""
         epoch, said = self._returning.get(owner[0], (-1, None))
@@ -138,8 +150,7 @@
                 raise Unreadable(f"not expected before it registers: {type(message).__name__}")
             match message:
                 case LeaseRequest() | UseReport():
-                    self.control.received(self._clock.now(), owner, message)
-                    self._news.set()
+                    self._received(owner, message)
                 case Vote() | Acting() | Fit():
                     if self._heard is not None:
                         self._heard(owner, message, True)
@@ -159,6 +170,13 @@
         if self._heard is not None:
             self._heard(owner, None, True)
 
+    def _received(self, owner: Owner, message: LeaseRequest | UseReport) -> None:
+        try:
+            self.control.received(self._clock.now(), owner, message)
+        except RegisterRefused as exc:
+            raise Unreadable(str(exc)) from exc
+        self._news.set()
+
     def tell(self, owner: Owner, message: Message) -> None:
         """Send a message to an instance, if it is connected. Never waits."""
         with self._lock:
@@ -166,10 +184,12 @@
             if member is not None:
                 self._send(member, [message])
 
-    def follow(self, limits: Mapping[str, Limit], since: float) -> None:
-        """Other operators' limits hold from a moment on. Until then each key keeps the stricter one."""
+    def follow(
+        self, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
+    ) -> None:
+        """Other limits of the operators hold from a moment on; until then the stricter ones."""
         with self._lock:
-            self.control.follow(self._clock.now(), limits, since)
+            self.control.follow(self._clock.now(), limits, since, default_mode)
             self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
         self._news.set()
 
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -9,7 +9,8 @@
 import socket
 import threading
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from math import inf
 from pathlib import Path
 
@@ -120,8 +121,15 @@
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
+        if self._cache.reports_early:
+            self._ring.set()
         return now + RIGHT_MS if self._cache.is_limited(key) else inf
 
+    def listed(self, endpoints: Sequence[Endpoint]) -> None:
+        """Endpoints are on the list: whether calls to them need rights is asked ahead."""
+        if self._session.listed(map(key_of, endpoints)):
+            self._ring.set()
+
     def failed(self, endpoint: Endpoint) -> None:
         """A call to an endpoint failed."""
         self._cache.failed(key_of(endpoint))
@@ -159,6 +167,17 @@
         over = threading.Event()
         reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
         reader.start()
+        try:
+            self._write_until(sock, over)
+        finally:
+            # Guards freshness: an answer of this connection that is read after the next one has begun would
+            # acknowledge what was sent again there.
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            reader.join()
+
+    def _write_until(self, sock: socket.socket, over: threading.Event) -> None:
+        """Write what is due until the connection is over."""
         said_at = 0.0
         said = -1  # what it acts under, as it was said then
         told_of: Returning | None = None
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -36,8 +36,8 @@
 def fingerprint(key: str) -> int:
     """The 32 bits that stand for a key where its status is told.
 
-    Two keys with one fingerprint share a status: one of them may need leases while its limit would not ask
-    for them, which costs time and never a limit.
+    Keys with one fingerprint share a status, the strictest of them: one may need leases while its limit
+    would not ask for them, which costs time and never a limit.
     """
     return crc32(key.encode())
 
@@ -63,7 +63,8 @@
 class LeaseRequest(Struct, frozen=True, array_like=True, tag=2):
     """How many calls wait by key, leases that are done with, and limits (calls a second) that partners told.
 
-    A count replaces the one before; zero asks for nothing more.
+    A count replaces the one before; zero asks for no lease any more, and for the key's status where that
+    is not known yet.
     """
 
     demands: Counts = {}
@@ -89,11 +90,14 @@
     """The answer to ``Register``.
 
     ``default``: the status of keys that the sender is told nothing of. ``complete``: the statuses that follow
-    are all that differ from it; otherwise the sender keeps what it knows.
+    are all that differ from it; otherwise the sender keeps what it knows. ``following``: so many
+    ``KeyStatuses`` come next and belong to it. They take effect together, as a key that needs leases would
+    look free between them.
     """
 
     default: KeyStatus
     complete: bool
+    following: Count = 0
 
 
 class KeyStatuses(Struct, frozen=True, array_like=True, tag=5):
