--- a/springspread/rig/hollow/allocator.py
+++ b/springspread/rig/hollow/allocator.py
@@ -12,9 +12,9 @@
 from time import perf_counter_ns
 
 from springspread.fleet.allocator import Allocator
-from springspread.fleet.allocator_control import TOLD_SPAN_MS, AllocatorControl
+from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.allocator_server import IDLE_MS, SLACK_MS, TICK_MS
-from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
+from springspread.fleet.limits import PARTNER_SPAN_MS, Lease, Limit, LimitMode, Owner
 from springspread.fleet.messages import (
     PROTOCOL_VERSION,
     KeyStatuses,
@@ -152,5 +152,5 @@
         self.leased_calls += sum(lease.calls for lease in leases)
         self._record += leases
         if len(self._record) > 20_000:
-            oldest = now - TOLD_SPAN_MS - SLACK_MS
+            oldest = now - PARTNER_SPAN_MS - SLACK_MS
             self._record = [lease for lease in self._record if lease.until > oldest]
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -125,7 +125,10 @@
         """A call wants to begin; whether it does now. Otherwise it waits."""
         begun = perf_counter_ns()
         wait_ms = self.cache.take(key, now)
+        early = self.cache.reports_early
         self.sender.meter.cpu_ns += perf_counter_ns() - begun
+        if early:
+            self._wake(now)
         if wait_ms == 0.0:
             return True
         call = WaitingCall(destination, key, now)
