--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -27,13 +27,14 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import floor, inf
 
 from springspread.fleet.limits import Lease, Limit, Owner
 
+MAX_LEASE_CALLS = (1 << 32) - 1  # as the record holds it
 PACE = 1.1  # times the limit: what was late is made up for
 
 
@@ -177,7 +178,7 @@
         if key not in self._limits or owner[1] < self._epochs.get(owner[0], 0):
             return
         if calls > 0:
-            self._state(key).wants[owner] = Demand(calls, now)
+            self._state(key).wants[owner] = Demand(min(calls, MAX_LEASE_CALLS), now)
             self._waiting[key] = None
         elif (state := self._states.get(key)) is not None:
             state.wants.pop(owner, None)
@@ -302,7 +303,7 @@
         return self._state(key).taken(now)
 
     @property
-    def keys(self) -> Iterable[str]:
+    def keys(self) -> Collection[str]:
         """Which keys have a limit; only for what concerns all of them, as a change of the fleet's default."""
         return self._limits.keys()
 
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -121,6 +121,8 @@
                 return 0.0
             with self._arrived:
                 self._arrived.wait(POLL_MS / 1000.0)
+        if self._cache.reports_early:
+            self._ring.set()
         return now + RIGHT_MS if self._cache.is_limited(key) else inf
 
     def listed(self, endpoints: Sequence[Endpoint]) -> None:
@@ -137,7 +139,7 @@
         key = key_of(endpoint)
         if load.limit_per_s and self._session.partner_rate(key, load.limit_per_s):
             self._ring.set()
-        rate = self._session.rates.get(key)
+        rate = self._session.rate(key)
         return load if rate is None else Load(load.left_share, rate)
 
     def close(self) -> None:
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -14,6 +14,7 @@
 from msgspec import Meta, Struct
 
 PROTOCOL_VERSION = 2  # version 1 was JSON objects alone
+LINE_BYTES = 1 << 18  # the longest line that is read
 MAX_KEYS = 4096  # in one message
 MAX_KEY_CHARS = 200
 
@@ -36,8 +37,8 @@
 def fingerprint(key: str) -> int:
     """The 32 bits that stand for a key where its status is told.
 
-    Two keys with one fingerprint share a status: one of them may need leases while its limit would not ask
-    for them, which costs time and never a limit.
+    Keys with one fingerprint share a status, the strictest of them: one may need leases while its limit
+    would not ask for them, which costs time and never a limit.
     """
     return crc32(key.encode())
 
@@ -90,11 +91,14 @@
     """The answer to ``Register``.
 
     ``default``: the status of keys that the sender is told nothing of. ``complete``: the statuses that follow
-    are all that differ from it; otherwise the sender keeps what it knows.
+    are all that differ from it; otherwise the sender keeps what it knows. ``following``: so many
+    ``KeyStatuses`` come next and belong to it. They take effect together, as a key that needs leases would
+    look free between them.
     """
 
     default: KeyStatus
     complete: bool
+    following: Count = 0
 
 
 class KeyStatuses(Struct, frozen=True, array_like=True, tag=5):
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -238,9 +238,9 @@
     assert not frozen.call("g1", fleet.now)  # before it hears anything
     report = frozen.session.due(fleet.now)
     assert [type(one) for one in report] == [UseReport]
-    before = fleet.control._allocator.taken(fleet.now, "g1")
+    before = fleet.control.given_out("g1", fleet.now)
     fleet.deliver(frozen, report[0])
-    assert fleet.control._allocator.taken(fleet.now, "g1") == before  # its calls are out of every span
+    assert fleet.control.given_out("g1", fleet.now) == before  # its calls are out of every span
     frozen.frozen = False
     resumed = fleet.now
     fleet.run(resumed + 6_000.0, {"g1": 1})
@@ -269,7 +269,7 @@
         counted(16.0, old, UseReport(9, 0.0, {"g1": 5}))  # of the start before
     assert binding.recent_calls(16.0) == 10
     (first, *_) = control.take_messages()[new]
-    assert first == Welcome(KeyStatus.FREE, True)
+    assert first == Welcome(KeyStatus.FREE, True, 1)
 
 
 @pytest.mark.parametrize("known", [True, False])
@@ -378,7 +378,7 @@
     assert sum(lease.calls for lease in leases) == 10
     for lease in leases:
         control.received(3.0, other, LeaseRequest({"g1": 0}, (LeaseReport("g1", lease.serial, 0, 0.0),)))
-    assert control._allocator.taken(3.0, "g1") == 10
+    assert control.given_out("g1", 3.0) == 10
 
 
 def test_a_fleet_that_changes_its_default_tells_each_sender_and_keeps_the_stricter_one_until_then() -> None:
@@ -408,4 +408,5 @@
         KeyStatuses(0, bound=bound)
     ]
     late = control.register(2.0, Register(PROTOCOL_VERSION, "fleet", "n9", 1))
-    assert control.take_messages()[late] == [Welcome(KeyStatus.FREE, True), KeyStatuses(0, bound=bound)]
+    told_late = control.take_messages()[late]
+    assert told_late == [Welcome(KeyStatus.FREE, True, 1), KeyStatuses(0, bound=bound)]
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import threading
 import time
@@ -15,9 +16,17 @@
 from springspread.core.types import Endpoint, Load
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares, key_of
-from springspread.fleet.limits import Limit
-from springspread.fleet.messages import PROTOCOL_VERSION, LeaseRequest, Register
-from springspread.fleet.wire import write
+from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.messages import (
+    PROTOCOL_VERSION,
+    KeyStatus,
+    LeaseReport,
+    LeaseRequest,
+    Register,
+    Welcome,
+)
+from springspread.fleet.use_ledger import EARLY_CALLS
+from springspread.fleet.wire import LINE_BYTES, write
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -126,6 +135,93 @@
         callers.stop()
 
 
+class Noted(Quiet):
+    """A log that keeps its warnings."""
+
+    def __init__(self) -> None:
+        self.warnings: list[str] = []
+
+    def warning(self, event: str, **values: object) -> None:
+        self.warnings.append(f"{event}: {values}")
+
+
+BAD_PEERS = {
+    "a line that is too long": (b"[" + b"1" * (LINE_BYTES + 10), "a line of more than"),
+    "a line that is torn": (write(Register(PROTOCOL_VERSION, "", "n1", 1))[:-9] + b"\n", "not a message"),
+    "an unknown version": (write(Register(9, "", "n1", 1)), "protocol version 9, this is 2"),
+    "the version before": (b'{"kind":"hello","name":"n1","epoch":1}\n', "of protocol version 1"),
+    "another fleet": (write(Register(PROTOCOL_VERSION, "other", "n1", 1)), "another fleet: other"),
+    "an older start": (write(Register(PROTOCOL_VERSION, "", "n0", 0)), "n0: a later start of it is known"),
+    "a request before it registers": (write(LeaseRequest({"g1": 1})), "not expected before it registers"),
+    "what only an allocator says": (
+        write(Register(PROTOCOL_VERSION, "", "n1", 1)) + write(Welcome(KeyStatus.FREE, True)),
+        "not expected: Welcome",
+    ),
+}
+
+
+@pytest.mark.parametrize(("data", "fault"), BAD_PEERS.values(), ids=BAD_PEERS)
+def test_a_bad_peer_loses_its_connection_with_a_log_line_and_nothing_is_forgotten(
+    tmp_path: Path, data: bytes, fault: str
+) -> None:
+    log = Noted()
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(100, 60_000.0)}, log)
+    good = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: good.acquire(LINK), "a call of a good one")
+    given_out = server.control.given_out("g1", SYSTEM.now())
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(server.path))
+        peer.settimeout(5.0)
+        peer.sendall(data)
+        while peer.recv(65536):
+            pass  # a welcome may have come before the end
+    until(lambda: log.warnings, "its log line")
+    assert len(log.warnings) == 1 and fault in log.warnings[0]
+    assert server.control.given_out("g1", SYSTEM.now()) >= min(given_out, 1)
+    until(lambda: good.acquire(LINK), "the good one goes on")
+    good.close()
+    server.close()
+
+
+def test_a_peer_that_claims_anothers_lease_lowers_no_count(place: Place) -> None:
+    owner = place.join("n0")
+    until(lambda: owner.acquire(LINK), "a lease")
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        before = place.server.control.given_out("g1", SYSTEM.now())
+        reports = tuple(LeaseReport("g1", serial, 0, 0.0) for serial in range(1, 50))
+        peer.sendall(write(LeaseRequest({}, reports)))
+        peer.sendall(write(LeaseRequest({"g1": 1})))
+        until(lambda: b'[6,[["g1"' in peer.recv(65536), "the answer to what came after")
+    assert place.server.control.given_out("g1", SYSTEM.now()) >= before
+
+
+class CountedEvent(threading.Event):
+    """Knows how often it was set."""
+
+    sets = 0
+
+    def set(self) -> None:
+        self.sets += 1
+        super().set()
+
+
+def test_many_free_calls_wake_the_one_that_reports_them(tmp_path: Path) -> None:
+    limits = {"g1": Limit(100_000, 60_000.0, LimitMode.ADAPTIVE)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    shares = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: shares.acquire(LINK), "a first call")
+    until(lambda: server.control.reported_calls("g1", SYSTEM.now()) >= 1, "its report")
+    shares._ring = wakes = CountedEvent()
+    for _ in range(EARLY_CALLS):
+        assert shares.acquire(LINK)
+    assert wakes.sets >= 1
+    until(lambda: server.control.reported_calls("g1", SYSTEM.now()) > EARLY_CALLS, "their report")
+    shares.close()
+    server.close()
+
+
 def test_without_an_allocator_nothing_limited_is_called(tmp_path: Path) -> None:
     alone = FleetShares(tmp_path / "none", "n0", 1, Quiet())
     begun = time.monotonic()
@@ -182,3 +278,63 @@
     until(lambda: len(callers.made) >= 35, "calls with the last one")
     callers.stop()
     assert callers.most() <= 8
+
+
+def test_a_sender_that_is_told_of_more_limits_than_its_socket_takes_at_once_is_served(tmp_path: Path) -> None:
+    limits = {f"g{n}": Limit(8, SPAN_MS) for n in range(70_000)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: sender.acquire(LINK), "a call")
+    sender.close()
+    server.close()
+
+
+def test_one_that_never_reads_loses_its_connection(tmp_path: Path) -> None:
+    limits = {f"g{n}": Limit(8, SPAN_MS) for n in range(70_000)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), default_mode=LimitMode.ADAPTIVE)
+    with socket.socket(socket.AF_UNIX) as frozen:
+        frozen.connect(str(server.path))
+        frozen.sendall(write(Register(PROTOCOL_VERSION, "", "frozen", 1)))
+        until(lambda: server.members == [("frozen", 1)], "its hello")
+        until(lambda: server.members == [], "its end")
+    server.close()
+
+
+def test_a_connection_registers_once(place: Place) -> None:
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n2", 1)))
+        while peer.recv(65536):
+            pass
+    until(lambda: place.server.members == [], "the end of both names")
+
+
+def test_no_request_however_large_ends_the_allocator(tmp_path: Path) -> None:
+    limits = {"g1": Limit(1 << 50, SPAN_MS)}
+    server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet())
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(server.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(LeaseRequest({"g1": 1 << 61}, (), {"g2": 1e17})))
+        until(lambda: b'[6,[["g1"' in peer.recv(65536), "a lease")
+    server.close()
+
+
+def test_an_accept_that_fails_is_tried_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    accept, failed = socket.socket.accept, threading.Event()
+
+    def fails_once(listener: socket.socket) -> tuple[socket.socket, object]:
+        if not failed.is_set():
+            failed.set()
+            raise OSError(errno.EMFILE, "too many open files")
+        return accept(listener)
+
+    monkeypatch.setattr(socket.socket, "accept", fails_once)
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {"g1": Limit(8, SPAN_MS)}, Quiet())
+    sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+    until(lambda: sender.acquire(LINK), "a call")
+    sender.close()
+    server.close()
--- /dev/null
+++ b/tests/fleet/test_limits_review.py
@@ -0,0 +1,335 @@
+"""Faults that a review of exact and adaptive limits found, each by the fewest events that show it."""
+
+from __future__ import annotations
+
+import os
+import sys
+from math import ceil
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+import pytest
+
+from springspread.fleet.allocator import Allocator
+from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.lease_cache import LeaseCache
+from springspread.fleet.limit_sources import stricter
+from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
+from springspread.fleet.messages import (
+    MAX_KEYS,
+    GrantedLease,
+    KeyStatus,
+    KeyStatuses,
+    LeaseGrants,
+    LeaseReport,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+    fingerprint,
+)
+from springspread.fleet.record import Record
+from springspread.fleet.sender_session import SenderSession
+from springspread.fleet.wire import Lines, write
+
+SPAN = 2_000.0
+EXACT, ADAPTIVE = LimitMode.EXACT, LimitMode.ADAPTIVE
+
+
+class Pair:
+    """One sender and one allocator; a test hands over each message."""
+
+    def __init__(self, default: LimitMode, limits: dict[str, Limit]) -> None:
+        self.control = AllocatorControl("fleet", default, limits, Allocator(), 0.0)
+        self.cache = LeaseCache()
+        self.session = SenderSession("n0", 1, "fleet", self.cache)
+        self.owner: Owner = ("n0", 1)
+
+    def upward(self, now: float, messages: list[LimitMessage]) -> None:
+        for message in messages:
+            if isinstance(message, Register):
+                self.control.register(now, message)
+            else:
+                assert isinstance(message, LeaseRequest | UseReport)
+                self.control.received(now, self.owner, message)
+
+    def downward(self, now: float) -> list[LimitMessage]:
+        self.control.grant(now, self.control.tick(now))
+        return self.control.take_messages().get(self.owner, [])
+
+    def heard(self, now: float, messages: list[LimitMessage]) -> None:
+        for message in messages:
+            assert isinstance(message, Welcome | KeyStatuses | LeaseGrants)
+            self.session.received(now, message)
+
+    def exchange(self, now: float) -> None:
+        self.upward(now, self.session.due(now))
+        self.heard(now, self.downward(now))
+
+
+def test_between_a_welcome_and_its_statuses_no_exact_limit_looks_free() -> None:
+    pair = Pair(ADAPTIVE, {f"g{n}": Limit(1, SPAN) for n in range(5_000)})
+    pair.upward(0.0, pair.session.connected(0.0))
+    messages = pair.downward(0.0)
+    assert len(messages) == 3  # the welcome, and exact limits in two messages
+    for message in messages:
+        pair.heard(1.0, [message])
+        assert pair.cache.take("g1", 1.0) > 0.0 and pair.cache.take("g4999", 1.0) > 0.0
+    assert pair.cache.take("g5000", 1.0) == 0.0
+
+
+def test_a_default_that_becomes_adaptive_lets_no_exact_limit_look_free_on_its_way() -> None:
+    limits = {"g1": Limit(1, SPAN)}
+    pair = Pair(EXACT, limits)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.control.follow(1.0, limits, 2.0, ADAPTIVE)
+    for message in pair.downward(3.0):
+        pair.heard(3.0, [message])
+        assert pair.cache.take("g1", 3.0) > 0.0
+    assert pair.cache.take("g2", 3.0) == 0.0
+
+
+def test_a_limit_that_lease_reports_bind_is_told_and_looked_at_again() -> None:
+    limits = {"g1": Limit(1, SPAN)}
+    pair = Pair(ADAPTIVE, limits)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.control.received(1.0, pair.owner, LeaseRequest({"g1": 1}))
+    leases = pair.control.tick(2.0)
+    assert sum(lease.calls for lease in leases) == 1
+    pair.control.follow(3.0, {"g1": Limit(1, SPAN, ADAPTIVE)}, 4.0)
+    pair.heard(5.0, pair.downward(5.0))
+    assert not pair.control.is_bound("g1")
+    pair.control.received(6.0, pair.owner, UseReport(1, 0.0, {"g1": 1}))
+    reports = tuple(LeaseReport("g1", lease.serial, lease.calls, 2.0) for lease in leases)
+    pair.control.received(7.0, pair.owner, LeaseRequest({}, reports))
+    assert pair.control.is_bound("g1")
+    told = [one for one in pair.downward(8.0) if isinstance(one, KeyStatuses)]
+    assert any(fingerprint("g1") in one.bound for one in told)
+    assert pair.control.next_at < 10_000.0  # to let go of it again
+
+
+TWINS = ("r2609/endpoint-655.dc5.example:8061", "r119131/endpoint-914.dc5.example:8012")  # one fingerprint
+
+
+@pytest.mark.parametrize("default", [EXACT, ADAPTIVE])
+@pytest.mark.parametrize("other", [None, Limit(20, SPAN, ADAPTIVE)])
+def test_a_key_with_another_ones_fingerprint_frees_no_exact_limit(
+    default: LimitMode, other: Limit | None
+) -> None:
+    exact, twin = TWINS
+    assert fingerprint(exact) == fingerprint(twin)
+    limits = {exact: Limit(1, SPAN)} | ({twin: other} if other is not None else {})
+    pair = Pair(default, limits)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    made, now = {exact: 0, twin: 0}, 0.0
+    while now < 1_500.0:
+        now += 10.0
+        for key in (twin, exact):
+            made[key] += pair.cache.take(key, now) == 0.0
+        pair.exchange(now)
+    assert made[exact] == 1 and made[twin] >= 1  # the other one is slowed, and goes on
+
+
+def test_a_limit_that_comes_binds_senders_that_know_its_fingerprint_from_another_key() -> None:
+    exact, twin = TWINS
+    pair = Pair(EXACT, {})
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.cache.take(twin, 1.0)
+    pair.exchange(2.0)
+    assert pair.cache.take(exact, 3.0) == 0.0  # neither has a limit
+    pair.control.limited(4.0, exact, Limit(1, SPAN))
+    pair.heard(5.0, pair.downward(5.0))
+    assert pair.cache.take(exact, 6.0) > 0.0
+
+
+def test_a_limit_that_lets_go_frees_no_other_one_of_its_fingerprint() -> None:
+    one, other = TWINS
+    pair = Pair(ADAPTIVE, dict.fromkeys(TWINS, Limit(20, SPAN, ADAPTIVE)))
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    pair.control.limited(1.0, one, Limit(10, SPAN, ADAPTIVE))  # it falls: it is bound
+    pair.control.limited(2.0, other, Limit(10, SPAN))
+    pair.control.limited(3.0, one, Limit(40, SPAN, ADAPTIVE))
+    for now in range(10, 20_000, 100):
+        pair.heard(float(now), pair.downward(float(now)))
+        assert pair.cache.take(other, float(now)) > 0.0
+    pair.control.unlimited(other)
+    pair.heard(20_000.0, pair.downward(20_000.0))
+    pair.exchange(20_001.0)
+    assert not pair.control.is_bound(one) and not pair.control.is_bound(other)
+    pair.control.limited(20_002.0, one, Limit(30, SPAN, ADAPTIVE))
+    told = [item for item in pair.downward(20_003.0) if isinstance(item, KeyStatuses)]
+    assert any(fingerprint(one) in item.bound for item in told)
+
+
+def test_a_request_never_holds_more_keys_than_a_message_may() -> None:
+    pair = Pair(EXACT, {})
+    keys = [f"g{n}" for n in range(2 * MAX_KEYS)]
+    pair.session.listed(keys)
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.heard(0.0, pair.downward(0.0))
+    for key in keys[MAX_KEYS:]:
+        pair.cache.take(key, 1.0)
+    pair.cache.take("g" + "9" * 20, 1.0)
+    requests = [one for one in pair.session.due(2.0) if isinstance(one, LeaseRequest)]
+    heard = [message for one in requests for message in Lines().feed(write(one))]
+    assert heard == requests
+    assert {key for one in requests for key in one.demands} == {*keys, "g" + "9" * 20}
+
+
+def test_requests_and_reports_of_long_keys_fit_their_lines() -> None:
+    pair = Pair(ADAPTIVE, {})
+    keys = [f"r{n}/" + "é" * 190 for n in range(MAX_KEYS)]
+    pair.upward(0.0, pair.session.connected(0.0))
+    for key in keys:
+        pair.session.partner_rate(key, 5.0)
+        pair.cache.take(key, 1.0)
+    pair.heard(0.0, pair.downward(0.0))
+    for key in keys:
+        pair.cache.take(key, 1.0)
+    messages = pair.session.due(2.0)
+    assert [message for one in messages for message in Lines().feed(write(one))] == messages
+    assert {key for one in messages if isinstance(one, LeaseRequest) for key in one.partner_rates} == {*keys}
+
+
+def test_limits_that_partners_told_take_on_the_fleets_new_default() -> None:
+    pair = Pair(ADAPTIVE, {})
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.session.partner_rate("g1", 5.0)
+    pair.exchange(1.0)
+    assert pair.control.limit("g1") == Limit(10, SPAN, ADAPTIVE)
+    pair.control.follow(2.0, {"g2": Limit(4, SPAN, ADAPTIVE)}, 3.0, EXACT)
+    pair.heard(4.0, pair.downward(4.0))
+    assert pair.control.limit("g1") == Limit(10, SPAN, EXACT)
+    assert pair.control.limit("g2") == Limit(4, SPAN, ADAPTIVE)  # the operators say so
+    pair.cache.take("g1", 5.0)
+    pair.exchange(6.0)
+    assert pair.cache.is_limited("g1") and pair.control.is_bound("g1")
+    pair.control.follow(7.0, {}, 8.0, ADAPTIVE)
+    pair.heard(9.0, pair.downward(9.0))
+    assert pair.control.limit("g1") == Limit(10, SPAN, ADAPTIVE)
+
+
+def test_a_new_default_leaves_the_mode_of_an_operators_limit_that_is_to_come() -> None:
+    pair = Pair(ADAPTIVE, {})
+    pair.upward(0.0, pair.session.connected(0.0))
+    pair.session.partner_rate("g1", 5.0)
+    pair.exchange(1.0)
+    pair.control.follow(2.0, {"g1": Limit(4, SPAN, ADAPTIVE)}, 10.0, EXACT)
+    assert pair.control.limit("g1") == Limit(4, SPAN, ADAPTIVE)
+    pair.downward(11.0)
+    assert pair.control.limit("g1") == Limit(4, SPAN, ADAPTIVE)
+
+
+def test_a_sender_forgets_statuses_of_another_default() -> None:
+    cache = LeaseCache()
+    cache.welcomed(Welcome(KeyStatus.BOUND, True), 0.0)
+    cache.statuses_changed(KeyStatuses(0, unlimited=(fingerprint("g1"),)))
+    # A successor of the allocator, which learns, under another policy that has an adaptive limit for it.
+    cache.welcomed(Welcome(KeyStatus.FREE, False), 10.0)
+    assert cache.take("g1", 11.0) == 0.0
+    report = cache.use_report(2_000.0)
+    assert report is not None and report.calls == {"g1": 1}  # else nobody would ever know
+
+
+@pytest.mark.parametrize(
+    ("one", "other"),
+    [
+        (Limit(10, 1_000.0), Limit(99, 10_000.0)),
+        (Limit(99, 10_000.0), Limit(10, 1_000.0)),
+        (Limit(10, 1_000.0), Limit(15, 1_500.0)),
+        (Limit(1, 1_000.0), Limit(3, 60_000.0)),
+        (Limit(5, 1_000.0, ADAPTIVE), Limit(5, 1_000.0)),
+        (Limit(200, 2_000.0), Limit(20, 2_000.0, ADAPTIVE)),
+        (Limit(7, 2_000.0), Limit(70, 20_000.0)),
+    ],
+)
+def test_the_stricter_of_two_limits_keeps_both(one: Limit, other: Limit) -> None:
+    strict = stricter(one, other)
+    assert strict.calls >= 1
+    for limit in (one, other):  # the most calls that the stricter one allows in a span of this one
+        assert ceil(limit.span_ms / strict.span_ms) * strict.calls <= limit.calls
+    rates = [limit.calls / limit.span_ms for limit in (one, other)]
+    assert strict.calls / strict.span_ms >= 0.5 * min(rates)
+
+
+def test_a_second_announcement_takes_back_what_the_first_one_made_stricter() -> None:
+    pair = Pair(EXACT, {"g1": Limit(20, SPAN)})
+    pair.control.follow(0.0, {"g1": Limit(5, SPAN)}, 1_000.0)
+    assert pair.control.limit("g1") == Limit(5, SPAN)
+    pair.control.follow(10.0, {"g1": Limit(20, SPAN)}, 1_500.0)
+    pair.downward(1_500.0)
+    assert pair.control.limit("g1") == Limit(20, SPAN)
+
+
+def test_a_second_announcement_without_a_limit_that_the_first_one_brought_removes_it() -> None:
+    pair = Pair(EXACT, {})
+    pair.control.follow(0.0, {"g1": Limit(5, SPAN)}, 1_000.0)
+    pair.control.follow(10.0, {}, 1_500.0)
+    pair.downward(1_500.0)
+    assert pair.control.limit("g1") is None
+
+
+def test_the_rate_of_a_lease_is_forgotten_with_the_need_for_leases() -> None:
+    cache = LeaseCache()
+    session = SenderSession("n0", 1, "fleet", cache)
+    session.connected(0.0)
+    session.received(0.0, Welcome(KeyStatus.FREE, True, 1))
+    session.received(0.0, KeyStatuses(0, bound=(fingerprint("g1"),)))
+    session.received(0.0, LeaseGrants((GrantedLease("g1", 1, 2, 200.0, 0.5),)))
+    assert session.rate("g1") == 0.5
+    session.received(1.0, KeyStatuses(0, free=(fingerprint("g1"),)))
+    assert session.rate("g1") is None and session.rates == {}
+
+
+def test_what_a_partner_tells_is_passed_on_whenever_it_comes() -> None:
+    """News at each line of ``due``, as another thread may bring it there."""
+    lines = 0
+    while True:
+        session = SenderSession("n0", 1, "fleet", LeaseCache())
+        session.connected(0.0)
+        session.partner_rate("g1", 5.0)
+        seen = 0
+
+        def at_line(frame: FrameType, event: str, _: object, nth: int = lines) -> Any:
+            nonlocal seen
+            if frame.f_code is not SenderSession.due.__code__:
+                return None
+            if event == "line":
+                seen += 1
+                if seen == nth:
+                    sys.settrace(None)
+                    session.partner_rate("g1", 7.0)  # noqa: B023
+            return at_line  # noqa: B023
+
+        sys.settrace(at_line)
+        first = session.due(1.0)
+        sys.settrace(None)
+        told = [one for one in [*first, *session.due(2.0)] if isinstance(one, LeaseRequest)]
+        if seen < lines:
+            return
+        if lines:
+            assert told[-1].partner_rates == {"g1": 7.0}, lines
+        lines += 1
+
+
+def test_leases_that_are_not_whole_on_record_are_not_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    record, whole = Record(tmp_path, SPAN), os.write
+    record.append([Lease(1, ("n0", 1), "g1", 1, 200.0)], 0.0)
+    monkeypatch.setattr(os, "write", lambda file, data: whole(file, data[: len(data) // 2]))  # a full disk
+    with pytest.raises(OSError, match="not whole"):
+        record.append([Lease(2, ("n0", 1), "g1", 1, 200.0)], 1.0)
+    monkeypatch.undo()
+    record.append([Lease(3, ("n0", 1), "g1", 1, 200.0)], 2.0)
+    record.close()
+    again = Record(tmp_path, SPAN)
+    assert again.whole and [lease.serial for lease in again.before] == [1, 3]
+    again.close()
