Limits are told before the policy they come with; a failing reader ends its connection

Cause: (1) a grant for a new policy went out at once, the statuses of its limits with the next tick: a sender whose connection broke between them called a newly limited key as unlimited under the new policy; (2) an unexpected error in a sender's reading thread ended that thread alone: its connection lived on, unread, and the sender got no lease any more. Change: news of limits go out as a policy's limits are followed; the end of the reader, whatever its cause, ends the connection. Result: two new tests, seen to fail before.

--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -193,6 +193,8 @@
         with self._lock:
             self.control.follow(self._clock.now(), limits, since, default_mode)
             self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
+            # Guards the limits against a sender that may act under their policy and has not heard of them.
+            self._send_news()
         self._news.set()
 
     def _run(self) -> None:
@@ -218,6 +220,9 @@
         except OSError as exc:
             # Guards the limit against a successor that would not know of them: they run out untold.
             self._log.error("leases not on record", error=str(exc))
+        self._send_news()
+
+    def _send_news(self) -> None:
         for owner, messages in self.control.take_messages().items():
             member = self._members.get(owner)
             if member is not None:
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
+from functools import partial
 from math import inf
 from pathlib import Path
 
@@ -163,8 +164,7 @@
         self._votes.clear()  # of another connection: whoever asked has gone on
         sock.sendall(b"".join(map(write, self._session.connected(self._clock.now()))))
         over = threading.Event()
-        reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
-        reader.start()
+        reader = spawn("fleet-hear", partial(self._hear, sock, over), self._log, vital=False)
         try:
             self._write_until(sock, over)
         finally:
@@ -261,8 +261,9 @@
                     self._arrived.notify_all()
         except (OSError, Unreadable) as exc:
             self._log.warning("allocator lost", error=str(exc))
-        over.set()
-        self._ring.set()
+        finally:  # whatever ended it: else the connection would live on with nobody who reads
+            over.set()
+            self._ring.set()
 
 
 def _nothing_told() -> None:
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import json
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
 
 import pytest
 
+from springspread.config import Config
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint, Load
 from springspread.fleet.allocator_server import AllocatorServer
@@ -24,8 +26,10 @@
     LeaseRequest,
     Register,
     Welcome,
+    fingerprint,
 )
-from springspread.fleet.wire import LINE_BYTES, write
+from springspread.fleet.wire import LINE_BYTES, Question, write
+from springspread.rollout.terms import Grant
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -312,3 +316,39 @@
     until(lambda: sender.acquire(LINK), "a call")
     sender.close()
     server.close()
+
+
+def test_a_policy_is_granted_after_the_limits_that_come_with_it(place: Place) -> None:
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(LeaseRequest({f"g{n}": 0 for n in range(2, 60)})))
+        lines = peer.makefile("rb")
+        known = 0
+        while known < 58:
+            line = lines.readline()
+            known += len(json.loads(line)[4]) if line.startswith(b"[5,") else 0
+        for n in range(2, 60):  # often, as the tick may come between by chance
+            limits = {f"g{m}": Limit(8, SPAN_MS) for m in range(2, n + 1)}
+            place.server.follow(limits, SYSTEM.now() + 60_000.0)
+            place.server.tell(("n1", 1), Grant((1, n), n, 0.0, 1.0))
+            told = lines.readline()
+            assert told.startswith(b"[5,") and json.loads(told)[2] == [fingerprint(f"g{n}")]
+            assert b"grant" in lines.readline()
+        lines.close()
+
+
+def test_a_message_that_fails_in_a_sender_costs_it_its_connection_and_no_more(place: Place) -> None:
+    sender = place.join("n0")
+    until(lambda: sender.acquire(LINK), "a call")
+    failed = threading.Event()
+
+    def fails(text: str) -> Config:
+        failed.set()
+        raise RuntimeError("a fault of its own")
+
+    sender.follow(fails, lambda event: None)
+    place.server.tell(("n0", 1), Question(1, "{}"))
+    until(failed.is_set, "the question")
+    until(lambda: sender.acquire(LINK), "a call over a new connection")
