A successor without a record counts leases to their ends

Cause: what a lost record may have held counted as used up by the moment of the successor's start. Leases that were out then could be used for a lease's time longer, and a span that held such a call could hold as many as the successor gave out. Change: it counts as used up by the end of the last lease that may be out. Result: a new test, seen to fail before.

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -136,11 +136,11 @@
         self.steps = 0  # limits looked at by ``allocate``, for tests of what it costs
 
     def presume(self, now: float) -> None:
-        """What was given out before this moment is not known: each limit counts as used up by then.
+        """What was given out before this moment is not known: each limit counts as used up.
 
-        It costs a limit's span, once.
+        Leases of it may be used to their ends, so it costs a lease's time and a limit's span, once.
         """
-        self._presumed = now
+        self._presumed = now + self._lease_ms
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -333,3 +333,21 @@
     again = Record(tmp_path, SPAN)
     assert again.whole and [lease.serial for lease in again.before] == [1, 3]
     again.close()
+
+
+def test_leases_that_a_lost_record_held_count_to_a_span_after_their_ends() -> None:
+    limit, died = Limit(5, SPAN), 10_000.0
+    before = Allocator(lease_ms=200.0)
+    before.limited("g1", limit)
+    before.ask(died, ("n0", 1), "g1", 5)
+    (lease,) = before.allocate(died)
+    cache = LeaseCache(keep_ms=1_000.0)
+    cache.received(lease, died)
+    successor = Allocator(lease_ms=200.0)
+    successor.limited("g1", limit)
+    successor.presume(died)
+    last = lease.until - 1.0
+    assert cache.take("g1", last) == 0.0
+    successor.ask(last + SPAN - 10.0, ("n1", 1), "g1", 5)
+    assert successor.allocate(last + SPAN - 10.0) == []  # its call is in each span until then
+    assert successor.allocate(last + SPAN + 10.0) != []
