A lost record counts for each successor; a damaged length and long shard names are seen

Cause: (1) that a record was lost or damaged was known to the first successor alone: one that died within a span left a record that looked whole, and the next one gave out what the lost leases had; (2) a record whose length field was damaged read as one with a torn end, and so as whole; (3) shards whose names agree in their first 64 bytes had one weight, and one of them all keys. Change: what is presumed goes on record as a lease of no key; a length that no lease has is damage; longer names are hashed first.

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -32,7 +32,7 @@
 from heapq import heappop, heappush
 from math import floor, inf
 
-from springspread.fleet.limits import Lease, Limit, Owner
+from springspread.fleet.limits import UNKNOWN_KEY, Lease, Limit, Owner
 
 MAX_LEASE_CALLS = (1 << 32) - 1  # as the record holds it
 PACE = 1.1  # times the limit: what was late is made up for
@@ -136,12 +136,14 @@
         self._presumed: float | None = None
         self.steps = 0  # limits looked at by ``allocate``, for tests of what it costs
 
-    def presume(self, now: float) -> None:
+    def presume(self, now: float) -> Lease:
         """What was given out before this moment is not known: each limit counts as used up.
 
-        Leases of it may be used to their ends, so it costs a lease's time and a limit's span, once.
+        Leases of it may be used to their ends, so it costs a lease's time and a limit's span, once. The
+        result stands for them on the record: a successor that restores it presumes the same.
         """
         self._presumed = now + self._lease_ms
+        return Lease(0, NOBODY, UNKNOWN_KEY, 0, self._presumed)
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
@@ -292,6 +294,9 @@
         """Count what a predecessor gave out, before anything is asked for."""
         self._before = {}
         for lease in records:
+            if lease.key == UNKNOWN_KEY:
+                self._presumed = max(lease.until, self._presumed or lease.until)
+                continue
             self._before.setdefault(lease.key, []).append(lease)
             self._serial = max(self._serial, lease.serial)
             self._epochs[lease.owner[0]] = max(lease.owner[1], self._epochs.get(lease.owner[0], 0))
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -91,7 +91,7 @@
         if not record.whole or (began_before and not record.found):
             # Guards limits after a power loss, or a record that is lost: anything may have been given out.
             self._log.warning("leases not known; limits count as used up")
-            allocator.presume(now)
+            record.append([allocator.presume(now)], now)
         learning = began_before or record.found
         return AllocatorControl(fleet, default_mode, limits, allocator, now, learning)
 
--- a/springspread/fleet/limits.py
+++ b/springspread/fleet/limits.py
@@ -55,6 +55,9 @@
 """An instance and its epoch: each start of an instance is another owner."""
 
 
+UNKNOWN_KEY = ""  # of a lease that stands on record for those that were lost from it
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """The right of one owner to begin so many calls before ``until`` (ms)."""
--- a/springspread/fleet/record.py
+++ b/springspread/fleet/record.py
@@ -14,10 +14,12 @@
 from struct import Struct
 from zlib import crc32
 
-from springspread.fleet.limits import Lease
+from springspread.fleet.limits import UNKNOWN_KEY, Lease
+from springspread.fleet.messages import MAX_KEY_CHARS
 
 HEAD = Struct("<II")  # length and checksum of the rest
 BODY = Struct("<QQIdHH")
+MAX_BODY_BYTES = BODY.size + 2 * 4 * MAX_KEY_CHARS  # a name and a key, of four bytes a character at most
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 BOOT_BYTES = 36
 FILE_BYTES = 1 << 16  # a file is left for the other one at this length, as soon as that is of no account
@@ -87,6 +89,8 @@
     leases, at = list[Lease](), BOOT_BYTES
     while at + HEAD.size <= len(data):
         size, check = HEAD.unpack_from(data, at)
+        if size > MAX_BODY_BYTES:
+            return leases, at, False
         body = data[at + HEAD.size : at + HEAD.size + size]
         if len(body) < size:
             break  # torn as the process was killed: it was not told
@@ -102,7 +106,7 @@
     found = []
     for path in _paths(folder):
         boot = path.read_bytes()[:BOOT_BYTES] if path.exists() else b""
-        found += [lease.owner for lease in _read(path, boot)[0]]
+        found += [lease.owner for lease in _read(path, boot)[0] if lease.key != UNKNOWN_KEY]
     return found
 
 
--- a/springspread/fleet/shard_map.py
+++ b/springspread/fleet/shard_map.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+MAX_KEY_SIZE = blake2b.MAX_KEY_SIZE  # of the hash
+
 
 class ShardMapError(ValueError):
     """A map that can't be used; the text says why."""
@@ -61,4 +63,7 @@
 
 
 def _weight(shard: str, key: str) -> int:
-    return int.from_bytes(blake2b(key.encode(), key=shard.encode()[:64], digest_size=8).digest(), "big")
+    name = shard.encode()
+    if len(name) > MAX_KEY_SIZE:
+        name = blake2b(name).digest()
+    return int.from_bytes(blake2b(key.encode(), key=name, digest_size=8).digest(), "big")
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -28,6 +28,7 @@
     Welcome,
     fingerprint,
 )
+from springspread.fleet.record import leased_epochs
 from springspread.fleet.wire import LINE_BYTES, Question, write
 from springspread.rollout.terms import Grant
 from tests.peer import until
@@ -352,3 +353,22 @@
     place.server.tell(("n0", 1), Question(1, "{}"))
     until(failed.is_set, "the question")
     until(lambda: sender.acquire(LINK), "a call over a new connection")
+
+
+@pytest.mark.parametrize("damaged", [False, True])
+def test_what_a_lost_record_may_have_held_counts_for_each_successor(tmp_path: Path, damaged: bool) -> None:
+    limits = {"g1": Limit(8, 60_000.0)}
+    if damaged:
+        first = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet())
+        sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+        until(lambda: sender.acquire(LINK), "a lease")
+        sender.close()
+        first.close()
+        for path in tmp_path.glob("leases.*"):
+            if path.stat().st_size > 60:
+                _flipped(path)
+    for _ in range(3):  # a daemon that dies soon after its start
+        server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), began_before=True)
+        assert server.control.given_out("g1", SYSTEM.now()) >= 8
+        server.close()
+    assert [name for name, _ in leased_epochs(tmp_path)] == []
--- a/tests/fleet/test_shard_map.py
+++ b/tests/fleet/test_shard_map.py
@@ -60,3 +60,9 @@
 def test_a_shard_that_is_not_there_can_not_leave() -> None:
     with pytest.raises(ShardMapError, match="no such shard: c; there are a, b"):
         ShardMap(1, ("a", "b")).without("c")
+
+
+def test_shards_with_long_names_that_differ_late_share_the_keys() -> None:
+    shards = tuple("s" * 70 + end for end in "abc")
+    assigned = ShardMap(1, shards).assign(f"g{n}" for n in range(300))
+    assert min(map(len, assigned.values())) >= 60
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -147,3 +147,17 @@
         again = Record(tmp_path, 2_000.0)
         assert again.whole  # it is told once
         again.close()
+
+
+@pytest.mark.parametrize("bit", range(8 * 8))
+def test_a_record_with_a_damaged_head_is_not_whole(tmp_path: Path, bit: int) -> None:
+    record = Record(tmp_path, 2_000.0)
+    record.append([lease(serial) for serial in range(1, 100)], 0.0)
+    record.close()
+    (file,) = [path for path in tmp_path.iterdir() if path.stat().st_size]
+    data = bytearray(file.read_bytes())
+    data[36 + bit // 8] ^= 1 << bit % 8  # the length and the checksum of the first lease
+    file.write_bytes(data)
+    after = Record(tmp_path, 2_000.0)
+    assert not after.whole
+    after.close()
