--- /dev/null
+++ b/tests/rig/test_hollow.py
@@ -0,0 +1,171 @@
+"""A hollow fleet at a size for CI: one seed one history, and limits under each kind of trouble."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from springspread.fleet.lease_cache import FRESH_MS
+from springspread.fleet.limits import LimitMode
+from springspread.rig.hollow.faults import Fault, FaultKind, Stage, schedule
+from springspread.rig.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
+from springspread.rig.hollow.network import ZONES, zone_of
+from springspread.rig.hollow.play import Plan, play
+from springspread.rig.hollow.report import digest
+from springspread.rig.hollow.spans import SpanClass, Spans, find_spans
+from springspread.rig.hollow.traffic import TrafficLaw
+from springspread.rollout.document import Policy
+
+POLICY = Policy(json.loads(Path("deploy/sender.json").read_text())["settings"], {})
+LAW = TrafficLaw(destinations=200, per_s=2_000.0, hottest_share=0.05)
+SIZE = FleetSize(senders=42, allocators=3, law=LAW)
+EXACT_LAW = TrafficLaw(60, 400.0, hottest_share=0.05, headroom=0.9, mode=LimitMode.EXACT)
+EXACT = FleetSize(senders=28, allocators=3, law=EXACT_LAW)
+BUSY = 0  # the destination with the most demand, of which ``JUMP`` is a hundredfold
+QUIET = 60  # one with little demand
+AT = 4_000.0  # when a fault begins
+
+
+def spans_after(fleet: HollowFleet, end: float) -> Spans:
+    fleet.run_until(end)
+    return find_spans(fleet.history, fleet.limits, fleet.shard_of, fleet.size.law.span_ms)
+
+
+def run(size: FleetSize, faults: Sequence[Fault], end: float) -> tuple[HollowFleet, Spans]:
+    fleet = HollowFleet(size, POLICY, faults)
+    return fleet, spans_after(fleet, end)
+
+
+def calls_between(fleet: HollowFleet, begin: float, end: float) -> list[int]:
+    """The senders of the calls that began in a stretch of time."""
+    history = fleet.history
+    return [
+        sender for when, sender in zip(history.times, history.senders, strict=True) if begin <= when < end
+    ]
+
+
+def up_destination(fleet: HollowFleet, first: int) -> int:
+    """The first destination from a rank on that is not down."""
+    return next(number for number in range(first, len(fleet.keys)) if not fleet.traffic.down[number])
+
+
+def test_one_seed_has_one_history() -> None:
+    plan = Plan(seconds=2.0, warm_s=1.0, faults="restarts+zone+allocator")
+    first, second = (digest(play(SIZE, plan, POLICY)[0]) for _ in range(2))
+    other = digest(play(replace(SIZE, seed=2), plan, POLICY)[0])
+    assert first == second != other
+
+
+def test_the_report_tells_each_role_and_a_calm_day_keeps_its_limits() -> None:
+    _, rows = play(SIZE, Plan(seconds=4.0, warm_s=4.0), POLICY)
+    found = {(row.role, row.what, row.statistic): row.value for row in rows}
+    for role in ("sender", "allocator", "policy"):
+        assert found[role, "bytes both ways with headers", "p99"] > 0.0
+        assert found[role, "processor", "p99"] > 0.0
+    assert found["sender", "memory of control state", "most"] < 1.0
+    assert found["limit", "spans bound", "most calls by N"] <= 1.0
+    assert found["limit", "spans free", "above N + 2 root N + 2"] == 0
+
+
+def test_calls_that_a_sender_reports_are_those_that_it_made() -> None:
+    law = replace(LAW, down_part=0.0, headroom=50.0, least_calls=1_000)
+    fleet, _ = run(replace(SIZE, law=law), (), 5_000.0)
+    assert not fleet.history.statuses
+    assert fleet.unserved == 0
+    assert fleet.offered == len(fleet.history.times) + sum(
+        len(session.waiting) for sender in fleet.senders if sender is not None for session in sender.sessions
+    ) + sum(not one.began for one in fleet.history.held_up)
+
+
+def test_a_jump_of_demand_is_bound_within_two_seconds_and_then_kept() -> None:
+    probe = HollowFleet(SIZE, POLICY)
+    target = up_destination(probe, QUIET)
+    jump = Fault(FaultKind.JUMP, AT, AT + 60_000.0, (target,), 100.0)
+    fleet, spans = run(SIZE, [jump], AT + 7_000.0)
+    bindings = [when for when, bound in fleet.history.statuses[target] if bound]
+    assert AT < bindings[-1] < AT + FRESH_MS
+    after = [
+        spans.fullest(one, begin=AT + FRESH_MS, destination=target)
+        for one in (SpanClass.BOUND, SpanClass.EXPOSED, SpanClass.FREE)
+    ]
+    assert sum(one.spans for one in after) > 0
+    assert max(one.ratio for one in after) <= 1.0
+    assert spans.fullest(SpanClass.EXPOSED, destination=target).ratio > 1.0  # the jump was a real one
+
+
+@pytest.mark.parametrize("bound_before", [False, True])
+def test_a_limit_that_falls_to_a_tenth_holds_two_seconds_later(bound_before: bool) -> None:
+    target = up_destination(HollowFleet(SIZE, POLICY), BUSY)
+    faults = [Fault(FaultKind.LIMIT, AT, AT + 60_000.0, (target,), 0.1)]
+    if bound_before:
+        faults.insert(0, Fault(FaultKind.JUMP, JOIN_MS, AT + 60_000.0, (target,), 5.0))
+    fleet, spans = run(SIZE, faults, AT + 7_000.0)
+    was_bound = any(bound and when < AT for when, bound in fleet.history.statuses[target])
+    assert was_bound is bound_before
+    found = spans.fullest(SpanClass.BOUND, begin=AT + FRESH_MS, destination=target)
+    assert found.spans > 0
+    assert found.ratio <= 1.0
+
+
+def test_senders_that_are_cut_off_make_no_call_two_seconds_later_and_nothing_over_the_limit_after() -> None:
+    last = len(ZONES) - 1
+    cut = Fault(FaultKind.CUT, AT, AT + 4_000.0, (last,))
+    fleet, spans = run(SIZE, [cut], AT + 7_000.0)
+    during = calls_between(fleet, AT + FRESH_MS + 1.0, AT + 4_000.0)
+    assert during
+    assert not [sender for sender in during if zone_of(sender).number == last]
+    back = calls_between(fleet, AT + 4_500.0, AT + 7_000.0)
+    assert [sender for sender in back if zone_of(sender).number == last]
+    assert spans.fullest(SpanClass.BOUND, begin=AT).ratio <= 1.0
+    assert spans.fullest(SpanClass.FREE, begin=AT).ratio_tolerated <= 1.0
+
+
+TROUBLE = ("zone", "region", "most-restart", "allocator", "allocator-without-record")
+
+
+@pytest.mark.parametrize("kind", [FaultKind.ALLOCATOR, FaultKind.ALLOCATOR_AMNESIA])
+def test_a_successor_that_comes_at_once_exceeds_no_exact_limit(kind: FaultKind) -> None:
+    faults = [Fault(kind, 4_000.0, 4_100.0, (number,)) for number in range(EXACT.allocators)]
+    _, spans = run(EXACT, faults, 7_000.0)
+    assert 0.9 <= max(spans.fullest(one).ratio for one in SpanClass) <= 1.0
+
+
+@pytest.mark.parametrize("name", TROUBLE)
+def test_an_exact_limit_is_never_exceeded(name: str) -> None:
+    stage = Stage(EXACT.senders, EXACT.allocators, 2_000.0, 6_500.0, EXACT.seed)
+    fleet, spans = run(EXACT, schedule(name, stage), 9_000.0)
+    assert len(fleet.history.times) > 1_000
+    assert 0.9 <= max(spans.fullest(one).ratio for one in SpanClass) <= 1.0
+
+
+@pytest.mark.parametrize("name", TROUBLE)
+def test_a_bound_limit_is_not_exceeded_once_its_exposure_is_over(name: str) -> None:
+    target = up_destination(HollowFleet(SIZE, POLICY), BUSY)
+    jump = Fault(FaultKind.JUMP, JOIN_MS, 60_000.0, (target,), 5.0)
+    stage = Stage(SIZE.senders, SIZE.allocators, 3_000.0, 7_500.0, SIZE.seed)
+    _, spans = run(SIZE, [jump, *schedule(name, stage)], 9_000.0)
+    assert spans.fullest(SpanClass.BOUND, destination=target).spans > 0
+    assert spans.fullest(SpanClass.BOUND).ratio <= 1.0
+
+
+def test_the_loss_of_a_shard_moves_its_keys_alone() -> None:
+    fleet = HollowFleet(SIZE, POLICY)
+    lost = fleet.shard_map.shards[0]
+    rest = fleet.shard_map.without(lost)
+    moved = [key for key in fleet.keys if fleet.shard_map.owner(key) != rest.owner(key)]
+    assert moved == [key for key in fleet.keys if fleet.shard_map.owner(key) == lost]
+    assert moved == list(fleet.allocators[0].limits)
+
+
+def test_a_policy_takes_hold_at_all_senders() -> None:
+    fleet = HollowFleet(SIZE, POLICY)
+    fleet.run_until(2_000.0)
+    fleet.coordinator.propose()
+    fleet.run_until(6_000.0)
+    versions = {session.version(6_000.0) for session in fleet.policy_sessions if session is not None}
+    assert fleet.coordinator.in_force[0] == 2
+    assert versions == {2}
