--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -5,6 +5,11 @@
 
 In virtual time, with the real control code; ``springspread.rig.hollow`` says what is modelled. ``--faults``
 is one of the names in ``springspread.rig.hollow.faults.SCHEDULES``, or several joined with ``+``.
+
+    python -m benchmarks.hollow_fleet --sockets [--senders 200] [--destinations 5000] [--per-s 2000]
+        [--seconds 60] [--processes 4] [--mode adaptive]
+
+Real sockets on loopback, against one real allocator.
 """
 
 from __future__ import annotations
@@ -16,10 +21,12 @@
 from pathlib import Path
 
 from benchmarks.tables import add
+from springspread.fleet.limits import LimitMode
 from springspread.rig.hollow.faults import SCHEDULES
 from springspread.rig.hollow.fleet import FleetSize
 from springspread.rig.hollow.play import Plan, play
 from springspread.rig.hollow.report import Row, digest
+from springspread.rig.hollow.sockets import SocketPlan, play_sockets
 from springspread.rig.hollow.traffic import TrafficLaw
 from springspread.rollout.document import Policy
 
@@ -75,6 +82,10 @@
     parser.add_argument("--changes", type=int, default=0, help="changes of policy while measured")
     parser.add_argument("--config", type=Path, default=Path("deploy/sender.json"))
     parser.add_argument("--csv", type=Path)
+    parser.add_argument("--sockets", action="store_true", help="real senders' clients and a real allocator")
+    parser.add_argument("--processes", type=int, default=4, help="of the senders on sockets")
+    parser.add_argument("--no-control", action="store_true", help="on sockets: what the driver alone costs")
+    parser.add_argument("--mode", choices=[mode.value for mode in LimitMode], default="adaptive")
     return parser.parse_args()
 
 
@@ -83,15 +94,29 @@
     args = arguments()
     policy = Policy(json.loads(args.config.read_text())["settings"], {})
     law = TrafficLaw(
-        args.destinations, args.per_s, down_part=args.down, headroom=args.headroom, tight_part=args.tight
+        args.destinations,
+        args.per_s,
+        down_part=args.down,
+        headroom=args.headroom,
+        tight_part=args.tight,
+        mode=LimitMode(args.mode),
     )
+    shape = f"{args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    if args.sockets:
+        plan = SocketPlan(
+            args.senders, args.processes, law, args.seconds, seed=args.seed, control=not args.no_control
+        )
+        mode = args.mode if plan.control else "driver alone"
+        tell(f"sockets {mode} {shape}", play_sockets(plan), args.csv)
+        return
     size = FleetSize(args.senders, args.allocators, law, args.seed)
     faults = "calm" if args.calm else args.faults
     fleet, rows = play(size, Plan(args.seconds, args.warm_s, faults, args.changes), policy)
     told = "" if not args.tight else f" tight={args.tight:g}"
     told += "" if args.down == TrafficLaw(1, 1.0).down_part else f" down={args.down:g}"
     told += "" if args.headroom == TrafficLaw(1, 1.0).headroom else f" headroom={args.headroom:g}"
-    run = f"virtual {faults}{told} {args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    told += "" if law.mode is LimitMode.ADAPTIVE else f" {args.mode}"
+    run = f"virtual {faults}{told} {shape}"
     tell(run, rows, args.csv)
     print(f"history {digest(fleet)}")
 
