Fleet client: the policy participant's driver in a module of its own

Cause: FleetShares held two concerns, the leases of limits and the changes of policy, and its names had to be guessed.

A connection's reader is joined before the next connection begins, as before. No line on the wire and no log event changes.

--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -1,14 +1,17 @@
-"""An instance's driver for its session with the allocator: it connects, asks, reports and takes leases in.
+"""An instance's connection to the allocator, and the checks that each call makes against it.
 
-While the allocator is away the instance goes on with the leases that it holds, to their ends, and then makes
-no call to a limited destination: a floor of none is the one that keeps every limit, whatever their number.
+Theory of operation. One thread connects, writes what the two sides of the session have due, and connects
+again after a failure; a second one, of each connection, reads. ``sender_session`` and ``lease_cache`` hold
+the leases, ``policy_participant`` the policy. Calls ask from the threads of the sender.
+
+While the allocator is away the instance uses the leases that it holds until they end; after that it makes no
+call to a limited destination. Only so are limits kept whatever the number of instances.
 """
 
 from __future__ import annotations
 
 import socket
 import threading
-from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from math import inf
@@ -19,27 +22,16 @@
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
-from springspread.fleet.sender_session import IDLE_MS, POLL_MS, SenderSession
-from springspread.fleet.wire import (
-    Document,
-    Fit,
-    Lines,
-    Message,
-    PolicyMessage,
-    Question,
-    Returning,
-    Unreadable,
-    write,
-)
+from springspread.fleet.policy_participant import PolicyParticipant
+from springspread.fleet.sender_session import POLL_MS, SenderSession
+from springspread.fleet.wire import Lines, Message, PolicyMessage, Returning, Unreadable, write
 from springspread.net.threads import spawn
-from springspread.rollout import participant
-from springspread.rollout.participant import Participant
-from springspread.rollout.terms import Acting, Grant, Prepare, Vote
-
-AGAIN_MS = 100.0
-SAY_MS = 1_000.0  # what it acts under is said this often, and when that changes
-POLICY_WAIT_MS = 120.0  # and so long for the right to act under its policy
-RIGHT_MS = 20.0  # a right is good for so long; with a held last byte less than the allocator's slack
+
+RECONNECT_MS = 100.0
+CONNECT_TIMEOUT_S = 2.0
+READ_BYTES = 1 << 16
+POLICY_WAIT_MS = 120.0  # the longest that a call waits for its policy to be in force
+RIGHT_MS = 20.0  # how long the right to a call is good; with a held last byte below the allocator's slack
 LEASE_WAIT_MS = 120.0  # a call waits so long for a lease, on its slot; then its message is decided on anew
 
 
@@ -61,42 +53,45 @@
         policy: int = 0,
         fleet: str = "",
     ) -> None:
-        """``policy``: the number of the policy that this process was started with; 0: there is none.
+        """``path``: the allocator's socket; ``name`` and ``epoch``: of this instance.
+
+        ``policy``: the number of the policy that this process was started with; 0: there is none.
         ``fleet``: the fleet that it belongs to, as the allocator knows it.
         """
         self._path, self._log, self._clock = path, log, clock
-        self.policy = policy
-        self._rights = Participant()
-        self._texts: dict[int, str] = {}
-        self._reading = threading.Lock()  # for the texts: one thread takes them in, another lets go of them
-        self._holding, self._unfit = False, 0
-        self._votes: deque[Vote | Fit] = deque()
+        self._participant = PolicyParticipant(policy, log, clock)
         self._cache = LeaseCache()
         self._session = SenderSession(name, epoch, fleet, self._cache)
-        self._arrived = threading.Condition()
-        self._ring = threading.Event()
+        self._received = threading.Condition()  # notified after each batch of messages
+        self._wake = threading.Event()  # set where there may be something to write
         self._open = True
-        self._usable: Callable[[str], Config] = _nobody_asked
-        self._put: Callable[[NewPolicy], None] = _nobody_hears
-        self._returning: Callable[[], Returning | None] = _nothing_told
-        self._begun = threading.Event()
+        self._start_report: Callable[[], Returning | None] = _no_report
+        self._following = threading.Event()
         if not policy:
-            self._begun.set()
+            self._following.set()
         spawn("fleet", self._run, log)
 
     def follow(
         self,
-        usable: Callable[[str], Config],
-        put: Callable[[NewPolicy], None],
-        returning: Callable[[], Returning | None] | None = None,
+        build_config: Callable[[str], Config],
+        deliver: Callable[[NewPolicy], None],
+        start_report: Callable[[], Returning | None] | None = None,
     ) -> None:
-        """Begin to talk. ``usable`` makes a configuration of a policy's text, or raises ``ConfigError``.
+        """Connect, and follow the fleet's policy.
 
-        ``put`` is told when another policy holds; ``returning`` is asked how far the start has come.
+        ``build_config`` makes a configuration of a policy's text or raises ``ConfigError``; ``deliver`` takes
+        each policy as it comes into force; ``start_report`` says how far the start has come.
         """
-        self._usable, self._put = usable, put
-        self._returning = returning or _nothing_told
-        self._begun.set()
+        self._participant.follow(build_config, deliver)
+        self._start_report = start_report or _no_report
+        self._following.set()
+
+    @property
+    def policy(self) -> int:
+        """The number of the policy that this process follows; 0: there is none."""
+        return self._participant.version
+
+    # Asked by calls, from any thread
 
     def enter(self, policy: int) -> bool:
         """The right to begin a call that was decided under a policy, now or within ``POLICY_WAIT_MS``."""
@@ -104,69 +99,74 @@
         while not self.may(policy):
             if self._clock.now() >= until or policy != self.policy:
                 return False
-            with self._arrived:
-                self._arrived.wait(POLL_MS / 1000.0)
+            self._wait_for_messages()
         return True
 
     def may(self, policy: int) -> bool:
         """Whether a call of a policy may begin at this moment."""
-        return policy == 0 or self._rights.may(policy, self._clock.now())
+        return self._participant.may(policy)
 
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
         while self._cache.take(key, now := self._clock.now()) > 0.0:
-            self._ring.set()
+            self._wake.set()
             if now >= until:
                 return 0.0
-            with self._arrived:
-                self._arrived.wait(POLL_MS / 1000.0)
+            self._wait_for_messages()
         return now + RIGHT_MS if self._cache.is_limited(key) else inf
 
+    def _wait_for_messages(self) -> None:
+        with self._received:
+            self._received.wait(POLL_MS / 1000.0)
+
     def listed(self, endpoints: Sequence[Endpoint]) -> None:
         """Endpoints are on the list: whether calls to them need rights is asked ahead."""
         if self._session.listed(map(key_of, endpoints)):
-            self._ring.set()
+            self._wake.set()
 
     def failed(self, endpoint: Endpoint) -> None:
         """A call to an endpoint failed."""
         self._cache.failed(key_of(endpoint))
 
     def load(self, endpoint: Endpoint, load: Load) -> Load:
-        """What the decision module is told of an endpoint's limit: this instance's part of it."""
+        """The load to hand to the decision module: with this instance's part of the endpoint's limit."""
         key = key_of(endpoint)
         if load.limit_per_s and self._session.partner_rate(key, load.limit_per_s):
-            self._ring.set()
+            self._wake.set()
         rate = self._session.rates.get(key)
         return load if rate is None else Load(load.left_share, rate)
 
     def close(self) -> None:
         """Ask for nothing more."""
         self._open = False
-        self._ring.set()
+        self._wake.set()
+
+    # The connection
 
     def _run(self) -> None:
-        self._begun.wait()
+        self._following.wait()
         while self._open:
             try:
                 with socket.socket(socket.AF_UNIX) as sock:
-                    sock.settimeout(2.0)
+                    sock.settimeout(CONNECT_TIMEOUT_S)
                     sock.connect(str(self._path))
                     sock.settimeout(None)
-                    self._talk(sock)
+                    self._use_connection(sock)
             except (OSError, Unreadable) as exc:
                 self._log.warning("no allocator", error=str(exc))
-            # What was heard before the connection broke still takes hold at its moment.
-            self._clock.sleep(min(AGAIN_MS, self._turn(self._clock.now())))
+            # A policy that was granted before the connection broke still comes into force at its moment.
+            self._clock.sleep(min(RECONNECT_MS, self._participant.advance(self._clock.now())))
 
-    def _talk(self, sock: socket.socket) -> None:
-        self._votes.clear()  # of another connection: whoever asked has gone on
+    def _use_connection(self, sock: socket.socket) -> None:
+        """Read and write until the connection ends; its reader has ended, too, when this returns."""
+        self._participant.connected()
         sock.sendall(b"".join(map(write, self._session.connected(self._clock.now()))))
-        over = threading.Event()
-        reader = threading.Thread(target=self._hear, args=(sock, over), name="fleet-hear", daemon=True)
+        ended = threading.Event()
+        reader = threading.Thread(target=self._read, args=(sock, ended), name="fleet-reader", daemon=True)
         reader.start()
         try:
-            self._write_until(sock, over)
+            self._write(sock, ended)
         finally:
             # Guards freshness: an answer of this connection that is read after the next one has begun would
             # acknowledge what was sent again there.
@@ -174,107 +174,48 @@
                 sock.shutdown(socket.SHUT_RDWR)
             reader.join()
 
-    def _write_until(self, sock: socket.socket, over: threading.Event) -> None:
-        """Write what is due until the connection is over."""
-        said_at = 0.0
-        said = -1  # what it acts under, as it was said then
-        told_of: Returning | None = None
-        while self._open and not over.is_set():
+    def _write(self, sock: socket.socket, ended: threading.Event) -> None:
+        """Write what is due until the connection has ended."""
+        last_report: Returning | None = None
+        while self._open and not ended.is_set():
             now = self._clock.now()
-            due: list[Message] = []
-            while self._votes:
-                due.append(self._votes.popleft())
-            acting = 0 if self._holding else self.policy
-            if self.policy and (acting != said or now >= said_at + SAY_MS):
-                said, said_at = acting, now
-                due.append(Acting(acting))
-            if (start := self._returning()) is not None and start != told_of:
-                told_of = start
-                due.append(start)
+            due: list[Message] = [*self._participant.due(now)]
+            report = self._start_report()
+            if report is not None and report != last_report:
+                last_report = report
+                due.append(report)
             due += self._session.due(now)
             if due:
                 sock.sendall(b"".join(map(write, due)))
-            self._ring.wait(min(self._session.wait_ms(now), self._turn(now)) / 1000.0)
-            self._ring.clear()
-
-    def _turn(self, now: float) -> float:
-        """Act under the policy that holds; how long until another one may (ms)."""
-        number = self._rights.version(now)
-        with self._reading:
-            text = self._texts.get(number)
-        if number > self.policy and text is not None:
-            try:
-                config = self._usable(text)
-            except ConfigError as exc:
-                if number != self._unfit:
-                    self._log.error("policy can't be used here", version=number, fault=str(exc))
-                self._unfit = number
-            else:
-                self.policy = number
-                with self._reading:
-                    self._texts = {other: kept for other, kept in self._texts.items() if other > number}
-                self._put(NewPolicy(number, config))
-        holding = self.policy > 0 and number != self.policy
-        if holding != self._holding:
-            self._holding = holding
-            self._log.info("holding" if holding else "acting", version=self.policy)
-        since = self._rights.next_since(now)
-        return IDLE_MS if since is None else max(since - now, 0.0) + 0.2
-
-    def _policy(self, message: PolicyMessage) -> None:
-        if isinstance(message, Document):
-            # Few at a time: the one that holds, the one that follows, and one that is asked about.
-            with self._reading:
-                self._texts = dict(sorted({**self._texts, message.number: message.text}.items())[-3:])
-        elif isinstance(message, Grant):
-            self._rights = participant.granted(self._rights, message, self._clock.now())
-        elif isinstance(message, Question):
-            self._votes.append(Fit(message.id, self._fault(message.text)))
-        elif isinstance(message, Prepare):
-            text = self._texts.get(message.number)
-            fault = "its text did not arrive" if text is None else self._fault(text)
-            self._rights, vote = participant.prepared(self._rights, message, fault)
-            if vote is not None:
-                self._votes.append(vote)
-        self._ring.set()
-
-    def _fault(self, text: str) -> str:
-        """Why a policy can't be used here; empty if it can."""
-        try:
-            self._usable(text)
-        except ConfigError as exc:
-            return str(exc)
-        return ""
+            self._wake.wait(min(self._session.wait_ms(now), self._participant.advance(now)) / 1000.0)
+            self._wake.clear()
 
-    def _hear(self, sock: socket.socket, over: threading.Event) -> None:
+    def _read(self, sock: socket.socket, ended: threading.Event) -> None:
         lines = Lines()
         try:
-            while data := sock.recv(65536):
+            while data := sock.recv(READ_BYTES):
                 for message in lines.feed(data):
-                    if isinstance(message, Welcome | KeyStatuses | LeaseGrants):
-                        self._session.received(self._clock.now(), message)
-                    elif isinstance(message, PolicyMessage):
-                        self._policy(message)
-                    else:
-                        raise Unreadable(f"not expected: {type(message).__name__}")
-                with self._arrived:
-                    self._arrived.notify_all()
+                    self._dispatch(message)
+                with self._received:
+                    self._received.notify_all()
         except (OSError, Unreadable) as exc:
             self._log.warning("allocator lost", error=str(exc))
-        over.set()
-        self._ring.set()
-
-
-def _nothing_told() -> None:
-    return None
-
-
-def _nobody_asked(text: str) -> Config:
-    raise ConfigError("policy: this process does not follow any yet")
-
-
-def _nobody_hears(event: NewPolicy) -> None:
-    """Nothing is told before ``follow``."""
+        ended.set()
+        self._wake.set()
+
+    def _dispatch(self, message: Message) -> None:
+        """Hand a message to the side that it is for; raises ``Unreadable`` where it has none."""
+        if isinstance(message, Welcome | KeyStatuses | LeaseGrants):
+            self._session.received(self._clock.now(), message)
+        elif isinstance(message, PolicyMessage):
+            self._participant.received(message)
+            self._wake.set()
+        else:
+            raise Unreadable(f"not expected: {type(message).__name__}")
+
+
+def _no_report() -> None:
+    """Nothing is known of a start before ``follow``."""
 
 
 def from_environment(env: Mapping[str, str], log: Log) -> FleetShares:
--- a/springspread/rig/virtual.py
+++ b/springspread/rig/virtual.py
@@ -14,7 +14,7 @@
 from random import Random
 
 from springspread.fleet.change import LOOK_MS
-from springspread.fleet.client import SAY_MS
+from springspread.fleet.policy_participant import REPORT_INTERVAL_MS
 from springspread.fleet.wire import Document, Lines, Message, write
 from springspread.rollout import coordinator, participant
 from springspread.rollout.coordinator import Coordinator, History, Step, Times
@@ -70,7 +70,7 @@
         self._carry_out(coordinator.begin(times, history, self.now, []))
         for owner in self._owners:
             self._carry_out(coordinator.joined(self._state, self.now, owner))
-            self._after(self._rng.uniform(0.0, SAY_MS), partial(self._say, owner))
+            self._after(self._rng.uniform(0.0, REPORT_INTERVAL_MS), partial(self._say, owner))
         self._after(LOOK_MS, self._tick)
         self.run(1_000.0)
         self._silent = set(self._rng.sample(self._owners, deaf))
@@ -110,7 +110,7 @@
 
     def _say(self, owner: Owner) -> None:
         self._count(Acting(self._rights[owner].version(self.now)))
-        self._after(SAY_MS, partial(self._say, owner))
+        self._after(REPORT_INTERVAL_MS, partial(self._say, owner))
 
     def _count(self, message: Message) -> Message:
         line = write(message)
