--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -13,7 +13,7 @@
 from math import inf
 from time import perf_counter_ns
 
-from springspread.fleet.client import AGAIN_MS, LEASE_WAIT_MS
+from springspread.fleet.client import LEASE_WAIT_MS, RECONNECT_MS
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
 from springspread.fleet.sender_session import POLL_MS, SenderSession
@@ -78,7 +78,7 @@
         """There is no connection; the next try comes after a while."""
         self._connection = None
         self._wake_at = inf
-        self.sender.queue.at(self.sender.queue.now + AGAIN_MS, self._connect)
+        self.sender.queue.at(self.sender.queue.now + RECONNECT_MS, self._connect)
 
     def close(self) -> None:
         """The process is killed."""
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -218,7 +218,7 @@
     shares = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
     until(lambda: shares.acquire(LINK), "a first call")
     until(lambda: server.control.reported_calls("g1", SYSTEM.now()) >= 1, "its report")
-    shares._ring = wakes = CountedEvent()
+    shares._wake = wakes = CountedEvent()
     for _ in range(EARLY_CALLS):
         assert shares.acquire(LINK)
     assert wakes.sets >= 1
