--- a/springspread/cli/fleet.py
+++ b/springspread/cli/fleet.py
@@ -75,11 +75,11 @@
 
 
 def _send(plan: FleetPlan, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
-    from springspread.fleet.orders import asked
+    from springspread.fleet.orders import send_order
 
     path = plan.folder / "control"
     try:
-        return asked(path, order, wait_s)
+        return send_order(path, order, wait_s)
     except (OSError, ValueError) as exc:
         raise click.ClickException(f"no daemon answers at {path}: {exc}") from exc
 
--- a/springspread/fleet/adoption.py
+++ b/springspread/fleet/adoption.py
@@ -1,6 +1,6 @@
 """Takes over, as a daemon begins, what its predecessor left: the members' file, and processes that run.
 
-``survey`` decides; this reads and acts.
+``survey`` decides; this module reads and acts.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from springspread.fleet.folder import Unusable, config_epochs, read_members, running
 from springspread.fleet.members import Row
 from springspread.fleet.record import leased_epochs
-from springspread.fleet.survey import Found, believed, highest
+from springspread.fleet.survey import Evidence, latest_epochs, reconcile
 
 MEMBERS_FILE = "members.json"
 
@@ -36,20 +36,20 @@
 
 
 def adopt(folder: Path, meeting_point: Callable[[str], Path], log: Log, clock: Clock) -> Adopted:
-    """Who there is, from all that survived; a process that must hold nothing is ended. Raises ``OSError``."""
+    """The members, reconciled from all that survived; stale processes are killed. Raises ``OSError``."""
     rows = _recorded_rows(folder / MEMBERS_FILE, log)
-    leased = highest({name: epoch} for name, epoch in leased_epochs(folder))
-    survey = believed(Found(rows, (leased, config_epochs(folder)), running(meeting_point)))
-    for process in survey.astray:
+    leased = latest_epochs({name: epoch} for name, epoch in leased_epochs(folder))
+    membership = reconcile(Evidence(rows, (leased, config_epochs(folder)), running(meeting_point)))
+    for process in membership.stale:
         log.warning("astray, ended", instance=process.name, pid=process.pid, epoch=process.epoch)
         with suppress(ProcessLookupError):
             os.kill(process.pid, signal.SIGKILL)
-    adopted = dict(survey.rows)
-    for name, holder in survey.holders.items():
+    adopted = dict(membership.rows)
+    for name, holder in membership.holders.items():
         adopted[name] = replace(adopted[name], started_at=clock.now(), term_sent_at=inf)
         log.info("adopted", instance=name, pid=holder.pid)
-    starts = {holder.pid: holder.started for holder in survey.holders.values()}
-    return Adopted(adopted, starts, survey.lost and bool(survey.rows))
+    starts = {holder.pid: holder.started for holder in membership.holders.values()}
+    return Adopted(adopted, starts, membership.lost and bool(membership.rows))
 
 
 def _recorded_rows(path: Path, log: Log) -> tuple[Row, ...] | None:
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -20,7 +20,7 @@
 from springspread.fleet.allocator_control import AllocatorControl, RegisterRefused
 from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode, Owner
 from springspread.fleet.messages import LeaseRequest, Register, UseReport
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
 from springspread.net.threads import spawn
 from springspread.rollout.terms import Acting, Vote
@@ -65,7 +65,7 @@
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
         longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
-        self._record = Record(folder, longest + SLACK_MS)
+        self._record = LeaseRecord(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
         self.path = path
         path.unlink(missing_ok=True)
@@ -82,12 +82,12 @@
     ) -> AllocatorControl:
         now, record = self._clock.now(), self._record
         allocator = Allocator(slack_ms=SLACK_MS)
-        allocator.restore(record.before)
-        if not record.whole or (began_before and not record.found):
+        allocator.restore(record.earlier)
+        if not record.complete or (began_before and not record.existed):
             # Guards limits after a power loss, or a record that is lost: anything may have been given out.
             self._log.warning("leases not known; limits count as used up")
             allocator.presume(now)
-        learning = began_before or record.found
+        learning = began_before or record.existed
         return AllocatorControl(fleet, default_mode, limits, allocator, now, learning)
 
     @property
@@ -179,7 +179,8 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         with self._lock:
             self.control.follow(self._clock.now(), limits, since, default_mode)
-            self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
+            longest = max((limit.span_ms for limit in limits.values()), default=0.0)
+            self._record.extend_retention(longest + SLACK_MS)
         self._news.set()
 
     def _run(self) -> None:
--- a/springspread/fleet/daemon.py
+++ b/springspread/fleet/daemon.py
@@ -34,7 +34,7 @@
 from springspread.fleet.policy_orders import PolicyOrders
 from springspread.fleet.status import instance_status, recovery_status, unreported_recovery
 from springspread.fleet.supervisor import Supervisor
-from springspread.fleet.survey import raised
+from springspread.fleet.survey import raise_epochs
 from springspread.rollout.document import Policy, PolicyFault, differences
 from springspread.rollout.record import Damaged
 
@@ -65,7 +65,7 @@
             rows = scaled(rows, plan.instances)
         self._changes = self._load_policies(wanted, rows)
         if adopted.lost:
-            rows = raised(rows, self._changes.record.history.generation + 1)
+            rows = raise_epochs(rows, self._changes.record.history.generation + 1)
         self._server = self._serve_limits(began_before=any(row.epoch for row in rows.values()))
         try:
             self._changes.begin(_running(rows.values()), self._server.tell, self._server.follow)
@@ -110,7 +110,7 @@
     def _serve_limits(self, began_before: bool) -> AllocatorServer:
         history, clock = self._changes.record.history, self._clock
         undecided = clock.now() < history.since  # the daemon before decided it, for a moment to come
-        policy = self._changes.policy(history.before if undecided else history.in_force)
+        policy = self._changes.policy(history.previous if undecided else history.in_force)
         server = AllocatorServer(
             self.folder / "allot",
             self.folder,
--- a/springspread/fleet/fit.py
+++ b/springspread/fleet/fit.py
@@ -1,4 +1,4 @@
-"""Whether a policy fits one process: its bounds, its threads, and the messages that it holds."""
+"""Whether a running process can use a policy: its bounds, its names, and the messages that it holds."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from springspread.config import Config, ConfigError, decoded, read
 from springspread.core.journal import Journal
 from springspread.core.lanes import Lanes
+from springspread.interface import Settings
 
 KEYS = {
     "connect_ms": "limits.connectTimeoutMs",
@@ -22,24 +23,30 @@
 def under_policy(
     running: Config, journal: Journal | Lanes, text: str, env: Mapping[str, str] = os.environ
 ) -> Config:
-    """The configuration that a policy's text makes of a process's first one; raises ``ConfigError``.
+    """The configuration of a running process with a policy's settings in place of its own.
 
-    Each fault names the key. What is held here must still be carried: its class is there, and its room.
+    Raises ``ConfigError``, which begins with the key, where the process can't use them: they are faulty,
+    change what serves a start, or leave no class or no room for a message that it holds.
     """
     new = read({**decoded(env), "settings": json.loads(text)["settings"]}, env)
-    for item in fields(new.limits):
-        if getattr(new.limits, item.name) != getattr(running.limits, item.name):
-            key = KEYS.get(item.name, f"({item.name})")
+    for bound in fields(new.limits):
+        if getattr(new.limits, bound.name) != getattr(running.limits, bound.name):
+            key = KEYS.get(bound.name, f"({bound.name})")
             raise ConfigError(f"settings.{key}: this process was started with another; it serves a start")
     if new.names != running.names:
         raise ConfigError("settings.kinds, zones, feedback: this process was started with others")
     if new.settings.max_attempts > running.settings.max_attempts:
         most = running.settings.max_attempts
         raise ConfigError(f"settings.limits.attemptsCap: above {most}, for which this journal has its room")
-    named = {spec.name for spec in new.settings.classes}
-    held = [owed for owed in list(journal.owed.values()) if owed.ending is None]
-    if lost := sorted({owed.cls for owed in held} - named):
-        raise ConfigError(f"settings.classes: {', '.join(lost)}: messages of it are held here")
-    if new.settings.max_held < len(held):
-        raise ConfigError(f"settings.limits.mostHeld: {len(held)} messages are held here")
+    _check_held(new.settings, journal)
     return replace(running, settings=new.settings)
+
+
+def _check_held(settings: Settings, journal: Journal | Lanes) -> None:
+    """Raise ``ConfigError`` where messages that have no end yet could not be carried any more."""
+    held = [message for message in list(journal.owed.values()) if message.ending is None]
+    classes = {spec.name for spec in settings.classes}
+    if missing := sorted({message.cls for message in held} - classes):
+        raise ConfigError(f"settings.classes: {', '.join(missing)}: messages of it are held here")
+    if settings.max_held < len(held):
+        raise ConfigError(f"settings.limits.mostHeld: {len(held)} messages are held here")
--- a/springspread/fleet/folder.py
+++ b/springspread/fleet/folder.py
@@ -1,8 +1,8 @@
-"""What a fleet's folder and the system say of its members: the members' file, configurations, processes.
+"""Reads a fleet's members from its folder and the system: the members' file, configurations, processes.
 
-The members' file is JSON with a checksum over its rows, written to another name, synced, and put in its
-place; the folder is synced after that. A file of the version before (rows alone, no checksum) is read as it
-stands.
+The members' file is JSON with a checksum over its rows, written to another name, synced, and renamed into its
+place; the folder is synced after that. A file of the earlier format (rows alone, no checksum) is read
+too.
 """
 
 from __future__ import annotations
@@ -18,11 +18,12 @@
 from zlib import crc32
 
 from springspread.core.files import sync_folder
-from springspread.fleet.members import Row, Want
+from springspread.fleet.members import DesiredState, Row
 from springspread.fleet.survey import Running
 
 NAME = re.compile(r"n\d{3,}")
 MOMENTS = ("started_at", "term_sent_at", "died_at")  # of a clock that the next daemon may not share
+DESIRED_KEY = "want"  # of the desired state, in the file
 KEYS = {item.name for item in fields(Row)} - {*MOMENTS}
 
 
@@ -40,7 +41,7 @@
             if raw["check"] != _check(raw["rows"]):
                 raise Unusable("its checksum is not that of its rows")
             raw = raw["rows"]
-        return tuple(_row(one) for one in raw)
+        return tuple(_row(entry) for entry in raw)
     except OSError as exc:
         raise Unusable(exc.strerror or str(exc)) from exc
     except (ValueError, KeyError, TypeError, RecursionError) as exc:
@@ -48,18 +49,16 @@
 
 
 def _row(raw: dict[str, Any]) -> Row:
-    row = Row(**{key: value for key, value in raw.items() if key in KEYS} | {"want": Want(raw["want"])})
+    values = {key: value for key, value in raw.items() if key in KEYS}
+    row = Row(**values | {"desired": DesiredState(raw[DESIRED_KEY])})
     if not (NAME.fullmatch(row.name) and isinstance(row.epoch, int) and isinstance(row.pid, int)):
         raise ValueError(f"not a member: {raw!r}")
     return row
 
 
 def write_members(path: Path, rows: Iterable[Row]) -> None:
-    """Put rows on record, synced, before what follows from them is done. Raises ``OSError``."""
-    raw = [{**asdict(row), "want": row.want.value} for row in rows]
-    for one in raw:
-        for moment in MOMENTS:
-            del one[moment]
+    """Replace the file by one with these rows, synced when this returns. Raises ``OSError``."""
+    raw = [_raw(row) for row in rows]
     fresh = path.with_suffix(".new")
     with fresh.open("w") as file:
         file.write(json.dumps({"check": _check(raw), "rows": raw}))
@@ -69,24 +68,35 @@
     sync_folder(path.parent)
 
 
+def _raw(row: Row) -> dict[str, Any]:
+    raw = asdict(row)
+    del raw["desired"]
+    for moment in MOMENTS:
+        del raw[moment]
+    return {**raw, DESIRED_KEY: row.desired.value}
+
+
 def _check(rows: Any) -> str:
     return f"{crc32(json.dumps(rows, sort_keys=True).encode()):08x}"
 
 
 def config_epochs(folder: Path) -> dict[str, int]:
     """The epoch that each instance's configuration was last written for; 0 where it does not say."""
-    made = {}
+    epochs = {}
     for place in folder.iterdir():
         if NAME.fullmatch(place.name) and place.is_dir():
-            made[place.name] = 0
+            epochs[place.name] = 0
             with suppress(OSError, ValueError, TypeError, AttributeError, KeyError):
-                made[place.name] = max(int(json.loads((place / "config.json").read_bytes())["epoch"]), 0)
-    return made
+                epochs[place.name] = max(int(json.loads((place / "config.json").read_bytes())["epoch"]), 0)
+    return epochs
 
 
 def running(meeting_point: Callable[[str], Path]) -> tuple[Running, ...]:
-    """Processes of this fleet's instances, by what their environment says. ``meeting_point``: by name."""
-    made = []
+    """The processes of this fleet's instances, found by their environment.
+
+    ``meeting_point`` gives the socket at which an instance of a name finds its daemon.
+    """
+    processes = []
     for entry in Path("/proc").iterdir():
         if not entry.name.isdigit():
             continue
@@ -99,12 +109,12 @@
                 and env["SPRINGSPREAD_FLEET"] == str(meeting_point(name))
                 and (start := process_start(pid))
             ):
-                made.append(Running(name, int(env["SPRINGSPREAD_EPOCH"]), pid, start))
-    return tuple(made)
+                processes.append(Running(name, int(env["SPRINGSPREAD_EPOCH"]), pid, start))
+    return tuple(processes)
 
 
 def process_start(pid: int) -> str:
-    """The moment of a process's start in the system's ticks; empty for one that is dead."""
+    """When a process started, in the system's ticks since boot; empty for one that is dead."""
     try:
         values = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     except (FileNotFoundError, ProcessLookupError):
--- a/springspread/fleet/instance_files.py
+++ b/springspread/fleet/instance_files.py
@@ -1,4 +1,4 @@
-"""What lies in the folder of one instance, as the daemon reads it: configuration, journal and log."""
+"""Reads the folder of one instance for the daemon: its configuration, journal and log."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from springspread.core.lanes import owed_in
 
 LOG_BYTES = 4 << 20
-LOG_TAIL_BYTES = 1 << 18  # the ready line is looked for in so much of a log's end
+LOG_TAIL_BYTES = 1 << 18  # the ready line is searched for in the last part of a log
 
 
 def policy_started_with(place: Path) -> int:
-    """The policy that its configuration was last written for; 0 where it does not say."""
+    """The number of the policy that its configuration was last written for; 0 where it names none."""
     try:
         return int(json.loads((place / "config.json").read_text()).get("policy", 0))
     except (OSError, ValueError, TypeError, AttributeError):
@@ -24,7 +24,7 @@
 
 
 def pending_messages(place: Path) -> int:
-    """How many messages without an end its journal holds; 1 where that can't be read just now."""
+    """How many messages without an end its journal holds; 1 where it can't be read at the moment."""
     if not (state := place / "state").is_dir():
         return 0
     with suppress(OSError):  # its process clears files away
@@ -41,7 +41,7 @@
 
 
 def listen_address(place: Path, pid: int) -> str:
-    """Where it listens, from the ready line of its process; empty where it does not, or not yet."""
+    """The ``host:port`` in the ready line that its process logged; empty where there is none yet."""
     log = place / "log"
     try:
         with log.open("rb") as source:
@@ -58,9 +58,9 @@
 
 
 def rotate_log(place: Path) -> None:
-    """Guards the disk: a log that is long enough becomes the one before, and begins anew."""
+    """Move a log over ``LOG_BYTES`` to ``log.1``, in place of the one there, and empty it."""
     log = place / "log"
     with suppress(FileNotFoundError):
         if log.stat().st_size > LOG_BYTES:
             shutil.copyfile(log, log.with_suffix(".1"))
-            os.truncate(log, 0)  # its process appends, and goes on at the beginning
+            os.truncate(log, 0)  # its process opened it to append, so it goes on at the beginning
--- a/springspread/fleet/orders.py
+++ b/springspread/fleet/orders.py
@@ -1,4 +1,4 @@
-"""Orders to a daemon, from outside: one JSON object there, one back, on the socket in its folder."""
+"""The client side of a daemon's control socket: it sends an order, one JSON object, and reads the answer."""
 
 from __future__ import annotations
 
@@ -17,8 +17,12 @@
     """An order that can't be carried out, or a folder that another daemon holds; the text says why."""
 
 
-def asked(control: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
-    """A daemon's answer to an order; raises ``OSError`` or ``ValueError`` where none comes."""
+def send_order(control: Path, order: dict[str, Any], wait_s: float = 0.0) -> dict[str, Any]:
+    """Send an order to the daemon that listens at ``control``; returns its answer.
+
+    ``wait_s``: how long the daemon may wait before it answers. Raises ``OSError`` or ``ValueError`` where no
+    answer comes.
+    """
     line = json.dumps(order).encode() + b"\n"
     answer = bytearray()
     with socket.socket(socket.AF_UNIX) as sock:
--- a/springspread/fleet/policy_orders.py
+++ b/springspread/fleet/policy_orders.py
@@ -1,4 +1,4 @@
-"""Orders about the policy: propose one, check one, and say what is and was in force.
+"""Orders about the policy: propose one, check one, and report which is and was in force.
 
 Each answer is a JSON object, as the command line reads it.
 """
@@ -13,7 +13,7 @@
 from springspread.fleet.limits import Owner
 from springspread.fleet.members import Row
 from springspread.fleet.orders import Refused
-from springspread.rollout.document import Policy, PolicyFault, check, differences, parsed
+from springspread.rollout.document import Policy, PolicyFault, check, differences, parse_policy
 from springspread.rollout.terms import Proposed
 
 OUTCOME_LOOK_MS = 10.0
@@ -21,18 +21,19 @@
 
 
 class PolicyOrders:
-    """Carries them out, from any thread."""
+    """Carries out orders about the policy, from any thread; each method's answer is a JSON object."""
 
     def __init__(self, changes: Changes, clock: Clock) -> None:
         self._changes, self._clock = changes, clock
 
     def propose(self, text: str, within_s: float) -> dict[str, Any]:
-        """Ask for a policy to take hold; waits until it does, is refused, or the time is over.
+        """Propose a policy; wait up to ``within_s`` seconds until it is in force or refused.
 
-        Raises ``Refused`` where the text is no policy.
+        Proposed again while it is the latest, it gets the same answer. Raises ``Refused`` where the text is
+        no policy.
         """
         try:
-            policy = parsed(text)
+            policy = parse_policy(text)
         except PolicyFault as exc:
             raise Refused(str(exc)) from exc
         end = self._clock.now() + 1000.0 * within_s
@@ -43,11 +44,11 @@
             if proposal.fault:
                 return {"state": "refused", "version": 0, "fault": proposal.fault}
             number = proposal.number
-        return self._outcome_by(end, number)  # where it was proposed before: the same answer
+        return self._outcome_by(end, number)
 
     @property
     def _latest(self) -> int:
-        """The policy that is under way, or else the one in force."""
+        """The number of the policy that is being changed to, or else of the one in force."""
         return self._changes.pending or self._changes.record.history.in_force
 
     def _outcome_by(self, end: float, number: int) -> dict[str, Any]:
@@ -58,21 +59,21 @@
         return outcome
 
     def outcome(self, number: int) -> dict[str, Any]:
-        """What became of a proposal."""
-        state, fault = self._changes.outcome(number)
-        return {"state": state, "version": number, "fault": fault}
+        """The outcome of a proposal."""
+        outcome = self._changes.outcome(number)
+        return {"state": outcome.state, "version": number, "fault": outcome.detail}
 
     def text(self, number: int) -> dict[str, Any]:
-        """The document of a policy that holds or held; raises ``Refused``."""
+        """The document of a policy that is or was in force; raises ``Refused``."""
         decided = self._changes.record.decided
         if number not in decided:
             raise Refused(f"no policy {number} held; there are {', '.join(map(str, decided))}")
         return {"policy": self._changes.policy(number).text}
 
     def check(self, text: str, running: Iterable[Owner]) -> dict[str, Any]:
-        """What a proposal would change, who would refuse it, and who is silent; nothing is changed."""
+        """What a proposal would change, who would refuse it, and who does not answer; changes nothing."""
         try:
-            policy = parsed(text)
+            policy = parse_policy(text)
             check(policy, [self._changes.policy(number) for number in self._changes.record.decided])
         except PolicyFault as exc:
             return {"usable": False, "fault": str(exc), "changes": [], "refuse": {}, "silent": []}
@@ -91,13 +92,13 @@
         return self._changes.policy(self._changes.record.history.in_force)
 
     def status(self, rows: Iterable[Row]) -> dict[str, Any]:
-        """Which policy is in force, what is under way, and what each instance acts under."""
+        """The policy in force, the change under way, and the policy that each instance acts under."""
         changes = self._changes
         number, pending = changes.in_force, changes.pending
-        waits = [name for name, _ in changes.waits]
+        awaited = [name for name, _ in changes.awaited]
         return {
             "in_force": {"version": number, "digest": changes.policy(number).digest},
-            "pending": {"version": pending, "waits_for": waits} if pending else None,
+            "pending": {"version": pending, "waits_for": awaited} if pending else None,
             "instances": {row.name: self._acting(row) for row in rows},
         }
 
@@ -107,12 +108,12 @@
         return {"version": version, "state": state}
 
     def history(self) -> list[dict[str, Any]]:
-        """Every policy that was proposed, and what became of it."""
+        """Every proposal with its outcome, in order."""
         record = self._changes.record
         numbers = [entry.number for entry in record.entries if isinstance(entry, Proposed)]
         return [self._proposed(number) for number in numbers]
 
     def _proposed(self, number: int) -> dict[str, Any]:
-        state, fault = self._changes.outcome(number)
+        outcome = self._changes.outcome(number)
         digest = self._changes.policy(number).digest
-        return {"version": number, "state": state, "fault": fault, "digest": digest}
+        return {"version": number, "state": outcome.state, "fault": outcome.detail, "digest": digest}
--- a/springspread/fleet/policy_participant.py
+++ b/springspread/fleet/policy_participant.py
@@ -8,7 +8,7 @@
     session (one, the writer)   connected, due, advance
     any                         may, version
 
-The reader replaces the state whole, so that the others read it without a lock.
+The reader replaces the immutable state in one assignment, so that the others read it without a lock.
 """
 
 from __future__ import annotations
--- a/springspread/fleet/status.py
+++ b/springspread/fleet/status.py
@@ -1,4 +1,4 @@
-"""What the daemon says of each instance: its process, its place in the fleet, and its return after a start.
+"""Reports on each instance: its process, its place in the fleet, and its recovery after a start.
 
 Each is a JSON object, as the command line reads it. Times are milliseconds unless a key ends with ``_s``.
 """
@@ -12,10 +12,10 @@
 
 
 def instance_status(row: Row, connected: bool, policy: int, now: float) -> dict[str, Any]:
-    """One instance. ``connected``: its present process is, at the allocator; ``policy``: it acts under."""
+    """One instance. ``connected``: its process is, to the allocator; ``policy``: the number it acts under."""
     return {
         "name": row.name,
-        "want": row.want.value,
+        "want": row.desired.value,
         "pid": row.pid,
         "epoch": row.epoch,
         "listen": row.listen,
@@ -27,10 +27,10 @@
 
 
 def recovery_status(row: Row, report: Returning, now: float) -> dict[str, Any]:
-    """How far the return of an instance has come, by its own last report."""
+    """How far the recovery of an instance has come, by its own last report."""
     return {
         "name": row.name,
-        "want": row.want.value,
+        "want": row.desired.value,
         "damaged": report.damaged,
         "gate": report.gate,
         "for_s": _seconds(now - report.since),
@@ -41,10 +41,10 @@
 
 
 def unreported_recovery(row: Row, pending: int, now: float) -> dict[str, Any]:
-    """The same of an instance that has reported nothing; ``pending``: messages in its journal."""
+    """The same for an instance that has not reported; ``pending``: messages without an end in its journal."""
     return {
         "name": row.name,
-        "want": row.want.value,
+        "want": row.desired.value,
         "damaged": None,
         "gate": "starting" if row.pid else "away",
         "for_s": _seconds(now - row.started_at) if row.pid else 0.0,
@@ -55,7 +55,7 @@
 
 
 def _expected_s(report: Returning, up_ms: float) -> float | None:
-    """When the rest of what it held at its start is done, at the pace so far; none where there is no pace."""
+    """Seconds until its pending messages have ended, at the pace so far; ``None`` where none has yet."""
     if not report.owed:
         return 0.0
     ended = report.at_start - report.owed
--- a/springspread/fleet/supervisor.py
+++ b/springspread/fleet/supervisor.py
@@ -1,7 +1,7 @@
-"""Looks after the instances' processes: starts, ends, restarts and adopts them, as ``members`` decides.
+"""Supervises the instances' processes: starts, ends and restarts them, as ``members`` decides.
 
-What there is stands in the members' file before it is done, so that another daemon can take over at any
-moment. A process is known by its id together with the moment of its start.
+The members' file is written before a step is taken, so that another daemon can take over at any moment. A
+process is identified by its id together with the moment of its start.
 """
 
 from __future__ import annotations
@@ -24,19 +24,28 @@
 from springspread.fleet.instance_files import first_deadline, listen_address, pending_messages, rotate_log
 from springspread.fleet.launcher import Launcher, Start
 from springspread.fleet.limits import Owner
-from springspread.fleet.members import Row, Seen, Step, Want, died, returning_first, scaled, step
+from springspread.fleet.members import (
+    DesiredState,
+    Observation,
+    Row,
+    Step,
+    died,
+    returning_first,
+    scaled,
+    step,
+)
 from springspread.fleet.orders import Refused
 from springspread.fleet.plan import FleetPlan
 from springspread.net.threads import spawn
 
 LOOK_MS = 50.0
-STARTS_MS = 5_000.0  # a process that is not connected by then is no longer counted as starting
-LISTENS_MS = 60_000.0  # an instance says where it listens within this, or its log is not looked at again
+STARTS_MS = 5_000.0  # a process that is not connected by then no longer counts as starting
+LISTENS_MS = 60_000.0  # after its start an instance's log is searched for its address for so long
 STOP_LOOK_MS = 20.0
 
 
 class Supervisor:
-    """Looks after a fleet's instances, on a thread of its own, from ``begin`` until ``stop`` or ``close``."""
+    """Supervises a fleet's instances on a thread of its own, from ``begin`` until ``stop`` or ``close``."""
 
     def __init__(
         self,
@@ -49,7 +58,7 @@
         log: Log,
         clock: Clock,
     ) -> None:
-        """``process_starts``: of adopted processes, by id; ``connected``: who is, at the allocator."""
+        """``process_starts``: of adopted processes, by id; ``connected``: gives the connected owners."""
         self._plan, self._launcher, self._changes = plan, launcher, changes
         self._connected, self._log, self._clock = connected, log, clock
         self._lock = threading.Lock()
@@ -57,25 +66,25 @@
         self._process_starts = dict(process_starts)
         self._children: dict[int, subprocess.Popen[bytes]] = {}
         self._rolling: list[str] = []
-        # Those that have been away go first where what they hold is most urgent.
+        # Instances that were down start in the order of the deadlines in their journals.
         away = [name for name, row in rows.items() if not row.pid]
         self._urgent = {name: first_deadline(plan.folder / name) for name in away}
         self._closed = threading.Event()
 
     def begin(self) -> None:
-        """Start looking after them."""
+        """Start the thread."""
         spawn("fleet-look", self._run, self._log)
 
     @property
     def rows(self) -> list[Row]:
-        """The instances as they are now."""
+        """The instances at this moment."""
         with self._lock:
             return list(self._rows.values())
 
     # Orders
 
     def scale(self, count: int) -> None:
-        """Have so many instances serve."""
+        """Have ``count`` instances serve."""
         with self._lock:
             self._rows = scaled(self._rows, count)
             self._save()
@@ -83,7 +92,7 @@
     def drain(self, name: str) -> None:
         """Have one instance leave; raises ``Refused``."""
         with self._lock:
-            self._rows[name] = replace(self._known("drain", name), want=Want.LEAVING)
+            self._rows[name] = replace(self._known("drain", name), desired=DesiredState.LEAVING)
             self._save()
 
     def restart(self, name: str) -> None:
@@ -93,39 +102,39 @@
             self._save()
 
     def roll(self) -> None:
-        """Restart all that serve, one after the other."""
+        """Restart all serving instances, one after the other."""
         with self._lock:
-            self._rolling = [row.name for row in self._rows.values() if row.want is Want.SERVING]
+            self._rolling = [row.name for row in self._rows.values() if row.desired is DesiredState.SERVING]
 
     def _known(self, order: str, name: str) -> Row:
         if name not in self._rows:
             raise Refused(f"{order}: no such instance: {name}; there are {', '.join(self._rows)}")
         return self._rows[name]
 
-    # Looking after them
+    # The supervisor's thread
 
     def _run(self) -> None:
         while not self._closed.is_set():
             with self._lock:
                 for name in returning_first(self._rows, self._urgent):
-                    self._look_after(name)
+                    self._take_step(name)
                     rotate_log(self._plan.folder / name)
                 self._continue_roll()
             self._closed.wait(LOOK_MS / 1000.0)
 
-    def _look_after(self, name: str) -> None:
+    def _take_step(self, name: str) -> None:
         row, now = self._rows[name], self._clock.now()
         alive = row.pid != 0 and self._alive(row.pid)
         if row.pid and not alive:
             row = self._note_death(row, now)
         if alive:
             row = self._note_address(row, now)
-        leaving = row.want is Want.LEAVING
+        leaving = row.desired is DesiredState.LEAVING
         pending = pending_messages(self._plan.folder / name) if leaving else 0
-        match step(row, Seen(alive, pending), now, self._plan.pauses):
-            case Step.START | Step.EMPTY as what:
+        match step(row, Observation(alive, pending), now, self._plan.pauses):
+            case Step.START | Step.EMPTY as kind:
                 if self._starting() < self._plan.recovery.at_once:
-                    self._start(row, emptying=what is Step.EMPTY)
+                    self._start(row, emptying=kind is Step.EMPTY)
             case Step.TERM:
                 _signal(row, signal.SIGTERM)
                 self._rows[name] = replace(row, term_sent_at=now)
@@ -144,7 +153,7 @@
         if row.listen or row.emptying or now >= row.started_at + LISTENS_MS:
             return row
         address = listen_address(self._plan.folder / row.name, row.pid)
-        # On record, as its log may be long or cut off by the time that another daemon begins.
+        # Recorded, as the log may have been rotated by the time that another daemon begins.
         return self._put(replace(row, listen=address)) if address else row
 
     def _drop(self, name: str) -> None:
@@ -154,7 +163,7 @@
         shutil.rmtree(self._plan.folder / name, ignore_errors=True)
 
     def _starting(self) -> int:
-        """How many processes have been started and are not connected yet."""
+        """How many processes have been started and are not yet connected."""
         connected, now = set(self._connected()), self._clock.now()
         return sum(
             row.pid != 0 and (row.name, row.epoch) not in connected and now < row.started_at + STARTS_MS
@@ -165,7 +174,7 @@
         number = self._changes.in_force
         start = Start(row.name, row.epoch + 1, emptying, number, self._changes.policy(number))
         self._launcher.prepare(start)
-        # On record first: a daemon that dies in between leaves an epoch unused, never one used twice.
+        # On record first: a daemon that dies before the launch leaves an epoch unused, never used twice.
         self._put(replace(row, epoch=start.epoch))
         child = self._launcher.launch(start)
         self._children[child.pid] = child
@@ -176,11 +185,11 @@
         )
 
     def _continue_roll(self) -> None:
-        """One after the other: the next one ends when all others serve again."""
+        """Restart the next instance of a roll once all others run again."""
         if not self._rolling or any(not row.pid or row.restart for row in self._rows.values()):
             return
         name = self._rolling.pop(0)
-        if name in self._rows and self._rows[name].want is Want.SERVING:
+        if name in self._rows and self._rows[name].desired is DesiredState.SERVING:
             self._rows[name] = replace(self._rows[name], restart=True)
 
     def _alive(self, pid: int) -> bool:
@@ -193,7 +202,7 @@
         return False
 
     def _put(self, row: Row) -> Row:
-        """Take a row in, and put all on record."""
+        """Replace a row, and write the members' file."""
         self._rows[row.name] = row
         self._save()
         return row
@@ -202,7 +211,7 @@
         write_members(self._plan.folder / MEMBERS_FILE, self._rows.values())
 
     def stop(self) -> None:
-        """End every instance in order, within the time that one has; start none any more."""
+        """End every instance with SIGTERM, and with SIGKILL those that run ``stop_ms`` later."""
         self.close()
         with self._lock:
             rows = [row for row in self._rows.values() if row.pid]
@@ -216,7 +225,7 @@
             self._save()
 
     def close(self) -> None:
-        """Look after them no more; their processes go on."""
+        """Stop the thread; the processes go on."""
         self._closed.set()
 
 
--- a/springspread/fleet/survey.py
+++ b/springspread/fleet/survey.py
@@ -1,22 +1,22 @@
-"""What a daemon believes of its members as it begins, out of all that survived. No I/O, no clock.
-
-Theory of operation. Every fence in a fleet relies on epochs that never repeat, and every journal on one owner
-at a time. The members' file says who there is; it may be of before a process was started (the daemon died in
-between), damaged, or gone. So it is held against what else is known: epochs in the record of leases and in
-instances' configurations, and processes that say themselves what they are.
-
-    members' file   processes that say they are NAME      then
-    whole           none                                  the row, without a process
-    whole           one                                   the row, with it, whatever it says of another
-    whole           several, or one of an epoch that      the one of the latest epoch; the others are astray
-                    is not the latest heard of
-    whole           one, and there is no such row         a row that leaves: what it owes is not forgotten
-    lost            any                                   a row that serves, for each name that has a folder,
-                                                          a lease or a process
-
-An epoch is never below any that was heard of. Where the file is lost, the latest ones may be lost with it:
-all begin again above a floor that the policy record's generation gives, which is synced at each start of a
-daemon and never repeats.
+"""Reconciles what survived of a fleet's members as its daemon begins. No I/O, no clock.
+
+Theory of operation. Fencing in a fleet relies on epochs that never repeat, and a journal on one owner at a
+time. The members' file names the instances; it may be older than the start of a process (the daemon died in
+between), damaged, or gone. So it is compared with the epochs in the record of leases and in the instances'
+configurations, and with the processes that run under an instance's name.
+
+    members' file   processes of a name           result
+    readable        none                          the row, without a process
+    readable        one                           the row, with that process
+    readable        several, or one whose epoch   the one of the latest epoch; the others are stale
+                    is below the latest known
+    readable        one, but there is no row      a new row that leaves: its pending messages are delivered
+    lost            any                           a row that serves for each name with a folder, a lease or
+                                                  a process
+
+A row's epoch is never below any known epoch of its name. Where the file is lost, the latest epochs may be
+lost with it: all rows without a process then begin above a floor computed from the policy record's
+generation, which is synced at each start of a daemon and never repeats.
 """
 
 from __future__ import annotations
@@ -24,14 +24,14 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
-from springspread.fleet.members import Row, Want
+from springspread.fleet.members import DesiredState, Row
 
-EPOCHS = 1 << 20  # starts that one generation of the daemon may make, of one instance
+EPOCHS = 1 << 20  # the most starts of one instance under one generation of the daemon
 
 
 @dataclass(frozen=True, slots=True)
 class Running:
-    """A process that says which instance it is. ``started``: in the system's ticks."""
+    """A process whose environment names an instance. ``started``: in the system's ticks since boot."""
 
     name: str
     epoch: int
@@ -40,65 +40,90 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Found:
-    """What survived. ``rows``: of the members' file, ``None`` where it is lost; epochs by name."""
+class Evidence:
+    """What survived. ``rows``: of the members' file, ``None`` where it is lost.
+
+    ``epochs``: epochs by instance name, one mapping for each source (leases, configurations).
+    """
 
     rows: tuple[Row, ...] | None
-    epochs: tuple[Mapping[str, int], ...] = ()  # of leases, and of configurations
+    epochs: tuple[Mapping[str, int], ...] = ()
     running: tuple[Running, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class Believed:
-    """``rows``: with the processes that hold them; ``astray``: processes that must hold nothing any more."""
+class Membership:
+    """The reconciled members, by name.
+
+    ``holders``: the processes that own a row's journal; ``stale``: processes to be killed; ``lost``: the
+    members' file was.
+    """
 
     rows: Mapping[str, Row]
-    astray: tuple[Running, ...] = ()
+    stale: tuple[Running, ...] = ()
     lost: bool = False
     holders: Mapping[str, Running] = field(default_factory=dict)
 
 
-def believed(found: Found) -> Believed:
-    """Decide, by the table above."""
-    latest: dict[str, Running] = {}
-    astray: list[Running] = []
-    for one in sorted(found.running, key=lambda one: (one.epoch, one.started)):
-        if one.name in latest:
-            astray.append(latest[one.name])
-        latest[one.name] = one
-    heard = highest([*found.epochs, {one.name: one.epoch for one in latest.values()}])
-    if found.rows is None:
-        rows = {name: Row(name, epoch=epoch) for name, epoch in heard.items()}
-    else:
-        rows = {row.name: replace(row, epoch=max(row.epoch, heard.get(row.name, 0))) for row in found.rows}
-        for name in latest.keys() - rows.keys():
-            rows[name] = Row(name, Want.LEAVING, heard[name])
-    made = {}
-    for name in sorted(rows):
-        row, holder = rows[name], latest.get(name)
-        if holder is not None and holder.epoch < row.epoch:
-            astray.append(holder)  # a later start than it was on record
-            holder = None
-        if holder is None:
-            made[name] = replace(row, pid=0, emptying=False, listen="")
+def reconcile(evidence: Evidence) -> Membership:
+    """Decide by the table above."""
+    latest, stale = _latest_processes(evidence.running)
+    running_epochs = {name: process.epoch for name, process in latest.items()}
+    epochs = latest_epochs([*evidence.epochs, running_epochs])
+    rows = _known_rows(evidence.rows, epochs, latest.keys())
+    holders = {}
+    for name, process in latest.items():
+        if process.epoch < rows[name].epoch:
+            stale.append(process)  # a later start of the same instance is on record
         else:
-            if holder.pid != row.pid:
-                row = replace(row, emptying=False, listen="")
-            made[name] = replace(row, pid=holder.pid, epoch=holder.epoch)
-    holders = {name: one for name, one in latest.items() if made[name].pid}
-    return Believed(made, tuple(astray), found.rows is None, holders)
+            holders[name] = process
+    reconciled = {name: _with_process(rows[name], holders.get(name)) for name in sorted(rows)}
+    return Membership(reconciled, tuple(stale), evidence.rows is None, holders)
 
 
-def highest(epochs: Iterable[Mapping[str, int]]) -> dict[str, int]:
+def _latest_processes(running: Iterable[Running]) -> tuple[dict[str, Running], list[Running]]:
+    """The latest process of each name, and the others."""
+    latest: dict[str, Running] = {}
+    superseded: list[Running] = []
+    for process in sorted(running, key=lambda process: (process.epoch, process.started)):
+        if process.name in latest:
+            superseded.append(latest[process.name])
+        latest[process.name] = process
+    return latest, superseded
+
+
+def _known_rows(
+    recorded: Iterable[Row] | None, epochs: Mapping[str, int], running: Iterable[str]
+) -> dict[str, Row]:
+    """A row for each instance, at its latest known epoch."""
+    if recorded is None:
+        return {name: Row(name, epoch=epoch) for name, epoch in epochs.items()}
+    rows = {row.name: replace(row, epoch=max(row.epoch, epochs.get(row.name, 0))) for row in recorded}
+    for name in running:
+        if name not in rows:
+            rows[name] = Row(name, DesiredState.LEAVING, epochs[name])
+    return rows
+
+
+def _with_process(row: Row, process: Running | None) -> Row:
+    """The row as that process holds it; what was recorded of another process is cleared."""
+    if process is None:
+        return replace(row, pid=0, emptying=False, listen="")
+    if process.pid != row.pid:
+        row = replace(row, emptying=False, listen="")
+    return replace(row, pid=process.pid, epoch=process.epoch)
+
+
+def latest_epochs(sources: Iterable[Mapping[str, int]]) -> dict[str, int]:
     """The latest epoch of each name."""
-    made: dict[str, int] = {}
-    for one in epochs:
-        for name, epoch in one.items():
-            made[name] = max(made.get(name, 0), epoch)
-    return made
+    latest: dict[str, int] = {}
+    for epochs in sources:
+        for name, epoch in epochs.items():
+            latest[name] = max(latest.get(name, 0), epoch)
+    return latest
 
 
-def raised(rows: Mapping[str, Row], generation: int) -> dict[str, Row]:
-    """The rows without processes, above every epoch that an earlier generation may have used."""
+def raise_epochs(rows: Mapping[str, Row], generation: int) -> dict[str, Row]:
+    """The rows, those without a process above every epoch that an earlier generation may have used."""
     floor = generation * EPOCHS
     return {name: row if row.pid else replace(row, epoch=max(row.epoch, floor)) for name, row in rows.items()}
--- a/springspread/rig/chaos.py
+++ b/springspread/rig/chaos.py
@@ -26,7 +26,7 @@
 from typing import Any, TypeVar
 
 from springspread.fleet.folder import process_start
-from springspread.fleet.orders import asked
+from springspread.fleet.orders import send_order
 from springspread.rig.daemon import PROGRAM, relay_path
 from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
 from springspread.rig.partner import GROUP, UNSAFE, Outside
@@ -188,7 +188,7 @@
             return
         self._looked = time.monotonic()
         with suppress(OSError, ValueError):
-            rows = asked(self._folder / "control", {"do": "status"})["instances"]
+            rows = send_order(self._folder / "control", {"do": "status"})["instances"]
             with self._lock:
                 self._rows = {row["name"]: row for row in rows}
                 # Not the address of one that is dead: a stranger may have its port by now.
@@ -212,7 +212,7 @@
     def recovery(self) -> list[dict[str, Any]]:
         """How far each instance's return has come, as the daemon tells it; nothing where none answers."""
         with suppress(OSError, ValueError, KeyError):
-            return list(asked(self._folder / "control", {"do": "recovery"})["recovery"])
+            return list(send_order(self._folder / "control", {"do": "recovery"})["recovery"])
         return []
 
     # Load and changes
@@ -252,7 +252,7 @@
             self.told.proposals += 1
             begun_at, state, fault, number = time.monotonic(), "unheard", "", 0
             with suppress(OSError, ValueError):
-                answer = asked(
+                answer = send_order(
                     self._folder / "control", {"do": "propose", "policy": text, "within": 20.0}, 20.0
                 )
                 state, fault, number = answer["state"], answer["fault"], answer["version"]
@@ -268,7 +268,7 @@
             if number and state in ("in force", "refused"):
                 given[number] = state
             with suppress(OSError, ValueError):
-                for row in asked(self._folder / "control", {"do": "history"})["history"]:
+                for row in send_order(self._folder / "control", {"do": "history"})["history"]:
                     was, now = given.get(row["version"]), row["state"]
                     if was and was != now:
                         self.told.undone.append(f"policy {row['version']} was {was} and is {now}")
@@ -280,7 +280,7 @@
         text = json.dumps({"settings": settings, "limits": {}})
         while not self._over.wait(RIVAL_S):
             with suppress(OSError, ValueError):
-                asked(self._folder / "control", {"do": "propose", "policy": text, "within": 2.0}, 4.0)
+                send_order(self._folder / "control", {"do": "propose", "policy": text, "within": 2.0}, 4.0)
 
     # Faults
 
--- a/springspread/rig/planted.py
+++ b/springspread/rig/planted.py
@@ -9,7 +9,7 @@
 from springspread.rig.search import TIMES, Machine, altered
 from springspread.rollout.coordinator import Coordinator, History, Step
 from springspread.rollout.participant import Participant
-from springspread.rollout.terms import Begun, Decided, Effect, Grant, Prepare, Proposed, Tell, Vote, Write
+from springspread.rollout.terms import Begun, Decided, Effect, Grant, Prepare, Proposed, Send, Vote, Write
 
 Real = Callable[..., Any]
 
@@ -18,8 +18,8 @@
     state, effects = step
     made: list[Effect] = []
     for one in effects:
-        if isinstance(one, Tell) and isinstance(one.message, Grant):
-            one = Tell(one.owner, change(state, one.message))
+        if isinstance(one, Send) and isinstance(one.message, Grant):
+            one = Send(one.owner, change(state, one.message))
         made.append(one)
     return state, made
 
@@ -55,7 +55,7 @@
 
 def _grants_past_the_border(real: Real, state: Coordinator, now: float, *rest: object) -> Step:
     def longer(after: Coordinator, grant: Grant) -> Grant:
-        old = grant.version == after.history.before
+        old = grant.version == after.history.previous
         return replace(grant, until=now + TIMES.lease_ms) if old else grant
 
     return _grants(real(state, now, *rest), longer)
@@ -67,7 +67,7 @@
         for owner in sorted(after.connected):
             after = replace(after, count=after.count + 1)
             grant = Grant(after.serial, after.history.in_force, 0.0, now + TIMES.lease_ms)
-            effects = [*effects, Tell(owner, grant)]
+            effects = [*effects, Send(owner, grant)]
     return after, effects
 
 
@@ -87,8 +87,8 @@
 def _goes_on_with_what_was_proposed(
     real: Real, times: object, history: History, now: float, alive: object
 ) -> Step:
-    state, effects = real(times, replace(history, unended=()), now, alive)
-    for number in history.unended:  # in force, and nothing is on record
+    state, effects = real(times, replace(history, undecided=()), now, alive)
+    for number in history.undecided:  # in force, and nothing is on record
         state = replace(state, history=replace(state.history, in_force=number, since=now))
     return state, effects
 
--- a/springspread/rig/rounds.py
+++ b/springspread/rig/rounds.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from random import Random
 
-from springspread.fleet.orders import asked
+from springspread.fleet.orders import send_order
 from springspread.rig.chaos import Chaos
 from springspread.rig.observer import begun, borders, gaps, mixtures, over_limit
 from springspread.rig.partner import GROUP, Outside
@@ -139,7 +139,7 @@
         while time.monotonic() < start + FORCE_S:
             state = "unheard"
             with suppress(OSError, ValueError, KeyError):
-                answer = asked(self._folder / "control", order, 20.0)
+                answer = send_order(self._folder / "control", order, 20.0)
                 state, number, fault = answer["state"], answer["version"], answer["fault"]
             if state == "in force":
                 arm.seconds.append(time.monotonic() - start)
@@ -156,7 +156,7 @@
         """What was answered of a change is its answer for ever."""
         self._given[number] = state
         with suppress(OSError, ValueError, KeyError):
-            rows = asked(self._folder / "control", {"do": "history"})["history"]
+            rows = send_order(self._folder / "control", {"do": "history"})["history"]
             states = {row["version"]: row["state"] for row in rows}
             for one, was in self._given.items():
                 if states.get(one) != was:
--- a/springspread/rig/search.py
+++ b/springspread/rig/search.py
@@ -26,7 +26,7 @@
     Owner,
     Prepare,
     Proposed,
-    Tell,
+    Send,
     Vote,
     Write,
 )
@@ -69,7 +69,7 @@
     record: tuple[Entry, ...] = ()  # synced
     loose: tuple[Entry, ...] = ()  # written, and lost with the power
     parts: tuple[tuple[int, Participant | None], ...] = ()  # epoch and state of each; None: down
-    sent: frozenset[Tell] = frozenset()
+    sent: frozenset[Send] = frozenset()
     votes: frozenset[tuple[Owner, Vote]] = frozenset()
     acted: int = 0  # the highest policy that anybody may have acted under
     told: frozenset[int] = frozenset()  # changes whose proposers were told yes
@@ -108,7 +108,7 @@
     for owner in owners:
         state = Participant()
         for effect in effects:
-            if isinstance(effect, Tell) and effect.owner == owner and isinstance(effect.message, Grant):
+            if isinstance(effect, Send) and effect.owner == owner and isinstance(effect.message, Grant):
                 state = machine.granted(state, effect.message, 0.0)
         parts.append((0, state))
     return World(daemon=daemon, record=record, parts=tuple(parts), acted=1, left=bounds)
@@ -184,7 +184,7 @@
 
 def _done(world: World, effects: list[Effect], machine: Machine) -> World:
     for effect in effects:
-        if isinstance(effect, Tell):
+        if isinstance(effect, Send):
             world = replace(world, sent=world.sent | {effect})
         elif machine.synced(effect.entry):
             world = replace(world, record=world.record + world.loose + (effect.entry,), loose=())
--- a/springspread/rollout/__init__.py
+++ b/springspread/rollout/__init__.py
@@ -1,7 +1,7 @@
-"""One policy for all instances: a change takes hold everywhere or nowhere.
+"""One policy for all instances: a change comes into force on all of them at one moment, or on none.
 
-``terms`` holds the words, ``coordinator`` and ``participant`` the two machines; none of the three does I/O
-or reads a clock: open ``coordinator`` first. ``document`` says what a policy is and what may change in one,
-``record`` keeps policies and decisions on disk. ``fleet`` drives them; a sender that stands alone loads
-nothing of this.
+Open ``coordinator`` first. ``coordinator`` and ``participant`` are the two state machines, ``terms`` the
+messages between them; none of the three does I/O or reads a clock. ``document`` defines a policy and which
+changes of it are allowed, ``record`` keeps policies and decisions on disk. ``fleet`` drives them; a sender
+outside a fleet imports nothing of this package.
 """
--- a/springspread/rollout/coordinator.py
+++ b/springspread/rollout/coordinator.py
@@ -1,34 +1,33 @@
-"""The daemon's side of a change of policy: who may act under which policy, until when, and when the next
-one holds.
-
-Theory of operation. An instance begins a call only under a grant: one policy, from a moment, until a
-moment. The coordinator renews grants every quarter of their length, and keeps for each owner the end of the
-latest one. A change:
-
-    state     event                                   on record   told                        next
-    idle      a proposal                              Proposed    Prepare, to all connected   asking
-    asking    a yes                                               nothing                     asking
-    asking    a no                                    Refused     grants of what holds        idle
-    asking    all have voted, or the time is over     Decided     grants up to and from A     settled
-    settled   A is reached                                        grants of the new one       idle
-    any       another proposal, while not idle                    refused by name             the same
-    any       the daemon dies                                                                 down
-    down      a start; Proposed without an end        Begun,      grants of what holds        idle
-                                                      Refused
-    down      a start; Decided with A to come         Begun       grants up to and from A     settled
-
-A yes gives up all earlier grants from ``cut`` on, and while it asks the coordinator grants nothing. So A,
-the moment from which the new policy holds, is the latest of ``cut`` and the ends of the grants of those who
-did not vote. Whoever hears the decision gets a grant up to A and one from A on; whoever does not holds no
-grant past A, be it down, frozen or cut off. Hence no instance acts under the old policy at or after A, or
-under the new one before it, whichever messages are lost, late or doubled. No clock but the one that all
-processes of a machine share is needed, and nobody asks the daemon anything per call.
-
-A grant is told only while the coordinator's record is as it believes: what is on record was synced first. A
-daemon that begins knows nothing of grants that were out: it takes every owner that may live to hold one of
-full length.
-
-States are values; ``step`` functions take one and return the next with what has to be done, in order.
+"""The coordinator of a change of policy: which policy each instance may act under, and until when.
+
+Theory of operation. An instance begins a call only under a grant: the right to act under one policy between
+two moments. The coordinator renews grants every quarter of their length, and keeps for each owner the end of
+its latest one. A change of policy:
+
+    state     event                              on record   sent                          next state
+    idle      a proposal                         Proposed    Prepare to all connected      voting
+    voting    a vote of yes                                  nothing                       voting
+    voting    a vote of no                       Refused     grants of the old policy      idle
+    voting    all have voted, or the time is up  Decided     grants up to and from A       settling
+    settling  A is reached                                   grants of the new policy      idle
+    any       another proposal, while not idle               an error that says why        the same
+    any       the daemon dies                                                              down
+    down      a start; Proposed, not decided     Begun,      grants of the old policy      idle
+                                                 Refused
+    down      a start; Decided with A to come    Begun       grants up to and from A       settling
+
+A vote of yes gives up all earlier grants from ``cut`` on, and while it waits for votes the coordinator grants
+nothing. So A, the moment from which the new policy is in force, is the latest of ``cut`` and the ends of the
+grants of those who did not vote. An instance that receives the decision gets a grant up to A and one from A
+on; one that does not (it is down, frozen or cut off) holds no grant past A. Hence no instance acts under the
+old policy at or after A, or under the new one before it, whichever messages are lost, late or duplicated. All
+processes share the machine's clock, and no call needs a message to the daemon.
+
+An entry is synced to the record before anything that relies on it is sent. A coordinator that begins does not
+know the grants of the one before: it assumes that every owner that may be alive holds one of full length.
+
+States are values; each step takes one and returns the next, with the effects to carry out in order. Times are
+milliseconds.
 """
 
 from __future__ import annotations
@@ -47,8 +46,8 @@
     Prepare,
     Proposed,
     Refused,
+    Send,
     Serial,
-    Tell,
     Vote,
     Write,
 )
@@ -56,76 +55,85 @@
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """How long grants last, how long votes may take, and how soon a yes gives up its grant (milliseconds).
+    """The times of the protocol (milliseconds)."""
 
-    ``lead_ms`` is what telling a decision may take; ``slack_ms`` is from the last look to the first byte.
-    """
-
-    lease_ms: float = 5_000.0
-    vote_ms: float = 300.0
-    cut_ms: float = 500.0
-    lead_ms: float = 50.0
-    slack_ms: float = 20.0
+    lease_ms: float = 5_000.0  # the length of a grant
+    vote_ms: float = 300.0  # the longest wait for votes
+    cut_ms: float = 500.0  # from a proposal to the moment at which a yes gives up its earlier grants
+    lead_ms: float = 50.0  # the time to send a decision to all instances
+    slack_ms: float = 20.0  # from an instance's last check of its grant to a call's first byte
 
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """What the record says. ``since`` is in the clock of this start of the machine; -inf: long ago."""
+    """The state that the record's entries add up to.
 
-    last: int = 0  # the highest number used
+    ``since``: when ``in_force`` came or comes into force, on the clock of this start of the machine; -inf:
+    before it.
+    """
+
+    last: int = 0  # the highest number of any proposal
     in_force: int = 0
-    before: int = 0  # what held until ``since``
+    previous: int = 0  # the policy in force until ``since``
     since: float = -inf
-    unended: tuple[int, ...] = ()
+    undecided: tuple[int, ...] = ()
     generation: int = 0
-    lease_ms: float = 0.0  # of the longest grants that earlier daemons may have given
+    lease_ms: float = 0.0  # the longest grants of earlier daemons of this start of the machine
 
     def after(self, entry: Entry) -> History:
-        """The history with one entry more."""
+        """The history with one more entry."""
         match entry:
             case Proposed(number):
-                return replace(self, last=max(self.last, number), unended=(*self.unended, number))
+                return replace(self, last=max(self.last, number), undecided=(*self.undecided, number))
             case Decided(number, since):
-                rest = tuple(one for one in self.unended if one != number)
-                return replace(self, before=self.in_force, in_force=number, since=since, unended=rest)
+                history = self._without_undecided(number)
+                return replace(history, previous=self.in_force, in_force=number, since=since)
             case Refused(number):
-                return replace(self, unended=tuple(one for one in self.unended if one != number))
+                return self._without_undecided(number)
             case Begun(generation, lease_ms):
                 return replace(self, generation=generation, lease_ms=max(self.lease_ms, lease_ms))
 
+    def _without_undecided(self, number: int) -> History:
+        return replace(self, undecided=tuple(other for other in self.undecided if other != number))
+
 
 @dataclass(frozen=True, slots=True)
 class Pending:
-    """A proposal that is being voted on. ``lead_ms`` is asked for by what it changes."""
+    """A proposal that is being voted on.
+
+    ``cut``: when votes of yes give up earlier grants; ``until``: when voting ends; ``lead_ms``: how long the
+    change has to be decided before it comes into force.
+    """
 
     number: int
     cut: float
     until: float
-    waits: frozenset[Owner]
+    awaited: frozenset[Owner]  # those who have not voted
     yes: frozenset[Owner] = frozenset()
     lead_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Coordinator:
-    """One daemon's state."""
+    """The state of one coordinator."""
 
     times: Times
     history: History
     count: int = 0
     pending: Pending | None = None
-    ends: Mapping[Owner, float] = field(default_factory=dict)  # of the latest grants
+    ends: Mapping[Owner, float] = field(default_factory=dict)  # of each owner's latest grant
     connected: frozenset[Owner] = frozenset()
     renew_at: float = -inf
-    silent: frozenset[Owner] = field(default=frozenset(), compare=False)  # waited for since the last decision
+    # Those who did not vote on the last decision and whose grants it has to outlast.
+    awaited: frozenset[Owner] = field(default=frozenset(), compare=False)
 
     @property
     def serial(self) -> Serial:
-        """What was said last."""
+        """The serial of the latest message."""
         return (self.history.generation, self.count)
 
     def settled(self, now: float) -> bool:
-        """Whether the last decision holds already."""
+        """Whether the policy of the last decision is in force."""
         return now >= self.history.since
 
 
@@ -133,119 +141,124 @@
 
 
 def begin(times: Times, history: History, now: float, alive: Iterable[Owner]) -> Step:
-    """A daemon starts on a record; ``alive`` are the owners whose processes may still run."""
-    made: list[Effect] = [Write(Begun(history.generation + 1, times.lease_ms))]
-    for number in history.unended:  # guards what was told: nobody has heard a yes of it
-        made.append(Write(Refused(number, "", "the daemon ended before it was decided")))
+    """Begin on a record; ``alive``: the owners whose processes may still run."""
+    effects: list[Effect] = [Write(Begun(history.generation + 1, times.lease_ms))]
+    for number in history.undecided:  # safe: its proposer was not told that it was decided
+        effects.append(Write(Refused(number, "", "the daemon ended before it was decided")))
     full = now + history.lease_ms
     state = Coordinator(times, history, ends=dict.fromkeys(alive, full) if history.lease_ms else {})
-    return _noted(state, made), made
+    return _recorded(state, effects), effects
 
 
 def propose(state: Coordinator, now: float, digest: str, lead_ms: float = 0.0) -> Step:
-    """A proposal; raises ``ValueError`` where another change is under way. Its number is ``history.last``."""
+    """Start a vote on a proposal; its number is the new state's ``history.last``.
+
+    Raises ``ValueError`` where another change is under way.
+    """
     if state.pending is not None:
         raise ValueError(f"change {state.pending.number} is being decided; one change at a time")
     if not state.settled(now):
         wait = (state.history.since - now) / 1000.0
         raise ValueError(f"change {state.history.in_force} takes hold in {wait:.1f} s; one change at a time")
     number, times = state.history.last + 1, state.times
-    made: list[Effect] = [Write(Proposed(number, digest))]
-    state = replace(_noted(state, made), count=state.count + 1)
+    effects: list[Effect] = [Write(Proposed(number, digest))]
+    state = replace(_recorded(state, effects), count=state.count + 1)
     cut = now + times.cut_ms
-    waits = state.connected
-    state = replace(state, pending=Pending(number, cut, now + times.vote_ms, waits, lead_ms=lead_ms))
-    made += [Tell(owner, Prepare(state.serial, number, cut)) for owner in sorted(waits)]
-    return state, made
+    awaited = state.connected
+    state = replace(state, pending=Pending(number, cut, now + times.vote_ms, awaited, lead_ms=lead_ms))
+    effects += [Send(owner, Prepare(state.serial, number, cut)) for owner in sorted(awaited)]
+    return state, effects
 
 
 def voted(state: Coordinator, now: float, owner: Owner, vote: Vote) -> Step:
-    """A vote comes in; one on another proposal, or of one who was not asked, counts for nothing."""
+    """Take in a vote; one on another proposal, or by an owner that is not awaited, is ignored."""
     pending = state.pending
-    if pending is None or vote.number != pending.number or owner not in pending.waits:
+    if pending is None or vote.number != pending.number or owner not in pending.awaited:
         return state, []
     if not vote.yes:
         return _refuse(state, now, owner[0], vote.fault)
-    waits, yes = pending.waits - {owner}, pending.yes | {owner}
-    return tick(replace(state, pending=replace(pending, waits=waits, yes=yes)), now)
+    pending = replace(pending, awaited=pending.awaited - {owner}, yes=pending.yes | {owner})
+    return tick(replace(state, pending=pending), now)
 
 
 def joined(state: Coordinator, now: float, owner: Owner) -> Step:
-    """An instance has connected, or connected anew, and wants to know what holds."""
+    """An instance has connected; it gets its grants, unless a vote is open."""
     state = replace(state, connected=state.connected | {owner})
     return _grant(state, now, [owner]) if state.pending is None else (state, [])
 
 
 def left(state: Coordinator, owner: Owner) -> Coordinator:
-    """Its connection is lost; its grant is not."""
+    """An owner's connection is lost; its grant stays valid."""
     return replace(state, connected=state.connected - {owner})
 
 
 def died(state: Coordinator, now: float, owner: Owner) -> Step:
-    """Its process is certainly over: it acts under nothing any more."""
+    """An owner's process has certainly ended, and with it the use of its grants."""
     ends = {other: end for other, end in state.ends.items() if other != owner}
     state = replace(left(state, owner), ends=ends)
     if state.pending is not None:
-        waits = state.pending.waits - {owner}
-        state = replace(state, pending=replace(state.pending, waits=waits))
+        awaited = state.pending.awaited - {owner}
+        state = replace(state, pending=replace(state.pending, awaited=awaited))
     return tick(state, now)
 
 
 def tick(state: Coordinator, now: float) -> Step:
-    """Time goes on: a vote may be over, grants may have to be renewed."""
+    """Decide a vote whose time is up or that is complete, and renew grants when that is due."""
     pending = state.pending
     if pending is not None:
-        return _decide(state, now) if not pending.waits or now >= pending.until else (state, [])
+        return _decide(state, now) if not pending.awaited or now >= pending.until else (state, [])
     return _grant(state, now, sorted(state.connected)) if now >= state.renew_at else (state, [])
 
 
 def give_up(state: Coordinator, now: float, fault: str) -> Step:
-    """The daemon itself refuses what is being decided (its record can't be written, say)."""
+    """Refuse the proposal that is being voted on, on behalf of the daemon itself."""
     return _refuse(state, now, "", fault) if state.pending is not None else (state, [])
 
 
 def _refuse(state: Coordinator, now: float, by: str, fault: str) -> Step:
     assert state.pending is not None
-    made: list[Effect] = [Write(Refused(state.pending.number, by, fault))]
-    state = replace(_noted(state, made), pending=None)
-    state, told = _grant(state, now, sorted(state.connected))
-    return state, made + told
+    effects: list[Effect] = [Write(Refused(state.pending.number, by, fault))]
+    state = replace(_recorded(state, effects), pending=None)
+    state, grants = _grant(state, now, sorted(state.connected))
+    return state, effects + grants
 
 
 def _decide(state: Coordinator, now: float) -> Step:
     pending, times = state.pending, state.times
     assert pending is not None
-    silent = [end for owner, end in state.ends.items() if owner not in pending.yes]
-    # Guards against a mixture: nobody's right to the old policy goes beyond this moment.
-    over = max([now + times.lead_ms, *silent, *([pending.cut] if pending.yes else [])])
-    made: list[Effect] = [Write(Decided(pending.number, over + times.slack_ms + pending.lead_ms))]
-    waited = frozenset(owner for owner, end in state.ends.items() if owner not in pending.yes and end > now)
-    state = replace(_noted(state, made), pending=None, silent=waited)
-    state, told = _grant(state, now, sorted(state.connected))
-    return state, made + told
+    unvoted_ends = {owner: end for owner, end in state.ends.items() if owner not in pending.yes}
+    # Guards against a mixture: nobody's right to act under the old policy goes beyond this moment.
+    last_end = max([now + times.lead_ms, *unvoted_ends.values(), *([pending.cut] if pending.yes else [])])
+    since = last_end + times.slack_ms + pending.lead_ms
+    effects: list[Effect] = [Write(Decided(pending.number, since))]
+    awaited = frozenset(owner for owner, end in unvoted_ends.items() if end > now)
+    state = replace(_recorded(state, effects), pending=None, awaited=awaited)
+    state, grants = _grant(state, now, sorted(state.connected))
+    return state, effects + grants
 
 
 def _grant(state: Coordinator, now: float, owners: Iterable[Owner]) -> Step:
-    """What owners may act under from now on; the old policy to the border, the new one from it."""
-    history, made, ends, count = state.history, list[Effect](), dict(state.ends), state.count
+    """Grant owners the policy in force; while a decision settles, the old and the new one."""
+    history, ends, count = state.history, dict(state.ends), state.count
+    effects: list[Effect] = []
     until = now + state.times.lease_ms
-    border = history.since - state.times.slack_ms
+    old_until = history.since - state.times.slack_ms
     for owner in owners:
-        if now < border and history.before:
+        if now < old_until and history.previous:
             count += 1
-            old = Grant((history.generation, count), history.before, 0.0, min(until, border))
-            made.append(Tell(owner, old))
+            old = Grant((history.generation, count), history.previous, 0.0, min(until, old_until))
+            effects.append(Send(owner, old))
         if history.in_force and until > history.since:
             count += 1
             new = Grant((history.generation, count), history.in_force, max(history.since, 0.0), until)
-            made.append(Tell(owner, new))
+            effects.append(Send(owner, new))
         ends[owner] = max(ends.get(owner, now), until)
     renew_at = min(now + state.times.lease_ms / 4.0, history.since if history.since > now else inf)
-    return replace(state, count=count, ends=ends, renew_at=renew_at), made
+    return replace(state, count=count, ends=ends, renew_at=renew_at), effects
 
 
-def _noted(state: Coordinator, effects: list[Effect]) -> Coordinator:
-    """The state as its record will be."""
+def _recorded(state: Coordinator, effects: list[Effect]) -> Coordinator:
+    """The state after its effects are on record."""
     for effect in effects:
         if isinstance(effect, Write):
             state = replace(state, history=state.history.after(effect.entry))
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -1,14 +1,14 @@
-"""What a policy is: the senders' settings and the fleet's limits, as one document that never changes.
+"""A policy: the senders' settings and the fleet's limits, as one immutable document.
 
-It also says what may differ between one policy and the next. What numbers discovery's list (kinds, zones,
-report fields) and what a process is built with serve a start; a class keeps its effect for ever, as a
-message that was taken under one policy may be recovered under any later one.
+``check`` decides which changes are allowed from one policy to the next. Settings that a process reads only at
+its start (``FIXED``) can't change, and a class keeps its effect, as a message that was taken under one policy
+may be recovered under any later one.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from difflib import get_close_matches
 from functools import cached_property
@@ -18,19 +18,21 @@
 
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode
+from springspread.interface import ClassSpec
 from springspread.settings import SettingsError, flatten, read_settings
 
 FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
 FIXED_PARTS = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
-LEASE_MS = 200.0  # of a share of a limit: what was given out before a limit shrank is used or over by then
+LEASE_MS = 200.0  # the longest lease of a limit: those granted before it shrank have ended by then
 SLACK_MS = 100.0
 MAX_LIMITS = 200_000
 MAX_POLICY_BYTES = 16 << 20  # of its text: 140,000 limits with keys of 90 characters
+SPELLING_CUTOFF = 0.8  # from this similarity on a new key counts as a misspelt one (0 to 1)
 MAX_SETTINGS_BYTES = 100 << 10  # of them: quoted in a line to an instance, below ``wire.LINE_BYTES``
 
 
 class PolicyFault(Exception):
-    """A document that can't become the policy; the text begins with the faulty key."""
+    """A document that can't be used as a policy; the text begins with the faulty key."""
 
 
 class PolicyTooLarge(PolicyFault):
@@ -39,7 +41,7 @@
 
 @dataclass(frozen=True)
 class Policy:
-    """``settings`` as in a sender's configuration; ``limits`` by key of a destination.
+    """``settings`` as in a sender's configuration; ``limits`` by the key of a destination.
 
     ``default_mode`` holds for a destination that a sender knows nothing of.
     """
@@ -50,10 +52,10 @@
 
     @cached_property
     def text(self) -> str:
-        """The one form in which it is kept, sent and hashed.
+        """The canonical form, which is stored and hashed.
 
-        A mode stands in it only where it is not ``exact``: what was written before there were modes keeps
-        its text and digest.
+        It names a mode only where it is not ``exact``, so policies from before there were modes keep their
+        digest.
         """
         limits = {key: _written(limit) for key, limit in self.limits.items()}
         raw: dict[str, Any] = {"settings": self.settings, "limits": limits}
@@ -63,17 +65,17 @@
 
     @cached_property
     def settings_text(self) -> str:
-        """What instances are sent of it: its settings. Limits concern the allocator alone."""
+        """The part that instances are sent: the settings. Limits concern the allocator alone."""
         return json.dumps({"settings": self.settings}, sort_keys=True, separators=(",", ":"))
 
     @cached_property
     def digest(self) -> str:
-        """SHA-256 of its text."""
+        """SHA-256 of its text, in hexadecimal."""
         return sha256(self.text.encode()).hexdigest()
 
 
-def parsed(text: str) -> Policy:
-    """A policy out of its text; raises ``PolicyFault``."""
+def parse_policy(text: str) -> Policy:
+    """Parse a policy; raises ``PolicyFault``."""
     try:
         raw = json.loads(text)
         limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
@@ -98,29 +100,42 @@
 
 
 def oversize(what: str, size: int, bound: int, *, at_least: bool = False) -> str:
-    """What is said of something that is too long; ``at_least``: it was not read to its end."""
+    """The message for something with too many bytes; ``at_least``: it was not read to its end."""
     return f"the {what} has {'at least ' if at_least else ''}{size:,} bytes; the bound is {bound:,}"
 
 
 def differences(old: Policy, new: Policy) -> list[str]:
-    """Every key that differs, with both values."""
+    """A line for each key that differs, with both values."""
     before, after = _flat(old), _flat(new)
     keys = sorted(key for key in before | after if before.get(key) != after.get(key))
     return [f"{key}: {before.get(key, 'not set')} -> {after.get(key, 'not set')}" for key in keys]
 
 
 def check(new: Policy, history: Iterable[Policy]) -> None:
-    """Raise ``PolicyFault`` where it can't be used at all, or not after the policies of the history, oldest
-    first.
+    """Raise ``PolicyFault`` where a policy can't be used, or can't follow those before it.
+
+    ``history``: the policies that are or were in force, oldest first.
     """
     check_bounds(new)
-    try:
-        specs = read_settings(flatten(new.settings)).classes
-    except SettingsError as exc:
-        raise PolicyFault(f"settings.{exc}") from exc
+    specs = _class_specs(new)
     past = list(history)
     if not past:
         return
+    _check_effects(specs, past)
+    known, flat = flatten(past[-1].settings), flatten(new.settings)
+    _check_fixed(known, flat)
+    _check_spelling(known, flat)
+
+
+def _class_specs(policy: Policy) -> Sequence[ClassSpec]:
+    try:
+        return read_settings(flatten(policy.settings)).classes
+    except SettingsError as exc:
+        raise PolicyFault(f"settings.{exc}") from exc
+
+
+def _check_effects(specs: Iterable[ClassSpec], past: Iterable[Policy]) -> None:
+    """A class keeps its effect: messages that were taken under an earlier policy may still be recovered."""
     effects = {}
     for policy in past:
         effects.update({spec.name: spec.effect for spec in read_settings(flatten(policy.settings)).classes})
@@ -128,14 +143,21 @@
         if effects.get(spec.name, spec.effect) is not spec.effect:
             was = effects[spec.name].value
             raise PolicyFault(f"settings.classes.{spec.name}.effect: is {was} for ever; use another class")
-    known, flat = flatten(past[-1].settings), flatten(new.settings)
+
+
+def _check_fixed(known: Mapping[str, str], flat: Mapping[str, str]) -> None:
+    """Settings that a process reads only at its start stay as they are."""
     for key in sorted(known.keys() | flat.keys()):
         fixed = key.split(".")[0] in FIXED or key.startswith(FIXED_PARTS)
         if fixed and known.get(key) != flat.get(key):
             raise PolicyFault(f"settings.{key}: serves a start, and can't change while the fleet runs")
+
+
+def _check_spelling(known: Mapping[str, str], flat: Mapping[str, str]) -> None:
+    """A new top-level key must not look like a known one that was misspelt."""
     roots = {key.split(".")[0] for key in known}
     for root in sorted({key.split(".")[0] for key in flat} - roots):
-        near = get_close_matches(root, roots, 1, 0.8)
+        near = get_close_matches(root, roots, 1, SPELLING_CUTOFF)
         if near:
             raise PolicyFault(f"settings.{root}: no such key; did you mean {near[0]}?")
 
@@ -150,15 +172,18 @@
 
 
 def lead_ms(old: Policy, new: Policy) -> float:
-    """How long before the new policy holds its stricter limits must bind, so that every span keeps them."""
+    """How long before a policy is in force its stricter limits must bind, so that every span keeps them.
+
+    In milliseconds; 0 where no limit is stricter.
+    """
     leads = [_lead_ms(old, key, limit) for key, limit in shrunk(old, new).items()]
     if old.default_mode is LimitMode.ADAPTIVE and new.default_mode is LimitMode.EXACT:
-        leads.append(PARTNER_SPAN_MS + SLACK_MS + FRESH_MS)  # limits that partners tell become exact, too
+        leads.append(PARTNER_SPAN_MS + SLACK_MS + FRESH_MS)  # limits that partners report become exact, too
     return max(leads, default=0.0)
 
 
 def _lead_ms(old: Policy, key: str, limit: Limit) -> float:
-    """A span, after the last call by an earlier right: against a lease, or a free one by a sender cut off."""
+    """The limit's span after the last call under the old policy: by a lease, or free and cut off."""
     before = old.limits.get(key)
     was_free = LimitMode.ADAPTIVE is (old.default_mode if before is None else before.mode)
     return limit.span_ms + SLACK_MS + (max(FRESH_MS, LEASE_MS) if was_free else LEASE_MS)
--- a/springspread/rollout/participant.py
+++ b/springspread/rollout/participant.py
@@ -1,20 +1,19 @@
-"""An instance's side of a change of policy: under which policy it may begin a call now.
+"""A participant in changes of policy: under which policy an instance may begin a call now.
 
 Theory of operation. It holds grants, each of one policy and with absolute bounds on the clock that all
-processes of the machine share, so one that comes late or twice gives no more than it said. A call's first
-byte goes out under policy v only while a grant of v holds; this is looked at as the byte is about to go
-out, so whoever was frozen or cut off finds out by itself. The transitions:
-
-    message           when                                 then
-    Grant             its serial is above the barrier      it is held
-    Grant             its serial is not                    nothing: it was given up
-    Prepare           its serial is above the barrier,     yes; grants said before it end at its cut, and
-    its serial
-                      and the policy can be used           is the barrier
-    Prepare           ... and the policy can't be used     no, with the fault; nothing else changes
-    Prepare           its serial is not                    nothing: it was answered
-
-Nothing of this is on disk: a participant that dies acts under nothing, and its next start asks what holds.
+processes of the machine share, so a late or duplicated message grants no more than the original. A call's
+first byte is sent under a policy only while a grant of that policy is valid; this is checked just before the
+byte is sent, so an instance that was frozen or cut off needs no message to stop. The transitions:
+
+    message   its serial          its policy    result
+    Grant     above the barrier                 it is kept
+    Grant     not above                         ignored: it was given up
+    Prepare   above the barrier   usable        a vote of yes; earlier grants end at its ``cut``, and the
+                                                barrier becomes its serial
+    Prepare   above the barrier   not usable    a vote of no with the fault; nothing else changes
+    Prepare   not above                         ignored: it was answered
+
+The state is not on disk: a participant that dies holds no grant, and its next start is granted anew.
 """
 
 from __future__ import annotations
@@ -26,49 +25,52 @@
 
 @dataclass(frozen=True, slots=True)
 class Participant:
-    """One process's state."""
+    """The state of one process.
+
+    ``grants``: in the order of their serials; ``barrier``: the serial up to which grants are given up.
+    """
 
     grants: tuple[Grant, ...] = ()
     barrier: Serial = (0, 0)
 
     def may(self, version: int, now: float) -> bool:
-        """Whether a call may begin under a policy now."""
-        return any(one.version == version and one.since <= now < one.until for one in self.grants)
+        """Whether a call may begin under a policy at ``now`` (milliseconds)."""
+        return any(grant.version == version and grant.valid(now) for grant in self.grants)
 
     def version(self, now: float) -> int:
-        """The policy to act under now; 0 where there is none."""
-        return max((one.version for one in self.grants if one.since <= now < one.until), default=0)
+        """The policy to act under at ``now``; 0 where there is none."""
+        return max((grant.version for grant in self.grants if grant.valid(now)), default=0)
 
     def next_since(self, now: float) -> float | None:
-        """When the next policy begins to hold, where that is known."""
-        return min((one.since for one in self.grants if one.since > now), default=None)
+        """When the next grant becomes valid, where there is one to come."""
+        return min((grant.since for grant in self.grants if grant.since > now), default=None)
 
 
 def granted(state: Participant, grant: Grant, now: float) -> Participant:
-    """A grant comes in."""
+    """Take in a grant."""
     if grant.serial <= state.barrier:
         return state
-    kept = [one for one in state.grants if one.until > now and not _covers(grant, one)]
-    if not any(_covers(one, grant) for one in kept) and grant.until > now:
+    kept = [other for other in state.grants if other.until > now and not _covers(grant, other)]
+    if not any(_covers(other, grant) for other in kept) and grant.until > now:
         kept.append(grant)
-    return replace(state, grants=tuple(sorted(kept, key=lambda one: one.serial)))
+    return replace(state, grants=tuple(sorted(kept, key=lambda grant: grant.serial)))
 
 
 def prepared(state: Participant, prepare: Prepare, fault: str) -> tuple[Participant, Vote | None]:
-    """A proposal comes in; ``fault`` says why its policy can't be used here, and is empty if it can."""
+    """Take in a proposal; ``fault`` says why its policy can't be used here, and is empty if it can."""
     if prepare.serial <= state.barrier:
         return state, None
     if fault:
         return state, Vote(prepare.number, False, fault)
-    cut = [
-        one if one.serial > prepare.serial else replace(one, until=min(one.until, prepare.cut))
-        for one in state.grants
+    shortened = [
+        grant if grant.serial > prepare.serial else replace(grant, until=min(grant.until, prepare.cut))
+        for grant in state.grants
     ]
-    grants = tuple(one for one in cut if one.until > one.since)
+    grants = tuple(grant for grant in shortened if grant.until > grant.since)
     return Participant(grants, prepare.serial), Vote(prepare.number, True)
 
 
 def _covers(wide: Grant, narrow: Grant) -> bool:
-    """Whether one grant gives all that another does, and was said later or at once."""
-    same = wide.version == narrow.version and wide.serial >= narrow.serial
-    return same and wide.since <= narrow.since and wide.until >= narrow.until
+    """Whether one grant gives all that another does, and is not older."""
+    supersedes = wide.version == narrow.version and wide.serial >= narrow.serial
+    return supersedes and wide.since <= narrow.since and wide.until >= narrow.until
--- a/springspread/rollout/terms.py
+++ b/springspread/rollout/terms.py
@@ -1,5 +1,6 @@
-"""What coordinator, participants and the record exchange. Times are milliseconds of the clock that all
-share.
+"""Messages between coordinator and participants, entries of the record, and the coordinator's effects.
+
+Times are milliseconds on the machine's clock, which all processes share.
 """
 
 from __future__ import annotations
@@ -7,10 +8,10 @@
 from dataclasses import dataclass
 
 Owner = tuple[str, int]
-"""An instance and its epoch: each start of an instance is another owner."""
+"""An instance's name and epoch: each start of an instance is another owner."""
 
 Serial = tuple[int, int]
-"""The daemon's generation and a count within it: any two of them tell which was said later."""
+"""The daemon's generation and a count within it: the order in which messages were sent."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,10 +23,14 @@
     since: float
     until: float
 
+    def valid(self, now: float) -> bool:
+        """Whether calls may begin under it at ``now``."""
+        return self.since <= now < self.until
+
 
 @dataclass(frozen=True, slots=True)
 class Prepare:
-    """May policy ``number`` take hold? A yes gives up every earlier grant from ``cut`` on."""
+    """Asks for a vote on policy ``number``. A yes gives up every earlier grant from ``cut`` on."""
 
     serial: Serial
     number: int
@@ -43,14 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Acting:
-    """What a participant acts under, said now and then for who looks on; 0: it holds. No decision uses it."""
+    """A participant's report of the policy that it acts under; 0: it begins no calls.
+
+    It is for the operators' status alone.
+    """
 
     version: int
 
 
 @dataclass(frozen=True, slots=True)
 class Proposed:
-    """On record: this number is used, whatever becomes of it."""
+    """On record: a proposal has this number and this digest of its text."""
 
     number: int
     digest: str
@@ -58,7 +66,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Decided:
-    """On record: the policy holds from ``since``; nobody acts under an earlier one from then on."""
+    """On record: the policy is in force from ``since``; nobody acts under an earlier one from then on."""
 
     number: int
     since: float
@@ -66,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """On record: the policy never holds. ``by`` is an instance, or empty for the daemon itself."""
+    """On record: the policy never comes into force. ``by``: an instance, or empty for the daemon itself."""
 
     number: int
     by: str
@@ -75,7 +83,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Begun:
-    """On record: a daemon began under this generation, and grants last so long at most."""
+    """On record: a daemon began under this generation; its grants last ``lease_ms`` at most."""
 
     generation: int
     lease_ms: float
@@ -86,17 +94,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Write:
-    """Put an entry on record and sync it, before any effect that follows in the list."""
+    """Effect: put an entry on record and sync it before any later effect of the same step."""
 
     entry: Entry
 
 
 @dataclass(frozen=True, slots=True)
-class Tell:
-    """Send a message to an owner; it may get lost, come late or come twice."""
+class Send:
+    """Effect: send a message to an owner; it may be lost, late or duplicated."""
 
     owner: Owner
     message: Grant | Prepare
 
 
-Effect = Write | Tell
+Effect = Write | Send
--- a/springspread/town/fleet.py
+++ b/springspread/town/fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from springspread.fleet.limits import Limit
-from springspread.fleet.orders import asked
+from springspread.fleet.orders import send_order
 from springspread.rig.daemon import given_path
 
 READY_S = 30.0
@@ -60,7 +60,7 @@
     def addresses(self) -> dict[int, tuple[str, int]]:
         """Of the instances that serve now; what was known where the daemon does not answer."""
         with suppress(OSError, ValueError):
-            rows = asked(self._folder / "control", {"do": "status"}, LOOK_S)["instances"]
+            rows = send_order(self._folder / "control", {"do": "status"}, LOOK_S)["instances"]
             found = {}
             for row in rows:
                 number = int(row["name"][1:])
--- a/tests/fleet/test_daemon.py
+++ b/tests/fleet/test_daemon.py
@@ -191,13 +191,13 @@
 def test_two_daemons_on_one_file_and_orders_that_are_wrong(place: Place) -> None:
     with pytest.raises(Refused, match="another daemon runs this fleet"):
         Daemon(read_fleet(place.file), Quiet())
-    for order, told in (
+    for order, fault in (
         ({"do": "dance"}, "no such order"),
         ([], "must be an object"),
         ({"do": "scale", "count": -1}, "from 0 to 1000"),
         ({"do": "drain", "name": "n9"}, "no such instance: n9; there are n000, n001"),
     ):
-        with pytest.raises(Refused, match=told):
+        with pytest.raises(Refused, match=fault):
             place.daemon.order(order)
     assert stat.S_IMODE((place.daemon.folder / "control").stat().st_mode) == 0o600
 
@@ -207,14 +207,14 @@
         line = [sys.executable, "-m", "springspread.cli", "fleet", *args]
         return subprocess.run(line, capture_output=True, text=True, timeout=30.0)
 
-    told = json.loads(ask("status", str(place.file), "--json").stdout)
-    assert [row["name"] for row in told] == ["n000", "n001"]
+    rows = json.loads(ask("status", str(place.file), "--json").stdout)
+    assert [row["name"] for row in rows] == ["n000", "n001"]
     assert "n001" in ask("restart", str(place.file), "n001").stdout
     faulty = ask("drain", str(place.file), "n7")
     assert faulty.returncode == 1 and "no such instance: n7" in faulty.stderr
 
 
-def test_a_faulty_operator_file_is_told_with_its_keys(tmp_path: Path) -> None:
+def test_a_faulty_operator_file_is_refused_with_its_keys(tmp_path: Path) -> None:
     file = tmp_path / "fleet.toml"
     file.write_text('folder = "f"\nconfg = "c"\ninstances = 2000\n[limits.x]\ncalls = 0\n')
     with pytest.raises(PlanError) as caught:
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -6,38 +6,38 @@
 
 import pytest
 
-from springspread.fleet.members import Pauses, Row, Seen, Step, Want, died, pause, scaled, step
+from springspread.fleet.members import DesiredState, Observation, Pauses, Row, Step, died, pause, scaled, step
 
 PAUSES = Pauses(first_ms=100.0, most_ms=1_000.0, settled_ms=5_000.0, stop_ms=4_000.0)
 RUNNING = Row("n000", epoch=1, pid=77, started_at=0.0)
-LEAVING = replace(RUNNING, want=Want.LEAVING)
+LEAVING = replace(RUNNING, desired=DesiredState.LEAVING)
 EMPTYING = replace(LEAVING, emptying=True)
 DOWN = Row("n000", epoch=1, died_at=0.0, deaths=1)
 
 
 @pytest.mark.parametrize(
-    ("row", "seen", "now", "expected"),
+    ("row", "observed", "now", "expected"),
     [
-        (Row("n000"), Seen(False), 0.0, Step.START),
-        (RUNNING, Seen(True, 9), 10.0, None),
-        (DOWN, Seen(False, 9), 99.0, None),
-        (DOWN, Seen(False, 9), 100.0, Step.START),
-        (replace(RUNNING, restart=True), Seen(True), 10.0, Step.TERM),
-        (replace(RUNNING, restart=True, term_sent_at=10.0), Seen(True), 4_009.0, None),
-        (replace(RUNNING, restart=True, term_sent_at=10.0), Seen(True), 4_010.0, Step.KILL),
-        (LEAVING, Seen(True, 9), 10.0, Step.TERM),
-        (replace(LEAVING, term_sent_at=10.0), Seen(True, 9), 20.0, None),
-        (replace(LEAVING, term_sent_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
-        (replace(LEAVING, pid=0), Seen(False, 9), 10.0, Step.EMPTY),
-        (replace(LEAVING, pid=0), Seen(False, 0), 10.0, Step.DROP),
-        (EMPTYING, Seen(True, 9), 10.0, None),
-        (EMPTYING, Seen(True, 0), 10.0, Step.TERM),
-        (replace(EMPTYING, term_sent_at=10.0), Seen(True, 9), 4_010.0, Step.KILL),
-        (replace(DOWN, want=Want.LEAVING), Seen(False, 3), 50.0, None),
+        (Row("n000"), Observation(False), 0.0, Step.START),
+        (RUNNING, Observation(True, 9), 10.0, None),
+        (DOWN, Observation(False, 9), 99.0, None),
+        (DOWN, Observation(False, 9), 100.0, Step.START),
+        (replace(RUNNING, restart=True), Observation(True), 10.0, Step.TERM),
+        (replace(RUNNING, restart=True, term_sent_at=10.0), Observation(True), 4_009.0, None),
+        (replace(RUNNING, restart=True, term_sent_at=10.0), Observation(True), 4_010.0, Step.KILL),
+        (LEAVING, Observation(True, 9), 10.0, Step.TERM),
+        (replace(LEAVING, term_sent_at=10.0), Observation(True, 9), 20.0, None),
+        (replace(LEAVING, term_sent_at=10.0), Observation(True, 9), 4_010.0, Step.KILL),
+        (replace(LEAVING, pid=0), Observation(False, 9), 10.0, Step.EMPTY),
+        (replace(LEAVING, pid=0), Observation(False, 0), 10.0, Step.DROP),
+        (EMPTYING, Observation(True, 9), 10.0, None),
+        (EMPTYING, Observation(True, 0), 10.0, Step.TERM),
+        (replace(EMPTYING, term_sent_at=10.0), Observation(True, 9), 4_010.0, Step.KILL),
+        (replace(DOWN, desired=DesiredState.LEAVING), Observation(False, 3), 50.0, None),
     ],
 )
-def test_each_state_has_its_step(row: Row, seen: Seen, now: float, expected: Step | None) -> None:
-    assert step(row, seen, now, PAUSES) is expected
+def test_each_state_has_its_step(row: Row, observed: Observation, now: float, expected: Step | None) -> None:
+    assert step(row, observed, now, PAUSES) is expected
 
 
 def test_one_that_keeps_dying_waits_longer_each_time_up_to_a_bound() -> None:
@@ -50,16 +50,16 @@
     assert pause(row, PAUSES) == 100.0
 
 
-def test_one_that_was_told_to_end_is_started_again_at_once() -> None:
+def test_one_that_was_ordered_to_end_is_started_again_at_once() -> None:
     row = died(replace(RUNNING, restart=True, term_sent_at=10.0), 500.0, PAUSES)
-    assert step(row, Seen(False, 4), 500.0, PAUSES) is Step.START and not row.restart
+    assert step(row, Observation(False, 4), 500.0, PAUSES) is Step.START and not row.restart
 
 
 def test_scaling_adds_the_lowest_free_names_and_takes_the_highest_away() -> None:
     rows = scaled({}, 3)
     assert list(rows) == ["n000", "n001", "n002"]
     less = scaled(rows, 1)
-    assert [name for name, row in less.items() if row.want is Want.LEAVING] == ["n001", "n002"]
+    assert [name for name, row in less.items() if row.desired is DesiredState.LEAVING] == ["n001", "n002"]
     more = scaled(less, 2)  # what leaves is not taken back: its folder may be half emptied
-    assert [name for name, row in more.items() if row.want is Want.SERVING] == ["n000", "n003"]
-    assert scaled(more, 0)["n000"].want is Want.LEAVING
+    assert [name for name, row in more.items() if row.desired is DesiredState.SERVING] == ["n000", "n003"]
+    assert scaled(more, 0)["n000"].desired is DesiredState.LEAVING
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -18,7 +18,7 @@
 from springspread.fleet.control import MAX_ORDER_BYTES, ControlSocket
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.limits import Limit, LimitMode
-from springspread.fleet.orders import asked
+from springspread.fleet.orders import send_order
 from springspread.fleet.plan import read_fleet
 from springspread.rollout import document
 from springspread.rollout.document import MAX_POLICY_BYTES, Policy
@@ -49,7 +49,7 @@
 
     def propose(self, limits: dict[str, Limit]) -> dict[str, Any]:
         text = Policy(self.settings, limits).text
-        return asked(self.control, {"do": "propose", "policy": text, "within": 20.0}, 20.0)
+        return send_order(self.control, {"do": "propose", "policy": text, "within": 20.0}, 20.0)
 
     def command(self, *words: str) -> tuple[int, str]:
         """The exit status and the words of ``fleet policy WORDS`` with the file."""
@@ -68,13 +68,13 @@
     limits = {f"g{number}": Limit(50, 10.0, LimitMode.ADAPTIVE) for number in range(140_000)}
     answer = place.propose(limits)
     assert (answer["ok"], answer["state"], answer["version"]) == (True, "in force", 2)
-    kept = asked(place.control, {"do": "text", "version": 2})
+    kept = send_order(place.control, {"do": "text", "version": 2})
     assert kept["policy"] == Policy(place.settings, limits).text
 
 
 def test_the_default_mode_of_a_policy_reaches_the_allocator_and_its_successor(place: Place) -> None:
     text = Policy(place.settings, {"g7": Limit(50, 10.0)}, LimitMode.ADAPTIVE).text
-    answer = asked(place.control, {"do": "propose", "policy": text, "within": 5.0}, 5.0)
+    answer = send_order(place.control, {"do": "propose", "policy": text, "within": 5.0}, 5.0)
     assert answer["state"] == "in force"
 
     def default_mode() -> LimitMode:
@@ -92,20 +92,20 @@
     )
     fault = f"limits: the policy has {len(policy.text):,} bytes; the bound is {MAX_POLICY_BYTES:,}"
     order = {"policy": policy.text, "within": 5.0}
-    proposed = asked(place.control, {"do": "propose", **order})
+    proposed = send_order(place.control, {"do": "propose", **order})
     assert proposed == {"ok": True, "state": "refused", "version": 0, "fault": fault}
-    checked = asked(place.control, {"do": "check", **order})
+    checked = send_order(place.control, {"do": "check", **order})
     assert not checked["usable"] and checked["fault"] == fault
-    assert asked(place.control, {"do": "policy"})["in_force"]["version"] == 1
+    assert send_order(place.control, {"do": "policy"})["in_force"]["version"] == 1
 
 
-def test_the_rest_of_an_order_that_is_too_long_is_read_and_its_sender_told(tmp_path: Path) -> None:
+def test_the_rest_of_an_order_that_is_too_long_is_read_before_it_is_refused(tmp_path: Path) -> None:
     control = ControlSocket(tmp_path / "control", lambda order: {"order": order}, Quiet(), SYSTEM)
     order = {"do": "propose", "policy": "x" * (MAX_ORDER_BYTES + 5_000_000), "within": 5.0}
     size = len(json.dumps(order)) + 1
     fault = f"the order has {size:,} bytes; the bound is {MAX_ORDER_BYTES:,}"
-    assert asked(tmp_path / "control", order) == {"ok": False, "fault": fault}
-    assert asked(tmp_path / "control", {"do": "status"}) == {"ok": True, "order": {"do": "status"}}
+    assert send_order(tmp_path / "control", order) == {"ok": False, "fault": fault}
+    assert send_order(tmp_path / "control", {"do": "status"}) == {"ok": True, "order": {"do": "status"}}
     control.close()
 
 
@@ -124,7 +124,7 @@
                 sent += sock.send(b"x" * 1000)
         answer = json.loads(sock.recv(1000))
     assert not answer["ok"] and answer["fault"].startswith("the order has at least ")
-    again = asked(tmp_path / "control", {"policy": "x" * 1_000_000})
+    again = send_order(tmp_path / "control", {"policy": "x" * 1_000_000})
     assert again["fault"].startswith("the order has at least ")
     control.close()
 
@@ -182,7 +182,7 @@
         assert result.exit_code == 2 and f"; the bound is {bound}\n" in result.output
 
 
-def test_a_configuration_that_is_no_object_is_told_by_its_file(tmp_path: Path) -> None:
+def test_a_configuration_that_is_no_object_is_refused_by_its_file(tmp_path: Path) -> None:
     (tmp_path / "sender.json").write_text("[]")
     file = tmp_path / "fleet.toml"
     file.write_text(TOML)
@@ -199,7 +199,7 @@
     assert output.endswith("; the bound is 100\n")
 
 
-def test_without_a_daemon_it_is_said_that_none_answers(place: Place) -> None:
+def test_without_a_daemon_the_command_reports_that_none_answers(place: Place) -> None:
     place.daemon.leave()
     code, output = place.command("propose")
     assert code == 1 and "no daemon answers" in output
--- a/tests/fleet/test_status.py
+++ b/tests/fleet/test_status.py
@@ -1,4 +1,4 @@
-"""What is said of an instance that returns: by its own report, or by its journal where there is none."""
+"""The status of an instance that recovers: by its own report, or by its journal where there is none."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 
 def test_the_rest_is_expected_at_the_pace_so_far() -> None:
     report = Returning("owed", since=2_000.0, owed=10, at_start=30, damaged=1)
-    said = recovery_status(ROW, report, 5_000.0)
-    assert (said["gate"], said["for_s"], said["damaged"]) == ("owed", 3.0, 1)
-    assert (said["owed"], said["ended"], said["expected_s"]) == (10, 20, 2.0)
+    status = recovery_status(ROW, report, 5_000.0)
+    assert (status["gate"], status["for_s"], status["damaged"]) == ("owed", 3.0, 1)
+    assert (status["owed"], status["ended"], status["expected_s"]) == (10, 20, 2.0)
     assert recovery_status(ROW, replace(report, owed=30), 5_000.0)["expected_s"] is None
     assert recovery_status(ROW, replace(report, owed=0), 5_000.0)["expected_s"] == 0.0
 
--- a/tests/fleet/test_survey.py
+++ b/tests/fleet/test_survey.py
@@ -1,4 +1,4 @@
-"""What a daemon believes as it begins: the table by itself, and on real processes with its file spoilt."""
+"""Reconciling members at a daemon's start: the table alone, and on real processes with a damaged file."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.folder import Unusable, read_members, running, write_members
-from springspread.fleet.members import Row, Want
+from springspread.fleet.members import DesiredState, Row
 from springspread.fleet.plan import read_fleet
-from springspread.fleet.survey import EPOCHS, Found, Running, believed, raised
+from springspread.fleet.survey import EPOCHS, Evidence, Running, raise_epochs, reconcile
 from tests.fleet.test_allocator_server import Quiet
 from tests.fleet.test_daemon import Place, place
 from tests.peer import until
@@ -31,30 +31,30 @@
 
 def test_a_process_that_was_started_and_not_put_on_record_is_adopted() -> None:
     rows = (Row("n000", epoch=3), Row("n001", epoch=5, pid=50))
-    told = believed(Found(rows, running=(process("n000", 4, 40), process("n001", 5, 50))))
-    assert {name: (row.epoch, row.pid) for name, row in told.rows.items()} == {
+    membership = reconcile(Evidence(rows, running=(process("n000", 4, 40), process("n001", 5, 50))))
+    assert {name: (row.epoch, row.pid) for name, row in membership.rows.items()} == {
         "n000": (4, 40),
         "n001": (5, 50),
     }
-    assert told.astray == () and not told.lost
+    assert membership.stale == () and not membership.lost
 
 
 def test_of_two_on_one_journal_the_later_one_keeps_it() -> None:
     old, new, stale = process("n000", 4, 41), process("n000", 5, 42), process("n001", 2, 43)
-    told = believed(Found((Row("n000", epoch=5), Row("n001", epoch=3)), running=(new, old, stale)))
-    assert told.rows["n000"].pid == 42 and told.rows["n001"].pid == 0
-    assert set(told.astray) == {old, stale} and set(told.holders) == {"n000"}
+    membership = reconcile(Evidence((Row("n000", epoch=5), Row("n001", epoch=3)), running=(new, old, stale)))
+    assert membership.rows["n000"].pid == 42 and membership.rows["n001"].pid == 0
+    assert set(membership.stale) == {old, stale} and set(membership.holders) == {"n000"}
 
 
-def test_one_without_a_row_leaves_and_a_lost_file_is_told_by_what_survived() -> None:
+def test_one_without_a_row_leaves_and_a_lost_file_is_rebuilt_from_what_survived() -> None:
     orphan = process("n002", 7, 70)
-    told = believed(Found((Row("n000", epoch=1),), running=(orphan,)))
-    assert told.rows["n002"].want is Want.LEAVING and told.rows["n002"].pid == 70
-    told = believed(Found(None, ({"n000": 9}, {"n000": 2, "n001": 1}), (orphan,)))
-    assert {name: row.epoch for name, row in told.rows.items()} == {"n000": 9, "n001": 1, "n002": 7}
-    assert told.lost and all(row.want is Want.SERVING for row in told.rows.values())
-    floored = raised(told.rows, 3)
-    assert {name: row.epoch for name, row in floored.items()} == {
+    membership = reconcile(Evidence((Row("n000", epoch=1),), running=(orphan,)))
+    assert membership.rows["n002"].desired is DesiredState.LEAVING and membership.rows["n002"].pid == 70
+    membership = reconcile(Evidence(None, ({"n000": 9}, {"n000": 2, "n001": 1}), (orphan,)))
+    assert {name: row.epoch for name, row in membership.rows.items()} == {"n000": 9, "n001": 1, "n002": 7}
+    assert membership.lost and all(row.desired is DesiredState.SERVING for row in membership.rows.values())
+    raised = raise_epochs(membership.rows, 3)
+    assert {name: row.epoch for name, row in raised.items()} == {
         "n000": 3 * EPOCHS,
         "n001": 3 * EPOCHS,
         "n002": 7,
@@ -75,17 +75,22 @@
 def test_no_epoch_falls_and_each_name_has_one_process(
     rows: tuple[Row, ...] | None, leased: dict[str, int], written: dict[str, int], found: list[Running]
 ) -> None:
-    told = believed(Found(rows, (leased, written), tuple(found)))
+    membership = reconcile(Evidence(rows, (leased, written), tuple(found)))
     known = [(row.name, row.epoch) for row in rows or ()]
     known += [(one.name, one.epoch) for one in found]
     known += [
-        pair for one in (leased, written) for pair in one.items() if rows is None or pair[0] in told.rows
+        pair
+        for one in (leased, written)
+        for pair in one.items()
+        if rows is None or pair[0] in membership.rows
     ]
-    assert all(told.rows[name].epoch >= epoch for name, epoch in known)
-    held = {row.pid for row in told.rows.values() if row.pid}
-    assert held.isdisjoint(one.pid for one in told.astray)
-    assert held | {one.pid for one in told.astray} == {one.pid for one in found}
-    assert all(row.epoch == told.holders[name].epoch for name, row in told.rows.items() if row.pid)
+    assert all(membership.rows[name].epoch >= epoch for name, epoch in known)
+    held = {row.pid for row in membership.rows.values() if row.pid}
+    assert held.isdisjoint(one.pid for one in membership.stale)
+    assert held | {one.pid for one in membership.stale} == {one.pid for one in found}
+    assert all(
+        row.epoch == membership.holders[name].epoch for name, row in membership.rows.items() if row.pid
+    )
 
 
 def _emptied(path: Path) -> None:
@@ -106,7 +111,7 @@
 def test_a_members_file_is_read_as_written_and_not_when_it_is_spoilt(tmp_path: Path) -> None:
     path = tmp_path / "members.json"
     assert read_members(path) is None
-    rows = (Row("n000", epoch=3, pid=9, deaths=1), Row("n001", Want.LEAVING, 4, emptying=True))
+    rows = (Row("n000", epoch=3, pid=9, deaths=1), Row("n001", DesiredState.LEAVING, 4, emptying=True))
     write_members(path, rows)
     assert read_members(path) == rows
     good = path.read_bytes()
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -1,4 +1,4 @@
-"""The fleet's lines and the record of leases: what is cut, torn or foreign is told apart."""
+"""The fleet's lines and the record of leases, cut anywhere, damaged, or of another start of the machine."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
     UseReport,
     Welcome,
 )
-from springspread.fleet.record import FILE_BYTES, Record
+from springspread.fleet.record import FILE_BYTES, LeaseRecord
 from springspread.fleet.wire import Document, Lines, Message, Unreadable, write
 
 MESSAGES: list[Message] = [
@@ -40,11 +40,11 @@
 @settings(max_examples=100, deadline=None, derandomize=True, database=None)
 def test_messages_are_read_however_their_bytes_are_cut(cuts: list[int]) -> None:
     data = b"".join(map(write, MESSAGES))
-    lines, heard, at = Lines(), [], 0
+    lines, received, at = Lines(), [], 0
     for cut in [*sorted(cuts), len(data)]:
-        heard += lines.feed(data[at:cut])
+        received += lines.feed(data[at:cut])
         at = max(at, cut)
-    assert heard == MESSAGES
+    assert received == MESSAGES
 
 
 @given(line=st.binary(max_size=60))
@@ -76,7 +76,7 @@
         b"x" * (wire.LINE_BYTES + 1),
     ],
 )
-def test_a_faulty_line_is_told(line: bytes) -> None:
+def test_a_faulty_line_is_refused(line: bytes) -> None:
     with pytest.raises(Unreadable):
         Lines().feed(line + b"\n")
 
@@ -92,58 +92,59 @@
 
 
 def test_a_successor_reads_what_was_given_out_but_not_a_torn_tail(tmp_path: Path) -> None:
-    record = Record(tmp_path, 2_000.0)
+    record = LeaseRecord(tmp_path, 2_000.0)
     record.append([lease(1), lease(2)], 0.0)
     record.append([lease(3)], 0.0)
     record.close()
     (file,) = [path for path in tmp_path.iterdir() if path.stat().st_size]
-    whole = file.read_bytes()
-    for cut in range(1, len(whole) - 36):
-        file.write_bytes(whole[:-cut])
-        after = Record(tmp_path, 2_000.0)
-        assert after.before == [lease(1), lease(2), lease(3)][: len(after.before)] and len(after.before) < 3
+    data = file.read_bytes()
+    for cut in range(1, len(data) - 36):
+        file.write_bytes(data[:-cut])
+        after = LeaseRecord(tmp_path, 2_000.0)
+        assert len(after.earlier) < 3
+        assert after.earlier == [lease(1), lease(2), lease(3)][: len(after.earlier)]
         after.append([lease(4)], 0.0)
         after.close()
-        again = Record(tmp_path, 2_000.0)
-        assert again.before == [*after.before, lease(4)]
+        again = LeaseRecord(tmp_path, 2_000.0)
+        assert again.earlier == [*after.earlier, lease(4)]
         again.close()
 
 
 def test_the_record_stays_small(tmp_path: Path) -> None:
-    record = Record(tmp_path, 100.0)
+    record = LeaseRecord(tmp_path, 100.0)
     for n in range(20_000):
         record.append([lease(n, float(n) + 20.0)], float(n))
     record.close()
     assert sum(path.stat().st_size for path in tmp_path.iterdir()) < 3 * FILE_BYTES
-    kept = [one.serial for one in Record(tmp_path, 100.0).before]
+    kept = [one.serial for one in LeaseRecord(tmp_path, 100.0).earlier]
     assert set(range(19_880, 20_000)) <= set(kept)
 
 
 def test_a_record_of_another_start_of_the_machine_is_left_aside(tmp_path: Path) -> None:
-    record = Record(tmp_path, 2_000.0)
+    record = LeaseRecord(tmp_path, 2_000.0)
     record.append([lease(1)], 0.0)
     record.close()
     for path in tmp_path.iterdir():
         path.write_bytes(b"0" * 36 + path.read_bytes()[36:])
-    assert Record(tmp_path, 2_000.0).before == []
+    assert LeaseRecord(tmp_path, 2_000.0).earlier == []
 
 
 def test_a_record_says_whether_anything_of_it_is_missing(tmp_path: Path) -> None:
-    record = Record(tmp_path, 2_000.0)
-    assert record.whole and not record.found
+    record = LeaseRecord(tmp_path, 2_000.0)
+    assert record.complete and not record.existed
     record.append([lease(1), lease(2)], 0.0)
     record.close()
     (file,) = [path for path in tmp_path.iterdir() if path.stat().st_size]
     good = file.read_bytes()
     file.write_bytes(good[:-3])
-    torn = Record(tmp_path, 2_000.0)
-    assert torn.whole and torn.found and torn.before == [lease(1)]
+    torn = LeaseRecord(tmp_path, 2_000.0)
+    assert torn.complete and torn.existed and torn.earlier == [lease(1)]
     torn.close()
     for spoilt in (good[:60] + b"?" + good[61:], b"0" * 36 + good[36:], b""):
         file.write_bytes(spoilt)
-        found = Record(tmp_path, 2_000.0)
-        assert not found.whole and found.found
+        found = LeaseRecord(tmp_path, 2_000.0)
+        assert not found.complete and found.existed
         found.close()
-        again = Record(tmp_path, 2_000.0)
-        assert again.whole  # it is told once
+        again = LeaseRecord(tmp_path, 2_000.0)
+        assert again.complete  # it is reported once
         again.close()
--- a/tests/rollout/test_cli.py
+++ b/tests/rollout/test_cli.py
@@ -23,7 +23,7 @@
 __all__ = ["fleet"]
 
 
-def said(place: Fleet, *words: str) -> tuple[int, str]:
+def run_policy(place: Fleet, *words: str) -> tuple[int, str]:
     line = [
         sys.executable,
         "-m",
@@ -48,42 +48,42 @@
 
 def test_exit_status_and_words(fleet: Fleet) -> None:
     write(fleet, specifics={"callsOut": 7})
-    assert said(fleet, "check") == (0, "settings.specifics.callsOut: 6 -> 7\n")
-    assert said(fleet, "propose") == (0, "policy 2 is in force\n")
+    assert run_policy(fleet, "check") == (0, "settings.specifics.callsOut: 6 -> 7\n")
+    assert run_policy(fleet, "propose") == (0, "policy 2 is in force\n")
     write(fleet, clases=[])
-    code, text = said(fleet, "propose")
+    code, text = run_policy(fleet, "propose")
     assert code == 5 and f"{fleet.folder / 'sender.json'}: settings.clases: no such key" in text
     assert "did you mean classes?" in text
     write(fleet, clases=None, specifics={"callsOut": 9})
     pid = fleet.rows()["n001"]["pid"]
     os.kill(pid, signal.SIGSTOP)
-    code, text = said(fleet, "propose", "--within", "0.1")
+    code, text = run_policy(fleet, "propose", "--within", "0.1")
     assert code == 6 and "policy 3 is not in force yet; it waits for n001" in text
     until(lambda: fleet.daemon.order({"do": "outcome", "version": 3})["state"] == "decided", "it is decided")
     assert fleet.daemon.order({"do": "outcome", "version": 3})["fault"].startswith("n001, ")
     assert fleet.status()["pending"] == {"version": 3, "waits_for": ["n001"]}
-    assert "no answer from n001" in said(fleet, "check")[1]
+    assert "no answer from n001" in run_policy(fleet, "check")[1]
     os.kill(pid, signal.SIGCONT)
-    assert said(fleet, "propose") == (0, "policy 3 is in force\n")
-    assert said(fleet, "back", "1") == (0, "policy 4 is in force\n")
+    assert run_policy(fleet, "propose") == (0, "policy 3 is in force\n")
+    assert run_policy(fleet, "back", "1") == (0, "policy 4 is in force\n")
     until(lambda: fleet.all_act_under(4), "all act under what held at first")
-    told = json.loads(said(fleet, "status", "--json")[1])
-    assert told["in_force"]["version"] == 4 and told["pending"] is None
-    assert told["instances"]["n002"] == {"version": 4, "state": "acting"}
-    rows = json.loads(said(fleet, "history", "--json")[1])
+    status = json.loads(run_policy(fleet, "status", "--json")[1])
+    assert status["in_force"]["version"] == 4 and status["pending"] is None
+    assert status["instances"]["n002"] == {"version": 4, "state": "acting"}
+    rows = json.loads(run_policy(fleet, "history", "--json")[1])
     assert [(row["version"], row["state"]) for row in rows] == [(n, "in force") for n in (1, 2, 3, 4)]
     assert rows[0]["digest"] == rows[3]["digest"] != rows[1]["digest"]
 
 
 @pytest.mark.parametrize(
-    ("key", "value", "told"),
+    ("key", "value", "fault"),
     [
         ("connIdleMs", 900.0, "settings.limits.connIdleMs: this process was started with another"),
         ("attemptsCap", 9, "settings.limits.attemptsCap: above 8"),
     ],
 )
 def test_a_process_refuses_what_it_was_not_started_for(
-    tmp_path: Path, key: str, value: float, told: str
+    tmp_path: Path, key: str, value: float, fault: str
 ) -> None:
     raw = make(tmp_path)
     file = tmp_path / "config.json"
@@ -95,4 +95,4 @@
     raw["settings"]["limits"][key] = value
     with pytest.raises(ConfigError) as caught:
         under_policy(running, journal, json.dumps({"settings": raw["settings"], "limits": {}}), env)
-    assert str(caught.value).startswith(told)
+    assert str(caught.value).startswith(fault)
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -2,7 +2,7 @@
 
 from springspread.rollout import coordinator
 from springspread.rollout.coordinator import History, Times
-from springspread.rollout.terms import Decided, Grant, Proposed, Refused, Tell, Vote, Write
+from springspread.rollout.terms import Decided, Grant, Proposed, Refused, Send, Vote, Write
 
 OWNERS = [(f"n{n:03}", 1) for n in range(50)]
 
@@ -18,7 +18,7 @@
         assert effects == []
     state, effects = coordinator.voted(state, 30.0, OWNERS[-1], Vote(2, False, "why"))
     assert effects[0] == Write(Refused(2, "n049", "why"))
-    granted = {one.owner: one.message for one in effects if isinstance(one, Tell)}
+    granted = {one.owner: one.message for one in effects if isinstance(one, Send)}
     assert set(granted) == set(OWNERS)
     assert all(isinstance(grant, Grant) and grant.version == 1 for grant in granted.values())
     assert state.pending is None and state.history.in_force == 1
--- a/tests/rollout/test_fleet.py
+++ b/tests/rollout/test_fleet.py
@@ -116,9 +116,9 @@
     asked = fleet.daemon.order(order)
     assert not asked["usable"] and asked["silent"] == [] and list(asked["refuse"]) == ["n000"]
     assert asked["refuse"]["n000"].startswith("settings.classes: pay: messages of it are held here")
-    told = fleet.propose(classes=rest)
-    assert told["state"] == "refused" and told["version"] == 2
-    assert told["fault"].startswith("n000: settings.classes: pay: messages of it are held here")
+    answer = fleet.propose(classes=rest)
+    assert answer["state"] == "refused" and answer["version"] == 2
+    assert answer["fault"].startswith("n000: settings.classes: pay: messages of it are held here")
     assert fleet.propose(kinds=["other"])["fault"].startswith("settings.kinds: serves a start")
     fleet.peer.hold.set()
     until(lambda: fleet.all_act_under(1), "all go on under what holds")
@@ -141,8 +141,8 @@
 
 def test_the_daemon_dies_in_between_and_the_next_one_gives_the_one_answer(fleet: Fleet) -> None:
     os.kill(fleet.rows()["n001"]["pid"], signal.SIGSTOP)  # so that the vote takes its time
-    told = fleet.propose(within=0.1, **callsout(7))
-    assert told["state"] == "pending" and "n001" in told["fault"]
+    answer = fleet.propose(within=0.1, **callsout(7))
+    assert answer["state"] == "pending" and "n001" in answer["fault"]
     frozen = fleet.rows()["n001"]["pid"]
     fleet.daemon.leave()
     fleet.daemon = Daemon(read_fleet(fleet.file), Quiet())
@@ -161,17 +161,17 @@
     for slots in (7, 8):
         base["settings"]["specifics"] |= callsout(slots)["specifics"]
         texts.append(read_fleet(fleet.file).policy(base).text)
-    told: list[dict[str, Any]] = []
+    answers: list[dict[str, Any]] = []
     asked = [
-        threading.Thread(target=lambda text=text: told.append(fleet.daemon.propose(text, 8.0)))
+        threading.Thread(target=lambda text=text: answers.append(fleet.daemon.propose(text, 8.0)))
         for text in texts
     ]
     for one in asked:
         one.start()
     for one in asked:
         one.join()
-    assert sorted(one["state"] for one in told) == ["in force", "refused"]
-    assert "one change at a time" in next(one["fault"] for one in told if one["state"] == "refused")
+    assert sorted(one["state"] for one in answers) == ["in force", "refused"]
+    assert "one change at a time" in next(one["fault"] for one in answers if one["state"] == "refused")
     fleet.settle()
     assert mixtures(begun(fleet.daemon.folder)) == []
 
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -13,7 +13,15 @@
 
 from springspread.fleet.change import Changes
 from springspread.fleet.limits import Limit, LimitMode
-from springspread.rollout.document import Policy, PolicyFault, check, differences, lead_ms, parsed, shrunk
+from springspread.rollout.document import (
+    Policy,
+    PolicyFault,
+    check,
+    differences,
+    lead_ms,
+    parse_policy,
+    shrunk,
+)
 from springspread.rollout.record import Damaged, PolicyRecord
 from springspread.rollout.terms import Begun, Decided, Proposed
 from tests.fleet.test_allocator_server import Quiet
@@ -90,7 +98,7 @@
     changes.close()
 
 
-def test_damage_is_told_by_file_and_a_torn_end_is_cut(tmp_path: Path) -> None:
+def test_damage_is_reported_by_file_and_a_torn_end_is_cut(tmp_path: Path) -> None:
     with_one(tmp_path).close()
     log, text = tmp_path / "log", (tmp_path / "1").read_text()
     good = log.read_bytes()
@@ -111,7 +119,7 @@
 def test_what_may_not_change_is_refused_with_its_key() -> None:
     once = copy.deepcopy(SETTINGS["classes"])
     once[0]["effect"] = "once"
-    for new, told in (
+    for new, fault in (
         (policy(classes=once), "settings.classes.note.effect: is safe for ever"),
         (policy(kinds=["portal"]), "settings.kinds: serves a start"),
         (policy(zones=["b", "a"]), "settings.zones: serves a start"),
@@ -120,7 +128,7 @@
     ):
         with pytest.raises(PolicyFault) as caught:
             check(new, [policy()])
-        assert str(caught.value).startswith(told)
+        assert str(caught.value).startswith(fault)
     without = policy(classes=SETTINGS["classes"][1:])
     check(without, [policy()])
     with pytest.raises(PolicyFault, match="is safe for ever"):  # not by way of a policy without it, either
@@ -134,7 +142,7 @@
     assert lead_ms(old, new) == 4300.0 and lead_ms(old, old) == 0.0
     assert "limits.g1: 40 in 2000 ms -> 8 in 2000 ms" in differences(old, new)
     assert "settings.specifics.callsOut: 6 -> 7" in differences(old, new)
-    assert parsed(new.text) == new and new.digest != old.digest
+    assert parse_policy(new.text) == new and new.digest != old.digest
 
 
 def test_a_document_carries_the_mode_of_a_limit_and_an_exact_one_reads_as_before() -> None:
@@ -142,7 +150,7 @@
     assert exact.text == '{"limits":{"g1":[40,2000.0]},"settings":{}}'
     adaptive = Policy({}, {"g1": Limit(40, 2000.0, LimitMode.ADAPTIVE)}, LimitMode.ADAPTIVE)
     assert adaptive.text == '{"default_mode":"adaptive","limits":{"g1":[40,2000.0,"adaptive"]},"settings":{}}'
-    assert parsed(adaptive.text) == adaptive and parsed(exact.text) == exact
+    assert parse_policy(adaptive.text) == adaptive and parse_policy(exact.text) == exact
     assert differences(exact, adaptive) == [
         "default_mode: not set -> adaptive",
         "limits.g1: 40 in 2000 ms -> 40 in 2000 ms, adaptive",
@@ -162,7 +170,7 @@
     entry: str, default_mode: str, fault: str
 ) -> None:
     with pytest.raises(PolicyFault) as caught:
-        parsed(f'{{"settings":{{}},"limits":{{"g1":{entry}}},"default_mode":"{default_mode}"}}')
+        parse_policy(f'{{"settings":{{}},"limits":{{"g1":{entry}}},"default_mode":"{default_mode}"}}')
     assert str(caught.value).startswith(fault)
 
 
--- a/tests/rollout/test_relay.py
+++ b/tests/rollout/test_relay.py
@@ -1,4 +1,4 @@
-"""A change of policy while what the processes say to one another is lost, held, doubled, replayed or cut."""
+"""A change of policy while lines between the processes are lost, held, doubled, replayed or cut."""
 
 from __future__ import annotations
 
@@ -71,7 +71,7 @@
     settled_under(fleet, 2)
 
 
-def test_one_that_says_yes_and_never_hears_the_decision_holds(fleet: Relayed) -> None:
+def test_one_that_votes_yes_and_never_receives_the_decision_holds(fleet: Relayed) -> None:
     relay = fleet.relays["n001"]
     relay.seen = lambda way, line: relay.put(Fault.LOSE, Way.DOWN) if b'"vote"' in line else None
     assert fleet.propose(**callsout(7))["state"] == "in force"
@@ -82,7 +82,7 @@
     settled_under(fleet, 2)
 
 
-def test_what_was_said_before_two_further_changes_gives_no_right_when_it_comes_again(fleet: Relayed) -> None:
+def test_grants_replayed_after_two_further_changes_give_no_right(fleet: Relayed) -> None:
     for relay in fleet.relays.values():
         relay.put(Fault.DOUBLE)
     assert fleet.propose(**callsout(7))["state"] == "in force"
@@ -111,15 +111,15 @@
 
 
 @pytest.mark.parametrize(("way", "line"), [(Way.UP, b'"vote"'), (Way.DOWN, b'"grant"')])
-def test_one_that_dies_after_its_yes_or_as_it_hears_the_decision(
+def test_one_that_dies_after_its_yes_or_as_it_receives_the_decision(
     fleet: Relayed, way: Way, line: bytes
 ) -> None:
     pid, relay = fleet.rows()["n001"]["pid"], fleet.relays["n001"]
     met: list[bytes] = []
 
-    def dies(heard: Way, said: bytes) -> None:
-        if not met and heard is way and line in said and (way is Way.UP or b'"version":2' in said):
-            met.append(said)
+    def dies(direction: Way, data: bytes) -> None:
+        if not met and direction is way and line in data and (way is Way.UP or b'"version":2' in data):
+            met.append(data)
             os.kill(pid, signal.SIGKILL)
 
     relay.seen = dies
@@ -128,7 +128,7 @@
     settled_under(fleet, 2)
 
 
-def test_all_die_with_the_decision_on_record_and_told_to_nobody(fleet: Relayed) -> None:
+def test_all_die_with_the_decision_on_record_and_sent_to_nobody(fleet: Relayed) -> None:
     for relay in fleet.relays.values():
         relay.put(Fault.LOSE, Way.DOWN)
     assert fleet.propose(within=0.1, **callsout(7))["state"] == "pending"
