--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -32,7 +32,7 @@
     Welcome,
     fingerprint,
 )
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.sender_session import SenderSession
 from springspread.fleet.wire import Lines, write
 
@@ -324,7 +324,7 @@
 def test_leases_that_are_not_whole_on_record_are_not_told(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    record, whole = Record(tmp_path, SPAN), os.write
+    record, whole = LeaseRecord(tmp_path, SPAN), os.write
     record.append([Lease(1, ("n0", 1), "g1", 1, 200.0)], 0.0)
     monkeypatch.setattr(os, "write", lambda file, data: whole(file, data[: len(data) // 2]))  # a full disk
     with pytest.raises(OSError, match="not whole"):
@@ -332,8 +332,8 @@
     monkeypatch.undo()
     record.append([Lease(3, ("n0", 1), "g1", 1, 200.0)], 2.0)
     record.close()
-    again = Record(tmp_path, SPAN)
-    assert again.whole and [lease.serial for lease in again.before] == [1, 3]
+    again = LeaseRecord(tmp_path, SPAN)
+    assert again.complete and [lease.serial for lease in again.earlier] == [1, 3]
     again.close()
 
 
