--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -10,6 +10,10 @@
         [--seconds 60] [--processes 4] [--mode adaptive]
 
 Real sockets on loopback, against one real allocator.
+
+    python -m benchmarks.hollow_fleet --true [--senders 8] [--per-s 60] [--seconds 60] [--mode exact]
+
+The same day with real instances of the program and with as many hollow ones: lines and bytes of both.
 """
 
 from __future__ import annotations
@@ -17,11 +21,13 @@
 import argparse
 import json
 import subprocess
+import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
 from benchmarks.tables import add
 from springspread.fleet.limits import LimitMode
+from springspread.rig.hollow.comparison import compare
 from springspread.rig.hollow.faults import SCHEDULES
 from springspread.rig.hollow.fleet import FleetSize
 from springspread.rig.hollow.play import Plan, play
@@ -29,6 +35,7 @@
 from springspread.rig.hollow.sockets import SocketPlan, play_sockets
 from springspread.rig.hollow.traffic import TrafficLaw
 from springspread.rollout.document import Policy
+from springspread.town.day import draw
 
 
 def machine() -> str:
@@ -83,12 +90,35 @@
     parser.add_argument("--config", type=Path, default=Path("deploy/sender.json"))
     parser.add_argument("--csv", type=Path)
     parser.add_argument("--sockets", action="store_true", help="real senders' clients and a real allocator")
+    parser.add_argument("--true", action="store_true", help="beside real instances of the program")
+    parser.add_argument("--load", type=float, default=0.3, help="part of the limits, beside real instances")
     parser.add_argument("--processes", type=int, default=4, help="of the senders on sockets")
     parser.add_argument("--no-control", action="store_true", help="on sockets: what the driver alone costs")
     parser.add_argument("--mode", choices=[mode.value for mode in LimitMode], default="adaptive")
     return parser.parse_args()
 
 
+def compare_with_real(args: argparse.Namespace) -> None:
+    """One small day of real instances and of hollow ones."""
+    length_ms = 1000.0 * args.seconds
+    day = draw(
+        args.seed,
+        senders=args.senders,
+        partners=20,
+        per_s=args.per_s,
+        load=0.8,
+        length_ms=length_ms,
+        shared=True,
+    )
+    with tempfile.TemporaryDirectory(prefix="springspread-hollow-") as folder:
+        rows = compare(day, Path(folder), LimitMode(args.mode))
+    tell(
+        f"true {args.mode} {args.senders} at {args.per_s:g}/s load {args.load:g} seed {args.seed}",
+        rows,
+        args.csv,
+    )
+
+
 def main() -> None:
     """Play and tell."""
     args = arguments()
@@ -102,6 +132,9 @@
         mode=LimitMode(args.mode),
     )
     shape = f"{args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    if args.true:
+        compare_with_real(args)
+        return
     if args.sockets:
         plan = SocketPlan(
             args.senders, args.processes, law, args.seconds, seed=args.seed, control=not args.no_control
--- /dev/null
+++ b/springspread/rig/hollow/comparison.py
@@ -0,0 +1,235 @@
+"""Whether hollow senders say what real ones do: one small day of both, lines and bytes side by side.
+
+First the real daemon and its instances play a day on sockets; a relay before each instance counts lines, and
+the calls are recorded as they come to partners. Then as many hollow senders make the same calls at the same
+times, in virtual time, with one allocator on the same host. What may differ: a real sender asks a little
+before its call arrives at the partner, and asks for calls that it then gives up; the hollow ones ask at the
+arrival, and for no others.
+"""
+
+from __future__ import annotations
+
+import json
+from bisect import bisect_left
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+from numpy.typing import NDArray
+
+from springspread.core.clock import SYSTEM
+from springspread.fleet.limits import Limit, LimitMode
+from springspread.rig.daemon import relay_path
+from springspread.rig.hollow.fleet import FleetSize, HollowFleet
+from springspread.rig.hollow.meter import Volume
+from springspread.rig.hollow.report import Row
+from springspread.rig.hollow.traffic import Calls, TrafficLaw
+from springspread.rig.relay import Relay, Way
+from springspread.rollout.document import Policy
+from springspread.town.checker import SPAN_MS
+from springspread.town.day import Day
+from springspread.town.fleet import name_of
+from springspread.town.partner import Answer
+from springspread.town.sockets import Place, SocketTown
+
+WARM_MS = 10_000.0
+HOLLOW_START_MS = 1_000.0  # hollow calls begin so much after the recorded ones' zero
+AMPLE_PER_S = 1_000.0
+
+
+@dataclass(slots=True)
+class Recorded:
+    """A day's calls as a source for hollow senders, and what else happened; ms of the day."""
+
+    keys: list[str]
+    limits: list[Limit]
+    calls: list[tuple[float, int, int]] = field(default_factory=list)  # when, sender, destination
+    failures: list[tuple[float, int, int]] = field(default_factory=list)
+    partner_rates: list[tuple[float, int, int, float]] = field(default_factory=list)
+    down: NDArray[np.bool_] = field(init=False)  # nobody: failures are recorded one by one
+
+    def __post_init__(self) -> None:
+        self.down = np.zeros(len(self.keys), dtype=bool)
+
+    def draw(self, begin: float, length_ms: float) -> Calls:
+        """The calls of a stretch of the hollow fleet's time."""
+        first = bisect_left(self.calls, (begin - HOLLOW_START_MS,))
+        last = bisect_left(self.calls, (begin + length_ms - HOLLOW_START_MS,))
+        found = self.calls[first:last]
+        times = [when + HOLLOW_START_MS for when, _, _ in found]
+        return Calls(times, [sender for _, sender, _ in found], [number for _, _, number in found])
+
+    def limit(self, destination: int) -> Limit:
+        """The limit of a destination."""
+        return self.limits[destination]
+
+    def multiply(self, destination: int, factor: float) -> None:
+        """Nothing multiplies what was recorded."""
+
+
+class RecordedTown(SocketTown):
+    """A day on sockets that is written down."""
+
+    def __init__(self, day: Day, folder: Path, mode: LimitMode) -> None:
+        super().__init__(day, folder)
+        groups = {self._limit_key(self._key(name)): group for name, group in self._group.items()}
+        limits = {key: self._limit(group, mode) for key, group in groups.items()}
+        self.recorded = Recorded(list(limits), list(limits.values()))
+        self._number_of = {key: number for number, key in enumerate(limits)}
+        self._record_calls()
+        if mode is LimitMode.ADAPTIVE:
+            _make_adaptive(folder / "fleet.toml")
+
+    def _limit(self, group: int, mode: LimitMode) -> Limit:
+        per_s = self._partners[group].habit.limit_per_s
+        if not per_s:
+            raise ValueError(f"partner {group} has no limit")
+        return Limit.of_rate(per_s, SPAN_MS, mode)
+
+    def _record_calls(self) -> None:
+        call, failed = self.checker.call, self.checker.failed
+
+        def recorded_call(at: float, sender: str, endpoint: str, group: int, key: str, ids: Any) -> None:
+            self.recorded.calls.append((at, int(sender[1:]), self._number(endpoint)))
+            call(at, sender, endpoint, group, key, ids)
+
+        def recorded_failure(at: float, sender: str, endpoint: str) -> None:
+            self.recorded.failures.append((at, int(sender[1:]), self._number(endpoint)))
+            failed(at, sender, endpoint)
+
+        vars(self.checker).update(call=recorded_call, failed=recorded_failure)
+
+    def _number(self, endpoint: str) -> int:
+        return self._number_of[self._limit_key(self._key(endpoint))]
+
+    def _told(self, name: str, place: Place, ids: list[str], answer: Answer, bundle: bool) -> None:
+        if answer.limit_per_s:
+            sender = int(self.checker.sender_of(ids[0])[1:])
+            told = (self._now(), sender, self._number(name), answer.limit_per_s)
+            self.recorded.partner_rates.append(told)
+        super()._told(name, place, ids, answer, bundle)
+
+
+def _make_adaptive(file: Path) -> None:
+    lines = ['default_mode = "adaptive"']
+    for line in file.read_text().splitlines():
+        lines.append(line)
+        if line.startswith("calls ="):
+            lines.append('mode = "adaptive"')
+    file.write_text("\n".join(lines) + "\n")
+
+
+@dataclass(slots=True)
+class Counts:
+    """Lines of one kind, by direction."""
+
+    up: Volume = field(default_factory=Volume)
+    down: Volume = field(default_factory=Volume)
+
+
+class RelayCounts:
+    """The lines of one real instance while ``counting``: about limits, and about policies."""
+
+    def __init__(self) -> None:
+        self.counting = False
+        self.limits, self.policies = Counts(), Counts()
+
+    def seen(self, way: Way, line: bytes) -> None:
+        """A line passes."""
+        if self.counting:
+            counts = self.limits if line.startswith(b"[") else self.policies
+            (counts.up if way is Way.UP else counts.down).add(1, len(line))
+
+
+def with_limits(day: Day) -> Day:
+    """The day with a limit for each partner: one without any gets one that it never meets."""
+    specs = []
+    for spec in day.partners:
+        if not spec.habit.limit_per_s:
+            spec = replace(spec, habit=replace(spec.habit, limit_per_s=AMPLE_PER_S))
+        specs.append(spec)
+    return replace(day, partners=tuple(specs))
+
+
+def compare(day: Day, folder: Path, mode: LimitMode) -> list[Row]:
+    """A day of real instances and of hollow ones; raises ``RuntimeError`` where no fleet comes up."""
+    town = RecordedTown(with_limits(day), folder, mode)
+    relays, counts = [], []
+    for number in range(day.senders):
+        place = folder / "fleet"
+        relay, count = Relay(relay_path(place, name_of(number)), place / "allot"), RelayCounts()
+        relay.seen = count.seen
+        relays.append(relay)
+        counts.append(count)
+    window: list[tuple[float, float]] = []  # the day's time and the clock's, at the begin and the end
+
+    def each_s(at: float, *_: object) -> None:
+        counting = WARM_MS <= at < day.length_ms
+        if counting is not counts[0].counting:
+            window.append((at, SYSTEM.now()))
+        for count in counts:
+            count.counting = counting
+
+    try:
+        live = town.play(each_s)
+    finally:
+        town.close()
+        for relay in relays:
+            relay.close()
+    real = [(count.limits, count.policies) for count in counts]
+    begin, end = window[0][0], window[1][0]
+    policy = Policy(json.loads((folder / "sender.json").read_text())["settings"], {})
+    hollow = play_hollow(day.senders, town.recorded, policy, mode, begin, end)
+    rows = [Row("real", "town late", "p99", live.late_ms[0], "ms")]
+    rows.append(Row("real", "calls", "per second", len(town.recorded.calls) / day.length_ms * 1000.0, "1/s"))
+    return rows + _rows(real, hollow, (end - begin) / 1000.0)
+
+
+def play_hollow(
+    senders: int, recorded: Recorded, policy: Policy, mode: LimitMode, begin: float, end: float
+) -> list[tuple[Counts, Counts]]:
+    """The same calls by hollow senders; what each said of limits and of policies from begin to end."""
+    recorded.calls.sort()
+    law = TrafficLaw(len(recorded.keys), 0.0, mode=mode)
+    fleet = HollowFleet(FleetSize(senders, 1, law), policy, traffic=recorded, one_host=True)
+    for when, sender, destination in recorded.failures:
+        fleet.queue.at(when + HOLLOW_START_MS, fleet.call_failed, sender, destination)
+    for when, sender, destination, per_s in recorded.partner_rates:
+        fleet.queue.at(when + HOLLOW_START_MS, fleet.partner_told, sender, destination, per_s)
+    meters = (fleet.meters, fleet.policy_meters)
+    fleet.run_until(HOLLOW_START_MS + begin)
+    before = [[meter.copy() for meter in kind] for kind in meters]
+    fleet.run_until(HOLLOW_START_MS + end)
+    said = [
+        [now.since(then) for now, then in zip(kind, kind_before, strict=True)]
+        for kind, kind_before in zip(meters, before, strict=True)
+    ]
+    return [
+        (Counts(limits.sent, limits.received), Counts(policies.sent, policies.received))
+        for limits, policies in zip(*said, strict=True)
+    ]
+
+
+def _rows(
+    real: list[tuple[Counts, Counts]], hollow: list[tuple[Counts, Counts]], seconds: float
+) -> list[Row]:
+    """Means over senders, side by side, and their ratio."""
+    rows = []
+    for kind, name in enumerate(("limits", "policies", "all")):
+        for direction in ("up", "down"):
+            for unit in ("lines", "bytes"):
+                means = [_mean(one, kind, direction, unit) / seconds for one in (real, hollow)]
+                what, per = f"{unit} about {name} {direction}", "1/s" if unit == "lines" else "B/s"
+                rows.append(Row("real", what, "mean of senders", means[0], per))
+                rows.append(Row("hollow", what, "mean of senders", means[1], per))
+                ratio = means[1] / means[0] if means[0] else 1.0
+                rows.append(Row("hollow", what, "by real", ratio, "1"))
+    return rows
+
+
+def _mean(senders: list[tuple[Counts, Counts]], kind: int, direction: str, unit: str) -> float:
+    kinds = (0, 1) if kind == 2 else (kind,)
+    volumes = [getattr(sender[one], direction) for sender in senders for one in kinds]
+    values = [volume.messages if unit == "lines" else volume.bytes for volume in volumes]
+    return float(sum(values)) / len(senders)
--- a/springspread/rig/hollow/fleet.py
+++ b/springspread/rig/hollow/fleet.py
@@ -25,7 +25,7 @@
 from springspread.rig.hollow.network import Network, zone_of
 from springspread.rig.hollow.policy import PolicyProcess, PolicySession
 from springspread.rig.hollow.sender import HollowSender, WaitingCall
-from springspread.rig.hollow.traffic import Traffic, TrafficLaw, key_of
+from springspread.rig.hollow.traffic import CallSource, Traffic, TrafficLaw
 from springspread.rollout.document import Policy
 
 STRETCH_MS = 100.0  # of calls that are drawn at once
@@ -45,11 +45,19 @@
 class HollowFleet:
     """Runs as far as it is told to. Calls begin after ``JOIN_MS``."""
 
-    def __init__(self, size: FleetSize, policy: Policy, faults: Sequence[Fault] = ()) -> None:
+    def __init__(
+        self,
+        size: FleetSize,
+        policy: Policy,
+        faults: Sequence[Fault] = (),
+        traffic: CallSource | None = None,
+        one_host: bool = False,
+    ) -> None:
+        """``traffic``: in place of what the law of ``size`` draws. ``one_host``: all ways are as short."""
         self.size, self.policy = size, policy
-        self.queue, self.network = EventQueue(), Network(size.seed)
-        self.traffic = Traffic(size.law, size.senders, size.seed)
-        self.keys = [key_of(number) for number in range(size.law.destinations)]
+        self.queue, self.network = EventQueue(), Network(size.seed, one_host)
+        self.traffic = traffic or Traffic(size.law, size.senders, size.seed)
+        self.keys = self.traffic.keys
         fingerprints = {fingerprint(key): number for number, key in enumerate(self.keys)}
         self.history = History(fingerprints)
         self.limits: list[Limit] = [self.traffic.limit(number) for number in range(len(self.keys))]
@@ -59,7 +67,8 @@
         self.shard_of = [number_of[self.shard_map.owner(key)] for key in self.keys]
         self.allocators = [self._allocator(number, name) for number, name in enumerate(names)]
         self.coordinator = PolicyProcess(self.queue, zone_of(0), policy)
-        self.meters = [Meter() for _ in range(size.senders)]
+        self.meters = [Meter() for _ in range(size.senders)]  # of senders' talk about limits
+        self.policy_meters = [Meter() for _ in range(size.senders)]  # and about policies
         self.senders: list[HollowSender | None] = [None] * size.senders
         self.policy_sessions: list[PolicySession | None] = [None] * size.senders
         self._epochs = [0] * size.senders
@@ -95,7 +104,7 @@
             self._wait_ended,
         )
         self.senders[number] = sender
-        self.policy_sessions[number] = PolicySession(sender, self.coordinator)
+        self.policy_sessions[number] = PolicySession(sender, self.coordinator, self.policy_meters[number])
 
     def _kill(self, number: int) -> None:
         sender = self.senders[number]
@@ -112,6 +121,22 @@
     def _began(self, now: float, destination: int, sender: HollowSender) -> None:
         self.history.began(now, destination, sender.number)
         if self.traffic.down[destination]:
+            self.call_failed(sender.number, destination)
+
+    def sender_meters(self) -> list[Meter]:
+        """What each sender has written, read and computed until now, of all kinds."""
+        return [one.plus(other) for one, other in zip(self.meters, self.policy_meters, strict=True)]
+
+    def partner_told(self, number: int, destination: int, per_s: float) -> None:
+        """A sender hears a limit (calls a second) from a partner."""
+        sender = self.senders[number]
+        if sender is not None:
+            sender.sessions[self.shard_of[destination]].partner_told(self.keys[destination], per_s)
+
+    def call_failed(self, number: int, destination: int) -> None:
+        """A call that a sender began has failed."""
+        sender = self.senders[number]
+        if sender is not None:
             sender.sessions[self.shard_of[destination]].cache.failed(self.keys[destination])
 
     # Faults
@@ -185,6 +210,6 @@
             elif sender.sessions[shard_of[destination]].call(now, destination, keys[destination]):
                 history.began(now, destination, number)
                 if down[destination]:
-                    sender.sessions[shard_of[destination]].cache.failed(keys[destination])
+                    self.call_failed(number, destination)
             next_at = queue.next_at
         queue.run_until(end)
--- a/springspread/rig/hollow/meter.py
+++ b/springspread/rig/hollow/meter.py
@@ -25,6 +25,10 @@
         """What was added after an earlier state."""
         return Volume(self.writes - before.writes, self.messages - before.messages, self.bytes - before.bytes)
 
+    def plus(self, other: Volume) -> Volume:
+        """Both together."""
+        return Volume(self.writes + other.writes, self.messages + other.messages, self.bytes + other.bytes)
+
     @property
     def on_the_wire(self) -> int:
         """Bytes with the headers of each write."""
@@ -47,3 +51,8 @@
         """What was added after an earlier state."""
         sent, received = self.sent.since(before.sent), self.received.since(before.received)
         return Meter(sent, received, self.cpu_ns - before.cpu_ns)
+
+    def plus(self, other: Meter) -> Meter:
+        """Both together."""
+        sent, received = self.sent.plus(other.sent), self.received.plus(other.received)
+        return Meter(sent, received, self.cpu_ns + other.cpu_ns)
--- a/springspread/rig/hollow/network.py
+++ b/springspread/rig/hollow/network.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from random import Random
 
+WITHIN_HOST_MS = 0.1
 WITHIN_ZONE_MS = 0.2
 WITHIN_REGION_MS = 0.6
 BETWEEN_REGIONS_MS = (
@@ -39,7 +40,9 @@
 class Network:
     """Which ways are open, and how long a message takes."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, one_host: bool = False) -> None:
+        """``one_host``: everything runs on one machine."""
+        self._one_host = one_host
         self._rng = Random(f"{seed}/network")
         self._isolated: list[frozenset[int]] = []  # sets of zones, each cut off from all others
 
@@ -57,6 +60,8 @@
 
     def way_ms(self, one: Zone, other: Zone) -> float:
         """The time of a message from one zone to another, or back, without jitter."""
+        if self._one_host:
+            return WITHIN_HOST_MS
         if one.number == other.number:
             return WITHIN_ZONE_MS
         if one.region == other.region:
--- a/springspread/rig/hollow/policy.py
+++ b/springspread/rig/hollow/policy.py
@@ -124,8 +124,8 @@
 class PolicySession:
     """A hollow sender's side of it."""
 
-    def __init__(self, sender: HollowSender, process: PolicyProcess) -> None:
-        self._sender, self._process = sender, process
+    def __init__(self, sender: HollowSender, process: PolicyProcess, meter: Meter) -> None:
+        self._sender, self._process, self._meter = sender, process, meter
         self.zone = sender.zone
         self._rights = Participant()
         self._connection: Connection | None = None
@@ -149,7 +149,7 @@
             self._sender.queue.at(self._sender.queue.now + SAY_MS, self._say, connection)
 
     def _write(self, connection: Connection, message: Message) -> None:
-        meter = self._sender.meter
+        meter = self._meter
         begun = perf_counter_ns()
         data = write(message)
         meter.cpu_ns += perf_counter_ns() - begun
@@ -163,7 +163,7 @@
 
     def arrived(self, connection: Connection, data: bytes) -> None:
         """Bytes of the coordinator have come in."""
-        now, meter = self._sender.queue.now, self._sender.meter
+        now, meter = self._sender.queue.now, self._meter
         begun = perf_counter_ns()
         messages = connection.down_lines.feed(data)
         votes: list[Vote] = []
--- a/springspread/rig/hollow/report.py
+++ b/springspread/rig/hollow/report.py
@@ -35,7 +35,7 @@
     def __init__(self, fleet: HollowFleet) -> None:
         self._fleet = fleet
         self._begin = fleet.queue.now
-        self._senders = [meter.copy() for meter in fleet.meters]
+        self._senders = fleet.sender_meters()
         self._allocators = [allocator.meter.copy() for allocator in fleet.allocators]
         self._coordinator = fleet.coordinator.meter.copy()
         self._offered, self._unserved = fleet.offered, fleet.unserved
@@ -45,7 +45,7 @@
         """All figures until now."""
         fleet = self._fleet
         seconds = (fleet.queue.now - self._begin) / 1000.0
-        senders = [now.since(then) for now, then in zip(fleet.meters, self._senders, strict=True)]
+        senders = [now.since(then) for now, then in zip(fleet.sender_meters(), self._senders, strict=True)]
         allocators = [
             now.meter.since(then) for now, then in zip(fleet.allocators, self._allocators, strict=True)
         ]
@@ -175,5 +175,5 @@
         made.update(values.tobytes())
     made.update(repr(history.held_up).encode())
     made.update(repr(sorted(history.statuses.items())).encode())
-    made.update(repr([(meter.sent, meter.received) for meter in fleet.meters]).encode())
+    made.update(repr([(meter.sent, meter.received) for meter in fleet.sender_meters()]).encode())
     return made.hexdigest()
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -121,6 +121,11 @@
         for call in list(self.waiting):
             self._try(call)
 
+    def partner_told(self, key: str, per_s: float) -> None:
+        """A partner tells its limit (calls a second)."""
+        if self.session.partner_rate(key, per_s):
+            self._wake(self.sender.queue.now)
+
     def call(self, now: float, destination: int, key: str) -> bool:
         """A call wants to begin; whether it does now. Otherwise it waits."""
         begun = perf_counter_ns()
--- a/springspread/rig/hollow/traffic.py
+++ b/springspread/rig/hollow/traffic.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
 import numpy as np
 from numpy.typing import NDArray
@@ -45,11 +46,28 @@
     destinations: list[int]
 
 
+class CallSource(Protocol):
+    """What a fleet takes its calls and limits from; ``keys`` by number of the destination."""
+
+    keys: list[str]
+    down: NDArray[np.bool_]
+
+    def draw(self, begin: float, length_ms: float) -> Calls:
+        """The calls of the stretch of so many milliseconds that begins then."""
+
+    def limit(self, destination: int) -> Limit:
+        """The limit of a destination."""
+
+    def multiply(self, destination: int, factor: float) -> None:
+        """The demand of one destination is so many times its mean from the next stretch on."""
+
+
 class Traffic:
     """Draws calls, one stretch after the other. ``down`` says which destinations are down."""
 
     def __init__(self, law: TrafficLaw, senders: int, seed: int) -> None:
         self.law, self._senders = law, senders
+        self.keys = [key_of(number) for number in range(law.destinations)]
         self._rng = np.random.default_rng([seed, 1])
         fixed = np.random.default_rng([seed, 2])
         ranks = np.arange(1, law.destinations + 1, dtype=float)
