--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -215,13 +215,13 @@
         "(up + down bytes) + 60 x (up + down writes), each fixed / 20 + slope x events, and an idle second's",
         _load_lines("rate") + IDLE_LINES, _all_bytes, "B/s", CHANGE_AND_CONTENTION,
         TARGET.control_bytes_per_s,
-        ("sender", "bytes_with_headers", "p99"),
+        ("sender", "bytes both ways with headers", "p99"),
     ),
     Cost(
         "sender", "processor time", "control a second", "events a second and sender",
         "fixed / 20 + slope x events", ("allocator.load_sender_ms_by_rate",), _load_sender_ms("rate"),
         "ms/s",
-        CHANGE_AND_CONTENTION, TARGET.control_ms_per_s, ("sender", "control_cpu_share", "p99"),
+        CHANGE_AND_CONTENTION, TARGET.control_ms_per_s, ("sender", "processor", "p99"),
     ),
     Cost(
         "sender", "messages", "control bytes a second, were all limits exact", "events a second and sender",
@@ -241,7 +241,13 @@
     Cost(
         "sender", "memory", "destinations: listed, all used, 2.8% down", "destinations",
         "program's list + (used - listed) + 0.028 x (down - used)", LIST_LINES, _list_memory, "B",
-        SMALL_STATE, TARGET.control_memory_bytes, ("sender", "memory", "max"),
+        SMALL_STATE, TARGET.control_memory_bytes,
+    ),
+    Cost(
+        "sender", "memory", "control state: leases, statuses, sessions", "events a second and sender",
+        "as the hollow fleet has it", ("hollow.control_state",),
+        lambda lines, part: lines["hollow.control_state"].at(part), "B", PRESENT, TARGET.control_memory_bytes,
+        ("sender", "memory of control state", "most"),
     ),
     Cost(
         "sender", "processor time", "an event outside control, one interpreter", "events a second and sender",
@@ -257,7 +263,7 @@
         "allocator", "processor time", "the same, if 12 shards of a core each shared it evenly",
         "events a second", "(fixed + slope x events) / 12", ("allocator.load_server_ms_by_rate",),
         _at("allocator.load_server_ms_by_rate", TARGET.events_per_s, 1.0 / TARGET.control_machines), "ms/s",
-        CHANGE_AND_CONTENTION, CORE_MS, ("allocator", "cpu_core_share", "max"),
+        CHANGE_AND_CONTENTION, CORE_MS, ("allocator", "processor", "most"),
     ),
     Cost(
         "allocator", "messages", "the line that tells a joining sender all limits", "destinations",
@@ -279,7 +285,7 @@
         "allocator", "time", "calls held up by control, 200 a second of 20 senders", "destinations",
         "fixed + slope x limits", ("allocator.load_held_by_limits",),
         _at("allocator.load_held_by_limits", TARGET.destinations), "of calls", CHANGE_AND_CONTENTION,
-        TARGET.held_share, ("fleet", "held_share", "all"),
+        TARGET.held_share, ("fleet", "calls held up", "part of all"),
     ),
     Cost(
         "allocator", "time", "250 senders that join at once", "destinations", "fixed + slope x limits",
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -24,7 +24,9 @@
 LABELS = ("before", "after")
 LINK = "data/capacity"
 NOTHING = 1e-9  # what a fit leaves of a zero
-HOLLOW_COLUMNS = ("run", "role", "what", "statistic", "value", "unit")
+FULL_RUN = f"virtual calm {TARGET.senders}/{TARGET.destinations}/{TARGET.events_per_s:g} "
+HOLLOW_UNITS = {"% of a core": 10.0, "MB": 1e6, "B/s": 1.0, "1": 1.0}
+"""The hollow fleet's units in those of the costs: ms/s, B, B/s, a part."""
 Value = float | NotMeasured | None
 
 
@@ -41,15 +43,15 @@
     hollow: Sequence[Mapping[str, str]]
 
     def hollow_value(self, key: tuple[str, str, str] | None) -> float | None:
-        """The last value of the hollow fleet at full size; ``None`` where there is none."""
+        """The last value of the hollow fleet's calm day at full size; ``None`` where there is none."""
         found = [
-            row["value"]
+            row
             for row in self.hollow
-            if key is not None
-            and (row["role"], row["what"], row["statistic"]) == key
-            and row["run"] == "full"
+            if (row["role"], row["what"], row["statistic"]) == key and row["run"].startswith(FULL_RUN)
         ]
-        return float(found[-1]) if found and not found[-1].startswith(NOT_MEASURED) else None
+        if not found or found[-1]["value"].startswith(NOT_MEASURED):
+            return None
+        return float(found[-1]["value"]) * HOLLOW_UNITS[found[-1]["unit"]]
 
 
 def read_figures(folder: Path) -> Figures:
@@ -326,8 +328,14 @@
     """The hollow fleet's figures."""
     if not figures.hollow:
         return f"{NOT_MEASURED}: there are no rows of the hollow fleet yet."
-    rows = [[row[column] for column in HOLLOW_COLUMNS] for row in figures.hollow]
-    return table(HOLLOW_COLUMNS, rows)
+    grouped: dict[tuple[str, str, str, str], list[str]] = {}
+    for row in figures.hollow:
+        text = row["value"]
+        value = text if text.startswith(NOT_MEASURED) else number(float(text))
+        key = (row["run"], row["role"], row["what"], row["unit"])
+        grouped.setdefault(key, []).append(f"{row['statistic']} {value}")
+    rows = [(run, role, what, "; ".join(told), unit) for (run, role, what, unit), told in grouped.items()]
+    return table(("run", "role", "what", "values", "unit"), rows)
 
 
 def machines_table(figures: Figures) -> str:
--- a/tests/benchmarks/test_capacity_page.py
+++ b/tests/benchmarks/test_capacity_page.py
@@ -7,8 +7,10 @@
 from benchmarks.capacity.budgets import COSTS, PRESENT, ROLES, Cost, breaking_part, full_cost
 from benchmarks.capacity.fit import Fit
 from benchmarks.capacity.page import (
+    FULL_RUN,
     TABLE,
     TABLES,
+    Figures,
     UnknownTable,
     number,
     part,
@@ -98,13 +100,16 @@
 
 
 def test_the_hollow_fleet_stands_for_after_where_it_told_a_value(tmp_path: Path) -> None:
-    key = ("sender", "bytes", "p99")
-    head, tail = "run,role,what,statistic,value,unit,commit,machine\n", "B/s,abc,a machine\n"
-    told = replace(cost(100.0), hollow=key)
-    (tmp_path / "hollow.csv").write_text(f"{head}full,sender,bytes,p99,400.0,{tail}")
-    assert part_of(told, read_figures(tmp_path), "after") == 0.25
-    (tmp_path / "hollow.csv").write_text(f"{head}full,sender,bytes,p99,not measured: no run,{tail}")
-    assert isinstance(part_of(told, read_figures(tmp_path), "after"), NotMeasured)
+    def figures_with(run: str, value: str) -> Figures:
+        head = "run,role,what,statistic,value,unit,commit,machine"
+        (tmp_path / "hollow.csv").write_text(f"{head}\n{run},sender,processor,p99,{value},% of a core,a,b\n")
+        return read_figures(tmp_path)
+
+    told = replace(cost(100.0), hollow=("sender", "processor", "p99"))
+    assert part_of(told, figures_with(f"{FULL_RUN}seed 1", "40.0"), "after") == 0.25  # of 400 ms/s
+    small = figures_with("virtual calm 20/100/50 seed 1", "40.0")
+    assert isinstance(part_of(told, small, "after"), NotMeasured)
+    assert isinstance(part_of(told, figures_with(FULL_RUN, "not measured: no run"), "after"), NotMeasured)
 
 
 def test_the_operators_divisions() -> None:
