Tests of rollout and fleet: plain names and docstrings

Cause: the tests' names and docstrings were still in the earlier house style.

Change: names and docstrings alone (over, handed, loads, callsout and the like), and the fleet package's docstring. No assertion changes.

--- a/springspread/fleet/__init__.py
+++ b/springspread/fleet/__init__.py
@@ -1,6 +1,7 @@
-"""Many instances as one: who is alive, and which part of each limit each may use.
+"""A fleet of instances: membership, leases of limits, and the daemon that supervises them.
 
-``allocator`` decides and knows no socket, file or clock: open it first. ``lease_cache`` is the instance's
-side of it. ``allocator_server``, ``client`` and ``supervisor`` drive them; ``daemon`` puts them together.
-``core.clearance`` asks the client before each call; nothing else of the sender knows that there is a fleet.
+Open ``allocator`` first: it decides on leases, without sockets, files or a clock; ``lease_cache`` is the
+instance's side of it. ``allocator_server``, ``client``, ``policy_participant`` and ``supervisor`` drive the
+deciding modules, and ``daemon`` puts them together. ``core.clearance`` asks the client before each call;
+nothing else of the sender knows that there is a fleet.
 """
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,4 +1,4 @@
-"""The members' machine: who is started, ended, emptied and dropped, and when."""
+"""Which instances are started, ended, emptied and dropped, and when."""
 
 from __future__ import annotations
 
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -131,7 +131,7 @@
 
 def test_an_order_that_trickles_is_broken_off(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     class Hasty:
-        """Each look at it is a second later."""
+        """A clock that advances by a second with each reading."""
 
         def __init__(self) -> None:
             self.ms = 0.0
--- a/tests/rollout/test_cli.py
+++ b/tests/rollout/test_cli.py
@@ -1,4 +1,4 @@
-"""The command line of a change of policy: what it says, and with which exit status."""
+"""The command line of policy changes: its output and exit status."""
 
 from __future__ import annotations
 
--- a/tests/rollout/test_coordinator.py
+++ b/tests/rollout/test_coordinator.py
@@ -1,4 +1,4 @@
-"""The daemon's machine by itself, where a fleet of processes would be too large for a test."""
+"""The coordinator alone, with more participants than a test can start processes."""
 
 from springspread.rollout import coordinator
 from springspread.rollout.coordinator import History, Times
--- a/tests/rollout/test_fleet.py
+++ b/tests/rollout/test_fleet.py
@@ -30,21 +30,23 @@
 
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
-        self.over = threading.Event()
-        self.handed: list[str] = []
+        self.load_stopped = threading.Event()
+        self.accepted: list[str] = []
         until(lambda: len(self.serving()) == 3, "three serve")
-        self.loads = [threading.Thread(target=self.load, args=(n,), daemon=True) for n in range(3)]
-        for load in self.loads:
-            load.start()
+        self.load_threads = [
+            threading.Thread(target=self.hand_in_messages, args=(n,), daemon=True) for n in range(3)
+        ]
+        for thread in self.load_threads:
+            thread.start()
 
-    def load(self, number: int) -> None:
+    def hand_in_messages(self, number: int) -> None:
         count = 0
-        while not self.over.wait(0.03):
+        while not self.load_stopped.wait(0.03):
             count += 1
             id = f"m{number}-{count}"
             try:
                 if self.hand_in(f"n{number:03}", id) in (200, 202):
-                    self.handed.append(id)
+                    self.accepted.append(id)
             except (OSError, http.client.HTTPException, ValueError, KeyError):
                 continue  # killed, frozen or not yet back
 
@@ -61,17 +63,17 @@
 
     def all_act_under(self, version: int) -> bool:
         states = self.status()["instances"].values()
-        return all(one == {"version": version, "state": "acting"} for one in states)
+        return all(state == {"version": version, "state": "acting"} for state in states)
 
     def acted_under(self, version: int) -> set[str]:
         return {call.instance for call in begun(self.daemon.folder) if call.policy == version}
 
     def settle(self) -> None:
-        """No more load; every message that was taken on has come to its partner."""
-        self.over.set()
-        for load in self.loads:
-            load.join(10.0)
-        until(lambda: set(self.handed) <= set(self.peer.ids()), "each message has its end")
+        """Stop the load, and wait until every accepted message has been delivered."""
+        self.load_stopped.set()
+        for thread in self.load_threads:
+            thread.join(10.0)
+        until(lambda: set(self.accepted) <= set(self.peer.ids()), "each message has its end")
 
 
 @pytest.fixture
@@ -80,28 +82,28 @@
     monkeypatch.setattr(
         "tests.fleet.test_daemon.TOML", f'folder = "fleet"\nconfig = "sender.json"\ninstances = 3\n{TIMES}'
     )
-    made = Fleet(tmp_path)
-    yield made
-    made.over.set()
-    made.peer.hold.set()
-    for row in made.rows().values():
+    fleet = Fleet(tmp_path)
+    yield fleet
+    fleet.load_stopped.set()
+    fleet.peer.hold.set()
+    for row in fleet.rows().values():
         if row["pid"]:
             os.kill(row["pid"], signal.SIGKILL)
-    made.daemon.stop()
-    made.peer.close()
+    fleet.daemon.stop()
+    fleet.peer.close()
 
 
-def callsout(number: int) -> dict[str, Any]:
+def calls_out(number: int) -> dict[str, Any]:
     return {"specifics": {"callsOut": number}}
 
 
 def test_a_change_takes_hold_everywhere_at_one_moment(fleet: Fleet) -> None:
-    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
+    assert fleet.propose(**calls_out(7)) == {"state": "in force", "version": 2, "fault": ""}
     until(lambda: len(fleet.acted_under(2)) == 3, "all act under it")
     fleet.settle()
     calls = begun(fleet.daemon.folder)
     assert {call.policy for call in calls} == {1, 2} and mixtures(calls) == []
-    assert fleet.propose(**callsout(7))["version"] == 2  # asked again: the one answer
+    assert fleet.propose(**calls_out(7))["version"] == 2  # asked again: the one answer
     with pytest.raises(Refused, match="no policy 9 held; there are 1, 2"):
         fleet.daemon.order({"do": "text", "version": 9})
 
@@ -130,8 +132,8 @@
     rows = fleet.rows()
     os.kill(rows["n001"]["pid"], signal.SIGSTOP)
     os.kill(rows["n002"]["pid"], signal.SIGKILL)
-    assert fleet.propose(**callsout(7))["state"] == "in force"
-    assert fleet.propose(**callsout(8))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(8))["state"] == "in force"
     os.kill(rows["n001"]["pid"], signal.SIGCONT)
     until(lambda: len(fleet.acted_under(3)) == 3, "all act under the latest")
     fleet.settle()
@@ -141,7 +143,7 @@
 
 def test_the_daemon_dies_in_between_and_the_next_one_gives_the_one_answer(fleet: Fleet) -> None:
     os.kill(fleet.rows()["n001"]["pid"], signal.SIGSTOP)  # so that the vote takes its time
-    answer = fleet.propose(within=0.1, **callsout(7))
+    answer = fleet.propose(within=0.1, **calls_out(7))
     assert answer["state"] == "pending" and "n001" in answer["fault"]
     frozen = fleet.rows()["n001"]["pid"]
     fleet.daemon.leave()
@@ -149,7 +151,7 @@
     assert fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "refused"
     os.kill(frozen, signal.SIGCONT)
     until(lambda: fleet.all_act_under(1), "all go on under what holds")
-    assert fleet.propose(**callsout(9)) == {"state": "in force", "version": 3, "fault": ""}
+    assert fleet.propose(**calls_out(9)) == {"state": "in force", "version": 3, "fault": ""}
     until(lambda: len(fleet.acted_under(3)) == 3, "all act under the next")
     fleet.settle()
     assert mixtures(begun(fleet.daemon.folder)) == [] and fleet.acted_under(2) == set()
@@ -159,7 +161,7 @@
     base = json.loads((fleet.folder / "sender.json").read_text())
     texts = []
     for slots in (7, 8):
-        base["settings"]["specifics"] |= callsout(slots)["specifics"]
+        base["settings"]["specifics"] |= calls_out(slots)["specifics"]
         texts.append(read_fleet(fleet.file).policy(base).text)
     answers: list[dict[str, Any]] = []
     asked = [
@@ -179,7 +181,7 @@
 def test_an_older_copy_of_the_record_is_refused(fleet: Fleet) -> None:
     log = fleet.daemon.folder / "policy" / "log"
     old = log.read_bytes()
-    fleet.propose(**callsout(7))
+    fleet.propose(**calls_out(7))
     before = fleet.rows()["n000"]
     os.kill(before["pid"], signal.SIGKILL)
     until(lambda: fleet.rows()["n000"]["epoch"] > before["epoch"], "n000 starts under 2")
@@ -203,8 +205,8 @@
     order({"do": "roll"})
     os.kill(fleet.rows()["n002"]["pid"], signal.SIGKILL)
     epochs = {name: row["epoch"] for name, row in fleet.rows().items()}
-    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
-    assert fleet.propose(**callsout(8))["state"] == "in force"
+    assert fleet.propose(**calls_out(7)) == {"state": "in force", "version": 2, "fault": ""}
+    assert fleet.propose(**calls_out(8))["state"] == "in force"
     until(lambda: len(fleet.rows()) == 4 and fleet.all_act_under(3), "four act under the latest")
     until(
         lambda: all(fleet.rows()[name]["epoch"] > epochs[name] for name in ("n000", "n001")),
@@ -216,10 +218,10 @@
 
 
 def test_one_with_a_full_disk_refuses_or_follows_and_holds_up_nobody(fleet: Fleet) -> None:
-    """Its journal takes nothing more: it takes no messages on, and goes with the others."""
+    """With a full disk it accepts no messages; it follows the policy, or begins no calls."""
     pid = fleet.rows()["n001"]["pid"]
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, 0))
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     until(lambda: fleet.acted_under(2) >= {"n000", "n002"}, "the others act under it")
     until(lambda: fleet.status()["instances"]["n001"]["version"] in (0, 2), "it holds or goes with them")
     os.kill(pid, signal.SIGKILL)  # its disk is mended with it
--- a/tests/rollout/test_record.py
+++ b/tests/rollout/test_record.py
@@ -1,4 +1,4 @@
-"""The record of policies: what is synced, a disk that fails, damage; and what may change in a policy."""
+"""The record of policies (syncs, failing disks, damage), and which changes of a policy are allowed."""
 
 from __future__ import annotations
 
--- a/tests/rollout/test_relay.py
+++ b/tests/rollout/test_relay.py
@@ -15,7 +15,7 @@
 from springspread.rig.relay import Fault, Relay, Way
 from tests.fleet.test_allocator_server import Quiet
 from tests.peer import until
-from tests.rollout.test_fleet import TIMES, Fleet, callsout
+from tests.rollout.test_fleet import TIMES, Fleet, calls_out
 
 
 class Relayed(Fleet):
@@ -34,21 +34,21 @@
     head = 'folder = "fleet"\nconfig = "sender.json"\ninstances = 3\n'
     monkeypatch.setattr("tests.fleet.test_daemon.TOML", head + TIMES)
     monkeypatch.setattr("tests.fleet.test_daemon.Daemon", RelayedDaemon)
-    made = Relayed(tmp_path)
-    made.relays = relays
-    yield made
-    made.over.set()
+    fleet = Relayed(tmp_path)
+    fleet.relays = relays
+    yield fleet
+    fleet.load_stopped.set()
     for relay in relays.values():
         relay.close()
-    for row in made.rows().values():
+    for row in fleet.rows().values():
         if row["pid"]:
             os.kill(row["pid"], signal.SIGKILL)
-    made.daemon.stop()
-    made.peer.close()
+    fleet.daemon.stop()
+    fleet.peer.close()
 
 
 def others_act_under(fleet: Relayed, version: int) -> None:
-    """For a while: whoever still acted under the one before would be seen to."""
+    """Two instances act under a version, for long enough that a call under the earlier one would show."""
 
     def calls() -> int:
         return sum(call.policy == version for call in begun(fleet.daemon.folder))
@@ -64,7 +64,7 @@
 
 def test_one_that_is_cut_off_acts_to_the_end_of_its_right_and_is_waited_for(fleet: Relayed) -> None:
     fleet.relays["n001"].put(Fault.LOSE)
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     others_act_under(fleet, 2)
     fleet.relays["n001"].cut(away=False)
     fleet.relays["n001"].heal()
@@ -74,7 +74,7 @@
 def test_one_that_votes_yes_and_never_receives_the_decision_holds(fleet: Relayed) -> None:
     relay = fleet.relays["n001"]
     relay.seen = lambda way, line: relay.put(Fault.LOSE, Way.DOWN) if b'"vote"' in line else None
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     others_act_under(fleet, 2)
     relay.seen = lambda way, line: None
     relay.cut(away=False)
@@ -85,15 +85,15 @@
 def test_grants_replayed_after_two_further_changes_give_no_right(fleet: Relayed) -> None:
     for relay in fleet.relays.values():
         relay.put(Fault.DOUBLE)
-    assert fleet.propose(**callsout(7))["state"] == "in force"
-    assert fleet.propose(**callsout(8))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(8))["state"] == "in force"
     assert all(relay.replay() >= 6 for relay in fleet.relays.values())
     settled_under(fleet, 3)
 
 
 def test_lines_held_back_until_after_the_decision_come_too_late_to_matter(fleet: Relayed) -> None:
     fleet.relays["n002"].put(Fault.HOLD)
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     others_act_under(fleet, 2)
     fleet.relays["n002"].heal()
     settled_under(fleet, 2)
@@ -103,7 +103,7 @@
     fleet.relays["n001"].put(Fault.LOSE)  # it acts on what the first daemon granted
     fleet.daemon.leave()
     fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     others_act_under(fleet, 2)
     fleet.relays["n001"].cut(away=False)
     fleet.relays["n001"].heal()
@@ -123,7 +123,7 @@
             os.kill(pid, signal.SIGKILL)
 
     relay.seen = dies
-    assert fleet.propose(**callsout(7))["state"] == "in force"
+    assert fleet.propose(**calls_out(7))["state"] == "in force"
     assert met
     settled_under(fleet, 2)
 
@@ -131,7 +131,7 @@
 def test_all_die_with_the_decision_on_record_and_sent_to_nobody(fleet: Relayed) -> None:
     for relay in fleet.relays.values():
         relay.put(Fault.LOSE, Way.DOWN)
-    assert fleet.propose(within=0.1, **callsout(7))["state"] == "pending"
+    assert fleet.propose(within=0.1, **calls_out(7))["state"] == "pending"
     until(lambda: fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "decided", "it is decided")
     pids = [row["pid"] for row in fleet.rows().values()]
     fleet.daemon.leave()
@@ -141,6 +141,6 @@
         relay.cut(away=False)
         relay.heal()
     fleet.daemon = RelayedDaemon(read_fleet(fleet.file), Quiet())
-    assert fleet.propose(**callsout(7)) == {"state": "in force", "version": 2, "fault": ""}
+    assert fleet.propose(**calls_out(7)) == {"state": "in force", "version": 2, "fault": ""}
     settled_under(fleet, 2)
     assert fleet.daemon.order({"do": "outcome", "version": 2})["state"] == "in force"
