--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -327,7 +327,7 @@
     record, whole = LeaseRecord(tmp_path, SPAN), os.write
     record.append([Lease(1, ("n0", 1), "g1", 1, 200.0)], 0.0)
     monkeypatch.setattr(os, "write", lambda file, data: whole(file, data[: len(data) // 2]))  # a full disk
-    with pytest.raises(OSError, match="not whole"):
+    with pytest.raises(OSError, match="not complete on disk"):
         record.append([Lease(2, ("n0", 1), "g1", 1, 200.0)], 1.0)
     monkeypatch.undo()
     record.append([Lease(3, ("n0", 1), "g1", 1, 200.0)], 2.0)
