--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -5,6 +5,15 @@
 
 In virtual time, with the real control code; ``springspread.rig.hollow`` says what is modelled. ``--faults``
 is one of the names in ``springspread.rig.hollow.faults.SCHEDULES``, or several joined with ``+``.
+
+    python -m benchmarks.hollow_fleet --sockets [--senders 200] [--destinations 5000] [--per-s 2000]
+        [--seconds 60] [--processes 4] [--mode adaptive]
+
+Real sockets on loopback, against one real allocator.
+
+    python -m benchmarks.hollow_fleet --true [--senders 8] [--per-s 60] [--seconds 60] [--mode exact]
+
+The same day with real instances of the program and with as many hollow ones: lines and bytes of both.
 """
 
 from __future__ import annotations
@@ -12,16 +21,21 @@
 import argparse
 import json
 import subprocess
+import tempfile
 from collections.abc import Sequence
 from pathlib import Path
 
 from benchmarks.tables import add
+from springspread.fleet.limits import LimitMode
+from springspread.rig.hollow.comparison import compare
 from springspread.rig.hollow.faults import SCHEDULES
 from springspread.rig.hollow.fleet import FleetSize
 from springspread.rig.hollow.play import Plan, play
 from springspread.rig.hollow.report import Row, digest
+from springspread.rig.hollow.sockets import SocketPlan, play_sockets
 from springspread.rig.hollow.traffic import TrafficLaw
 from springspread.rollout.document import Policy
+from springspread.town.day import draw
 
 
 def machine() -> str:
@@ -75,23 +89,67 @@
     parser.add_argument("--changes", type=int, default=0, help="changes of policy while measured")
     parser.add_argument("--config", type=Path, default=Path("deploy/sender.json"))
     parser.add_argument("--csv", type=Path)
+    parser.add_argument("--sockets", action="store_true", help="real senders' clients and a real allocator")
+    parser.add_argument("--true", action="store_true", help="beside real instances of the program")
+    parser.add_argument("--load", type=float, default=0.3, help="part of the limits, beside real instances")
+    parser.add_argument("--processes", type=int, default=4, help="of the senders on sockets")
+    parser.add_argument("--no-control", action="store_true", help="on sockets: what the driver alone costs")
+    parser.add_argument("--mode", choices=[mode.value for mode in LimitMode], default="adaptive")
     return parser.parse_args()
 
 
+def compare_with_real(args: argparse.Namespace) -> None:
+    """One small day of real instances and of hollow ones."""
+    length_ms = 1000.0 * args.seconds
+    day = draw(
+        args.seed,
+        senders=args.senders,
+        partners=20,
+        per_s=args.per_s,
+        load=0.8,
+        length_ms=length_ms,
+        shared=True,
+    )
+    with tempfile.TemporaryDirectory(prefix="springspread-hollow-") as folder:
+        rows = compare(day, Path(folder), LimitMode(args.mode))
+    tell(
+        f"true {args.mode} {args.senders} at {args.per_s:g}/s load {args.load:g} seed {args.seed}",
+        rows,
+        args.csv,
+    )
+
+
 def main() -> None:
     """Play and tell."""
     args = arguments()
     policy = Policy(json.loads(args.config.read_text())["settings"], {})
     law = TrafficLaw(
-        args.destinations, args.per_s, down_part=args.down, headroom=args.headroom, tight_part=args.tight
+        args.destinations,
+        args.per_s,
+        down_part=args.down,
+        headroom=args.headroom,
+        tight_part=args.tight,
+        mode=LimitMode(args.mode),
     )
+    shape = f"{args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    if args.true:
+        compare_with_real(args)
+        return
+    if args.sockets:
+        plan = SocketPlan(
+            args.senders, args.processes, law, args.seconds, seed=args.seed, control=not args.no_control
+        )
+        mode = args.mode if plan.control else "driver alone"
+        tell(f"sockets {mode} {shape}", play_sockets(plan), args.csv)
+        return
     size = FleetSize(args.senders, args.allocators, law, args.seed)
     faults = "calm" if args.calm else args.faults
     fleet, rows = play(size, Plan(args.seconds, args.warm_s, faults, args.changes), policy)
     told = "" if not args.tight else f" tight={args.tight:g}"
     told += "" if args.down == TrafficLaw(1, 1.0).down_part else f" down={args.down:g}"
     told += "" if args.headroom == TrafficLaw(1, 1.0).headroom else f" headroom={args.headroom:g}"
-    run = f"virtual {faults}{told} {args.senders}/{args.destinations}/{args.per_s:g} seed {args.seed}"
+    told += "" if law.mode is LimitMode.ADAPTIVE else f" {args.mode}"
+    run = f"virtual {faults}{told} {shape}"
     tell(run, rows, args.csv)
     print(f"history {digest(fleet)}")
 
--- a/springspread/rig/hollow/policy.py
+++ b/springspread/rig/hollow/policy.py
@@ -1,7 +1,7 @@
 """The distribution of policies to hollow senders: the real coordinator, participants and coding.
 
 One process beside the allocators renews each sender's grant and carries out changes; each sender says what
-it acts under once a ``SAY_MS``. A write of the record takes ``SYNC_MS``.
+it acts under once a ``REPORT_INTERVAL_MS``. A write of the record takes ``SYNC_MS``.
 """
 
 from __future__ import annotations
@@ -10,9 +10,10 @@
 from time import perf_counter_ns
 
 from springspread.fleet.change import LOOK_MS
-from springspread.fleet.client import AGAIN_MS, SAY_MS
+from springspread.fleet.client import RECONNECT_MS
 from springspread.fleet.limits import Owner
 from springspread.fleet.messages import PROTOCOL_VERSION, Register
+from springspread.fleet.policy_participant import REPORT_INTERVAL_MS
 from springspread.fleet.wire import Document, Message, write
 from springspread.rig.hollow.allocator import FLEET
 from springspread.rig.hollow.connection import Connection
@@ -124,8 +125,8 @@
 class PolicySession:
     """A hollow sender's side of it."""
 
-    def __init__(self, sender: HollowSender, process: PolicyProcess) -> None:
-        self._sender, self._process = sender, process
+    def __init__(self, sender: HollowSender, process: PolicyProcess, meter: Meter) -> None:
+        self._sender, self._process, self._meter = sender, process, meter
         self.zone = sender.zone
         self._rights = Participant()
         self._connection: Connection | None = None
@@ -146,10 +147,10 @@
             connection.close()
         if connection.open:
             self._write(connection, Acting(self._rights.version(self._sender.queue.now)))
-            self._sender.queue.at(self._sender.queue.now + SAY_MS, self._say, connection)
+            self._sender.queue.at(self._sender.queue.now + REPORT_INTERVAL_MS, self._say, connection)
 
     def _write(self, connection: Connection, message: Message) -> None:
-        meter = self._sender.meter
+        meter = self._meter
         begun = perf_counter_ns()
         data = write(message)
         meter.cpu_ns += perf_counter_ns() - begun
@@ -159,11 +160,11 @@
     def lost(self) -> None:
         """There is no connection; the next try comes after a while."""
         self._connection = None
-        self._sender.queue.at(self._sender.queue.now + AGAIN_MS, self._connect)
+        self._sender.queue.at(self._sender.queue.now + RECONNECT_MS, self._connect)
 
     def arrived(self, connection: Connection, data: bytes) -> None:
         """Bytes of the coordinator have come in."""
-        now, meter = self._sender.queue.now, self._sender.meter
+        now, meter = self._sender.queue.now, self._meter
         begun = perf_counter_ns()
         messages = connection.down_lines.feed(data)
         votes: list[Vote] = []
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -13,7 +13,7 @@
 from math import inf
 from time import perf_counter_ns
 
-from springspread.fleet.client import AGAIN_MS, LEASE_WAIT_MS
+from springspread.fleet.client import LEASE_WAIT_MS, RECONNECT_MS
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
 from springspread.fleet.sender_session import POLL_MS, SenderSession
@@ -78,7 +78,7 @@
         """There is no connection; the next try comes after a while."""
         self._connection = None
         self._wake_at = inf
-        self.sender.queue.at(self.sender.queue.now + AGAIN_MS, self._connect)
+        self.sender.queue.at(self.sender.queue.now + RECONNECT_MS, self._connect)
 
     def close(self) -> None:
         """The process is killed."""
@@ -121,6 +121,11 @@
         for call in list(self.waiting):
             self._try(call)
 
+    def partner_told(self, key: str, per_s: float) -> None:
+        """A partner tells its limit (calls a second)."""
+        if self.session.partner_rate(key, per_s):
+            self._wake(self.sender.queue.now)
+
     def call(self, now: float, destination: int, key: str) -> bool:
         """A call wants to begin; whether it does now. Otherwise it waits."""
         begun = perf_counter_ns()
