--- a/springspread/rig/hollow/allocator.py
+++ b/springspread/rig/hollow/allocator.py
@@ -63,17 +63,17 @@
 
     def start(self, successor: bool = False, with_record: bool = True) -> None:
         """A process begins. ``successor``: there was one before, whose leases it knows ``with_record``."""
-        now = self._queue.now
+        clock = self._queue.clock
         allocator = Allocator(slack_ms=SLACK_MS)
         if successor and with_record:
             allocator.restore(self._record)
         elif successor:
-            allocator.presume(now)
-        self.control = AllocatorControl(FLEET, self._default_mode, self.limits, allocator, now, successor)
-        self._observer = self.control.register(now, OBSERVER)
+            allocator.presume(clock)
+        self.control = AllocatorControl(FLEET, self._default_mode, self.limits, allocator, clock, successor)
+        self._observer = self.control.register(clock, OBSERVER)
         self.alive = True
         self._tick_at, self._ticking = inf, False
-        self._schedule(now)
+        self._schedule(self._queue.now)
 
     def kill(self) -> None:
         """The process ends without a word."""
@@ -84,7 +84,7 @@
     def change_limit(self, key: str, limit: Limit) -> None:
         """The operators change one limit at once."""
         self.limits[key] = limit
-        self.control.limited(self._queue.now, key, limit)
+        self.control.limited(self._queue.clock, key, limit)
         self._news()
 
     def accept(self, connection: Connection) -> None:
@@ -92,16 +92,16 @@
 
     def arrived(self, connection: Connection, data: bytes) -> None:
         """Bytes of a sender have come in."""
-        now = self._queue.now
+        clock = self._queue.clock
         begun = perf_counter_ns()
         messages = connection.up_lines.feed(data)
         for message in messages:
             if isinstance(message, Register):
-                connection.owner = self.control.register(now, message)
+                connection.owner = self.control.register(clock, message)
                 self._by_owner[connection.owner] = connection
             else:
                 assert isinstance(message, LeaseRequest | UseReport) and connection.owner is not None
-                self.control.received(now, connection.owner, message)
+                self.control.received(clock, connection.owner, message)
         self.meter.cpu_ns += perf_counter_ns() - begun
         self.meter.received.add(len(messages), len(data))
         self._news()
@@ -126,10 +126,10 @@
         if planned != self._tick_at or not self.alive:
             return  # another tick came before
         self._tick_at = inf
-        now = self._queue.now
+        now, clock = self._queue.now, self._queue.clock
         begun = perf_counter_ns()
-        leases = self.control.tick(now)
-        self.control.grant(now, leases)
+        leases = self.control.tick(clock)
+        self.control.grant(clock, leases)
         outgoing = self.control.take_messages()
         observed = outgoing.pop(self._observer, [])
         written = [(owner, b"".join(map(write, messages))) for owner, messages in outgoing.items()]
@@ -139,9 +139,9 @@
                 self.meter.sent.add(len(outgoing[owner]), len(data))
                 connection.send_down(data)
         self._observe(now, observed)
-        self._put_on_record(now, leases)
+        self._put_on_record(clock, leases)
         self._ticking = self.control.busy
-        wait_ms = max(self.control.next_at - now, TICK_MS)
+        wait_ms = max(self.control.next_at - clock, TICK_MS)
         self._schedule(now + (TICK_MS if self._ticking else min(wait_ms, IDLE_MS)))
 
     def _observe(self, now: float, messages: list[LimitMessage]) -> None:
--- a/springspread/rig/hollow/comparison.py
+++ b/springspread/rig/hollow/comparison.py
@@ -192,7 +192,8 @@
     """The same calls by hollow senders; what each said of limits and of policies from begin to end."""
     recorded.calls.sort()
     law = TrafficLaw(len(recorded.keys), 0.0, mode=mode)
-    fleet = HollowFleet(FleetSize(senders, 1, law), policy, traffic=recorded, one_host=True)
+    size, booted_ms = FleetSize(senders, 1, law), SYSTEM.now()
+    fleet = HollowFleet(size, policy, traffic=recorded, one_host=True, booted_ms=booted_ms)
     for when, sender, destination in recorded.failures:
         fleet.queue.at(when + HOLLOW_START_MS, fleet.call_failed, sender, destination)
     for when, sender, destination, per_s in recorded.partner_rates:
--- a/springspread/rig/hollow/events.py
+++ b/springspread/rig/hollow/events.py
@@ -7,12 +7,19 @@
 from math import inf
 from typing import Any
 
+BOOTED_MS = 2_592_000_000.123456  # what machines' clocks show at time zero: up for thirty days
+
 
 class EventQueue:
-    """Runs events in the order of their time (ms); ``now`` is the time of the one that runs."""
+    """Runs events in the order of their time (ms); ``now`` is the time of the one that runs.
+
+    Control code is told ``clock`` instead, as the length of what it writes goes with the digits of its times.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, booted_ms: float = BOOTED_MS) -> None:
+        """``booted_ms``: what the clock shows at time zero."""
         self.now = 0.0
+        self._booted_ms = booted_ms
         self._count = 0
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
 
@@ -21,6 +28,11 @@
         self._count += 1
         heappush(self._heap, (max(when, self.now), self._count, work, values))
 
+    @property
+    def clock(self) -> float:
+        """What the machines' clocks show now (ms)."""
+        return self._booted_ms + self.now
+
     @property
     def next_at(self) -> float:
         """The time of the next event; inf: there is none."""
--- a/springspread/rig/hollow/fleet.py
+++ b/springspread/rig/hollow/fleet.py
@@ -18,7 +18,7 @@
 from springspread.fleet.shard_map import ShardMap
 from springspread.rig.hollow.allocator import AllocatorProcess
 from springspread.rig.hollow.connection import Acceptor
-from springspread.rig.hollow.events import EventQueue
+from springspread.rig.hollow.events import BOOTED_MS, EventQueue
 from springspread.rig.hollow.faults import Fault, FaultKind
 from springspread.rig.hollow.history import HeldUp, History
 from springspread.rig.hollow.meter import Meter
@@ -52,10 +52,14 @@
         faults: Sequence[Fault] = (),
         traffic: CallSource | None = None,
         one_host: bool = False,
+        booted_ms: float = BOOTED_MS,
     ) -> None:
-        """``traffic``: in place of what the law of ``size`` draws. ``one_host``: all ways are as short."""
+        """``traffic``: in place of what the law of ``size`` draws. ``one_host``: all ways are as short.
+
+        ``booted_ms``: what clocks show at time zero.
+        """
         self.size, self.policy = size, policy
-        self.queue, self.network = EventQueue(), Network(size.seed, one_host)
+        self.queue, self.network = EventQueue(booted_ms), Network(size.seed, one_host)
         self.traffic = traffic or Traffic(size.law, size.senders, size.seed)
         self.keys = self.traffic.keys
         fingerprints = {fingerprint(key): number for number, key in enumerate(self.keys)}
@@ -207,7 +211,7 @@
             sender = senders[number]
             if sender is None:
                 self.unserved += 1
-            elif sender.sessions[shard_of[destination]].call(now, destination, keys[destination]):
+            elif sender.sessions[shard_of[destination]].call(destination, keys[destination]):
                 history.began(now, destination, number)
                 if down[destination]:
                     self.call_failed(number, destination)
--- a/springspread/rig/hollow/policy.py
+++ b/springspread/rig/hollow/policy.py
@@ -43,12 +43,12 @@
         history = History().after(Proposed(1, policy.digest)).after(Decided(1, 0.0))
         times = Times(lead_ms=WAY_MS)
         self._state: Coordinator
-        self._carry_out(coordinator.begin(times, history, queue.now, []))
+        self._carry_out(coordinator.begin(times, history, queue.clock, []))
         self._tick()
 
     def propose(self) -> None:
         """Propose a change, which has the same text here under another number."""
-        self._measured(lambda: coordinator.propose(self._state, self._queue.now, self._policy.digest))
+        self._measured(lambda: coordinator.propose(self._state, self._queue.clock, self._policy.digest))
 
     @property
     def in_force(self) -> tuple[int, float]:
@@ -68,15 +68,15 @@
             self._take(connection, message)
 
     def _take(self, connection: Connection, message: Message) -> None:
-        now = self._queue.now
+        clock = self._queue.clock
         if isinstance(message, Register):
             owner = connection.owner = (message.name, message.epoch)
             self._by_owner[owner] = connection
             self._documents[owner] = set()
-            self._measured(lambda: coordinator.joined(self._state, now, owner))
+            self._measured(lambda: coordinator.joined(self._state, clock, owner))
         elif isinstance(message, Vote) and connection.owner is not None:
             voter = connection.owner
-            self._measured(lambda: coordinator.voted(self._state, now, voter, message))
+            self._measured(lambda: coordinator.voted(self._state, clock, voter, message))
 
     def closed(self, connection: Connection) -> None:
         """A connection has ended."""
@@ -86,7 +86,7 @@
             self._state = coordinator.left(self._state, owner)
 
     def _tick(self) -> None:
-        self._measured(lambda: coordinator.tick(self._state, self._queue.now))
+        self._measured(lambda: coordinator.tick(self._state, self._queue.clock))
         self._queue.at(self._queue.now + LOOK_MS, self._tick)
 
     def _measured(self, step: Callable[[], Step]) -> None:
@@ -145,7 +145,7 @@
         if not self._sender.alive:
             connection.close()
         if connection.open:
-            self._write(connection, Acting(self._rights.version(self._sender.queue.now)))
+            self._write(connection, Acting(self._rights.version(self._sender.queue.clock)))
             self._sender.queue.at(self._sender.queue.now + SAY_MS, self._say, connection)
 
     def _write(self, connection: Connection, message: Message) -> None:
@@ -163,13 +163,13 @@
 
     def arrived(self, connection: Connection, data: bytes) -> None:
         """Bytes of the coordinator have come in."""
-        now, meter = self._sender.queue.now, self._meter
+        clock, meter = self._sender.queue.clock, self._meter
         begun = perf_counter_ns()
         messages = connection.down_lines.feed(data)
         votes: list[Vote] = []
         for message in messages:
             if isinstance(message, Grant):
-                self._rights = participant.granted(self._rights, message, now)
+                self._rights = participant.granted(self._rights, message, clock)
             elif isinstance(message, Prepare):
                 self._rights, vote = participant.prepared(self._rights, message, "")
                 votes += [vote] if vote is not None else []
@@ -178,6 +178,6 @@
         for vote in votes:
             self._write(connection, vote)
 
-    def version(self, now: float) -> int:
-        """The policy that the sender may act under; 0: none."""
-        return self._rights.version(now)
+    def version(self) -> int:
+        """The policy that the sender may act under now; 0: none."""
+        return self._rights.version(self._sender.queue.clock)
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -65,14 +65,14 @@
             connection.close()
             return
         self._connection = connection
-        now, meter = self.sender.queue.now, self.sender.meter
+        queue, meter = self.sender.queue, self.sender.meter
         begun = perf_counter_ns()
-        messages = self.session.connected(now)
+        messages = self.session.connected(queue.clock)
         data = b"".join(map(write, messages))
         meter.cpu_ns += perf_counter_ns() - begun
         meter.sent.add(len(messages), len(data))
         connection.send_up(data)
-        self._wake(now)
+        self._wake(queue.now)
 
     def lost(self) -> None:
         """There is no connection; the next try comes after a while."""
@@ -96,26 +96,26 @@
         if planned != self._wake_at or connection is None:
             return  # it woke before, or its connection is over
         self._wake_at = inf
-        now, meter = sender.queue.now, sender.meter
+        clock, meter = sender.queue.clock, sender.meter
         begun = perf_counter_ns()
-        due = self.session.due(now)
+        due = self.session.due(clock)
         data = b"".join(map(write, due))
-        wait_ms = self.session.wait_ms(now)
+        wait_ms = self.session.wait_ms(clock)
         meter.cpu_ns += perf_counter_ns() - begun
         if due:
             meter.sent.add(len(due), len(data))
             connection.send_up(data)
-        self._wake(now + max(wait_ms, 0.1))
+        self._wake(sender.queue.now + max(wait_ms, 0.1))
 
     def arrived(self, connection: Connection, data: bytes) -> None:
         """Bytes of the allocator have come in."""
         sender = self.sender
-        now, meter = sender.queue.now, sender.meter
+        clock, meter = sender.queue.clock, sender.meter
         begun = perf_counter_ns()
         messages = connection.down_lines.feed(data)
         for message in messages:
             assert isinstance(message, Welcome | KeyStatuses | LeaseGrants)
-            self.session.received(now, message)
+            self.session.received(clock, message)
         meter.cpu_ns += perf_counter_ns() - begun
         meter.received.add(len(messages), len(data))
         for call in list(self.waiting):
@@ -126,10 +126,11 @@
         if self.session.partner_rate(key, per_s):
             self._wake(self.sender.queue.now)
 
-    def call(self, now: float, destination: int, key: str) -> bool:
+    def call(self, destination: int, key: str) -> bool:
         """A call wants to begin; whether it does now. Otherwise it waits."""
+        now, clock = self.sender.queue.now, self.sender.queue.clock
         begun = perf_counter_ns()
-        wait_ms = self.cache.take(key, now)
+        wait_ms = self.cache.take(key, clock)
         early = self.cache.reports_early
         self.sender.meter.cpu_ns += perf_counter_ns() - begun
         if early:
@@ -148,9 +149,9 @@
 
     def _try(self, call: WaitingCall) -> bool:
         """Whether a waiting call has come to its end."""
-        now = self.sender.queue.now
+        now, clock = self.sender.queue.now, self.sender.queue.clock
         begun = perf_counter_ns()
-        wait_ms = self.cache.take(call.key, now)
+        wait_ms = self.cache.take(call.key, clock)
         self.sender.meter.cpu_ns += perf_counter_ns() - begun
         if wait_ms > 0.0:
             self._wake(now)
--- a/tests/rig/test_hollow.py
+++ b/tests/rig/test_hollow.py
@@ -166,6 +166,6 @@
     fleet.run_until(2_000.0)
     fleet.coordinator.propose()
     fleet.run_until(6_000.0)
-    versions = {session.version(6_000.0) for session in fleet.policy_sessions if session is not None}
+    versions = {session.version() for session in fleet.policy_sessions if session is not None}
     assert fleet.coordinator.in_force[0] == 2
     assert versions == {2}
