A hollow session wakes again after a connection that opened late

Cause: a call that waited before the connection was open left a moment to wake at that was over, and the session never spoke again: its free calls were held up for ever. The test fails without the fix.

--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -93,9 +93,11 @@
 
     def _talk(self, planned: float) -> None:
         connection, sender = self._connection, self.sender
-        if planned != self._wake_at or connection is None:
-            return  # it woke before, or its connection is over
+        if planned != self._wake_at:
+            return  # it woke before
         self._wake_at = inf
+        if connection is None:
+            return  # it wakes as the next one opens
         clock, meter = sender.queue.clock, sender.meter
         begun = perf_counter_ns()
         due = self.session.due(clock)
--- a/tests/rig/test_hollow.py
+++ b/tests/rig/test_hollow.py
@@ -75,6 +75,7 @@
     law = replace(LAW, down_part=0.0, headroom=50.0, least_calls=1_000)
     fleet, _ = run(replace(SIZE, law=law), (), 5_000.0)
     assert not fleet.history.statuses
+    assert not [one for one in fleet.history.held_up if one.since >= JOIN_MS + 250.0]
     assert fleet.unserved == 0
     assert fleet.offered == len(fleet.history.times) + sum(
         len(session.waiting) for sender in fleet.senders if sender is not None for session in sender.sessions
