The test of a return waits for the report that the instance is open

Cause: the test read the daemon's view at the moment the instance's log said that it listens; the report of the open gate follows by up to one session wait (250 ms). Change: it waits for the same state as a condition, bounded as the others; a gate that never opens still fails it.

--- a/tests/rig/test_return.py
+++ b/tests/rig/test_return.py
@@ -94,7 +94,7 @@
         assert row["owed"] > 5 and not chaos.listening  # it serves nobody
         outside.shut.clear()
         chaos.until_whole()
-        assert [row["gate"] for row in chaos.recovery()] == ["open"]
+        until(lambda: [row["gate"] for row in chaos.recovery()] == ["open"], "its report that it is open")
         chaos.end_load()
     assert not chaos.told.without_end
 
