--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -171,6 +171,8 @@
         return "as it is"
     if cost.mechanism.this_round and isinstance(after, float):
         return cost.mechanism.name + ("" if after >= 1.0 else "; not enough")
+    if cost.built and isinstance(after, float) and after >= 1.0:
+        return cost.built
     if cost.mechanism.missing:
         return f"missing: {cost.mechanism.name}"
     return cost.mechanism.name if isinstance(before, float) else "as it is"
