--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -119,8 +119,8 @@
 def _of_sender(line: Fit, part: float, shards: float = 1.0) -> float:
     """A line by the rate of all senders of ``load_by_rate``, for one of them at a part of the full rate.
 
-    With shards the fixed part is there for each of them. Where the line bends, the lower slope is taken: a steeper one after a bend is that of a process which
-    can do no more, and says little of what a call costs.
+    With shards the fixed part is there for each of them. Where the line bends, the lower slope is taken: a
+    steeper one after a bend is that of a process which can do no more, and says little of what a call costs.
     """
     rate = LOAD_SENDERS * TARGET.events_per_sender * part
     total = min(line.at(rate), line.fixed + line.slope * rate)
@@ -233,7 +233,8 @@
 
 COSTS = (
     Cost(
-        "sender", "messages", "control bytes a second, headers included, 12 shards", "events a second and sender",
+        "sender", "messages", "control bytes a second, headers included, 12 shards",
+        "events a second and sender",
         "(up + down bytes) + 60 x (up + down writes), each 12 x fixed / 20 + slope x events; and idle ones",
         _load_lines("rate") + IDLE_LINES, _all_bytes, "B/s", CHANGE_AND_CONTENTION,
         TARGET.control_bytes_per_s,
@@ -257,8 +258,8 @@
     ),
     Cost(
         "sender", "messages", "control bytes an idle second, headers included", "nothing",
-        "(up + down bytes) + 60 x (up + down writes), the fixed parts", IDLE_LINES, _idle_bytes, "B/s", PRESENT,
-        TARGET.control_bytes_per_s,
+        "(up + down bytes) + 60 x (up + down writes), the fixed parts", IDLE_LINES, _idle_bytes, "B/s",
+        PRESENT, TARGET.control_bytes_per_s,
     ),
     Cost(
         "sender", "memory", "destinations: listed, all used, 2.8% down", "destinations",
