No endpoint's name and no told rate makes a request that can't be read

Cause: an endpoint whose name is longer than a key, or that can't be encoded, and a rate that is no number or out of bounds, made requests that the allocator refused, over each new connection again; the sender got no lease for any destination. Change: such names are replaced by their hash, such rates are left out. Result: six new cases, seen to fail before. (Rates in answers over HTTP were bounded already.)

--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from functools import partial
+from hashlib import blake2b
 from math import inf
 from pathlib import Path
 
@@ -19,7 +20,7 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
 from springspread.fleet.lease_cache import LeaseCache
-from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
+from springspread.fleet.messages import MAX_KEY_CHARS, KeyStatuses, LeaseGrants, Welcome
 from springspread.fleet.sender_session import IDLE_MS, POLL_MS, SenderSession
 from springspread.fleet.wire import (
     Document,
@@ -45,8 +46,17 @@
 
 
 def key_of(endpoint: Endpoint) -> str:
-    """What a limit binds: the endpoint where routes are apart, else its destination."""
-    return f"r{endpoint.group}/{endpoint.name}" if endpoint.apart else f"g{endpoint.group}"
+    """What a limit binds: the endpoint where routes are apart, else its destination.
+
+    A name that no message holds is replaced by its hash; operators can't name such a key.
+    """
+    if not endpoint.apart:
+        return f"g{endpoint.group}"
+    key = f"r{endpoint.group}/{endpoint.name}"
+    name = endpoint.name.encode(errors="surrogatepass")
+    if len(key) <= MAX_KEY_CHARS and name == endpoint.name.encode(errors="replace"):
+        return key
+    return f"r{endpoint.group}/{blake2b(name, digest_size=16).hexdigest()}"
 
 
 class FleetShares:
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -17,10 +17,11 @@
 LINE_BYTES = 1 << 18  # the longest line that is read
 MAX_KEYS = 4096  # in one message
 MAX_KEY_CHARS = 200
+MAX_MS = 1e18
 
 Key = Annotated[str, Meta(min_length=1, max_length=MAX_KEY_CHARS)]
 Count = Annotated[int, Meta(ge=0, lt=1 << 62)]
-Milliseconds = Annotated[float, Meta(ge=0.0, lt=1e18)]
+Milliseconds = Annotated[float, Meta(ge=0.0, lt=MAX_MS)]
 Fingerprint = Annotated[int, Meta(ge=0, lt=1 << 32)]
 Fingerprints = Annotated[tuple[Fingerprint, ...], Meta(max_length=MAX_KEYS)]
 Counts = Annotated[dict[Key, Count], Meta(max_length=MAX_KEYS)]
--- a/springspread/fleet/sender_session.py
+++ b/springspread/fleet/sender_session.py
@@ -15,6 +15,7 @@
 from springspread.fleet.line_parts import COUNT_BYTES, parts
 from springspread.fleet.messages import (
     MAX_KEYS,
+    MAX_MS,
     PROTOCOL_VERSION,
     KeyStatus,
     KeyStatuses,
@@ -59,8 +60,8 @@
         return [self._register, *self._cache.resend(now)]
 
     def partner_rate(self, key: str, per_s: float) -> bool:
-        """A partner tells its limit (calls a second); whether that is news."""
-        if self._partner_rates.get(key) == per_s:
+        """A partner tells its limit (calls a second); whether that is news that a message can hold."""
+        if not 0.0 < per_s < MAX_MS or self._partner_rates.get(key) == per_s:
             return False
         self._partner_rates[key] = self._new_rates[key] = per_s
         return True
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -12,8 +12,10 @@
 
 import pytest
 
+from springspread.core.types import Endpoint
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.client import key_of
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limit_sources import stricter
 from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
@@ -406,3 +408,20 @@
     allocator.ask(3_001.0, ("n1", 1), "g1", 0)
     allocator.allocate(3_001.0)
     assert not allocator.waiting
+
+
+@pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0, 0.0, 1e18])
+def test_a_rate_that_makes_no_sense_is_not_passed_on(per_s: float) -> None:
+    session = SenderSession("n0", 1, "fleet", LeaseCache())
+    session.connected(0.0)
+    assert not session.partner_rate("g1", per_s)
+    assert session.due(1.0) == []
+
+
+def test_an_endpoint_of_any_name_has_a_key_that_a_message_can_hold() -> None:
+    keys = {key_of(Endpoint(1, name, "h", 1, 7, True, 1)) for name in ("x" * 300, "x" * 299 + "y", "\ud800")}
+    assert len(keys) == 3
+    for key in keys:
+        request = LeaseRequest({key: 1})
+        assert Lines().feed(write(request)) == [request]
+    assert key_of(Endpoint(1, "x" * 190, "h", 1, 7, True, 1)) == "r7/" + "x" * 190
