A limit that comes and goes is looked at once

Cause: each time that an adaptive limit was bound anew after a change of its mode, or a state was made anew after its limit had gone, another entry to look at it later was made, and all of them stayed as long as it was in use (100 changes within a second: 100 entries). Change: a key has one entry. Result: a new test by counted operations, seen to fail before.

--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -130,6 +130,7 @@
         self._states: dict[str, LimitState] = {}
         self._waiting: dict[str, None] = {}  # keys that anybody waits for, in the order of the first asking
         self._ends: list[tuple[float, str]] = []  # a heap: when states may be of no account any more
+        self._ending: set[str] = set()  # their keys
         self._before: dict[str, list[Lease]] = {}
         self._epochs: dict[str, int] = {}
         self._serial = 0
@@ -272,7 +273,9 @@
         if self._presumed is not None:
             over_at = self._presumed + limit.span_ms + self._slack_ms
             state.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
-        heappush(self._ends, (0.0, key))
+        if key not in self._ending:
+            self._ending.add(key)
+            heappush(self._ends, (0.0, key))
         return state
 
     def _forget_ended(self, now: float) -> None:
@@ -281,10 +284,12 @@
             _, key = heappop(self._ends)
             state = self._states.get(key)
             if state is None:
+                self._ending.discard(key)
                 continue
             ends = [count.over_at for count in (*state.counts.values(), *state.unleased)]
             if not state.wants and max(ends, default=now) <= now and state.filled_at + self._burst_ms <= now:
                 del self._states[key]
+                self._ending.discard(key)
                 self._waiting.pop(key, None)  # whoever waited has taken it back
             else:
                 again = max(max(ends, default=now), state.filled_at + self._burst_ms, now + self._burst_ms)
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -129,6 +129,7 @@
         self._limited_keys: dict[Fingerprint, tuple[str, ...]] = {}  # keys that have a limit
         self._bound: dict[Fingerprint, None] = {}  # limits that need leases, where that is not the default
         self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
+        self._checked: set[str] = set()  # their keys
         self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
         self._ready: dict[Owner, None] = {}  # those with news
         self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
@@ -377,9 +378,14 @@
         if cause is Cause.LEARNING:
             used, made_at = binding.limit.calls, self._began_at
         self._allocator.count_unleased(now, key, used, made_at)
-        self._checks.append((now + CHECK_MS, key))
+        self._check_later(now, key)
         self._status_changed(key, KeyStatus.FREE)
 
+    def _check_later(self, now: float, key: str) -> None:
+        if key not in self._checked:
+            self._checked.add(key)
+            self._checks.append((now + CHECK_MS, key))
+
     # Time
 
     def tick(self, now: float) -> list[Lease]:
@@ -388,6 +394,7 @@
         leases = self._allocator.allocate(now)
         while self._checks and self._checks[0][0] <= now:
             _, key = self._checks.popleft()
+            self._checked.discard(key)
             self._check(now, key)
         return leases
 
@@ -400,7 +407,7 @@
         if binding.released(now):
             self._status_changed(key, KeyStatus.BOUND)
         else:
-            self._checks.append((now + CHECK_MS, key))
+            self._check_later(now, key)
 
     def grant(self, now: float, leases: list[Lease]) -> None:
         """Leases that are on record are told to their owners."""
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Callable
+from functools import partial
 from math import ceil
 from pathlib import Path
 from types import FrameType
@@ -357,7 +358,7 @@
     assert successor.allocate(last + SPAN + 10.0) != []
 
 
-def operations(work: Callable[[], None]) -> int:
+def operations(work: Callable[[], object]) -> int:
     """How many of the interpreter's operations some work takes."""
     count = 0
 
@@ -425,3 +426,17 @@
         request = LeaseRequest({key: 1})
         assert Lines().feed(write(request)) == [request]
     assert key_of(Endpoint(1, "x" * 190, "h", 1, 7, True, 1)) == "r7/" + "x" * 190
+
+
+def test_limits_that_come_and_go_leave_nothing_behind() -> None:
+    control = AllocatorControl("fleet", ADAPTIVE, {}, Allocator(), 0.0)
+    for n in range(100):
+        control.limited(float(n), "g1", Limit(20, SPAN, ADAPTIVE))
+        control.limited(float(n), "g1", Limit(10, SPAN, ADAPTIVE))  # it falls: it is bound
+        if n < 99:
+            control.unlimited("g1")
+    once = AllocatorControl("fleet", ADAPTIVE, {"g1": Limit(20, SPAN, ADAPTIVE)}, Allocator(), 0.0)
+    once.limited(0.0, "g1", Limit(10, SPAN, ADAPTIVE))
+    moments = [float(now) for now in range(1_000, 8_000, 500)]
+    often, expected = (sum(operations(partial(one.tick, now)) for now in moments) for one in (control, once))
+    assert often <= 2 * expected
