A connection that another one replaces is ended

Cause: where an instance registered again, also under a later start, its earlier connection lived on. Nobody told it of limits any more, and as one that needs no leases for a key asks for none it was never refused. Change: the earlier connection is ended as the later one registers.

--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -164,6 +164,9 @@
             owner = self.control.register(self._clock.now(), message)
         except RegisterRefused as exc:
             raise Unreadable(str(exc)) from exc
+        for (name, _), replaced in self._members.items():
+            if name == owner[0]:
+                self._drop(replaced)  # nobody would tell it of any limit from now on
         member.owner = owner
         self._members[owner] = member
         self._news.set()
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -372,3 +372,18 @@
         assert server.control.given_out("g1", SYSTEM.now()) >= 8
         server.close()
     assert [name for name, _ in leased_epochs(tmp_path)] == []
+
+
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_a_connection_that_another_one_replaces_is_ended(place: Place, epoch: int) -> None:
+    with socket.socket(socket.AF_UNIX) as earlier, socket.socket(socket.AF_UNIX) as later:
+        for peer, of in ((earlier, 1), (later, epoch)):
+            peer.settimeout(5.0)
+            peer.connect(str(place.path))
+            peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", of)))
+            assert peer.recv(65536)  # its welcome
+        while earlier.recv(65536):
+            pass  # it would be told of no limit that comes
+        until(lambda: place.server.members == [("n1", epoch)], "the later one alone")
+        later.sendall(write(LeaseRequest({"g1": 1})))
+        until(lambda: b'[6,[["g1"' in later.recv(65536), "a lease")
