--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Callable
+from functools import partial
 from math import ceil
 from pathlib import Path
 from types import FrameType
@@ -12,8 +13,10 @@
 
 import pytest
 
+from springspread.core.types import Endpoint
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.client import key_of
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limit_sources import stricter
 from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
@@ -355,7 +358,7 @@
     assert successor.allocate(last + SPAN + 10.0) != []
 
 
-def operations(work: Callable[[], None]) -> int:
+def operations(work: Callable[[], object]) -> int:
     """How many of the interpreter's operations some work takes."""
     count = 0
 
@@ -406,3 +409,34 @@
     allocator.ask(3_001.0, ("n1", 1), "g1", 0)
     allocator.allocate(3_001.0)
     assert not allocator.waiting
+
+
+@pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0, 0.0, 1e18])
+def test_a_rate_that_makes_no_sense_is_not_passed_on(per_s: float) -> None:
+    session = SenderSession("n0", 1, "fleet", LeaseCache())
+    session.connected(0.0)
+    assert not session.partner_rate("g1", per_s)
+    assert session.due(1.0) == []
+
+
+def test_an_endpoint_of_any_name_has_a_key_that_a_message_can_hold() -> None:
+    keys = {key_of(Endpoint(1, name, "h", 1, 7, True, 1)) for name in ("x" * 300, "x" * 299 + "y", "\ud800")}
+    assert len(keys) == 3
+    for key in keys:
+        request = LeaseRequest({key: 1})
+        assert Lines().feed(write(request)) == [request]
+    assert key_of(Endpoint(1, "x" * 190, "h", 1, 7, True, 1)) == "r7/" + "x" * 190
+
+
+def test_limits_that_come_and_go_leave_nothing_behind() -> None:
+    control = AllocatorControl("fleet", ADAPTIVE, {}, Allocator(), 0.0)
+    for n in range(100):
+        control.limited(float(n), "g1", Limit(20, SPAN, ADAPTIVE))
+        control.limited(float(n), "g1", Limit(10, SPAN, ADAPTIVE))  # it falls: it is bound
+        if n < 99:
+            control.unlimited("g1")
+    once = AllocatorControl("fleet", ADAPTIVE, {"g1": Limit(20, SPAN, ADAPTIVE)}, Allocator(), 0.0)
+    once.limited(0.0, "g1", Limit(10, SPAN, ADAPTIVE))
+    moments = [float(now) for now in range(1_000, 8_000, 500)]
+    often, expected = (sum(operations(partial(one.tick, now)) for now in moments) for one in (control, once))
+    assert often <= 2 * expected
