--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -21,7 +21,7 @@
 from springspread.fleet.allocator_control import AllocatorControl, RegisterRefused
 from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode, Owner
 from springspread.fleet.messages import LeaseRequest, Register, UseReport
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
 from springspread.net.threads import spawn
 from springspread.rollout.terms import Acting, Vote
@@ -71,7 +71,7 @@
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
         longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
-        self._record = Record(folder, longest + SLACK_MS)
+        self._record = LeaseRecord(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
         self.path = path
         path.unlink(missing_ok=True)
@@ -88,12 +88,12 @@
     ) -> AllocatorControl:
         now, record = self._clock.now(), self._record
         allocator = Allocator(slack_ms=SLACK_MS)
-        allocator.restore(record.before)
-        if not record.whole or (began_before and not record.found):
+        allocator.restore(record.earlier)
+        if not record.complete or (began_before and not record.existed):
             # Guards limits after a power loss, or a record that is lost: anything may have been given out.
             self._log.warning("leases not known; limits count as used up")
-            allocator.presume(now)
-        learning = began_before or record.found
+            record.append([allocator.presume(now)], now)
+        learning = began_before or record.existed
         return AllocatorControl(fleet, default_mode, limits, allocator, now, learning)
 
     @property
@@ -175,6 +175,9 @@
             owner = self.control.register(self._clock.now(), message)
         except RegisterRefused as exc:
             raise Unreadable(str(exc)) from exc
+        for (name, _), replaced in self._members.items():
+            if name == owner[0]:
+                self._drop(replaced)  # nobody would tell it of any limit from now on
         member.owner = owner
         self._members[owner] = member
         self._news.set()
@@ -203,7 +206,10 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         with self._lock:
             self.control.follow(self._clock.now(), limits, since, default_mode)
-            self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
+            longest = max((limit.span_ms for limit in limits.values()), default=0.0)
+            self._record.extend_retention(longest + SLACK_MS)
+            # Guards the limits against a sender that may act under their policy and has not heard of them.
+            self._send_news()
         self._news.set()
 
     def _run(self) -> None:
@@ -229,6 +235,9 @@
         except OSError as exc:
             # Guards the limit against a successor that would not know of them: they run out untold.
             self._log.error("leases not on record", error=str(exc))
+        self._send_news()
+
+    def _send_news(self) -> None:
         for owner, messages in self.control.take_messages().items():
             member = self._members.get(owner)
             if member is not None:
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import json
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
 
 import pytest
 
+from springspread.config import Config
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint, Load
 from springspread.fleet.allocator_server import AllocatorServer
@@ -24,9 +26,12 @@
     LeaseRequest,
     Register,
     Welcome,
+    fingerprint,
 )
+from springspread.fleet.record import leased_epochs
 from springspread.fleet.use_ledger import EARLY_CALLS
-from springspread.fleet.wire import LINE_BYTES, write
+from springspread.fleet.wire import LINE_BYTES, Question, write
+from springspread.rollout.terms import Grant
 from tests.peer import until
 
 SPAN_MS = 400.0
@@ -213,7 +218,7 @@
     shares = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
     until(lambda: shares.acquire(LINK), "a first call")
     until(lambda: server.control.reported_calls("g1", SYSTEM.now()) >= 1, "its report")
-    shares._ring = wakes = CountedEvent()
+    shares._wake = wakes = CountedEvent()
     for _ in range(EARLY_CALLS):
         assert shares.acquire(LINK)
     assert wakes.sets >= 1
@@ -338,3 +343,73 @@
     until(lambda: sender.acquire(LINK), "a call")
     sender.close()
     server.close()
+
+
+def test_a_policy_is_granted_after_the_limits_that_come_with_it(place: Place) -> None:
+    with socket.socket(socket.AF_UNIX) as peer:
+        peer.connect(str(place.path))
+        peer.settimeout(5.0)
+        peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", 1)))
+        peer.sendall(write(LeaseRequest({f"g{n}": 0 for n in range(2, 60)})))
+        lines = peer.makefile("rb")
+        known = 0
+        while known < 58:
+            line = lines.readline()
+            known += len(json.loads(line)[4]) if line.startswith(b"[5,") else 0
+        for n in range(2, 60):  # often, as the tick may come between by chance
+            limits = {f"g{m}": Limit(8, SPAN_MS) for m in range(2, n + 1)}
+            place.server.follow(limits, SYSTEM.now() + 60_000.0)
+            place.server.tell(("n1", 1), Grant((1, n), n, 0.0, 1.0))
+            told = lines.readline()
+            assert told.startswith(b"[5,") and json.loads(told)[2] == [fingerprint(f"g{n}")]
+            assert b"grant" in lines.readline()
+        lines.close()
+
+
+def test_a_message_that_fails_in_a_sender_costs_it_its_connection_and_no_more(place: Place) -> None:
+    sender = place.join("n0")
+    until(lambda: sender.acquire(LINK), "a call")
+    failed = threading.Event()
+
+    def fails(text: str) -> Config:
+        failed.set()
+        raise RuntimeError("a fault of its own")
+
+    sender.follow(fails, lambda event: None)
+    place.server.tell(("n0", 1), Question(1, "{}"))
+    until(failed.is_set, "the question")
+    until(lambda: sender.acquire(LINK), "a call over a new connection")
+
+
+@pytest.mark.parametrize("damaged", [False, True])
+def test_what_a_lost_record_may_have_held_counts_for_each_successor(tmp_path: Path, damaged: bool) -> None:
+    limits = {"g1": Limit(8, 60_000.0)}
+    if damaged:
+        first = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet())
+        sender = FleetShares(tmp_path / "allot", "n0", 1, Quiet())
+        until(lambda: sender.acquire(LINK), "a lease")
+        sender.close()
+        first.close()
+        for path in tmp_path.glob("leases.*"):
+            if path.stat().st_size > 60:
+                _flipped(path)
+    for _ in range(3):  # a daemon that dies soon after its start
+        server = AllocatorServer(tmp_path / "allot", tmp_path, limits, Quiet(), began_before=True)
+        assert server.control.given_out("g1", SYSTEM.now()) >= 8
+        server.close()
+    assert [name for name, _ in leased_epochs(tmp_path)] == []
+
+
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_a_connection_that_another_one_replaces_is_ended(place: Place, epoch: int) -> None:
+    with socket.socket(socket.AF_UNIX) as earlier, socket.socket(socket.AF_UNIX) as later:
+        for peer, of in ((earlier, 1), (later, epoch)):
+            peer.settimeout(5.0)
+            peer.connect(str(place.path))
+            peer.sendall(write(Register(PROTOCOL_VERSION, "", "n1", of)))
+            assert peer.recv(65536)  # its welcome
+        while earlier.recv(65536):
+            pass  # it would be told of no limit that comes
+        until(lambda: place.server.members == [("n1", epoch)], "the later one alone")
+        later.sendall(write(LeaseRequest({"g1": 1})))
+        until(lambda: b'[6,[["g1"' in later.recv(65536), "a lease")
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -4,6 +4,8 @@
 
 import os
 import sys
+from collections.abc import Callable
+from functools import partial
 from math import ceil
 from pathlib import Path
 from types import FrameType
@@ -11,13 +13,16 @@
 
 import pytest
 
+from springspread.core.types import Endpoint
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.allocator_control import AllocatorControl
+from springspread.fleet.client import key_of
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limit_sources import stricter
 from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
 from springspread.fleet.messages import (
     MAX_KEYS,
+    PROTOCOL_VERSION,
     GrantedLease,
     KeyStatus,
     KeyStatuses,
@@ -30,7 +35,7 @@
     Welcome,
     fingerprint,
 )
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.sender_session import SenderSession
 from springspread.fleet.wire import Lines, write
 
@@ -322,14 +327,116 @@
 def test_leases_that_are_not_whole_on_record_are_not_told(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    record, whole = Record(tmp_path, SPAN), os.write
+    record, whole = LeaseRecord(tmp_path, SPAN), os.write
     record.append([Lease(1, ("n0", 1), "g1", 1, 200.0)], 0.0)
     monkeypatch.setattr(os, "write", lambda file, data: whole(file, data[: len(data) // 2]))  # a full disk
-    with pytest.raises(OSError, match="not whole"):
+    with pytest.raises(OSError, match="not complete on disk"):
         record.append([Lease(2, ("n0", 1), "g1", 1, 200.0)], 1.0)
     monkeypatch.undo()
     record.append([Lease(3, ("n0", 1), "g1", 1, 200.0)], 2.0)
     record.close()
-    again = Record(tmp_path, SPAN)
-    assert again.whole and [lease.serial for lease in again.before] == [1, 3]
+    again = LeaseRecord(tmp_path, SPAN)
+    assert again.complete and [lease.serial for lease in again.earlier] == [1, 3]
     again.close()
+
+
+def test_leases_that_a_lost_record_held_count_to_a_span_after_their_ends() -> None:
+    limit, died = Limit(5, SPAN), 10_000.0
+    before = Allocator(lease_ms=200.0)
+    before.limited("g1", limit)
+    before.ask(died, ("n0", 1), "g1", 5)
+    (lease,) = before.allocate(died)
+    cache = LeaseCache(keep_ms=1_000.0)
+    cache.received(lease, died)
+    successor = Allocator(lease_ms=200.0)
+    successor.limited("g1", limit)
+    successor.presume(died)
+    last = lease.until - 1.0
+    assert cache.take("g1", last) == 0.0
+    successor.ask(last + SPAN - 10.0, ("n1", 1), "g1", 5)
+    assert successor.allocate(last + SPAN - 10.0) == []  # its call is in each span until then
+    assert successor.allocate(last + SPAN + 10.0) != []
+
+
+def operations(work: Callable[[], object]) -> int:
+    """How many of the interpreter's operations some work takes."""
+    count = 0
+
+    def traced(frame: FrameType, event: str, _: object) -> Any:
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return traced
+
+    sys.settrace(traced)
+    work()
+    sys.settrace(None)
+    return count
+
+
+def test_a_lease_costs_a_sender_the_same_however_many_it_holds() -> None:
+    def received(count: int) -> int:
+        cache = LeaseCache()
+
+        def take_in() -> None:
+            for number in range(count):
+                cache.received(Lease(number, ("n0", 1), f"g{number}", 1, 200.0), 0.0)
+
+        return operations(take_in)
+
+    assert received(800) <= 8.5 * received(100)
+
+
+def test_failures_that_count_against_no_limit_make_no_state() -> None:
+    allocator = Allocator()
+    control = AllocatorControl("fleet", EXACT, {"g1": Limit(5, SPAN)}, allocator, 0.0)
+    owner = control.register(0.0, Register(PROTOCOL_VERSION, "fleet", "n0", 1))
+    control.received(1.0, owner, UseReport(1, 0.0, {}, {"g1": 4}))
+    control.received(9_000.0, owner, UseReport(2, 8_000.0, {"g1": 4}, {}))
+    assert allocator.states == 0
+
+
+def test_a_limit_that_nobody_waits_for_any_more_does_not_keep_the_allocator_busy() -> None:
+    allocator = Allocator()
+    allocator.limited("g1", Limit(1, 60_000.0))
+    allocator.ask(0.0, ("n0", 1), "g1", 1)
+    assert allocator.allocate(0.0) != []
+    allocator.ask(1.0, ("n1", 1), "g1", 1)  # and is not heard of again
+    assert allocator.allocate(1.0) == [] and allocator.waits("g1")
+    allocator.allocate(2_000.0)
+    assert not allocator.waiting
+    allocator.ask(3_000.0, ("n1", 1), "g1", 1)
+    allocator.ask(3_001.0, ("n1", 1), "g1", 0)
+    allocator.allocate(3_001.0)
+    assert not allocator.waiting
+
+
+@pytest.mark.parametrize("per_s", [float("nan"), float("inf"), -1.0, 0.0, 1e18])
+def test_a_rate_that_makes_no_sense_is_not_passed_on(per_s: float) -> None:
+    session = SenderSession("n0", 1, "fleet", LeaseCache())
+    session.connected(0.0)
+    assert not session.partner_rate("g1", per_s)
+    assert session.due(1.0) == []
+
+
+def test_an_endpoint_of_any_name_has_a_key_that_a_message_can_hold() -> None:
+    keys = {key_of(Endpoint(1, name, "h", 1, 7, True, 1)) for name in ("x" * 300, "x" * 299 + "y", "\ud800")}
+    assert len(keys) == 3
+    for key in keys:
+        request = LeaseRequest({key: 1})
+        assert Lines().feed(write(request)) == [request]
+    assert key_of(Endpoint(1, "x" * 190, "h", 1, 7, True, 1)) == "r7/" + "x" * 190
+
+
+def test_limits_that_come_and_go_leave_nothing_behind() -> None:
+    control = AllocatorControl("fleet", ADAPTIVE, {}, Allocator(), 0.0)
+    for n in range(100):
+        control.limited(float(n), "g1", Limit(20, SPAN, ADAPTIVE))
+        control.limited(float(n), "g1", Limit(10, SPAN, ADAPTIVE))  # it falls: it is bound
+        if n < 99:
+            control.unlimited("g1")
+    once = AllocatorControl("fleet", ADAPTIVE, {"g1": Limit(20, SPAN, ADAPTIVE)}, Allocator(), 0.0)
+    once.limited(0.0, "g1", Limit(10, SPAN, ADAPTIVE))
+    moments = [float(now) for now in range(1_000, 8_000, 500)]
+    often, expected = (sum(operations(partial(one.tick, now)) for now in moments) for one in (control, once))
+    assert often <= 2 * expected
