--- a/springspread/fleet/allocator.py
+++ b/springspread/fleet/allocator.py
@@ -32,8 +32,9 @@
 from heapq import heappop, heappush
 from math import floor, inf
 
-from springspread.fleet.limits import Lease, Limit, Owner
+from springspread.fleet.limits import UNKNOWN_KEY, Lease, Limit, Owner
 
+MAX_LEASE_CALLS = (1 << 32) - 1  # as the record holds it
 PACE = 1.1  # times the limit: what was late is made up for
 
 
@@ -66,6 +67,7 @@
     level: float = inf  # calls that the pace has free
     filled_at: float = 0.0
     not_before: float = -inf  # nothing can be free earlier
+    wanted_until: float = -inf  # by then whoever waits has to ask again
 
     def fill(self, now: float, burst_ms: float) -> None:
         """The pace goes on."""
@@ -128,18 +130,21 @@
         self._states: dict[str, LimitState] = {}
         self._waiting: dict[str, None] = {}  # keys that anybody waits for, in the order of the first asking
         self._ends: list[tuple[float, str]] = []  # a heap: when states may be of no account any more
+        self._ending: set[str] = set()  # their keys
         self._before: dict[str, list[Lease]] = {}
         self._epochs: dict[str, int] = {}
         self._serial = 0
         self._presumed: float | None = None
         self.steps = 0  # limits looked at by ``allocate``, for tests of what it costs
 
-    def presume(self, now: float) -> None:
-        """What was given out before this moment is not known: each limit counts as used up by then.
+    def presume(self, now: float) -> Lease:
+        """What was given out before this moment is not known: each limit counts as used up.
 
-        It costs a limit's span, once.
+        Leases of it may be used to their ends, so it costs a lease's time and a limit's span, once. The
+        result stands for them on the record: a successor that restores it presumes the same.
         """
-        self._presumed = now
+        self._presumed = now + self._lease_ms
+        return Lease(0, NOBODY, UNKNOWN_KEY, 0, self._presumed)
 
     def limited(self, key: str, limit: Limit) -> None:
         """A limit is told, or told anew. Leases that are out stay good to their ends, and count."""
@@ -177,10 +182,14 @@
         if key not in self._limits or owner[1] < self._epochs.get(owner[0], 0):
             return
         if calls > 0:
-            self._state(key).wants[owner] = Demand(calls, now)
+            state = self._state(key)
+            state.wants[owner] = Demand(min(calls, MAX_LEASE_CALLS), now)
+            state.wanted_until = now + self._want_ms
             self._waiting[key] = None
-        elif (state := self._states.get(key)) is not None:
-            state.wants.pop(owner, None)
+        elif (known := self._states.get(key)) is not None:
+            known.wants.pop(owner, None)
+            if not known.wants:
+                known.wanted_until = -inf
 
     def report(self, now: float, owner: Owner, key: str, serial: int, made: int, last_at: float) -> None:
         """The owner of a lease will make no more calls against it: it made so many, the last one then."""
@@ -199,12 +208,13 @@
 
     def count_unleased(self, now: float, key: str, calls: int, made_at: float) -> None:
         """Calls were made without a lease, the last one at ``made_at``: they count for a span from then."""
-        if key not in self._limits:
+        limit = self._limits.get(key)
+        if limit is None or calls <= 0:
             return
-        state = self._state(key)
-        over_at = made_at + state.limit.span_ms + self._slack_ms
-        if over_at <= now or calls <= 0:
+        over_at = made_at + limit.span_ms + self._slack_ms
+        if over_at <= now:
             return
+        state = self._state(key)
         state.fill(now, self._burst_ms)
         state.level = max(state.level - calls, 0.0)  # it is a pace, no debt: the count keeps the limit
         if state.unleased and 0.0 <= over_at - state.unleased[-1].over_at <= MERGE_MS:
@@ -219,7 +229,7 @@
         leases: list[Lease] = []
         for key in list(self._waiting):
             state = self._states[key]
-            if now < state.not_before:
+            if now < min(state.not_before, state.wanted_until):
                 continue
             self.steps += 1
             state.clear(now, self._want_ms, self._epochs)
@@ -263,7 +273,9 @@
         if self._presumed is not None:
             over_at = self._presumed + limit.span_ms + self._slack_ms
             state.counts[0] = Count(NOBODY, limit.calls, over_at)  # serials begin at 1
-        heappush(self._ends, (0.0, key))
+        if key not in self._ending:
+            self._ending.add(key)
+            heappush(self._ends, (0.0, key))
         return state
 
     def _forget_ended(self, now: float) -> None:
@@ -272,10 +284,12 @@
             _, key = heappop(self._ends)
             state = self._states.get(key)
             if state is None:
+                self._ending.discard(key)
                 continue
             ends = [count.over_at for count in (*state.counts.values(), *state.unleased)]
             if not state.wants and max(ends, default=now) <= now and state.filled_at + self._burst_ms <= now:
                 del self._states[key]
+                self._ending.discard(key)
                 self._waiting.pop(key, None)  # whoever waited has taken it back
             else:
                 again = max(max(ends, default=now), state.filled_at + self._burst_ms, now + self._burst_ms)
@@ -285,6 +299,9 @@
         """Count what a predecessor gave out, before anything is asked for."""
         self._before = {}
         for lease in records:
+            if lease.key == UNKNOWN_KEY:
+                self._presumed = max(lease.until, self._presumed or lease.until)
+                continue
             self._before.setdefault(lease.key, []).append(lease)
             self._serial = max(self._serial, lease.serial)
             self._epochs[lease.owner[0]] = max(lease.owner[1], self._epochs.get(lease.owner[0], 0))
--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -1,7 +1,7 @@
 """The allocator's driver: a Unix socket that instances connect to, a record on disk, and a thread that ticks.
 
-What is decided stands in ``allocator_control``. A frozen instance blocks nobody: what it does not read is
-dropped with its connection, and its leases run out.
+What is decided stands in ``allocator_control``. A frozen instance blocks nobody: what its socket does not
+take is kept for ``STALLED_MS`` and then dropped with its connection, and its leases run out.
 """
 
 from __future__ import annotations
@@ -10,7 +10,7 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -21,13 +21,15 @@
 from springspread.fleet.allocator_control import AllocatorControl, RegisterRefused
 from springspread.fleet.limits import PARTNER_SPAN_MS, Limit, LimitMode, Owner
 from springspread.fleet.messages import LeaseRequest, Register, UseReport
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.wire import Fit, Lines, Message, Returning, Unreadable, write
 from springspread.net.threads import spawn
 from springspread.rollout.terms import Acting, Vote
 
 TICK_MS = 5.0
 IDLE_MS = 200.0
+STALLED_MS = 1_000.0  # an instance that reads nothing for so long loses its connection
+ACCEPT_AGAIN_MS = 100.0
 SLACK_MS = 75.0  # from a call's right to its last byte at the partner: a held last byte and the way there
 
 
@@ -37,6 +39,8 @@
 
     sock: socket.socket
     owner: Owner | None = None
+    unsent: bytearray = field(default_factory=bytearray)  # what its socket has not taken yet
+    sent_at: float = 0.0  # when it last took anything, while there is more
 
 
 class AllocatorServer:
@@ -63,10 +67,11 @@
         self._lock = threading.Lock()
         self._news = threading.Event()
         self._members: dict[Owner, Member] = {}
+        self._unsent: dict[Member, None] = {}  # those whose socket has not taken all
         self._heard = heard
         self._returning: dict[str, tuple[int, Returning]] = {}  # by instance: its epoch, and what it said
         longest = max([PARTNER_SPAN_MS, *(limit.span_ms for limit in limits.values())])
-        self._record = Record(folder, longest + SLACK_MS)
+        self._record = LeaseRecord(folder, longest + SLACK_MS)
         self.control = self._control(fleet, default_mode, limits, began_before)
         self.path = path
         path.unlink(missing_ok=True)
@@ -83,12 +88,12 @@
     ) -> AllocatorControl:
         now, record = self._clock.now(), self._record
         allocator = Allocator(slack_ms=SLACK_MS)
-        allocator.restore(record.before)
-        if not record.whole or (began_before and not record.found):
+        allocator.restore(record.earlier)
+        if not record.complete or (began_before and not record.existed):
             # Guards limits after a power loss, or a record that is lost: anything may have been given out.
             self._log.warning("leases not known; limits count as used up")
-            allocator.presume(now)
-        learning = began_before or record.found
+            record.append([allocator.presume(now)], now)
+        learning = began_before or record.existed
         return AllocatorControl(fleet, default_mode, limits, allocator, now, learning)
 
     @property
@@ -116,8 +121,11 @@
         while self._open:
             try:
                 sock, _ = self._listener.accept()
-            except OSError:
-                return
+            except OSError as exc:
+                if self._open:  # too many open files, or a peer that is gone already
+                    self._log.warning("no instance accepted", error=str(exc))
+                    self._clock.sleep(ACCEPT_AGAIN_MS)
+                continue
             spawn("fleet-member", partial(self._serve, Member(sock)), self._log, vital=False)
 
     def _serve(self, member: Member) -> None:
@@ -132,6 +140,7 @@
             pass
         finally:
             with self._lock:
+                self._unsent.pop(member, None)
                 known = member.owner is not None and self._members.get(member.owner) is member
                 if known and member.owner is not None:
                     del self._members[member.owner]
@@ -160,10 +169,15 @@
                     raise Unreadable(f"not expected: {type(message).__name__}")
 
     def _register(self, member: Member, message: Register) -> None:
+        if member.owner is not None:
+            raise Unreadable("it has registered already")
         try:
             owner = self.control.register(self._clock.now(), message)
         except RegisterRefused as exc:
             raise Unreadable(str(exc)) from exc
+        for (name, _), replaced in self._members.items():
+            if name == owner[0]:
+                self._drop(replaced)  # nobody would tell it of any limit from now on
         member.owner = owner
         self._members[owner] = member
         self._news.set()
@@ -183,6 +197,8 @@
             member = self._members.get(owner)
             if member is not None:
                 self._send(member, [message])
+                if member.unsent:
+                    self._news.set()
 
     def follow(
         self, limits: Mapping[str, Limit], since: float, default_mode: LimitMode | None = None
@@ -190,7 +206,10 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         with self._lock:
             self.control.follow(self._clock.now(), limits, since, default_mode)
-            self._record.counts_for(max((limit.span_ms for limit in limits.values()), default=0.0) + SLACK_MS)
+            longest = max((limit.span_ms for limit in limits.values()), default=0.0)
+            self._record.extend_retention(longest + SLACK_MS)
+            # Guards the limits against a sender that may act under their policy and has not heard of them.
+            self._send_news()
         self._news.set()
 
     def _run(self) -> None:
@@ -198,7 +217,7 @@
             with self._lock:
                 self._news.clear()
                 self._tick(self._clock.now())
-                busy = self.control.busy
+                busy = self.control.busy or bool(self._unsent)
                 wait_ms = min(IDLE_MS, max(self.control.next_at - self._clock.now(), TICK_MS))
             if busy:
                 self._clock.sleep(TICK_MS)
@@ -206,6 +225,8 @@
                 self._news.wait(wait_ms / 1000.0)
 
     def _tick(self, now: float) -> None:
+        for blocked in list(self._unsent):
+            self._send_rest(blocked, now)
         leases = self.control.tick(now)
         try:
             if leases:
@@ -214,20 +235,46 @@
         except OSError as exc:
             # Guards the limit against a successor that would not know of them: they run out untold.
             self._log.error("leases not on record", error=str(exc))
+        self._send_news()
+
+    def _send_news(self) -> None:
         for owner, messages in self.control.take_messages().items():
             member = self._members.get(owner)
             if member is not None:
                 self._send(member, messages)
 
     def _send(self, member: Member, messages: Iterable[Message]) -> None:
-        """Never waits: whoever does not read loses its connection."""
+        """Never waits: what the socket does not take goes out in a later tick."""
+        now = self._clock.now()
+        if not member.unsent:
+            member.sent_at = now
+        member.unsent += b"".join(map(write, messages))
+        self._send_rest(member, now)
+
+    def _send_rest(self, member: Member, now: float) -> None:
         try:
-            data = b"".join(map(write, messages))
-            if member.sock.send(data, socket.MSG_DONTWAIT) < len(data):
-                raise BlockingIOError
+            sent = member.sock.send(member.unsent, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            sent = 0
         except OSError:
-            with suppress(OSError):  # it may be gone already
-                member.sock.shutdown(socket.SHUT_RDWR)  # its reader ends the rest
+            self._drop(member)
+            return
+        del member.unsent[:sent]
+        if sent:
+            member.sent_at = now
+        if not member.unsent:
+            self._unsent.pop(member, None)
+        elif now < member.sent_at + STALLED_MS:
+            self._unsent[member] = None
+        else:
+            self._drop(member)
+
+    def _drop(self, member: Member) -> None:
+        """End its connection; its reader does the rest."""
+        member.unsent.clear()
+        self._unsent.pop(member, None)
+        with suppress(OSError):  # it may be gone already
+            member.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """End every connection; instances go on with what they hold and connect anew."""
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -69,29 +69,35 @@
         self._default = KeyStatus.BOUND
         self._statuses: dict[Fingerprint, KeyStatus] = {}
         self._wants: dict[str, deque[float]] = {}
-        self._known: dict[int, float] = {}  # serials of leases that are not over yet, and their ends
+        self._known: set[int] = set()  # serials of leases that are not over yet
+        self._known_ends: deque[tuple[float, int]] = deque()
         self._ledger = UseLedger()
         self._fresh_until = -inf
         self._reported_at = -inf
         self._free_used_at = -inf  # when a free call was last made, or asked for in vain
 
-    def welcomed(self, message: Welcome, sent_at: float) -> None:
-        """The allocator answers a ``Register`` that was sent then."""
+    def welcomed(self, message: Welcome, sent_at: float, statuses: Sequence[KeyStatuses] = ()) -> None:
+        """The allocator answers a ``Register`` that was sent then; ``statuses`` belong to the answer."""
         with self._lock:
-            if message.complete or message.default is KeyStatus.BOUND:
-                self._statuses.clear()
+            if message.complete or message.default is KeyStatus.BOUND or message.default is not self._default:
+                self._statuses.clear()  # those of another default say nothing of this one
             self._default = message.default
             self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
+            for one in statuses:
+                self._change(one)
 
     def statuses_changed(self, message: KeyStatuses) -> None:
         """Statuses change, and reports are acknowledged."""
         with self._lock:
-            self._set(message.bound, KeyStatus.BOUND)
-            self._set(message.free, KeyStatus.FREE)
-            self._set(message.unlimited, KeyStatus.UNLIMITED)
-            sent_at = self._ledger.acknowledged(message.acknowledged)
-            if sent_at is not None:
-                self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
+            self._change(message)
+
+    def _change(self, message: KeyStatuses) -> None:
+        self._set(message.bound, KeyStatus.BOUND)
+        self._set(message.free, KeyStatus.FREE)
+        self._set(message.unlimited, KeyStatus.UNLIMITED)
+        sent_at = self._ledger.acknowledged(message.acknowledged)
+        if sent_at is not None:
+            self._fresh_until = max(self._fresh_until, sent_at + FRESH_MS)
 
     def _set(self, fingerprints: Sequence[Fingerprint], status: KeyStatus) -> None:
         for one in fingerprints:
@@ -108,6 +114,11 @@
         with self._lock:
             return self._status(key) is not KeyStatus.UNLIMITED
 
+    def is_bound(self, key: str) -> bool:
+        """Whether each call to a key needs a lease."""
+        with self._lock:
+            return self._status(key) is KeyStatus.BOUND
+
     def take(self, key: str, now: float) -> float:
         """Take the right to one call, at once; else the milliseconds after which to ask again."""
         with self._lock:
@@ -148,10 +159,12 @@
     def received(self, lease: Lease, now: float) -> None:
         """A lease came in: so many calls wait no longer. One that comes again gives nothing more."""
         with self._lock:
-            self._known = {serial: until for serial, until in self._known.items() if until > now}
+            while self._known_ends and self._known_ends[0][0] <= now:
+                self._known.discard(self._known_ends.popleft()[1])
             if lease.until <= now or lease.serial in self._known:
                 return
-            self._known[lease.serial] = lease.until
+            self._known.add(lease.serial)
+            self._known_ends.append((lease.until, lease.serial))
             self._held.setdefault(lease.key, deque()).append(HeldLease(lease, now))
             times = self._wants.get(lease.key, deque())
             for _ in range(min(lease.calls, len(times))):
