--- a/benchmarks/capacity/mechanism.py
+++ b/benchmarks/capacity/mechanism.py
@@ -37,7 +37,7 @@
     Register,
     UseReport,
 )
-from springspread.fleet.record import Record
+from springspread.fleet.record import LeaseRecord
 from springspread.fleet.wire import Lines, Unreadable, write
 from springspread.logs import make_log
 
@@ -189,7 +189,7 @@
 
 def record_of(folder: Path, leases: int) -> int:
     """A record of so many leases on 1,000 destinations; its bytes."""
-    record = Record(folder, 1e9)
+    record = LeaseRecord(folder, 1e9)
     now, known = SYSTEM.now(), keys(1_000)
     made = [Lease(n + 1, ("n0000", 1), known[n % 1_000], 1, now + 200.0) for n in range(leases)]
     for first in range(0, leases, 20):
@@ -200,7 +200,7 @@
 
 def append_s(folder: Path, leases: int) -> float:
     """Seconds of processor time to put leases on record one by one."""
-    record, now = Record(folder, 2_000.0), SYSTEM.now()
+    record, now = LeaseRecord(folder, 2_000.0), SYSTEM.now()
     made = [Lease(n + 1, ("n0000", 1), "g1000", 1, now + 200.0) for n in range(leases)]
     begun = time.process_time()
     for lease in made:
--- a/benchmarks/capacity/membership.py
+++ b/benchmarks/capacity/membership.py
@@ -16,7 +16,7 @@
 
 from benchmarks.capacity import mechanism
 from benchmarks.capacity.measurement import Measurement, Values, status_of
-from springspread.fleet.orders import asked
+from springspread.fleet.orders import send_order
 
 IDLE_S = 6.0
 WAIT_S = 40.0
@@ -57,7 +57,7 @@
     def rows(self) -> list[dict[str, Any]]:
         """The instances, as the daemon tells them; none where it does not."""
         try:
-            told: list[dict[str, Any]] = asked(self._control, {"do": "status"}).get("instances", [])
+            told: list[dict[str, Any]] = send_order(self._control, {"do": "status"}).get("instances", [])
         except (OSError, ValueError):
             return []
         return told
