Control at full size: fewer writes, calls counted once, steadier bindings

Cause, from the hollow fleet at full size (13.3 KB/s a sender in the median, 15.7 at the 99th percentile; allocators up to 120% of a core): each change of status was a write to every sender; a waiting call counted anew each 10 ms; small limits were bound by chance at N + root of N; destinations that are down were bound and let go over and over. Change: news for every sender are gathered for 250 ms (bound) or 1 s (free) or go with what is due; a waiting call counts once; a burst binds at N + 2 x root of N, which is the operators' bound without its 2; a limit that was bound as its destination failed is held until that has served three calls in a row.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -56,6 +56,8 @@
 )
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
+GATHER_MS = {KeyStatus.BOUND: 250.0, KeyStatus.FREE: 1_000.0}
+"""So long news for every sender wait for more of them, where nothing else goes out to it before."""
 LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
 # For a key that has none, and needs leases as another key with a limit has its fingerprint.
 NO_LIMIT = Limit(1_000_000, PARTNER_SPAN_MS, LimitMode.ADAPTIVE)
@@ -132,6 +134,8 @@
         self._checked: set[str] = set()  # their keys
         self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
         self._ready: dict[Owner, None] = {}  # those with news
+        self._gather_ms = inf  # how long the news for every sender wait; inf: there are none
+        self._gather_since = inf
         self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
         self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
         self._sources = LimitSources(limits)
@@ -185,6 +189,7 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         for key, limit in self._sources.announce(limits, since).items():
             self.limited(now, key, limit)
+        self._send_gathered()
         self._next_default = default_mode or self._default_mode
         if self._next_default is LimitMode.EXACT:
             self._set_default(now, LimitMode.EXACT)
@@ -281,8 +286,9 @@
         else:
             self._bound.pop(one, None)
         if known is not (status is KeyStatus.BOUND):
-            for owner in self._outboxes:
-                self._tell(owner, one, status)
+            for outbox in self._outboxes.values():
+                outbox.statuses[one] = status
+            self._gather_ms = min(self._gather_ms, GATHER_MS[status])
 
     def _tell(self, owner: Owner, one: Fingerprint, status: KeyStatus) -> None:
         if (outbox := self._outboxes.get(owner)) is not None:
@@ -415,6 +421,7 @@
     def tick(self, now: float) -> list[Lease]:
         """Time goes on: leases to put on record, and then to ``grant``."""
         self._limits_due(now)
+        self._gather(now)
         leases = self._allocator.allocate(now)
         while self._checks and self._checks[0][0] <= now:
             _, key = self._checks.popleft()
@@ -422,6 +429,19 @@
             self._check(now, key)
         return leases
 
+    def _gather(self, now: float) -> None:
+        """Gather news for every sender for a while, as each write costs more than what it says."""
+        if self._gather_ms < inf:
+            self._gather_since = min(self._gather_since, now)
+        if now >= self._gather_since + self._gather_ms:
+            self._send_gathered()
+
+    def _send_gathered(self) -> None:
+        self._gather_ms = self._gather_since = inf
+        for owner, outbox in self._outboxes.items():
+            if outbox.statuses:
+                self._ready[owner] = None
+
     def _check(self, now: float, key: str) -> None:
         binding = self._bindings.get(key)
         if binding is None or not binding.bound:
@@ -458,7 +478,10 @@
     @property
     def next_at(self) -> float:
         """When ``tick`` has to be called even if nobody waits; inf: not at all."""
-        return min(self._checks[0][0] if self._checks else inf, self._sources.next_at)
+        check_at = self._checks[0][0] if self._checks else inf
+        untimed = self._gather_ms < inf and self._gather_since == inf
+        gather_at = -inf if untimed else self._gather_since + self._gather_ms
+        return min(check_at, self._sources.next_at, gather_at)
 
     @property
     def has_news(self) -> bool:
--- a/springspread/fleet/binding.py
+++ b/springspread/fleet/binding.py
@@ -5,12 +5,13 @@
 
     status   event                                                              next
     free     the smoothed demand reaches ``BIND_AT`` of the limit               bound
-    free     a span has root of N calls more than the limit's N (``demand``)    bound
+    free     a span has 2 x root of N calls more than the limit's N             bound
     free     ``FAILING_CALLS`` or more failed in a span, and half of its calls  bound: down, or cold soon
     free     the limit falls                                                    bound
     free     it is asked for while a successor learns                           bound: it was before
     bound    any of these, or somebody waits for a lease                        bound, held anew
-    bound    for ``HOLD_MS`` none, and the demand is below ``RELEASE_AT``       free
+    bound    for ``HOLD_MS`` none, and the demand is below ``RELEASE_AT``;      free
+             where the destination failed, it has also served since
 
 Binding and letting go differ in threshold and in time, so that a demand near the limit does not flap.
 
@@ -19,10 +20,11 @@
 
 - While bound and every sender knows: at most N in any span, as of an exact limit.
 - After a jump of demand to L calls a millisecond: senders' reports come spread over R, so the allocator knows
-  after R + D at the latest and senders after another D. The exposure is R + 2 D, and ends in any case after
-  ``lease_cache.FRESH_MS`` for a sender that the allocator does not reach. Calls of a span that touches it: at
-  most N + root of N + L (R + 2 D), and never more than senders x ``use_ledger.MAX_UNACKNOWLEDGED`` above
-  N + root of N, as an acknowledgement brings the status with it.
+  after R + D at the latest, gathers news for G (``allocator_control.GATHER_MS``), and senders know after
+  another D. The exposure is R + G + 2 D, and ends in any case after ``lease_cache.FRESH_MS`` for a sender
+  that the allocator does not reach. Calls of a span that touches it: at most N + 2 x root of N +
+  L (R + G + 2 D), and never more than senders x ``use_ledger.MAX_UNACKNOWLEDGED`` above N + 2 x root of N, as an
+  acknowledgement brings the status with it.
 - While free with no jump: the mean is below ``BIND_AT`` of N, and a span of N + 2 x root of N + 2 calls is a
   rare accident of its spread (measured in ``benchmarks.hollow_fleet``).
 
@@ -60,13 +62,14 @@
 class Binding:
     """The status of one adaptive limit, and what is known of its demand."""
 
-    __slots__ = ("_demand", "_failures", "_pressed_at", "cause", "limit")
+    __slots__ = ("_demand", "_failures", "_pressed_at", "_succeeded", "cause", "limit")
 
     def __init__(self, limit: Limit) -> None:
         self.limit = limit
         self.cause: Cause | None = None  # why it is bound; none: it is free
         self._demand = DemandEstimate(limit.span_ms)
         self._failures: DemandEstimate | None = None
+        self._succeeded = 0  # calls since the last one that failed
         self._pressed_at = -inf  # when there was last a reason to be bound
 
     def used(self, now: float, calls: int, failed: int = 0) -> Cause | None:
@@ -76,6 +79,10 @@
             if self._failures is None:
                 self._failures = DemandEstimate(self.limit.span_ms)
             self._failures.add(now, failed)
+            self._succeeded = 0
+            self._pressed_at = now
+        else:
+            self._succeeded += calls
         return self._bind(now, self._cause(now))
 
     def asked(self, now: float, learning: bool) -> Cause | None:
@@ -98,6 +105,8 @@
         """Whether the limit lets go now."""
         if not self.bound or now < self._pressed_at + HOLD_MS:
             return False
+        if self.cause is Cause.FAILING and self._succeeded < FAILING_CALLS:
+            return False  # nothing is known of it but that it failed
         if self._cause(now) is not None or self._above(now, RELEASE_AT):
             return False
         self.cause = None
@@ -117,6 +126,8 @@
             return None
         self._pressed_at = now
         if self.bound:
+            if cause is Cause.FAILING:
+                self.cause = cause  # what lets it go is another sign then
             return None
         self.cause = cause
         return cause
@@ -127,7 +138,7 @@
             failed = self._failures.recent(now)
             if failed >= FAILING_CALLS and failed >= FAILING_PART * recent:
                 return Cause.FAILING
-        if recent >= calls + sqrt(calls):
+        if recent >= calls + 2.0 * sqrt(calls):
             return Cause.BURST
         if self._demand.smoothed(now) >= BIND_AT * calls:
             return Cause.DEMAND
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -120,7 +120,9 @@
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
-        while self._cache.take(key, now := self._clock.now()) > 0.0:
+        waiting = False
+        while self._cache.take(key, now := self._clock.now(), waiting) > 0.0:
+            waiting = True
             self._wake.set()
             if now >= until:
                 return 0.0
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -119,8 +119,11 @@
         with self._lock:
             return self._status(key) is KeyStatus.BOUND
 
-    def take(self, key: str, now: float) -> float:
-        """Take the right to one call, at once; else the milliseconds after which to ask again."""
+    def take(self, key: str, now: float, waiting: bool = False) -> float:
+        """Take the right to one call, at once; else the milliseconds after which to ask again.
+
+        ``waiting``: the call has asked before, and counts once among those that wait.
+        """
         with self._lock:
             match self._status(key):
                 case KeyStatus.UNLIMITED:
@@ -128,7 +131,7 @@
                 case KeyStatus.FREE:
                     return self._take_free(key, now)
                 case KeyStatus.BOUND:
-                    return self._take_leased(key, now)
+                    return self._take_leased(key, now, waiting)
 
     def _take_free(self, key: str, now: float) -> float:
         self._free_used_at = now
@@ -138,7 +141,7 @@
         self._ledger.add(key, now)
         return 0.0
 
-    def _take_leased(self, key: str, now: float) -> float:
+    def _take_leased(self, key: str, now: float, waiting: bool) -> float:
         for held in self._held.get(key, ()):
             if now < held.lease.until and held.made < held.lease.calls:
                 held.made += 1
@@ -147,6 +150,8 @@
         times = self._wants.setdefault(key, deque())
         while times and times[0] + self._want_ms <= now:
             times.popleft()  # guards memory while nobody asks for them, as the allocator is away
+        if waiting and times:
+            times.popleft()  # its own entry, or one like it
         times.append(now)
         return self._retry_ms
 
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -153,7 +153,7 @@
         """Whether a waiting call has come to its end."""
         now, clock = self.sender.queue.now, self.sender.queue.clock
         begun = perf_counter_ns()
-        wait_ms = self.cache.take(call.key, clock)
+        wait_ms = self.cache.take(call.key, clock, waiting=True)
         self.sender.meter.cpu_ns += perf_counter_ns() - begun
         if wait_ms > 0.0:
             self._wake(now)
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -210,7 +210,8 @@
     def _lacks(self, call: Call) -> bool:
         """Whether a call has to wait for a lease, or to end without one."""
         now = self.town.clock.now()
-        if self.lease_cache is None or self.lease_cache.take(key_of(call.endpoint), now) == 0.0:
+        waiting = now > call.sent_at
+        if self.lease_cache is None or self.lease_cache.take(key_of(call.endpoint), now, waiting) == 0.0:
             return False
         if not self._polling:
             self._polling = True
--- a/tests/fleet/test_lease_cache.py
+++ b/tests/fleet/test_lease_cache.py
@@ -132,3 +132,15 @@
     assert cache.take(KEY, 11.0) > 0.0
     cache.welcomed(Welcome(KeyStatus.FREE, True), 20.0)
     assert cache.take(KEY, 21.0) == 0.0
+
+
+def test_a_call_that_asks_again_counts_once() -> None:
+    cache = LeaseCache()
+    for now in range(0, 100, 10):
+        assert cache.take(KEY, float(now), waiting=now > 0) > 0.0
+    assert cache.wants(90.0) == {KEY: 1}
+    assert cache.take(KEY, 90.0) > 0.0  # another one
+    assert cache.wants(90.0) == {KEY: 2}
+    for late in (100.0, 110.0):
+        assert cache.take(KEY, late, waiting=True) > 0.0  # both again
+    assert cache.wants(155.0) == {KEY: 2}
