An acknowledgement goes behind every status; what one sender is told in a module of its own

Cause: with more than 4,096 statuses the first of several messages held the acknowledgement, which extends the right to free calls before the last statuses were read. Change: it stands in the last one. Outbox is a module of its own.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -28,25 +28,18 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from math import inf
 
-from msgspec.structs import replace
-
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.binding import Binding, Cause
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limit_sources import LimitSources
 from springspread.fleet.limits import PARTNER_SPAN_MS, Lease, Limit, LimitMode, Owner
-from springspread.fleet.line_parts import parts
 from springspread.fleet.messages import (
-    MAX_KEYS,
     PROTOCOL_VERSION,
     Fingerprint,
     GrantedLease,
     KeyStatus,
-    KeyStatuses,
-    LeaseGrants,
     LeaseRequest,
     LimitMessage,
     Register,
@@ -54,6 +47,7 @@
     Welcome,
     fingerprint,
 )
+from springspread.fleet.outbox import Outbox
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
 GATHER_MS = {KeyStatus.BOUND: 250.0, KeyStatus.FREE: 1_000.0}
@@ -67,44 +61,6 @@
     """A sender that may not join; the text says why."""
 
 
-@dataclass(slots=True)
-class Outbox:
-    """What one sender is to be told."""
-
-    welcome: Welcome | None = None
-    acknowledged: int = 0
-    statuses: dict[Fingerprint, KeyStatus] = field(default_factory=dict)
-    leases: list[GrantedLease] = field(default_factory=list)
-
-    def messages(self) -> list[LimitMessage]:
-        """In the order in which they are to be read."""
-        statuses = self._status_messages()
-        made: list[LimitMessage] = []
-        if self.welcome is not None:
-            made.append(replace(self.welcome, following=len(statuses)))
-        made += statuses
-        made += [LeaseGrants(tuple(leases)) for leases in parts(self.leases, lambda lease: lease.key)]
-        return made
-
-    def _status_messages(self) -> list[KeyStatuses]:
-        by_status: dict[KeyStatus, list[Fingerprint]] = {status: [] for status in KeyStatus}
-        for one, status in self.statuses.items():
-            by_status[status].append(one)
-        longest = max(map(len, by_status.values()))
-        made = []
-        for start in range(0, max(longest, 1 if self.acknowledged else 0), MAX_KEYS):
-            part = {status: tuple(ones[start : start + MAX_KEYS]) for status, ones in by_status.items()}
-            made.append(
-                KeyStatuses(
-                    self.acknowledged,
-                    part[KeyStatus.BOUND],
-                    part[KeyStatus.FREE],
-                    part[KeyStatus.UNLIMITED],
-                )
-            )
-        return made
-
-
 class AllocatorControl:
     """One allocator. Feed it what comes in, call ``tick`` often while ``busy``."""
 
@@ -482,8 +438,3 @@
         untimed = self._gather_ms < inf and self._gather_since == inf
         gather_at = -inf if untimed else self._gather_since + self._gather_ms
         return min(check_at, self._sources.next_at, gather_at)
-
-    @property
-    def has_news(self) -> bool:
-        """Whether ``take_messages`` would give any."""
-        return bool(self._ready)
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -12,6 +12,7 @@
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS, LeaseCache
 from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
 from springspread.fleet.messages import (
+    MAX_KEYS,
     PROTOCOL_VERSION,
     KeyStatus,
     KeyStatuses,
@@ -24,6 +25,7 @@
     Welcome,
     fingerprint,
 )
+from springspread.fleet.outbox import Outbox
 from springspread.fleet.sender_session import SenderSession
 
 SPAN = 2_000.0
@@ -414,3 +416,9 @@
     late = control.register(300.0, Register(PROTOCOL_VERSION, "fleet", "n9", 1))
     told_late = control.take_messages()[late]
     assert told_late == [Welcome(KeyStatus.FREE, True, 1), KeyStatuses(0, bound=bound)]
+
+
+def test_an_acknowledgement_goes_behind_every_status_that_was_told_before_it() -> None:
+    statuses = dict.fromkeys(range(2 * MAX_KEYS + 1), KeyStatus.BOUND)
+    messages = Outbox(acknowledged=7, statuses=statuses).messages()
+    assert [one.acknowledged for one in messages if isinstance(one, KeyStatuses)] == [0, 0, 7]
