--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -28,25 +28,18 @@
 
 from collections import deque
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from math import inf
 
-from msgspec.structs import replace
-
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.binding import Binding, Cause
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limit_sources import LimitSources
 from springspread.fleet.limits import PARTNER_SPAN_MS, Lease, Limit, LimitMode, Owner
-from springspread.fleet.line_parts import parts
 from springspread.fleet.messages import (
-    MAX_KEYS,
     PROTOCOL_VERSION,
     Fingerprint,
     GrantedLease,
     KeyStatus,
-    KeyStatuses,
-    LeaseGrants,
     LeaseRequest,
     LimitMessage,
     Register,
@@ -54,8 +47,11 @@
     Welcome,
     fingerprint,
 )
+from springspread.fleet.outbox import Outbox
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
+GATHER_MS = {KeyStatus.BOUND: 250.0, KeyStatus.FREE: 1_000.0}
+"""So long news for every sender wait for more of them, where nothing else goes out to it before."""
 LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
 # For a key that has none, and needs leases as another key with a limit has its fingerprint.
 NO_LIMIT = Limit(1_000_000, PARTNER_SPAN_MS, LimitMode.ADAPTIVE)
@@ -65,44 +61,6 @@
     """A sender that may not join; the text says why."""
 
 
-@dataclass(slots=True)
-class Outbox:
-    """What one sender is to be told."""
-
-    welcome: Welcome | None = None
-    acknowledged: int = 0
-    statuses: dict[Fingerprint, KeyStatus] = field(default_factory=dict)
-    leases: list[GrantedLease] = field(default_factory=list)
-
-    def messages(self) -> list[LimitMessage]:
-        """In the order in which they are to be read."""
-        statuses = self._status_messages()
-        made: list[LimitMessage] = []
-        if self.welcome is not None:
-            made.append(replace(self.welcome, following=len(statuses)))
-        made += statuses
-        made += [LeaseGrants(tuple(leases)) for leases in parts(self.leases, lambda lease: lease.key)]
-        return made
-
-    def _status_messages(self) -> list[KeyStatuses]:
-        by_status: dict[KeyStatus, list[Fingerprint]] = {status: [] for status in KeyStatus}
-        for one, status in self.statuses.items():
-            by_status[status].append(one)
-        longest = max(map(len, by_status.values()))
-        made = []
-        for start in range(0, max(longest, 1 if self.acknowledged else 0), MAX_KEYS):
-            part = {status: tuple(ones[start : start + MAX_KEYS]) for status, ones in by_status.items()}
-            made.append(
-                KeyStatuses(
-                    self.acknowledged,
-                    part[KeyStatus.BOUND],
-                    part[KeyStatus.FREE],
-                    part[KeyStatus.UNLIMITED],
-                )
-            )
-        return made
-
-
 class AllocatorControl:
     """One allocator. Feed it what comes in, call ``tick`` often while ``busy``."""
 
@@ -129,8 +87,11 @@
         self._limited_keys: dict[Fingerprint, tuple[str, ...]] = {}  # keys that have a limit
         self._bound: dict[Fingerprint, None] = {}  # limits that need leases, where that is not the default
         self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
+        self._checked: set[str] = set()  # their keys
         self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
         self._ready: dict[Owner, None] = {}  # those with news
+        self._gather_ms = inf  # how long the news for every sender wait; inf: there are none
+        self._gather_since = inf
         self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
         self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
         self._sources = LimitSources(limits)
@@ -184,6 +145,7 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         for key, limit in self._sources.announce(limits, since).items():
             self.limited(now, key, limit)
+        self._send_gathered()
         self._next_default = default_mode or self._default_mode
         if self._next_default is LimitMode.EXACT:
             self._set_default(now, LimitMode.EXACT)
@@ -280,8 +242,9 @@
         else:
             self._bound.pop(one, None)
         if known is not (status is KeyStatus.BOUND):
-            for owner in self._outboxes:
-                self._tell(owner, one, status)
+            for outbox in self._outboxes.values():
+                outbox.statuses[one] = status
+            self._gather_ms = min(self._gather_ms, GATHER_MS[status])
 
     def _tell(self, owner: Owner, one: Fingerprint, status: KeyStatus) -> None:
         if (outbox := self._outboxes.get(owner)) is not None:
@@ -401,20 +364,40 @@
         if cause is Cause.LEARNING:
             used, made_at = binding.limit.calls, self._began_at
         self._allocator.count_unleased(now, key, used, made_at)
-        self._checks.append((now + CHECK_MS, key))
+        self._check_later(now, key)
         self._status_changed(key, KeyStatus.FREE)
 
+    def _check_later(self, now: float, key: str) -> None:
+        if key not in self._checked:
+            self._checked.add(key)
+            self._checks.append((now + CHECK_MS, key))
+
     # Time
 
     def tick(self, now: float) -> list[Lease]:
         """Time goes on: leases to put on record, and then to ``grant``."""
         self._limits_due(now)
+        self._gather(now)
         leases = self._allocator.allocate(now)
         while self._checks and self._checks[0][0] <= now:
             _, key = self._checks.popleft()
+            self._checked.discard(key)
             self._check(now, key)
         return leases
 
+    def _gather(self, now: float) -> None:
+        """Gather news for every sender for a while, as each write costs more than what it says."""
+        if self._gather_ms < inf:
+            self._gather_since = min(self._gather_since, now)
+        if now >= self._gather_since + self._gather_ms:
+            self._send_gathered()
+
+    def _send_gathered(self) -> None:
+        self._gather_ms = self._gather_since = inf
+        for owner, outbox in self._outboxes.items():
+            if outbox.statuses:
+                self._ready[owner] = None
+
     def _check(self, now: float, key: str) -> None:
         binding = self._bindings.get(key)
         if binding is None or not binding.bound:
@@ -424,7 +407,7 @@
         if binding.released(now):
             self._status_changed(key, KeyStatus.BOUND)
         else:
-            self._checks.append((now + CHECK_MS, key))
+            self._check_later(now, key)
 
     def grant(self, now: float, leases: list[Lease]) -> None:
         """Leases that are on record are told to their owners."""
@@ -451,9 +434,7 @@
     @property
     def next_at(self) -> float:
         """When ``tick`` has to be called even if nobody waits; inf: not at all."""
-        return min(self._checks[0][0] if self._checks else inf, self._sources.next_at)
-
-    @property
-    def has_news(self) -> bool:
-        """Whether ``take_messages`` would give any."""
-        return bool(self._ready)
+        check_at = self._checks[0][0] if self._checks else inf
+        untimed = self._gather_ms < inf and self._gather_since == inf
+        gather_at = -inf if untimed else self._gather_since + self._gather_ms
+        return min(check_at, self._sources.next_at, gather_at)
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from functools import partial
+from hashlib import blake2b
 from math import inf
 from pathlib import Path
 
@@ -22,7 +23,7 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.types import Endpoint, Load, Log, NewPolicy
 from springspread.fleet.lease_cache import LeaseCache
-from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
+from springspread.fleet.messages import MAX_KEY_CHARS, KeyStatuses, LeaseGrants, Welcome
 from springspread.fleet.policy_participant import PolicyParticipant
 from springspread.fleet.sender_session import POLL_MS, SenderSession
 from springspread.fleet.wire import Lines, Message, PolicyMessage, Returning, Unreadable, write
@@ -37,8 +38,17 @@
 
 
 def key_of(endpoint: Endpoint) -> str:
-    """What a limit binds: the endpoint where routes are apart, else its destination."""
-    return f"r{endpoint.group}/{endpoint.name}" if endpoint.apart else f"g{endpoint.group}"
+    """What a limit binds: the endpoint where routes are apart, else its destination.
+
+    A name that no message holds is replaced by its hash; operators can't name such a key.
+    """
+    if not endpoint.apart:
+        return f"g{endpoint.group}"
+    key = f"r{endpoint.group}/{endpoint.name}"
+    name = endpoint.name.encode(errors="surrogatepass")
+    if len(key) <= MAX_KEY_CHARS and name == endpoint.name.encode(errors="replace"):
+        return key
+    return f"r{endpoint.group}/{blake2b(name, digest_size=16).hexdigest()}"
 
 
 class FleetShares:
@@ -110,7 +120,9 @@
     def acquire(self, endpoint: Endpoint) -> float:
         """Until when the right to one call is good, got now or within ``LEASE_WAIT_MS``; 0: there is none."""
         key, until = key_of(endpoint), self._clock.now() + LEASE_WAIT_MS
-        while self._cache.take(key, now := self._clock.now()) > 0.0:
+        waiting = False
+        while self._cache.take(key, now := self._clock.now(), waiting) > 0.0:
+            waiting = True
             self._wake.set()
             if now >= until:
                 return 0.0
