A request that is taken back is not answered where unknown keys are free

Cause, found on reading the change again: with an adaptive default each request that was taken back was answered with a status that the sender had, in a write of its own; a key's fingerprint was computed once for each sender. Change: only a sender that still asks is answered; the fingerprint is computed once.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -119,7 +119,8 @@
 
     def _count_as_used(self, now: float, key: str, limit: Limit) -> None:
         """A key that had no limit: senders that know it as unlimited have called it uncounted."""
-        if any(fingerprint(key) in known for known in self._informed.values()):
+        one = fingerprint(key)
+        if any(one in known for known in self._informed.values()):
             self._allocator.limited(key, limit)
             self._allocator.count_unleased(now, key, limit.calls, now)
 
@@ -316,9 +317,11 @@
             if calls and limit is None:
                 self.limited(now, key, NO_LIMIT)
             self._allocator.ask(now, owner, key, calls)
-        elif calls or one not in self._informed[owner]:
-            if self._default is KeyStatus.BOUND:
+        elif self._default is KeyStatus.BOUND:
+            if calls or one not in self._informed[owner]:
                 self._informed[owner].add(one)
+                self._tell(owner, one, status)
+        elif calls:
             self._tell(owner, one, status)
 
     def _use(self, now: float, owner: Owner, message: UseReport) -> None:
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -422,3 +422,13 @@
     statuses = dict.fromkeys(range(2 * MAX_KEYS + 1), KeyStatus.BOUND)
     messages = Outbox(acknowledged=7, statuses=statuses).messages()
     assert [one.acknowledged for one in messages if isinstance(one, KeyStatuses)] == [0, 0, 7]
+
+
+def test_a_request_that_is_taken_back_is_not_answered_where_unknown_keys_are_free() -> None:
+    control = AllocatorControl("fleet", ADAPTIVE, {"g1": FREE_ONE}, Allocator(), 0.0)
+    owner = control.register(0.0, Register(PROTOCOL_VERSION, "fleet", "n0", 1))
+    control.take_messages()
+    control.received(1.0, owner, LeaseRequest({"g1": 0}))
+    assert control.take_messages() == {}
+    control.received(2.0, owner, LeaseRequest({"g1": 1}))  # it asks: it does not know that the limit is free
+    assert control.take_messages() == {owner: [KeyStatuses(0, free=(fingerprint("g1"),))]}
