A long answer on the control socket has time for a slow reader

Change: the answer goes out piece by piece, each with that pause, and all within 30 s; the client says after how many bytes an answer broke off, in place of a parser's error.

--- a/springspread/fleet/control.py
+++ b/springspread/fleet/control.py
@@ -25,8 +25,10 @@
 MAX_ORDER_BYTES = 2 * MAX_POLICY_BYTES + (1 << 16)  # a policy is a JSON string in it: a quote takes two bytes
 MAX_DISCARDED_BYTES = 2 * MAX_ORDER_BYTES
 READ_BYTES = 1 << 18
+SEND_BYTES = 1 << 16
 IDLE_S = 2.0  # the longest pause of a peer, in either direction
 ORDER_MS = 10_000.0  # the longest time for an order to arrive, and for the rest of one that is too long
+ANSWER_MS = 30_000.0  # the longest time for an answer to be read: the longest is a policy's text
 BACKLOG = 16
 
 
@@ -65,7 +67,7 @@
     def _serve(self, sock: socket.socket) -> None:
         with sock:
             try:
-                sock.sendall(json.dumps(self._answer(sock)).encode() + b"\n")
+                send_answer(sock, self._clock, json.dumps(self._answer(sock)).encode() + b"\n")
             except OSError as exc:
                 self._log.warning("order broken off", error=str(exc))
 
@@ -83,6 +85,20 @@
         self._listener.close()
 
 
+def send_answer(sock: socket.socket, clock: Clock, line: bytes) -> None:
+    """Send an answer; raises ``OSError`` where its reader pauses for ``IDLE_S``, or takes ``ANSWER_MS`` in all.
+
+    Guards a long answer against ``sendall``, which takes the socket's timeout as its time for all bytes: a
+    busy machine's reader would get the answer's first part alone.
+    """
+    end = clock.now() + ANSWER_MS
+    unsent = memoryview(line)
+    while unsent:
+        unsent = unsent[sock.send(unsent[:SEND_BYTES]) :]
+        if unsent and clock.now() > end:
+            raise TimeoutError("the answer was not read in time")
+
+
 def read_order(sock: socket.socket, clock: Clock) -> bytes:
     """An order's bytes; raises ``OrderTooLarge``, or ``OSError`` where it does not arrive in time."""
     end = clock.now() + ORDER_MS
--- a/springspread/fleet/orders.py
+++ b/springspread/fleet/orders.py
@@ -21,7 +21,7 @@
     """Send an order to the daemon that listens at ``control``; returns its answer.
 
     ``wait_s``: how long the daemon may wait before it answers. Raises ``OSError`` or ``ValueError`` where no
-    answer comes.
+    answer comes, or not all of one.
     """
     line = json.dumps(order).encode() + b"\n"
     answer = bytearray()
@@ -33,5 +33,7 @@
             sock.sendall(line)
         while not answer.endswith(b"\n") and (received := sock.recv(READ_BYTES)):
             answer += received
+    if not answer.endswith(b"\n"):
+        raise ConnectionError(f"the daemon's answer broke off after {len(answer):,} bytes")
     decoded: dict[str, Any] = json.loads(answer)
     return decoded
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -26,7 +26,7 @@
 from springspread.rollout import document
 from springspread.rollout.document import MAX_POLICY_BYTES, Policy
 from tests.fleet.test_allocator_server import Quiet
-from tests.peer import until
+from tests.peer import serving, until
 from tests.test_config import make
 
 TOML = """folder = "fleet"
@@ -112,6 +112,51 @@
     control.close()
 
 
+def test_a_long_answer_has_time_for_a_slow_reader(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The reader pauses for less than the longest pause each time, and for more than it in all."""
+    monkeypatch.setattr(control_module, "IDLE_S", 1.0)
+    policy = "x" * 3_000_000
+    control = ControlSocket(tmp_path / "control", lambda order: {"policy": policy}, Quiet(), SYSTEM)
+    answer = bytearray()
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(10.0)
+        sock.connect(str(tmp_path / "control"))
+        sock.sendall(b"{}\n")
+        while received := sock.recv(1 << 16):
+            answer += received
+            SYSTEM.sleep(40.0)  # the reader's pace; nothing is waited for
+    assert json.loads(answer) == {"ok": True, "policy": policy}
+    control.close()
+
+
+def test_an_answer_that_nobody_reads_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control_module, "ANSWER_MS", 0.0)
+    here, there = socket.socketpair()
+    here.settimeout(0.01)
+    with here, there:
+        with pytest.raises(TimeoutError):
+            control_module.send_answer(here, SYSTEM, b"x" * 10_000_000)
+        here.settimeout(10.0)
+        there.recv(1 << 20)
+        with pytest.raises(TimeoutError, match="was not read in time"):
+            control_module.send_answer(here, SYSTEM, b"x" * 10_000_000)
+
+
+def test_an_answer_that_breaks_off_is_no_answer(tmp_path: Path) -> None:
+    with socket.socket(socket.AF_UNIX) as listener:
+        listener.bind(str(tmp_path / "control"))
+        listener.listen()
+
+        def answer_in_part(sock: socket.socket) -> None:
+            sock.recv(100)
+            sock.sendall(b'{"ok": true')
+            sock.close()
+
+        serving(listener, answer_in_part)
+        with pytest.raises(ConnectionError, match="broke off after 11 bytes"):
+            send_order(tmp_path / "control", {"do": "status"})
+
+
 def test_an_order_without_end_is_refused_after_a_bound(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
