Calls to a destination that is down need no leases; its return binds its limit

Change: failures alone bind nothing; a destination that fails is bound where its attempts come near half of its limit. Its limit is kept from the moment of its return by three things: a sender that met three failures in a row has one unacknowledged call at most (key_health, a circuit breaker), it reports its first success early, and the allocator binds at that word, told before the report's acknowledgement. The hollow fleet plays returns with calls that wait at every sender (--faults returns).

--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -417,6 +417,8 @@
             end = replace(end, load=self._shares.load(call.endpoint, end.load))
             if end.result.is_failure:
                 self._shares.failed(call.endpoint)
+            elif end.result is Result.DELIVERED:
+                self._shares.served(call.endpoint)
         if call in self._calls:
             self._calls[call] -= 1
             if not self._calls[call]:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -327,6 +327,9 @@
     def failed(self, endpoint: Endpoint) -> None:
         """An attempt at an endpoint failed or was rejected: its destination may be down or full."""
 
+    def served(self, endpoint: Endpoint) -> None:
+        """An attempt at an endpoint succeeded: its destination may be back."""
+
 
 class Log(Protocol):
     """The part of a structlog logger that the program uses."""
--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -333,6 +333,8 @@
                 self._count_use(now, made_at, key, calls, message.failed.get(key, 0))
             for key in message.failed.keys() - message.calls.keys():
                 self._count_use(now, made_at, key, 0, message.failed[key])
+            for key in message.recovered:
+                self._recovered(now, key)
         outbox = self._outboxes[owner]
         outbox.acknowledged = max(outbox.acknowledged, message.sequence)
         self._ready[owner] = None
@@ -351,6 +353,11 @@
             self._allocator.count_unleased(now, key, calls, made_at)
         self._note(now, key, binding.used(now, calls, failed))
 
+    def _recovered(self, now: float, key: str) -> None:
+        limit = self._allocator.limit(key)
+        if limit is not None and limit.mode is LimitMode.ADAPTIVE:
+            self._note(now, key, self._binding(key, limit).recovered(now))
+
     def _binding(self, key: str, limit: Limit) -> Binding:
         binding = self._bindings.get(key)
         if binding is None:
--- a/springspread/fleet/binding.py
+++ b/springspread/fleet/binding.py
@@ -5,13 +5,19 @@
 
     status   event                                                              next
     free     the smoothed demand reaches ``BIND_AT`` of the limit               bound
+    free     the same reaches ``FAILING_BIND_AT``, and the destination fails    bound
     free     a span has 2 x root of N calls more than the limit's N             bound
-    free     ``FAILING_CALLS`` or more failed in a span, and half of its calls  bound: down, or cold soon
+    free     the destination is back after it failed (``destination_health``)   bound: it may be cold
     free     the limit falls                                                    bound
     free     it is asked for while a successor learns                           bound: it was before
     bound    any of these, or somebody waits for a lease                        bound, held anew
-    bound    for ``HOLD_MS`` none, and the demand is below ``RELEASE_AT``;      free
-             where the destination failed, it has also served since
+    bound    for ``HOLD_MS`` none, and the demand is below ``RELEASE_AT``, or   free
+             ``FAILING_RELEASE_AT`` where the destination fails
+
+A destination that fails is not bound for that alone: its calls are few, as they are tried again with backoff,
+and each of them would wait for a lease. What its limit has to be kept from is the moment of its return, when
+all that waits for it goes out. So it is bound then, at the first sender's word, and until that word is
+acknowledged no sender that met only failures makes more than one call (``key_health``).
 
 Binding and letting go differ in threshold and in time, so that a demand near the limit does not flap.
 
@@ -40,13 +46,14 @@
 from math import inf, sqrt
 
 from springspread.fleet.demand import DemandEstimate
+from springspread.fleet.destination_health import DestinationHealth
 from springspread.fleet.limits import Limit
 
 BIND_AT = 0.75  # of the limit, as smoothed demand
 RELEASE_AT = 0.5
+FAILING_BIND_AT = 0.5  # of a destination that fails, whose demand grows at its return
+FAILING_RELEASE_AT = 0.33
 HOLD_MS = 10_000.0  # five of the usual spans: as long as the smoothing looks back
-FAILING_CALLS = 3
-FAILING_PART = 0.5
 
 
 class Cause(Enum):
@@ -55,6 +62,7 @@
     DEMAND = "demand near the limit"
     BURST = "a span over the limit"
     FAILING = "the destination fails"
+    RETURNED = "the destination is back"
     LOWERED = "the limit fell"
     LEARNING = "asked for while the allocator learns"
 
@@ -62,29 +70,33 @@
 class Binding:
     """The status of one adaptive limit, and what is known of its demand."""
 
-    __slots__ = ("_demand", "_failures", "_pressed_at", "_succeeded", "cause", "limit")
+    __slots__ = ("_demand", "_health", "_pressed_at", "cause", "limit")
 
     def __init__(self, limit: Limit) -> None:
         self.limit = limit
         self.cause: Cause | None = None  # why it is bound; none: it is free
         self._demand = DemandEstimate(limit.span_ms)
-        self._failures: DemandEstimate | None = None
-        self._succeeded = 0  # calls since the last one that failed
+        self._health: DestinationHealth | None = None  # none: no call has failed
         self._pressed_at = -inf  # when there was last a reason to be bound
 
     def used(self, now: float, calls: int, failed: int = 0) -> Cause | None:
         """Calls were made, with or without leases; the cause if that binds the limit."""
         self._demand.add(now, calls)
-        if failed:
-            if self._failures is None:
-                self._failures = DemandEstimate(self.limit.span_ms)
-            self._failures.add(now, failed)
-            self._succeeded = 0
-            self._pressed_at = now
-        else:
-            self._succeeded += calls
+        if failed and self._health is None:
+            self._health = DestinationHealth(self.limit.span_ms)
+        if self._health is not None and self._health.used(now, calls, failed, self._demand.recent(now)):
+            return self._bind(now, Cause.RETURNED)
         return self._bind(now, self._cause(now))
 
+    def recovered(self, now: float) -> Cause | None:
+        """A sender was served after failures alone; the cause if that binds the limit.
+
+        Its word is enough: a successor does not know that the destination failed.
+        """
+        if self._health is not None:
+            self._health.recovered()
+        return self._bind(now, Cause.RETURNED)
+
     def asked(self, now: float, learning: bool) -> Cause | None:
         """Somebody asks for a lease; the cause if that binds the limit."""
         return self._bind(now, Cause.LEARNING if learning else None)
@@ -93,7 +105,7 @@
         """The limit is another one from now on; the cause if that binds it."""
         lowered = limit.calls * self.limit.span_ms < self.limit.calls * limit.span_ms
         if limit.span_ms != self.limit.span_ms:
-            self._demand, self._failures = DemandEstimate(limit.span_ms), None
+            self._demand, self._health = DemandEstimate(limit.span_ms), None
         self.limit = limit
         return self._bind(now, Cause.LOWERED if lowered else None)
 
@@ -105,9 +117,9 @@
         """Whether the limit lets go now."""
         if not self.bound or now < self._pressed_at + HOLD_MS:
             return False
-        if self.cause is Cause.FAILING and self._succeeded < FAILING_CALLS:
-            return False  # nothing is known of it but that it failed
-        if self._cause(now) is not None or self._above(now, RELEASE_AT):
+        if self._cause(now) is not None:
+            return False
+        if self._above(now, FAILING_RELEASE_AT if self._failing else RELEASE_AT):
             return False
         self.cause = None
         return True
@@ -126,22 +138,20 @@
             return None
         self._pressed_at = now
         if self.bound:
-            if cause is Cause.FAILING:
-                self.cause = cause  # what lets it go is another sign then
             return None
         self.cause = cause
         return cause
 
+    @property
+    def _failing(self) -> bool:
+        return self._health is not None and self._health.failing
+
     def _cause(self, now: float) -> Cause | None:
-        calls, recent = self.limit.calls, self._demand.recent(now)
-        if self._failures is not None:
-            failed = self._failures.recent(now)
-            if failed >= FAILING_CALLS and failed >= FAILING_PART * recent:
-                return Cause.FAILING
-        if recent >= calls + 2.0 * sqrt(calls):
+        calls = self.limit.calls
+        if self._demand.recent(now) >= calls + 2.0 * sqrt(calls):
             return Cause.BURST
-        if self._demand.smoothed(now) >= BIND_AT * calls:
-            return Cause.DEMAND
+        if self._demand.smoothed(now) >= (FAILING_BIND_AT if self._failing else BIND_AT) * calls:
+            return Cause.FAILING if self._failing else Cause.DEMAND
         return None
 
     def _above(self, now: float, part: float) -> bool:
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -144,6 +144,11 @@
         """A call to an endpoint failed."""
         self._cache.failed(key_of(endpoint))
 
+    def served(self, endpoint: Endpoint) -> None:
+        """A call to an endpoint succeeded."""
+        if self._cache.served(key_of(endpoint)):
+            self._wake.set()
+
     def load(self, endpoint: Endpoint, load: Load) -> Load:
         """The load to hand to the decision module: with this instance's part of the endpoint's limit."""
         key = key_of(endpoint)
--- a/springspread/fleet/control.py
+++ b/springspread/fleet/control.py
@@ -86,7 +86,7 @@
 
 
 def send_answer(sock: socket.socket, clock: Clock, line: bytes) -> None:
-    """Send an answer; raises ``OSError`` where its reader pauses for ``IDLE_S``, or takes ``ANSWER_MS`` in all.
+    """Send an answer; raises ``OSError`` where its reader pauses for ``IDLE_S``, or takes over ``ANSWER_MS``.
 
     Guards a long answer against ``sendall``, which takes the socket's timeout as its time for all bytes: a
     busy machine's reader would get the answer's first part alone.
--- a/springspread/fleet/lease_cache.py
+++ b/springspread/fleet/lease_cache.py
@@ -8,6 +8,7 @@
     UNLIMITED   always                                                            as before
     FREE        while the allocator's last acknowledgement is fresh, and fewer    ends after ``FRESH_MS``
                 than ``use_ledger.MAX_UNACKNOWLEDGED`` calls are unacknowledged
+                (of a key that failed, ``key_health.HALF_OPEN_CALLS``)
     BOUND       against a lease that has not ended                                ends with the leases
 
 A lease and an acknowledgement are looked at against the clock as the call asks: a sender that was frozen
@@ -161,6 +162,11 @@
             if self._status(key) is not KeyStatus.UNLIMITED:
                 self._ledger.add_failure(key)
 
+    def served(self, key: str) -> bool:
+        """A call to a key succeeded; whether that is news for the allocator, as earlier ones failed."""
+        with self._lock:
+            return self._ledger.add_success(key)
+
     def received(self, lease: Lease, now: float) -> None:
         """A lease came in: so many calls wait no longer. One that comes again gives nothing more."""
         with self._lock:
--- a/springspread/fleet/messages.py
+++ b/springspread/fleet/messages.py
@@ -77,6 +77,7 @@
 class UseReport(Struct, frozen=True, array_like=True, tag=3):
     """Calls made without a lease since the report before, and how many of them failed.
 
+    ``recovered``: keys of which the sender had met only failures for a while, and was served again.
     ``sequence`` grows by one with each report of a process, so that one that comes twice counts once.
     ``age_ms``: how long before the report was sent the last of the calls was made. An empty report is a
     heartbeat.
@@ -86,6 +87,7 @@
     age_ms: Milliseconds = 0.0
     calls: Counts = {}
     failed: Counts = {}
+    recovered: Annotated[tuple[Key, ...], Meta(max_length=MAX_KEYS)] = ()
 
 
 class Welcome(Struct, frozen=True, array_like=True, tag=4):
--- a/springspread/fleet/use_ledger.py
+++ b/springspread/fleet/use_ledger.py
@@ -1,8 +1,8 @@
 """Calls that a sender made without a lease: what is not reported yet, and what is not acknowledged yet.
 
-No I/O, no clock. A sender may have ``MAX_UNACKNOWLEDGED`` such calls of one key outstanding; with as many
-it waits for the allocator's acknowledgement. That bounds what a fleet can do to a free limit before its
-allocator knows: senders times this.
+No I/O, no clock. A sender may have ``MAX_UNACKNOWLEDGED`` such calls of one key outstanding, and fewer of one
+that failed lately (``key_health``); with as many it waits for the allocator's acknowledgement. That bounds
+what a fleet can do to a free limit before its allocator knows: senders times this.
 """
 
 from __future__ import annotations
@@ -10,12 +10,15 @@
 from collections import deque
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
+from springspread.fleet.key_health import HALF_OPEN_CALLS, KeyHealth
 from springspread.fleet.line_parts import COUNT_BYTES, key_bytes
 from springspread.fleet.messages import LINE_BYTES, MAX_KEYS, UseReport
 
 MAX_UNACKNOWLEDGED = 32  # calls of one key
 EARLY_CALLS = MAX_UNACKNOWLEDGED // 2  # as many of one key are reported at once
-REPORT_BYTES = 7 * LINE_BYTES // 16  # the keys of the calls of a report, and those of its failures
+REPORT_BYTES = 3 * LINE_BYTES // 8  # the keys of the calls of a report, and those of its failures
 MAX_IN_FLIGHT = 16  # reports; more wait for an acknowledgement
 
 
@@ -37,13 +40,15 @@
         self._failed: dict[str, int] = {}
         self._in_flight: deque[SentReport] = deque()
         self._unacknowledged: dict[str, int] = {}
+        self._health = KeyHealth()
         self._made_at = 0.0
         self._calls_bytes = self._failed_bytes = 0  # of their keys, as they will be written
         self.early = False  # whether a report should not wait for its interval
 
     def allows(self, key: str) -> bool:
         """Whether one more call of a key may go unacknowledged."""
-        if self._unacknowledged.get(key, 0) >= MAX_UNACKNOWLEDGED:
+        most = HALF_OPEN_CALLS if self._health.limits(key) else MAX_UNACKNOWLEDGED
+        if self._unacknowledged.get(key, 0) >= most:
             return False
         return len(self._calls) < MAX_KEYS and self._calls_bytes < REPORT_BYTES
 
@@ -60,16 +65,23 @@
 
     def add_failure(self, key: str) -> None:
         """A call of a key failed."""
+        self._health.failed(key)
         if key in self._failed:
             self._failed[key] += 1
         elif len(self._failed) < MAX_KEYS and self._failed_bytes < REPORT_BYTES:
             self._failed_bytes += key_bytes(key) + COUNT_BYTES
             self._failed[key] = 1
 
+    def add_success(self, key: str) -> bool:
+        """A call of a key was served; whether that is news, which is reported early."""
+        news = self._health.served(key)
+        self.early = self.early or news
+        return news
+
     @property
     def unreported(self) -> bool:
         """Whether there is anything to report."""
-        return bool(self._calls or self._failed)
+        return bool(self._calls or self._failed or self._health.unreported)
 
     def report(self, now: float) -> UseReport | None:
         """What is to be reported now, which may be nothing but a heartbeat; none while too many are out."""
@@ -77,7 +89,8 @@
             return None
         self._sequence += 1
         age_ms = max(now - self._made_at, 0.0) if self._calls else 0.0
-        report = UseReport(self._sequence, round(age_ms, 1), self._calls, self._failed)
+        recovered = self._health.take_recovered(self._sequence)
+        report = UseReport(self._sequence, round(age_ms, 1), self._calls, self._failed, recovered)
         self._in_flight.append(SentReport(report, now, self._made_at))
         self._calls, self._failed, self.early = {}, {}, False
         self._calls_bytes = self._failed_bytes = 0
@@ -89,6 +102,7 @@
         while self._in_flight and self._in_flight[0].report.sequence <= sequence:
             sent = self._in_flight.popleft()
             sent_at = sent.sent_at
+            self._health.acknowledged(sent.report.sequence, sent.report.recovered)
             for key, calls in sent.report.calls.items():
                 left = self._unacknowledged.get(key, 0) - calls
                 if left > 0:
@@ -99,18 +113,12 @@
 
     def resend(self, now: float) -> list[UseReport]:
         """Over a new connection: what the one before may have lost, with the same sequence numbers."""
-        again = [
-            SentReport(
-                UseReport(
-                    sent.report.sequence,
-                    round(max(now - sent.made_at, 0.0), 1) if sent.report.calls else 0.0,
-                    sent.report.calls,
-                    sent.report.failed,
-                ),
-                now,
-                sent.made_at,
-            )
-            for sent in self._in_flight
-        ]
+        again = [SentReport(_aged(sent, now), now, sent.made_at) for sent in self._in_flight]
         self._in_flight = deque(again)
         return [sent.report for sent in again]
+
+
+def _aged(sent: SentReport, now: float) -> UseReport:
+    """The same report, with the age that its calls have now."""
+    age_ms = max(now - sent.made_at, 0.0) if sent.report.calls else 0.0
+    return replace(sent.report, age_ms=round(age_ms, 1))
--- a/springspread/rig/hollow/faults.py
+++ b/springspread/rig/hollow/faults.py
@@ -27,13 +27,15 @@
     ALLOCATOR_AMNESIA = "an allocator is killed; its successor has no record"
     JUMP = "the demand of a destination is multiplied until the end"
     LIMIT = "the limit of a destination is multiplied until the end"
+    RETURN = "a destination that was down serves again; calls to it wait at every sender"
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One event. ``targets`` are numbers of senders, zones, an allocator or a destination; ms.
 
-    Limits and demand are multiplied by ``factor``.
+    Limits and demand are multiplied by ``factor``. The target of a return counts the destinations that are
+    down at the begin, the busiest first; ``factor`` is how many calls wait at each sender.
     """
 
     kind: FaultKind
@@ -123,6 +125,17 @@
     return (Fault(FaultKind.LIMIT, stage.middle, stage.end, (FALL_RANK,), 0.1),)
 
 
+def returns(stage: Stage) -> tuple[Fault, ...]:
+    """Destinations that were down serve again, one after the other."""
+    step_ms = (stage.end - stage.begin) / 2.0 / len(RETURN_RANKS)
+    return tuple(
+        Fault(FaultKind.RETURN, stage.begin + step_ms * number, stage.end, (rank,), WAITING_CALLS)
+        for number, rank in enumerate(RETURN_RANKS)
+    )
+
+
+RETURN_RANKS = range(20)  # among the destinations that are down
+WAITING_CALLS = 20.0  # at each sender: far more than any of their limits
 JUMP_RANK = 1_000  # some 20 calls a second at the full size
 FALL_RANK = 100
 
@@ -139,6 +152,7 @@
         allocator_without_record,
         jump,
         fall,
+        returns,
     )
 }
 
--- a/springspread/rig/hollow/history.py
+++ b/springspread/rig/hollow/history.py
@@ -33,6 +33,7 @@
     statuses: dict[int, list[tuple[float, bool]]] = field(default_factory=dict)  # when, and whether bound
     limits: dict[int, list[tuple[float, Limit]]] = field(default_factory=dict)  # changes of limits
     jumps: dict[int, list[float]] = field(default_factory=dict)  # when demand jumped
+    returns: dict[int, float] = field(default_factory=dict)  # when a destination that was down served again
     takeovers: list[tuple[int, float, float]] = field(default_factory=list)  # shard, and while it learns
 
     def began(self, when: float, destination: int, sender: int) -> None:
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/rig/hollow/sender.py
@@ -23,6 +23,7 @@
 from springspread.rig.hollow.events import EventQueue
 from springspread.rig.hollow.meter import Meter
 from springspread.rig.hollow.network import Network, Zone
+from springspread.rig.relay import Way
 
 
 @dataclass(slots=True, eq=False)
@@ -37,6 +38,9 @@
 CallListener = Callable[[float, int], None]
 """Is told of a call that begins: when, and its destination."""
 
+LineListener = Callable[[Way, bytes], None]
+"""Is told of each line about limits, with its direction."""
+
 WaitListener = Callable[["HollowSender", WaitingCall, float, bool], None]
 """Is told how a held-up call ended: when, and whether it began or was given up."""
 
@@ -71,6 +75,7 @@
         data = b"".join(map(write, messages))
         meter.cpu_ns += perf_counter_ns() - begun
         meter.sent.add(len(messages), len(data))
+        self.sender.lines_pass(Way.UP, data)
         connection.send_up(data)
         self._wake(queue.now)
 
@@ -106,6 +111,7 @@
         meter.cpu_ns += perf_counter_ns() - begun
         if due:
             meter.sent.add(len(due), len(data))
+            sender.lines_pass(Way.UP, data)
             connection.send_up(data)
         self._wake(sender.queue.now + max(wait_ms, 0.1))
 
@@ -120,6 +126,7 @@
             self.session.received(clock, message)
         meter.cpu_ns += perf_counter_ns() - begun
         meter.received.add(len(messages), len(data))
+        sender.lines_pass(Way.DOWN, data)
         for call in list(self.waiting):
             self._try(call)
 
@@ -128,6 +135,11 @@
         if self.session.partner_rate(key, per_s):
             self._wake(self.sender.queue.now)
 
+    def served(self, key: str) -> None:
+        """A call was served."""
+        if self.cache.served(key):
+            self._wake(self.sender.queue.now)
+
     def call(self, destination: int, key: str) -> bool:
         """A call wants to begin; whether it does now. Otherwise it waits."""
         now, clock = self.sender.queue.now, self.sender.queue.clock
@@ -182,9 +194,16 @@
         self.queue, self.network, self.zone, self.meter = queue, network, zone, meter
         self.number, self.name, self.epoch = number, f"n{number:04}", epoch
         self.wait_ended = wait_ended
+        self.line_listener: LineListener | None = None
         self.alive = True
         self.sessions = [ShardSession(self, shard, LeaseCache()) for shard in shards]
 
+    def lines_pass(self, way: Way, data: bytes) -> None:
+        """Lines about limits are written or read."""
+        if self.line_listener is not None:
+            for line in data.splitlines(keepends=True):
+                self.line_listener(way, line)
+
     def kill(self) -> None:
         """The process ends: its connections break, its leases and unreported calls are lost."""
         self.alive = False
--- a/springspread/rig/hollow/spans.py
+++ b/springspread/rig/hollow/spans.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -61,6 +62,16 @@
         chosen = (self.classes == one) & (self.begins >= begin)
         if destination is not None:
             chosen &= self.destinations == destination
+        return self._fullest(chosen)
+
+    def fullest_after(self, moments: Mapping[int, float]) -> Fullest:
+        """Of the spans of some destinations that begin at a moment of each or later."""
+        chosen = np.zeros(len(self.begins), dtype=np.bool_)
+        for destination, moment in moments.items():
+            chosen |= (self.destinations == destination) & (self.begins >= moment)
+        return self._fullest(chosen)
+
+    def _fullest(self, chosen: NDArray[np.bool_]) -> Fullest:
         calls, limits = self.calls[chosen].astype(float), self.limits[chosen]
         if not len(calls):
             return Fullest(0, 0.0, 0.0, 0, 0)
--- a/springspread/rig/hollow/traffic.py
+++ b/springspread/rig/hollow/traffic.py
@@ -61,6 +61,9 @@
     def multiply(self, destination: int, factor: float) -> None:
         """The demand of one destination is so many times its mean from the next stretch on."""
 
+    def serves_again(self, destination: int) -> None:
+        """A destination that was down is not any more, from the next stretch on."""
+
 
 class Traffic:
     """Draws calls, one stretch after the other. ``down`` says which destinations are down."""
@@ -85,6 +88,11 @@
         self._factors[destination] = factor
         self._law_changed()
 
+    def serves_again(self, destination: int) -> None:
+        """A destination that was down is not any more, from the next stretch on."""
+        self.down[destination] = False
+        self._law_changed()
+
     def _law_changed(self) -> None:
         rates = self.rates.copy()
         for destination, factor in self._factors.items():
--- a/springspread/town/virtual.py
+++ b/springspread/town/virtual.py
@@ -260,6 +260,11 @@
         if self.lease_cache is not None:
             self.lease_cache.failed(key_of(endpoint))
 
+    def served(self, endpoint: Endpoint) -> None:
+        """A call succeeded; where earlier ones failed, the allocator hears of it with the next report."""
+        if self.lease_cache is not None:
+            self.lease_cache.served(key_of(endpoint))
+
     # Executor
 
     def start(self, call: Call) -> None:
--- a/tests/fleet/test_control_rules.py
+++ b/tests/fleet/test_control_rules.py
@@ -197,6 +197,16 @@
             self.sender_reads(name, 4)
         self.calls_out(name, key, times)
 
+    @rule(name=NAMES, key=KEYS, served=st.booleans(), times=st.integers(1, 4))
+    def calls_end(self, name: str, key: str, served: bool, times: int) -> None:
+        """Calls of a sender fail, or succeed."""
+        cache = self.senders[name].cache
+        for _ in range(times):
+            if served:
+                cache.served(key)
+            else:
+                cache.failed(key)
+
     @rule(name=NAMES, key=KEYS, times=st.integers(1, 6), steps=st.integers(5, 40))
     def is_busy(self, name: str, key: str, times: int, steps: int) -> None:
         """All goes well for a while."""
--- /dev/null
+++ b/tests/fleet/test_key_health.py
@@ -0,0 +1,144 @@
+"""Which keys a sender found failing: one call at a time until the allocator knows of the first success."""
+
+from __future__ import annotations
+
+from springspread.fleet.key_health import OPENING_FAILURES, RECOVERED_BYTES, KeyHealth
+from springspread.fleet.lease_cache import EARLY_MS, REPORT_MS, LeaseCache
+from springspread.fleet.line_parts import COUNT_BYTES
+from springspread.fleet.messages import LINE_BYTES, MAX_KEYS, KeyStatus, KeyStatuses, UseReport, Welcome
+from springspread.fleet.use_ledger import MAX_UNACKNOWLEDGED
+from springspread.fleet.wire import Lines, write
+
+KEY = "g1"
+
+
+def half_open() -> KeyHealth:
+    health = KeyHealth()
+    for _ in range(OPENING_FAILURES):
+        health.failed(KEY)
+    return health
+
+
+def test_only_failures_in_a_row_limit_a_key() -> None:
+    health = KeyHealth()
+    for _ in range(10):
+        for _ in range(OPENING_FAILURES - 1):
+            health.failed(KEY)
+        assert not health.limits(KEY) and not health.served(KEY)
+    assert half_open().limits(KEY) and not half_open().limits("g2")
+
+
+def test_a_key_is_limited_until_the_report_of_its_success_is_acknowledged() -> None:
+    health = half_open()
+    assert health.served(KEY) and not health.served(KEY)  # news once
+    assert health.limits(KEY)
+    assert health.take_recovered(7) == (KEY,) and not health.unreported
+    health.acknowledged(6, (KEY,))
+    assert health.limits(KEY)
+    health.acknowledged(7, (KEY,))
+    assert not health.limits(KEY)
+
+
+def test_a_failure_after_the_report_of_a_success_keeps_the_key_limited() -> None:
+    """The two events cross: the acknowledgement of a success, and a later failure; in either order."""
+    health = half_open()
+    health.served(KEY)
+    health.take_recovered(1)
+    health.failed(KEY)
+    health.acknowledged(1, (KEY,))
+    assert health.limits(KEY)
+    assert health.served(KEY) and health.take_recovered(2) == (KEY,)
+    health.acknowledged(2, (KEY,))
+    health.failed(KEY)
+    assert not health.limits(KEY)  # one failure of a closed key
+
+
+def test_a_failure_before_the_report_of_a_success_takes_it_back() -> None:
+    health = half_open()
+    health.served(KEY)
+    health.failed(KEY)
+    assert not health.unreported and health.take_recovered(1) == ()
+
+
+def test_of_very_many_keys_that_fail_the_latest_are_known() -> None:
+    health = KeyHealth()
+    for number in range(MAX_KEYS + 10):
+        for _ in range(OPENING_FAILURES):
+            health.failed(f"g{number}")
+    assert not health.limits("g9") and health.limits("g10") and health.limits(f"g{MAX_KEYS + 9}")
+
+
+def test_what_recovered_is_told_in_parts_that_fit_a_line() -> None:
+    health, told = KeyHealth(), set[str]()
+    keys = [f"r{number}/{'x' * 180}" for number in range(400)]
+    for key in keys:
+        for _ in range(OPENING_FAILURES):
+            health.failed(key)
+        health.served(key)
+    for sequence in range(1, 20):
+        taken = health.take_recovered(sequence)
+        assert sum(len(key) + 2 + COUNT_BYTES for key in taken) <= RECOVERED_BYTES
+        told |= set(taken)
+    assert told == set(keys) and not health.unreported
+
+
+def cache_of_a_failing_key() -> LeaseCache:
+    cache = LeaseCache()
+    cache.welcomed(Welcome(KeyStatus.FREE, True), 0.0)
+    for _ in range(OPENING_FAILURES):
+        assert cache.take(KEY, 1.0) == 0.0
+        cache.failed(KEY)
+    acknowledge(cache, 1.0)
+    return cache
+
+
+def acknowledge(cache: LeaseCache, now: float) -> UseReport:
+    report = cache.use_report(now)
+    assert report is not None
+    cache.statuses_changed(KeyStatuses(report.sequence))
+    return report
+
+
+def test_a_destination_that_returns_gets_one_call_before_the_allocator_has_heard_of_it() -> None:
+    cache = cache_of_a_failing_key()
+    assert cache.take(KEY, 2.0) == 0.0 and cache.take(KEY, 2.0) > 0.0
+    assert cache.served(KEY)
+    assert cache.take(KEY, 3.0) > 0.0
+    assert cache.use_report_at(3.0) == 1.0 + EARLY_MS  # it does not wait for its interval
+    assert acknowledge(cache, 1.0 + EARLY_MS).recovered == (KEY,)
+    made = sum(cache.take(KEY, 60.0) == 0.0 for _ in range(2 * MAX_UNACKNOWLEDGED))
+    assert made == MAX_UNACKNOWLEDGED
+
+
+def test_a_success_without_calls_to_report_is_reported_all_the_same() -> None:
+    cache = cache_of_a_failing_key()
+    cache.take(KEY, 2.0)
+    acknowledge(cache, 2.0 + REPORT_MS)
+    assert cache.served(KEY)
+    assert acknowledge(cache, 2.0 + 2 * REPORT_MS) == UseReport(3, 0.0, {}, {}, (KEY,))
+
+
+def test_a_report_that_a_broken_connection_may_have_lost_says_again_what_recovered() -> None:
+    cache = cache_of_a_failing_key()
+    cache.take(KEY, 2.0)
+    cache.served(KEY)
+    sent = cache.use_report(2.0 + REPORT_MS)
+    assert sent is not None and sent.recovered == (KEY,)
+    (again,) = cache.resend(3.0 + REPORT_MS)
+    assert again.recovered == (KEY,) and again.sequence == sent.sequence
+
+
+def test_the_largest_report_fits_a_line() -> None:
+    cache = LeaseCache()
+    cache.welcomed(Welcome(KeyStatus.FREE, True), 0.0)
+    keys = [f"r{number:04}/{'é' * 90}" for number in range(MAX_KEYS)]
+    for key in keys:
+        cache.take(key, 1.0)
+        for _ in range(OPENING_FAILURES):
+            cache.failed(key)
+        cache.served(key)
+    report = cache.use_report(1.0)
+    assert report is not None and report.calls and report.failed and report.recovered
+    line = write(report)
+    assert LINE_BYTES // 2 < len(line) <= LINE_BYTES
+    assert Lines().feed(line) == [report]
--- a/tests/rig/test_hollow.py
+++ b/tests/rig/test_hollow.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from springspread.fleet.binding import Binding
+from springspread.fleet.key_health import KeyHealth
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import LimitMode
 from springspread.rig.hollow.faults import Fault, FaultKind, Stage, schedule
@@ -125,6 +127,44 @@
     assert spans.fullest(SpanClass.FREE, begin=AT).ratio_tolerated <= 1.0
 
 
+RETURNS = FleetSize(42, 3, TrafficLaw(2_000, 4_000.0, hottest_share=0.02))
+
+
+def play_returns() -> tuple[HollowFleet, Spans]:
+    stage = Stage(RETURNS.senders, RETURNS.allocators, AT, AT + 6_000.0, RETURNS.seed)
+    return run(RETURNS, schedule("returns", stage), AT + 9_000.0)
+
+
+def test_what_waits_for_destinations_that_return_goes_out_within_their_limits() -> None:
+    fleet, spans = play_returns()
+    found = spans.fullest_after(fleet.history.returns)
+    assert len(fleet.history.returns) == 20 and found.spans > 1_000
+    assert found.ratio >= 0.9 and found.ratio_tolerated <= 1.0
+
+
+def test_calls_to_what_is_down_wait_for_nothing_until_it_returns() -> None:
+    fleet, _ = play_returns()
+    before = [one for one in fleet.history.held_up if one.destination not in fleet.history.returns]
+    assert not [one for one in before if one.since > 2 * JOIN_MS]
+
+
+@pytest.mark.parametrize(
+    ("owner", "name"), [(Binding, "recovered"), (KeyHealth, "limits")], ids=["no binding", "no restraint"]
+)
+def test_without_each_part_of_it_a_return_exceeds_the_limit(
+    owner: type[Binding | KeyHealth], name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Planted faults: the word of a return binds nothing; senders don't hold back."""
+    monkeypatch.setattr(owner, name, lambda *_: None)
+    fleet, spans = play_returns()
+    assert spans.fullest_after(fleet.history.returns).ratio_tolerated > 1.1
+
+
+def test_a_return_of_more_destinations_than_are_down_is_refused_by_their_number() -> None:
+    with pytest.raises(ValueError, match="7 destinations have to be down; there are 6"):
+        run(SIZE, schedule("returns", Stage(42, 3, AT, AT + 6_000.0, 1)), AT)
+
+
 TROUBLE = ("zone", "region", "most-restart", "allocator", "allocator-without-record")
 
 
