--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -91,7 +91,7 @@
     parser.add_argument("--csv", type=Path)
     parser.add_argument("--sockets", action="store_true", help="real senders' clients and a real allocator")
     parser.add_argument("--true", action="store_true", help="beside real instances of the program")
-    parser.add_argument("--load", type=float, default=0.3, help="part of the limits, beside real instances")
+    parser.add_argument("--load", type=float, default=0.8, help="part of the limits, beside real instances")
     parser.add_argument("--processes", type=int, default=4, help="of the senders on sockets")
     parser.add_argument("--no-control", action="store_true", help="on sockets: what the driver alone costs")
     parser.add_argument("--mode", choices=[mode.value for mode in LimitMode], default="adaptive")
@@ -106,7 +106,7 @@
         senders=args.senders,
         partners=20,
         per_s=args.per_s,
-        load=0.8,
+        load=args.load,
         length_ms=length_ms,
         shared=True,
     )
--- a/springspread/rig/hollow/comparison.py
+++ b/springspread/rig/hollow/comparison.py
@@ -4,13 +4,14 @@
 the calls are recorded as they come to partners. Then as many hollow senders make the same calls at the same
 times, in virtual time, with one allocator on the same host. What may differ: a real sender asks a little
 before its call arrives at the partner, and asks for calls that it then gives up; the hollow ones ask at the
-arrival, and for no others.
+arrival, and for no others. So lines about limits are also told by kind of message.
 """
 
 from __future__ import annotations
 
 import json
 from bisect import bisect_left
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -20,6 +21,15 @@
 
 from springspread.core.clock import SYSTEM
 from springspread.fleet.limits import Limit, LimitMode
+from springspread.fleet.messages import (
+    KeyStatuses,
+    LeaseGrants,
+    LeaseRequest,
+    LimitMessage,
+    Register,
+    UseReport,
+    Welcome,
+)
 from springspread.rig.daemon import relay_path
 from springspread.rig.hollow.fleet import FleetSize, HollowFleet
 from springspread.rig.hollow.meter import Volume
@@ -67,6 +77,9 @@
     def multiply(self, destination: int, factor: float) -> None:
         """Nothing multiplies what was recorded."""
 
+    def serves_again(self, destination: int) -> None:
+        """Nothing is down for good in what was recorded."""
+
 
 class RecordedTown(SocketTown):
     """A day on sockets that is written down."""
@@ -128,18 +141,35 @@
     down: Volume = field(default_factory=Volume)
 
 
-class RelayCounts:
-    """The lines of one real instance while ``counting``: about limits, and about policies."""
+KINDS: Mapping[int, type[LimitMessage]] = {
+    1: Register,
+    2: LeaseRequest,
+    3: UseReport,
+    4: Welcome,
+    5: KeyStatuses,
+    6: LeaseGrants,
+}
+"""Messages about limits by their tags."""
+
+
+class LineCounts:
+    """The lines of one sender while ``counting``: about limits, about policies, and about limits by kind."""
 
     def __init__(self) -> None:
         self.counting = False
         self.limits, self.policies = Counts(), Counts()
+        self.kinds = {kind.__name__: Volume() for kind in KINDS.values()}
 
     def seen(self, way: Way, line: bytes) -> None:
         """A line passes."""
-        if self.counting:
-            counts = self.limits if line.startswith(b"[") else self.policies
-            (counts.up if way is Way.UP else counts.down).add(1, len(line))
+        if not self.counting:
+            return
+        of_limits = line.startswith(b"[")
+        counts = self.limits if of_limits else self.policies
+        (counts.up if way is Way.UP else counts.down).add(1, len(line))
+        if of_limits:
+            tag = int(line[1:].split(b",", 1)[0])
+            self.kinds[KINDS[tag].__name__].add(1, len(line))
 
 
 def with_limits(day: Day) -> Day:
@@ -158,7 +188,7 @@
     relays, counts = [], []
     for number in range(day.senders):
         place = folder / "fleet"
-        relay, count = Relay(relay_path(place, name_of(number)), place / "allot"), RelayCounts()
+        relay, count = Relay(relay_path(place, name_of(number)), place / "allot"), LineCounts()
         relay.seen = count.seen
         relays.append(relay)
         counts.append(count)
@@ -177,18 +207,18 @@
         town.close()
         for relay in relays:
             relay.close()
-    real = [(count.limits, count.policies) for count in counts]
     begin, end = window[0][0], window[1][0]
     policy = Policy(json.loads((folder / "sender.json").read_text())["settings"], {})
     hollow = play_hollow(day.senders, town.recorded, policy, mode, begin, end)
+    seconds = (end - begin) / 1000.0
     rows = [Row("real", "town late", "p99", live.late_ms[0], "ms")]
     rows.append(Row("real", "calls", "per second", len(town.recorded.calls) / day.length_ms * 1000.0, "1/s"))
-    return rows + _rows(real, hollow, (end - begin) / 1000.0)
+    return rows + _rows(counts, hollow, seconds) + _kind_rows(counts, hollow, seconds)
 
 
 def play_hollow(
     senders: int, recorded: Recorded, policy: Policy, mode: LimitMode, begin: float, end: float
-) -> list[tuple[Counts, Counts]]:
+) -> list[LineCounts]:
     """The same calls by hollow senders; what each said of limits and of policies from begin to end."""
     recorded.calls.sort()
     law = TrafficLaw(len(recorded.keys), 0.0, mode=mode)
@@ -198,39 +228,59 @@
         fleet.queue.at(when + HOLLOW_START_MS, fleet.call_failed, sender, destination)
     for when, sender, destination, per_s in recorded.partner_rates:
         fleet.queue.at(when + HOLLOW_START_MS, fleet.partner_told, sender, destination, per_s)
-    meters = (fleet.meters, fleet.policy_meters)
+    counts = [LineCounts() for _ in range(senders)]
+    for hollow, count in zip(fleet.senders, counts, strict=True):
+        assert hollow is not None  # all have begun, and none is killed
+        hollow.line_listener = count.seen
     fleet.run_until(HOLLOW_START_MS + begin)
-    before = [[meter.copy() for meter in kind] for kind in meters]
+    policies = [meter.copy() for meter in fleet.policy_meters]
+    for count in counts:
+        count.counting = True
     fleet.run_until(HOLLOW_START_MS + end)
-    said = [
-        [now.since(then) for now, then in zip(kind, kind_before, strict=True)]
-        for kind, kind_before in zip(meters, before, strict=True)
-    ]
-    return [
-        (Counts(limits.sent, limits.received), Counts(policies.sent, policies.received))
-        for limits, policies in zip(*said, strict=True)
-    ]
-
-
-def _rows(
-    real: list[tuple[Counts, Counts]], hollow: list[tuple[Counts, Counts]], seconds: float
-) -> list[Row]:
+    for count, now, then in zip(counts, fleet.policy_meters, policies, strict=True):
+        said = now.since(then)
+        count.policies = Counts(said.sent, said.received)
+    return counts
+
+
+def _rows(real: list[LineCounts], hollow: list[LineCounts], seconds: float) -> list[Row]:
     """Means over senders, side by side, and their ratio."""
     rows = []
-    for kind, name in enumerate(("limits", "policies", "all")):
+    for name in ("limits", "policies", "all"):
         for direction in ("up", "down"):
-            for unit in ("lines", "bytes"):
-                means = [_mean(one, kind, direction, unit) / seconds for one in (real, hollow)]
-                what, per = f"{unit} about {name} {direction}", "1/s" if unit == "lines" else "B/s"
-                rows.append(Row("real", what, "mean of senders", means[0], per))
-                rows.append(Row("hollow", what, "mean of senders", means[1], per))
-                ratio = means[1] / means[0] if means[0] else 1.0
-                rows.append(Row("hollow", what, "by real", ratio, "1"))
+            volumes = [_volumes(one, name, direction) for one in (real, hollow)]
+            rows += _side_by_side(f"about {name} {direction}", volumes, len(real) * seconds)
     return rows
 
 
-def _mean(senders: list[tuple[Counts, Counts]], kind: int, direction: str, unit: str) -> float:
-    kinds = (0, 1) if kind == 2 else (kind,)
-    volumes = [getattr(sender[one], direction) for sender in senders for one in kinds]
-    values = [volume.messages if unit == "lines" else volume.bytes for volume in volumes]
-    return float(sum(values)) / len(senders)
+def _kind_rows(real: list[LineCounts], hollow: list[LineCounts], seconds: float) -> list[Row]:
+    """The lines about limits by kind of message."""
+    rows = []
+    for kind in KINDS.values():
+        volumes = [[count.kinds[kind.__name__] for count in one] for one in (real, hollow)]
+        rows += _side_by_side(f"of {kind.__name__}", volumes, len(real) * seconds)
+    return rows
+
+
+def _volumes(counts: list[LineCounts], name: str, direction: str) -> list[Volume]:
+    volumes = []
+    for count in counts:
+        kinds = {"limits": [count.limits], "policies": [count.policies]}.get(
+            name, [count.limits, count.policies]
+        )
+        volumes += [one.up if direction == "up" else one.down for one in kinds]
+    return volumes
+
+
+def _side_by_side(what: str, volumes: list[list[Volume]], sender_seconds: float) -> list[Row]:
+    """Lines and bytes a second of a mean sender, real and hollow, and their ratio."""
+    rows = []
+    for unit, per in (("lines", "1/s"), ("bytes", "B/s")):
+        real, hollow = (
+            sum(one.messages if unit == "lines" else one.bytes for one in some) / sender_seconds
+            for some in volumes
+        )
+        rows.append(Row("real", f"{unit} {what}", "mean of senders", real, per))
+        rows.append(Row("hollow", f"{unit} {what}", "mean of senders", hollow, per))
+        rows.append(Row("hollow", f"{unit} {what}", "by real", hollow / real if real else 1.0, "1"))
+    return rows
