What senders are told stands in a module of its own, sender_news

allocator_control held two concerns in 450 lines: limits with their bindings, and who is told what. Behaviour is unchanged; its tests follow the names. 90 tests of allocator, control, review and rule machines pass.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -2,21 +2,12 @@
 
 Theory of operation. It takes messages and moments and gives leases and messages. Exact limits are always
 bound. Adaptive ones are bound by ``binding``; while they are free their calls come as use reports. Which
-keys a sender needs leases for follows from the fleet's default:
-
-    default    a key that a sender knows nothing of   who is told of a change
-    exact      needs a lease; the answer to a request  senders that were told another status before
-               for one that does not is its status
-    adaptive   is free                                 every sender, by a 32-bit fingerprint, as with one call
-                                                       a sender and destination in minutes nobody would know
-                                                       in time otherwise (docs/design/limits-at-scale.md)
-
+keys a sender needs leases for follows from the fleet's default; ``sender_news`` has who is told what.
 Nothing is sent because a limit exists: the cost goes with requests, reports and changes of status.
 
-What is said is kept by owner until ``take_messages``, so that a tick's news to one sender goes out in one
-write. A successor learns for ``learning_ms``: senders keep the statuses that they know, and a limit that
-anybody still asks for is bound again. What was given out before it began counts as its record says, or,
-for limits that it binds while it learns, as all used up.
+A successor learns for ``learning_ms``: senders keep the statuses that they know, and a limit that anybody
+still asks for is bound again. What was given out before it began counts as its record says, or, for limits
+that it binds while it learns, as all used up.
 
 Two events that can cross: a sender calls a free limit while the status "bound" is on its way. The call is
 reported and counts from then on; the exposure is bounded by the report's interval (``binding``). A report
@@ -44,19 +35,21 @@
     LimitMessage,
     Register,
     UseReport,
-    Welcome,
     fingerprint,
 )
-from springspread.fleet.outbox import Outbox
+from springspread.fleet.sender_news import SenderNews
 
 CHECK_MS = 1_000.0  # how often a bound limit is looked at
-GATHER_MS = {KeyStatus.BOUND: 250.0, KeyStatus.FREE: 1_000.0}
-"""So long news for every sender wait for more of them, where nothing else goes out to it before."""
 LEARNING_MS = FRESH_MS + REPORT_MS  # by then every sender that lives has reported or asked
 # For a key that has none, and needs leases as another key with a limit has its fingerprint.
 NO_LIMIT = Limit(1_000_000, PARTNER_SPAN_MS, LimitMode.ADAPTIVE)
 
 
+def default_status(mode: LimitMode) -> KeyStatus:
+    """The status of keys that a sender is told nothing of."""
+    return KeyStatus.BOUND if mode is LimitMode.EXACT else KeyStatus.FREE
+
+
 class RegisterRefused(Exception):
     """A sender that may not join; the text says why."""
 
@@ -79,20 +72,14 @@
         self._fleet = fleet
         self._allocator = allocator
         self._default_mode = default_mode
-        self._default = KeyStatus.BOUND if default_mode is LimitMode.EXACT else KeyStatus.FREE
         self._next_default = default_mode
         self._learning_until = now + LEARNING_MS if learning else now
         self._began_at = now
         self._bindings: dict[str, Binding] = {}  # adaptive limits that were used or asked for
         self._limited_keys: dict[Fingerprint, tuple[str, ...]] = {}  # keys that have a limit
-        self._bound: dict[Fingerprint, None] = {}  # limits that need leases, where that is not the default
         self._checks: deque[tuple[float, str]] = deque()  # bound adaptive limits, and when to look at them
         self._checked: set[str] = set()  # their keys
-        self._outboxes: dict[Owner, Outbox] = {}  # of registered owners
-        self._ready: dict[Owner, None] = {}  # those with news
-        self._gather_ms = inf  # how long the news for every sender wait; inf: there are none
-        self._gather_since = inf
-        self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
+        self._news = SenderNews(default_status(default_mode))
         self._sequences: dict[str, tuple[int, int]] = {}  # epoch and sequence of the last report, by name
         self._sources = LimitSources(limits)
         self.causes: dict[Cause, int] = dict.fromkeys(Cause, 0)  # how often limits were bound, and why
@@ -119,8 +106,7 @@
 
     def _count_as_used(self, now: float, key: str, limit: Limit) -> None:
         """A key that had no limit: senders that know it as unlimited have called it uncounted."""
-        one = fingerprint(key)
-        if any(one in known for known in self._informed.values()):
+        if self._news.anybody_knows(fingerprint(key)):
             self._allocator.limited(key, limit)
             self._allocator.count_unleased(now, key, limit.calls, now)
 
@@ -146,7 +132,7 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         for key, limit in self._sources.announce(limits, since).items():
             self.limited(now, key, limit)
-        self._send_gathered()
+        self._news.send_gathered()
         self._next_default = default_mode or self._default_mode
         if self._next_default is LimitMode.EXACT:
             self._set_default(now, LimitMode.EXACT)
@@ -165,14 +151,11 @@
         if mode is self._default_mode:
             return
         self._default_mode = mode
-        self._default = KeyStatus.BOUND if mode is LimitMode.EXACT else KeyStatus.FREE
-        self._bound, self._informed = {}, {}  # everybody is welcomed anew
+        self._news.forget(default_status(mode))
         for key, limit in self._sources.partner_mode(mode).items():
             self.limited(now, key, limit)
-        if mode is LimitMode.ADAPTIVE:
-            self._bound = {fingerprint(key): None for key in self._allocator.keys if self.is_bound(key)}
-        for owner in self._outboxes:
-            self._welcome(owner, complete=True)
+        bound = self._allocator.keys if mode is LimitMode.ADAPTIVE else ()
+        self._news.welcome_all(fingerprint(key) for key in bound if self.is_bound(key))
 
     def given_out(self, key: str, now: float) -> int:
         """How many calls of a key count against its limit now."""
@@ -224,33 +207,7 @@
         return KeyStatus.BOUND if binding is not None and binding.bound else KeyStatus.FREE
 
     def _status_changed(self, key: str, before: KeyStatus) -> None:
-        status, one = self._status(key), fingerprint(key)
-        if status is before and (status is not KeyStatus.BOUND or one in self._bound):
-            return
-        if self._default is KeyStatus.FREE:
-            self._tell_everybody(one, status)
-            return
-        for owner, known in self._informed.items():
-            if one in known:
-                self._tell(owner, one, status)
-                if status is KeyStatus.BOUND:
-                    known.discard(one)
-
-    def _tell_everybody(self, one: Fingerprint, status: KeyStatus) -> None:
-        known = one in self._bound
-        if status is KeyStatus.BOUND:
-            self._bound[one] = None
-        else:
-            self._bound.pop(one, None)
-        if known is not (status is KeyStatus.BOUND):
-            for outbox in self._outboxes.values():
-                outbox.statuses[one] = status
-            self._gather_ms = min(self._gather_ms, GATHER_MS[status])
-
-    def _tell(self, owner: Owner, one: Fingerprint, status: KeyStatus) -> None:
-        if (outbox := self._outboxes.get(owner)) is not None:
-            outbox.statuses[one] = status
-            self._ready[owner] = None
+        self._news.status_changed(fingerprint(key), before, self._status(key))
 
     # Senders
 
@@ -263,31 +220,16 @@
         owner = (message.name, message.epoch)
         if not self._allocator.joined(owner):
             raise RegisterRefused(f"{message.name}: a later start of it is known than {message.epoch}")
-        self._forget_earlier(owner)
-        self._outboxes[owner] = Outbox()
-        self._welcome(owner, complete=now >= self._learning_until)
+        self._news.join(owner, complete=now >= self._learning_until)
         return owner
 
-    def _welcome(self, owner: Owner, *, complete: bool) -> None:
-        self._informed[owner] = set()
-        outbox = self._outboxes[owner]
-        outbox.welcome = Welcome(self._default, complete)
-        outbox.statuses = dict.fromkeys(self._bound, KeyStatus.BOUND)
-        self._ready[owner] = None
-
-    def _forget_earlier(self, owner: Owner) -> None:
-        for other in [other for other in self._outboxes if other[0] == owner[0] and other != owner]:
-            self.left(other)
-
     def left(self, owner: Owner) -> None:
         """Its connection is over; its leases are not."""
-        self._outboxes.pop(owner, None)
-        self._informed.pop(owner, None)
-        self._ready.pop(owner, None)
+        self._news.leave(owner)
 
     def received(self, now: float, owner: Owner, message: LeaseRequest | UseReport) -> None:
         """A registered sender says something; raises ``RegisterRefused`` where a later start replaced it."""
-        if owner not in self._outboxes:
+        if not self._news.registered(owner):
             raise RegisterRefused(f"{owner[0]}: start {owner[1]} is not registered any more")
         if isinstance(message, UseReport):
             self._use(now, owner, message)
@@ -312,17 +254,13 @@
         limit = self._allocator.limit(key)
         if calls and limit is not None and limit.mode is LimitMode.ADAPTIVE and now < self._learning_until:
             self._note(now, key, self._binding(key, limit).asked(now, learning=True))
-        status, one = self._status(key), fingerprint(key)
-        if status is KeyStatus.BOUND:
-            if calls and limit is None:
-                self.limited(now, key, NO_LIMIT)
-            self._allocator.ask(now, owner, key, calls)
-        elif self._default is KeyStatus.BOUND:
-            if calls or one not in self._informed[owner]:
-                self._informed[owner].add(one)
-                self._tell(owner, one, status)
-        elif calls:
-            self._tell(owner, one, status)
+        status = self._status(key)
+        if status is not KeyStatus.BOUND:
+            self._news.answer(owner, fingerprint(key), status, waits=calls > 0)
+            return
+        if calls and limit is None:
+            self.limited(now, key, NO_LIMIT)
+        self._allocator.ask(now, owner, key, calls)
 
     def _use(self, now: float, owner: Owner, message: UseReport) -> None:
         name, epoch = owner
@@ -335,9 +273,7 @@
                 self._count_use(now, made_at, key, 0, message.failed[key])
             for key in message.recovered:
                 self._recovered(now, key)
-        outbox = self._outboxes[owner]
-        outbox.acknowledged = max(outbox.acknowledged, message.sequence)
-        self._ready[owner] = None
+        self._news.acknowledge(owner, message.sequence)
 
     def _count_use(self, now: float, made_at: float, key: str, calls: int, failed: int) -> None:
         limit = self._allocator.limit(key)
@@ -387,7 +323,7 @@
     def tick(self, now: float) -> list[Lease]:
         """Time goes on: leases to put on record, and then to ``grant``."""
         self._limits_due(now)
-        self._gather(now)
+        self._news.tick(now)
         leases = self._allocator.allocate(now)
         while self._checks and self._checks[0][0] <= now:
             _, key = self._checks.popleft()
@@ -395,19 +331,6 @@
             self._check(now, key)
         return leases
 
-    def _gather(self, now: float) -> None:
-        """Gather news for every sender for a while, as each write costs more than what it says."""
-        if self._gather_ms < inf:
-            self._gather_since = min(self._gather_since, now)
-        if now >= self._gather_since + self._gather_ms:
-            self._send_gathered()
-
-    def _send_gathered(self) -> None:
-        self._gather_ms = self._gather_since = inf
-        for owner, outbox in self._outboxes.items():
-            if outbox.statuses:
-                self._ready[owner] = None
-
     def _check(self, now: float, key: str) -> None:
         binding = self._bindings.get(key)
         if binding is None or not binding.bound:
@@ -422,19 +345,13 @@
     def grant(self, now: float, leases: list[Lease]) -> None:
         """Leases that are on record are told to their owners."""
         for lease in leases:
-            if (outbox := self._outboxes.get(lease.owner)) is not None:
-                per_s = round(self._allocator.rate(now, lease.key, lease.owner), 3)
-                outbox.leases.append(GrantedLease(lease.key, lease.serial, lease.calls, lease.until, per_s))
-                self._ready[lease.owner] = None
+            per_s = round(self._allocator.rate(now, lease.key, lease.owner), 3)
+            granted = GrantedLease(lease.key, lease.serial, lease.calls, lease.until, per_s)
+            self._news.grant(lease.owner, granted)
 
     def take_messages(self) -> dict[Owner, list[LimitMessage]]:
         """What is to be written now, by owner; each owner's in one write."""
-        made = {}
-        for owner in self._ready:
-            made[owner] = self._outboxes[owner].messages()
-            self._outboxes[owner] = Outbox()
-        self._ready = {}
-        return made
+        return self._news.take_messages()
 
     @property
     def busy(self) -> bool:
@@ -445,6 +362,4 @@
     def next_at(self) -> float:
         """When ``tick`` has to be called even if nobody waits; inf: not at all."""
         check_at = self._checks[0][0] if self._checks else inf
-        untimed = self._gather_ms < inf and self._gather_since == inf
-        gather_at = -inf if untimed else self._gather_since + self._gather_ms
-        return min(check_at, self._sources.next_at, gather_at)
+        return min(check_at, self._sources.next_at, self._news.next_at)
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -7,7 +7,7 @@
 import pytest
 
 from springspread.fleet.allocator import Allocator
-from springspread.fleet.allocator_control import GATHER_MS, LEARNING_MS, AllocatorControl, RegisterRefused
+from springspread.fleet.allocator_control import LEARNING_MS, AllocatorControl, RegisterRefused
 from springspread.fleet.binding import HOLD_MS, Cause
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS, LeaseCache
 from springspread.fleet.limits import Lease, Limit, LimitMode, Owner
@@ -26,6 +26,7 @@
     fingerprint,
 )
 from springspread.fleet.outbox import Outbox
+from springspread.fleet.sender_news import GATHER_MS
 from springspread.fleet.sender_session import SenderSession
 
 SPAN = 2_000.0
--- a/tests/fleet/test_limits_review.py
+++ b/tests/fleet/test_limits_review.py
@@ -15,7 +15,7 @@
 
 from springspread.core.types import Endpoint
 from springspread.fleet.allocator import Allocator
-from springspread.fleet.allocator_control import GATHER_MS, AllocatorControl
+from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.client import key_of
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limit_sources import stricter
@@ -36,6 +36,7 @@
     fingerprint,
 )
 from springspread.fleet.record import LeaseRecord
+from springspread.fleet.sender_news import GATHER_MS
 from springspread.fleet.sender_session import SenderSession
 from springspread.fleet.wire import Lines, write
 
