--- a/springspread/checked.py
+++ b/springspread/checked.py
@@ -4,8 +4,10 @@
 
 from collections.abc import Mapping, Sequence
 from difflib import get_close_matches
+from pathlib import Path
 from typing import Any
 
+import rtoml
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 
@@ -13,6 +15,11 @@
     """A file that can't be used; a line for each fault, which begins with its key."""
 
 
+def read_toml(path: Path) -> dict[str, Any]:
+    """Decode a file; raises ``OSError``, or ``ValueError`` with the line and column of a fault."""
+    return rtoml.loads(path.read_text())
+
+
 class Strict(BaseModel):
     """No unknown keys, no numbers in quotes."""
 
--- a/springspread/fleet/plan.py
+++ b/springspread/fleet/plan.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated, Any
 
 from pydantic import BeforeValidator, Field, ValidationError
 
-from springspread.checked import PlanError, Strict, faults_of
+from springspread.checked import PlanError, Strict, faults_of, read_toml
 from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, Limit, LimitMode
 from springspread.fleet.members import Pauses
+from springspread.garbage import collector_paused
 from springspread.rollout.coordinator import Times
 from springspread.rollout.document import MAX_LIMITS, Policy, PolicyTooLarge, check_bounds
 
@@ -90,11 +90,12 @@
     def policy(self, base: Mapping[str, Any]) -> Policy:
         """What the files ask for, given the decoded configuration. Raises ``PlanTooLarge``."""
         settings = base.get("settings")
-        policy = Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
-        try:
-            check_bounds(policy)
-        except PolicyTooLarge as exc:
-            raise PlanTooLarge(str(exc)) from exc
+        with collector_paused():
+            policy = Policy(settings if isinstance(settings, dict) else {}, self.shared, self.default_mode)
+            try:
+                check_bounds(policy)
+            except PolicyTooLarge as exc:
+                raise PlanTooLarge(str(exc)) from exc
         return policy
 
     @property
@@ -119,9 +120,10 @@
 def read_fleet(path: Path) -> FleetPlan:
     """Read an operator file; raises ``PlanError``. Relative paths count from the file's folder."""
     try:
-        raw = tomllib.loads(path.read_text())
-        _check_count(path, raw.get("limits"))
-        plan = FleetPlan.model_validate(raw)
+        with collector_paused():
+            raw = read_toml(path)
+            _check_count(path, raw.get("limits"))
+            plan = FleetPlan.model_validate(raw)
     except OSError as exc:
         raise PlanError(f"{path}: {exc.strerror}") from exc
     except ValidationError as exc:
--- a/springspread/lab/plan.py
+++ b/springspread/lab/plan.py
@@ -5,7 +5,6 @@
 from __future__ import annotations
 
 import json
-import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import product
@@ -15,7 +14,7 @@
 from pydantic import Field, ValidationError, field_validator, model_validator
 
 from springspread import policy
-from springspread.checked import PlanError, Strict, faults_of, meant
+from springspread.checked import PlanError, Strict, faults_of, meant, read_toml
 from springspread.town.day import ANY, TROUBLES, Day, draw
 
 MOST_RUNS = 10_000
@@ -140,8 +139,7 @@
 def read_plan(path: Path) -> Plan:
     """Read a plan, or the plan out of an experiment's record (JSON); raises ``PlanError``."""
     try:
-        text = path.read_text()
-        raw = json.loads(text).get("plan", {}) if path.suffix == ".json" else tomllib.loads(text)
+        raw = json.loads(path.read_text()).get("plan", {}) if path.suffix == ".json" else read_toml(path)
     except OSError as exc:
         raise PlanError(f"{path}: {exc.strerror}") from exc
     except (ValueError, AttributeError) as exc:
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -18,6 +18,7 @@
 
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, PARTNER_SPAN_MS, Limit, LimitMode
+from springspread.garbage import collector_paused
 from springspread.interface import ClassSpec
 from springspread.settings import SettingsError, flatten, read_settings
 
@@ -77,8 +78,9 @@
 def parse_policy(text: str) -> Policy:
     """Parse a policy; raises ``PolicyFault``."""
     try:
-        raw = json.loads(text)
-        limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
+        with collector_paused():
+            raw = json.loads(text)
+            limits = {str(key): _read_limit(str(key), entry) for key, entry in raw["limits"].items()}
         default_mode = _read_mode("default_mode", raw.get("default_mode", LimitMode.EXACT.value))
         return Policy(dict(raw["settings"]), limits, default_mode)
     except (ValueError, OverflowError, KeyError, TypeError, AttributeError, RecursionError) as exc:
--- /dev/null
+++ b/tests/test_garbage.py
@@ -0,0 +1,24 @@
+"""The pause of the garbage collector ends with the block, however that ends."""
+
+from __future__ import annotations
+
+import gc
+
+import pytest
+
+from springspread.garbage import collector_paused
+
+
+def test_the_collector_goes_on_after_the_block_and_after_a_fault() -> None:
+    with pytest.raises(ValueError), collector_paused():
+        assert not gc.isenabled()
+        raise ValueError
+    assert gc.isenabled()
+
+
+def test_a_pause_within_a_pause_does_not_end_it() -> None:
+    with collector_paused():
+        with collector_paused():
+            pass
+        assert not gc.isenabled()
+    assert gc.isenabled()
