The town on sockets turns away requests that are no calls, and closes its sockets

Cause: one of two full runs of the tests failed in test_senders_that_are_killed_ended_and_frozen_as_a_fleet: a request without a message's id reached a partner, and the KeyError ended the town's only thread, so that all that followed was lost. Nothing in the program sends such a request to a partner; ports pass from test to test.

Change: what is no call is answered 404 and written down (strangers); a call with a message that nobody handed in is a fault of its own (unknown). close() ends the thread, closes every socket and gives back the interpreter's switch interval, which stayed at 0.5 ms for all later tests of that process.

Measured: a test, failing before; which program sent the request was not found.

--- a/springspread/town/checker.py
+++ b/springspread/town/checker.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict, deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import exp2, floor, inf
@@ -127,6 +127,15 @@
         """To whom a message was handed in."""
         return self._cases[id].sender
 
+    def knows(self, ids: Iterable[str | None]) -> bool:
+        """Whether these are messages that were handed in, one at the least."""
+        known = [id in self._cases for id in ids]
+        return bool(known) and all(known)
+
+    def unknown(self, at: float, endpoint: str, ids: Iterable[str | None]) -> None:
+        """A call came with a message that nobody handed in."""
+        self._fault(at, "unknown", "", f"a call to {endpoint} with {', '.join(map(repr, ids)) or 'nothing'}")
+
     @property
     def open(self) -> bool:
         """Whether a message that was taken on still has no end."""
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -38,6 +38,7 @@
 from springspread.town.partner import Answer, End, Partner, Trouble
 
 SIGNALS = {Fate.KILL: signal.SIGKILL, Fate.TERM: signal.SIGTERM, Fate.FREEZE: signal.SIGSTOP}
+CALL_PATHS = ("/events", "/events/bundle")
 STATUS = {End.DONE: 200, End.FAILED: 500, End.FULL: 503}
 NONSENSE = b"HTTP/1.1 2OO fine\r\nContent-Length: -1\r\n\r\n"
 WORDS = {EndpointState.READY: "Ready", EndpointState.DRAINING: "Terminating", EndpointState.GONE: "Gone"}
@@ -105,6 +106,7 @@
             for name, group in self._group.items()
         }
         self.checker = Checker(CLASSES, 500.0, 8, limits)
+        self.strangers: list[str] = []  # requests that were no calls
         self._handed = 0
         self._listeners: dict[int, socket.socket] = {}
         self._ports = {name: self._listen(self._call(name)) for name in self._group}
@@ -118,6 +120,7 @@
             shared = {key: Limit.of_rate(per_s, SPAN_MS) for key, per_s in told.items()}
             self._fleet = TownFleet(folder, day.senders, shared)
         # Guards the polling thread's punctuality: clients' threads give way to it ten times as often.
+        self._switch_s = sys.getswitchinterval()
         sys.setswitchinterval(0.0005)
         self._thread = threading.Thread(target=self._run, name="town", daemon=True)
         self._thread.start()
@@ -232,12 +235,19 @@
         return lambda place, request: self._arrives(name, place, request)
 
     def _arrives(self, name: str, place: Place, request: Request) -> None:
+        if request.path not in CALL_PATHS:
+            self._turn_away(name, place, request)
+            return
         now, group = self._now(), self._group[name]
         bundle = request.path == "/events/bundle"
         if bundle:
             ids = [item["id"] for item in json.loads(request.body)]
         else:
             ids = [request.headers.get("X-Correlation-Id")]
+        if not self.checker.knows(ids):
+            self.checker.unknown(now, name, ids)
+            self._answer(place, 404, {})
+            return
         endpoint = self._partners[group].endpoints[name]
         stood = endpoint.fallen
         sender, key = self.checker.sender_of(ids[0]), self._key(name)
@@ -254,6 +264,11 @@
         elif answer.at < inf:
             self._at(answer.at, self._told, name, place, ids, answer, bundle)
 
+    def _turn_away(self, name: str, place: Place, request: Request) -> None:
+        """Guards the town against another program, which takes this port for one of its own peers."""
+        self.strangers.append(f"{request.method} {request.path} at {name}")
+        self._answer(place, 404, {})
+
     def _told(self, name: str, place: Place, ids: list[str], answer: Answer, bundle: bool) -> None:
         now, key, sender = self._now(), self._key(name), self.checker.sender_of(ids[0])
         headers, body = {}, b""
@@ -581,6 +596,18 @@
         if self._fleet is not None:
             self._fleet.close()
         self._clients.shutdown()
+        self._bell.send(b"\0")
+        self._thread.join()
+        for key in list(self._selector.get_map().values()):
+            self._close_socket(key.fileobj)
+        self._selector.close()
+        self._bell.close()
+        sys.setswitchinterval(self._switch_s)
+
+    @staticmethod
+    def _close_socket(sock: object) -> None:
+        assert isinstance(sock, socket.socket)  # nothing else is registered
+        sock.close()
 
 
 def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
--- a/tests/town/test_sockets.py
+++ b/tests/town/test_sockets.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import http.client
+import sys
 import time
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
+
 from springspread.town.day import Change, Day, Death, Fate, Outage, Service, draw
 from springspread.town.partner import Condition, Trouble
 from springspread.town.sockets import Live, SocketTown
+from tests.peer import WAIT_S
 
 
 def play(folder: Path, day: Day, held_up_ms: float = 0.0) -> Live:
@@ -52,3 +57,31 @@
 def test_a_town_that_is_late_itself_says_so(tmp_path: Path) -> None:
     live = play(tmp_path, draw(1, senders=1, length_ms=2_000.0), held_up_ms=900.0)
     assert not live.valid and live.late_ms[1] > 500.0
+
+
+def request(port: int, head: str, body: bytes = b"") -> int:
+    """The status of the answer to a request at one of the town's ports."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_S)
+    method, path, *id = head.split()
+    connection.request(method, path, body, {"X-Correlation-Id": id[0]} if id else {})
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+def test_a_request_of_another_program_is_turned_away_and_a_call_of_an_unknown_message_is_a_fault(
+    tmp_path: Path,
+) -> None:
+    town = SocketTown(draw(1, senders=1, length_ms=2_000.0), tmp_path)
+    port = next(iter(town._ports.values()))
+    switch_s = town._switch_s
+    assert request(port, "GET /endpoints?since=1") == 404
+    assert [stranger.split(" at ")[0] for stranger in town.strangers] == ["GET /endpoints?since=1"]
+    assert town.checker.faults == []
+    assert request(port, "POST /events nobody-1") == 404
+    assert request(port, "POST /events/bundle", b"[]") == 404
+    assert [fault.rule for fault in town.checker.faults] == ["unknown", "unknown"]
+    town.close()
+    assert sys.getswitchinterval() == switch_s
+    with pytest.raises(OSError):
+        request(port, "GET /endpoints")
