An allocator that is closed leaves no thread; a test that waited near its bound

Cause: close() ended the listener's descriptor, which wakes nobody out of accept(); each test that closed an allocator left a thread (five seen in one worker). The limits order's test needed up to 10 s for a binding by failures, which is now one by a return.

--- a/springspread/fleet/allocator_server.py
+++ b/springspread/fleet/allocator_server.py
@@ -280,6 +280,8 @@
         """End every connection; instances go on with what they hold and connect anew."""
         self._open = False
         self._news.set()
+        with suppress(OSError):  # Guards against a thread that would wait in ``accept`` for ever
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         with self._lock:
             members = list(self._members.values())
--- a/tests/fleet/test_allocator_server.py
+++ b/tests/fleet/test_allocator_server.py
@@ -413,3 +413,12 @@
         until(lambda: place.server.members == [("n1", epoch)], "the later one alone")
         later.sendall(write(LeaseRequest({"g1": 1})))
         until(lambda: b'[6,[["g1"' in later.recv(65536), "a lease")
+
+
+def test_an_allocator_that_is_closed_leaves_no_thread_that_accepts(tmp_path: Path) -> None:
+    before = set(threading.enumerate())
+    server = AllocatorServer(tmp_path / "allot", tmp_path, {}, Quiet())
+    began = [one for one in set(threading.enumerate()) - before if one.name == "fleet-accept"]
+    assert began
+    server.close()
+    until(lambda: not any(one.is_alive() for one in began), "its thread ends")
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -19,6 +19,7 @@
 from springspread.fleet.client import FleetShares
 from springspread.fleet.control import MAX_ORDER_BYTES, ControlSocket
 from springspread.fleet.daemon import Daemon
+from springspread.fleet.key_health import OPENING_FAILURES
 from springspread.fleet.launcher import fleet_id
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.orders import send_order
@@ -267,11 +268,14 @@
     shares = FleetShares(folder / "allot", "n9", 1, Quiet(), fleet=fleet_id(folder))
     endpoint = Endpoint(1, "s-1", "127.0.0.1", 1, 7, False, 1)
 
-    def fails() -> bool:
-        shares.acquire(endpoint)
+    for _ in range(OPENING_FAILURES):
+        until(lambda: shares.acquire(endpoint) > 0.0, "a call may begin")
         shares.failed(endpoint)
-        return bool(send_order(place.control, {"do": "limits"})["limits"]["adaptive_bound"])
-
-    until(fails, "failures bind it")
-    assert send_order(place.control, {"do": "limits"})["limits"]["bound"] == {"g7": "the destination fails"}
+    until(lambda: shares.acquire(endpoint) > 0.0, "one more is tried")
+    shares.served(endpoint)
+    until(
+        lambda: send_order(place.control, {"do": "limits"})["limits"]["adaptive_bound"],
+        "a destination that is back is bound",
+    )
+    assert send_order(place.control, {"do": "limits"})["limits"]["bound"] == {"g7": "the destination is back"}
     shares.close()
