--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -372,6 +372,11 @@
         "fixed + slope x limits", ("policy.force_ms_by_limits",),
         _at("policy.force_ms_by_limits", TARGET.destinations), "ms", POLICY_DELTAS, TARGET.force_ms,
     ),
+    Cost(
+        "policy distribution", "time", "the same from the command line, the file read", "destinations",
+        "fixed + slope x limits", ("policy.propose_ms_by_limits",),
+        _at("policy.propose_ms_by_limits", TARGET.destinations), "ms", POLICY_DELTAS, TARGET.force_ms,
+    ),
     Cost(
         "policy distribution", "time", "until a change is in force, 100 limits", "senders",
         "fixed + slope x senders", ("policy.force_ms_by_senders",),
--- a/benchmarks/capacity/membership.py
+++ b/benchmarks/capacity/membership.py
@@ -10,7 +10,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,13 @@
 
 def fleet_by_instances(instances: int) -> Values:
     """A real daemon with so many idle instances: cost, one instance killed, then the daemon killed."""
+    with running_fleet(instances, "[limits.g7]\ncalls = 40\n") as fleet:
+        return fleet.measured(instances)
+
+
+@contextmanager
+def running_fleet(instances: int, limits: str) -> Iterator[Fleet]:
+    """A daemon that has just been started; ``limits``: the last part of its file."""
     from tests.peer import Peer
     from tests.test_config import make
 
@@ -34,11 +42,10 @@
         raw = make(folder, discovery=f"127.0.0.1:{peer.port}", known=peer.members())
         (folder / "sender.json").write_text(json.dumps(raw))
         file = folder / "fleet.toml"
-        text = f'folder = "f"\nconfig = "sender.json"\ninstances = {instances}\n[limits.g7]\ncalls = 40\n'
-        file.write_text(text)
+        file.write_text(f'folder = "f"\nconfig = "sender.json"\ninstances = {instances}\n{limits}')
         fleet = Fleet(file)
         try:
-            return fleet.measured(instances)
+            yield fleet
         finally:
             fleet.close()
 
@@ -47,11 +54,11 @@
     """A daemon and its instances."""
 
     def __init__(self, file: Path) -> None:
-        self._file, self._control = file, file.parent / "f" / "control"
+        self.file, self._control = file, file.parent / "f" / "control"
         self._daemon = self._run()
 
     def _run(self) -> subprocess.Popen[bytes]:
-        line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self._file)]
+        line = [sys.executable, "-m", "springspread.cli", "fleet", "run", str(self.file)]
         return subprocess.Popen(line, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
 
     def rows(self) -> list[dict[str, Any]]:
@@ -71,6 +78,10 @@
             time.sleep(LOOK_S)
         return 1000.0 * (time.monotonic() - begun)
 
+    def wait_until_all_serve(self, instances: int) -> float:
+        """Milliseconds until all are in the fleet; raises ``TimeoutError``."""
+        return self._until(lambda: self._all_serve(instances))
+
     def _all_serve(self, instances: int) -> bool:
         return (
             sum(bool(row["in_fleet"] and row["listen"] and row["policy"]) for row in self.rows()) >= instances
@@ -78,7 +89,7 @@
 
     def measured(self, instances: int) -> Values:
         """All figures of one size."""
-        start_ms = self._until(lambda: self._all_serve(instances))
+        start_ms = self.wait_until_all_serve(instances)
         time.sleep(2.0)
         pids = [int(row["pid"]) for row in self.rows()]
         before = {pid: status_of(pid)[0] for pid in [self._daemon.pid, *pids]}
@@ -154,7 +165,7 @@
     Measurement(
         "fleet_by_instances",
         "instances",
-        (1, 2, 4, 8, 16),
+        (1, 2, 4, 8, 16, 32, 64),
         (1, 2, 3, 4),
         {
             "fleet_start_by_instances": "ms",
--- a/benchmarks/capacity/policy.py
+++ b/benchmarks/capacity/policy.py
@@ -1,11 +1,11 @@
 """What a change of policy costs: bytes, processor time and time to force, by senders, document and change.
 
 The daemon's side (allocator server, record, coordinator) runs in the measuring process; the senders' side
-(the real client, which reads and checks each document) in another.
+(the real client, which reads and checks each document) in up to ``SENDER_PROCESSES`` others.
 
-    python -m benchmarks.capacity.policy SOCKET CONFIGURATION SENDERS
+    python -m benchmarks.capacity.policy SOCKET CONFIGURATION FIRST SENDERS
 
-is that other process: it tells when all senders act under each policy.
+is one of those: so many senders from a number on; it tells when all of them act under each policy.
 """
 
 from __future__ import annotations
@@ -16,11 +16,12 @@
 import sys
 import tempfile
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from benchmarks.capacity.measurement import Measurement, Values
 from benchmarks.capacity.mechanism import Traffic, keys, owners
+from benchmarks.capacity.proposal import PROPOSE
 from benchmarks.capacity.sender import configuration
 from springspread import config
 from springspread.core.clock import SYSTEM
@@ -37,11 +38,12 @@
 FORCE_S = 20.0
 JOIN_S = 10.0
 SENDERS = 2
+SENDER_PROCESSES = 6
 LIMITS = 100
 MODE = LimitMode.ADAPTIVE
 LIMIT, RAISED = Limit(200, 2_000.0, MODE), Limit(201, 2_000.0, MODE)
 VOTE_MS = Times().vote_ms
-HARNESS_BOUND = "the senders share one process, which took longer than votes may take"
+HARNESS_BOUND = "the senders share few processes, which took longer than votes may take"
 
 
 class NothingOwed:
@@ -65,23 +67,8 @@
             folder / "allot", folder, held, log, heard=changes.received, default_mode=MODE
         )
         changes.begin([], server.tell, server.follow)
-        line = [sys.executable, "-m", "benchmarks.capacity.policy", str(folder / "allot"), str(file)]
-        other = subprocess.Popen(
-            [*line, str(senders)],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-            env={**os.environ, "RELAY_CONFIG": str(file)},
-        )
-        assert other.stdin is not None and other.stdout is not None
-
-        def asked(order: str) -> dict[str, float]:
-            assert other.stdin is not None and other.stdout is not None
-            other.stdin.write(order + "\n")
-            other.stdin.flush()
-            told: dict[str, float] = json.loads(other.stdout.readline())
-            return told
-
+        processes = SenderProcesses(folder / "allot", file, senders)
+        asked = processes.asked
         try:
             if asked(f"policy 1 {JOIN_S}")["at"] < 0.0:
                 return {"fault": f"the first policy was not in force at all {senders} within {JOIN_S:g} s"}
@@ -98,21 +85,69 @@
             if told["at"] < 0.0:
                 return {"fault": f"not in force everywhere within {FORCE_S:g} s"}
             after, own_ms = traffic.now, 1000.0 * (told["cpu"] - own["cpu"])
+            late = own_ms / len(processes) > VOTE_MS
             return found | {
-                "force_ms": HARNESS_BOUND if own_ms > VOTE_MS else told["at"] - proposed_at,
+                "force_ms": HARNESS_BOUND if late else told["at"] - proposed_at,
                 "change_bytes": (after[0] - before[0]) / senders,
                 "change_writes": (after[1] - before[1]) / senders,
                 "change_daemon_cpu": 1000.0 * (time.process_time() - cpu),
                 "change_sender_cpu": own_ms / senders,
             }
         finally:
-            other.kill()
-            other.wait()
+            processes.close()
+
+
+class SenderProcesses:
+    """The senders' side, spread evenly over some processes."""
+
+    def __init__(self, path: Path, file: Path, senders: int) -> None:
+        count = min(SENDER_PROCESSES, senders)
+        ends = [senders * number // count for number in range(count + 1)]
+        self._processes = [
+            self._begin(path, file, first, end - first) for first, end in zip(ends, ends[1:], strict=False)
+        ]
+
+    @staticmethod
+    def _begin(path: Path, file: Path, first: int, senders: int) -> subprocess.Popen[str]:
+        module = [sys.executable, "-m", "benchmarks.capacity.policy"]
+        return subprocess.Popen(
+            [*module, str(path), str(file), str(first), str(senders)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            env={**os.environ, "RELAY_CONFIG": str(file)},
+        )
+
+    def __len__(self) -> int:
+        return len(self._processes)
+
+    def asked(self, order: str) -> dict[str, float]:
+        """What all tell: ``at`` of the last one, negative where one is not there; sums of the rest."""
+        for process in self._processes:
+            assert process.stdin is not None
+            process.stdin.write(order + "\n")
+            process.stdin.flush()
+        told: list[dict[str, float]] = []
+        for process in self._processes:
+            assert process.stdout is not None
+            told.append(json.loads(process.stdout.readline()))
+        moments = [one["at"] for one in told]
+        sums = {key: sum(one[key] for one in told) for key in ("cpu", "sent", "writes")}
+        return {**sums, "at": -1.0 if min(moments) < 0.0 else max(moments)}
+
+    def close(self) -> None:
+        """End them."""
+        for process in self._processes:
+            process.kill()
+            process.wait()
+
+
+Asked = Callable[[str], dict[str, float]]
+"""Sends an order to the senders' processes; returns what they tell together."""
 
 
-def _idle(senders: int, traffic: Traffic, asked: object) -> dict[str, float | str]:
+def _idle(senders: int, traffic: Traffic, asked: Asked) -> dict[str, float | str]:
     """A few seconds in which nothing happens."""
-    assert callable(asked)
     before, cpu, own = traffic.now, time.process_time(), asked("now")
     time.sleep(IDLE_S)
     after, own_after = traffic.now, asked("now")
@@ -126,13 +161,13 @@
     }
 
 
-def _senders(path: Path, file: Path, count: int) -> None:
-    """So many senders that follow the policy; answers one JSON line to each line of the standard input."""
+def _senders(path: Path, file: Path, first: int, count: int) -> None:
+    """Some senders that follow the policy; answers one JSON line to each line of the standard input."""
     traffic = Traffic()
     traffic.install()
     log, _ = make_log("capacity", 1)
     running = config.read(json.loads(file.read_text()), {})
-    shares = [FleetShares(path, name, epoch, log, policy=1) for name, epoch in owners(count)]
+    shares = [FleetShares(path, name, epoch, log, policy=1) for name, epoch in owners(first + count)[first:]]
     for one in shares:
         one.follow(lambda text: under_policy(running, NothingOwed(), text), lambda news: None)  # type: ignore[arg-type]
     for order in sys.stdin:
@@ -207,7 +242,7 @@
     Measurement(
         "by_senders",
         "senders",
-        (5, 10, 20, 30, 40, 50, 100),
+        (5, 10, 20, 30, 40, 50, 100, 200, 300),
         (2, 4, 6, 8),
         _units("senders", CHANGE_UNITS | IDLE_UNITS),
         by_senders,
@@ -236,7 +271,8 @@
         {"document_bytes_by_limits": "B"},
         document_bytes,
     ),
+    PROPOSE,
 )
 
 if __name__ == "__main__":
-    _senders(Path(sys.argv[1]), Path(sys.argv[2]), int(sys.argv[3]))
+    _senders(Path(sys.argv[1]), Path(sys.argv[2]), int(sys.argv[3]), int(sys.argv[4]))
--- /dev/null
+++ b/benchmarks/capacity/proposal.py
@@ -0,0 +1,50 @@
+"""From the command line: what a change of the fleet's file takes until it is in force, by its limits."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+
+from benchmarks.capacity.measurement import Measurement, Values
+from benchmarks.capacity.membership import running_fleet
+
+INSTANCES = 2
+WITHIN_S = 60.0
+
+
+def limits_text(limits: int, first_calls: int) -> str:
+    """So many adaptive limits of a fleet's file; the first one has so many calls."""
+    tables = (
+        f'[limits.g{number}]\ncalls = {first_calls if number == 0 else 50}\nmode = "adaptive"\n'
+        for number in range(limits)
+    )
+    return 'default_mode = "adaptive"\n' + "".join(tables)
+
+
+def propose_by_limits(limits: int) -> Values:
+    """One limit of so many rises: the whole command, and the daemon's part of it."""
+    with running_fleet(INSTANCES, limits_text(limits, 50)) as fleet:
+        fleet.wait_until_all_serve(INSTANCES)
+        head = fleet.file.read_text().partition("default_mode")[0]
+        fleet.file.write_text(head + limits_text(limits, 60))
+        line = [sys.executable, "-m", "springspread.cli", "fleet", "policy", "propose", str(fleet.file)]
+        begun = time.monotonic()
+        done = subprocess.run(
+            [*line, "--within", f"{WITHIN_S:g}"], capture_output=True, text=True, timeout=2.0 * WITHIN_S
+        )
+        took_ms = 1000.0 * (time.monotonic() - begun)
+    if done.returncode:
+        return {"propose_ms_by_limits": f"ended with {done.returncode}: {done.stderr[-100:]}"}
+    return {"propose_ms_by_limits": took_ms}
+
+
+PROPOSE = Measurement(
+    "propose_by_limits",
+    "limits",
+    (100, 10_000, 40_000, 80_000, 140_000),
+    (10, 50, 100, 200),
+    {"propose_ms_by_limits": "ms"},
+    propose_by_limits,
+    180.0,
+)
