The record of policies holds three in memory, whatever the number of changes

Cause: every policy that was ever proposed stayed decoded in the daemon's memory, and each proposal read all of them; a start decoded each.

Change: the last three that were asked for are kept; a start compares the bytes of each document with its digest; what a class's effect was in any of them is kept by name, which is all that a check needs of them. A document that is cut short is now told as not what was proposed, as any other difference is.

--- a/springspread/fleet/change.py
+++ b/springspread/fleet/change.py
@@ -89,7 +89,7 @@
         self._closed = threading.Event()
 
     def _record_first(self, first: Policy) -> None:
-        check(first, [])
+        check(first, None)
         number = self.record.history.last + 1  # an earlier first start may have died after its proposal
         self.record.keep(number, first)
         self.record.append(Proposed(number, first.digest))
@@ -244,10 +244,12 @@
 
     def _propose(self, now: float, proposal: Proposal) -> Step:
         state = self._current
-        past = [self.record.policy(number) for number in self.record.decided]
+        past = self.record.past
+        assert past is not None  # the first policy is on record since ``__init__``
         try:
             check(proposal.policy, past)
-            step = coordinator.propose(state, now, proposal.policy.digest, lead_ms(past[-1], proposal.policy))
+            lead = lead_ms(past.latest, proposal.policy)
+            step = coordinator.propose(state, now, proposal.policy.digest, lead)
             proposal.number = step[0].history.last
             self.record.keep(proposal.number, proposal.policy)
         except (PolicyFault, ValueError, OSError) as exc:
--- a/springspread/fleet/policy_orders.py
+++ b/springspread/fleet/policy_orders.py
@@ -38,7 +38,7 @@
             raise Refused(str(exc)) from exc
         end = self._clock.now() + 1000.0 * within_s
         number = self._latest
-        if not number or self._changes.policy(number).digest != policy.digest:
+        if not number or self._changes.record.digests[number] != policy.digest:
             proposal = self._changes.propose(policy)
             proposal.taken.wait(max(within_s, MIN_NUMBER_WAIT_S))  # so that there is a number to ask about
             if proposal.fault:
@@ -74,7 +74,7 @@
         """What a proposal would change, who would refuse it, and who does not answer; changes nothing."""
         try:
             policy = parse_policy(text)
-            check(policy, [self._changes.policy(number) for number in self._changes.record.decided])
+            check(policy, self._changes.record.past)
         except PolicyFault as exc:
             return {"usable": False, "fault": str(exc), "changes": [], "refuse": {}, "silent": []}
         answers = self._changes.would_fit(policy, running)
@@ -97,7 +97,7 @@
         number, pending = changes.in_force, changes.pending
         awaited = [name for name, _ in changes.awaited]
         return {
-            "in_force": {"version": number, "digest": changes.policy(number).digest},
+            "in_force": {"version": number, "digest": changes.record.digests[number]},
             "pending": {"version": pending, "waits_for": awaited} if pending else None,
             "instances": {row.name: self._acting(row) for row in rows},
         }
@@ -115,5 +115,5 @@
 
     def _proposed(self, number: int) -> dict[str, Any]:
         outcome = self._changes.outcome(number)
-        digest = self._changes.policy(number).digest
+        digest = self._changes.record.digests[number]
         return {"version": number, "state": outcome.state, "fault": outcome.detail, "digest": digest}
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -19,7 +19,7 @@
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, PARTNER_SPAN_MS, Limit, LimitMode
 from springspread.garbage import collector_paused
-from springspread.interface import ClassSpec
+from springspread.interface import ClassSpec, Effect
 from springspread.settings import SettingsError, flatten, read_settings
 
 FIXED = ("balancers", "kinds", "zones", "feedback", "index", "zone", "discovery", "tickMs", "weightSource")
@@ -32,6 +32,10 @@
 MAX_SETTINGS_BYTES = 100 << 10  # of them: quoted in a line to an instance, below ``wire.LINE_BYTES``
 
 
+Effects = Mapping[str, Effect]
+"""The effect of each class that a policy in force ever had, by the class's name."""
+
+
 class PolicyFault(Exception):
     """A document that can't be used as a policy; the text begins with the faulty key."""
 
@@ -122,22 +126,34 @@
     return [f"{key}: {before.get(key, 'not set')} -> {after.get(key, 'not set')}" for key in keys]
 
 
-def check(new: Policy, history: Iterable[Policy]) -> None:
+@dataclass(frozen=True, slots=True)
+class Past:
+    """What a policy is checked against: the last one in force, and the effects of all."""
+
+    latest: Policy
+    effects: Effects
+
+
+def check(new: Policy, past: Past | None) -> None:
     """Raise ``PolicyFault`` where a policy can't be used, or can't follow those before it.
 
-    ``history``: the policies that are or were in force, oldest first.
+    ``past``: none for the first policy.
     """
     check_bounds(new)
     specs = _class_specs(new)
-    past = list(history)
-    if not past:
+    if past is None:
         return
-    _check_effects(specs, past)
-    known, flat = flatten(past[-1].settings), flatten(new.settings)
+    _check_effects(specs, past.effects)
+    known, flat = flatten(past.latest.settings), flatten(new.settings)
     _check_fixed(known, flat)
     _check_spelling(known, flat)
 
 
+def effects_of(settings: Mapping[str, Any]) -> Effects:
+    """The effects of the classes of a policy that was in force."""
+    return {spec.name: spec.effect for spec in read_settings(flatten(settings)).classes}
+
+
 def _class_specs(policy: Policy) -> Sequence[ClassSpec]:
     try:
         return read_settings(flatten(policy.settings)).classes
@@ -145,11 +161,8 @@
         raise PolicyFault(f"settings.{exc}") from exc
 
 
-def _check_effects(specs: Iterable[ClassSpec], past: Iterable[Policy]) -> None:
+def _check_effects(specs: Iterable[ClassSpec], effects: Effects) -> None:
     """A class keeps its effect: messages that were taken under an earlier policy may still be recovered."""
-    effects = {}
-    for policy in past:
-        effects.update({spec.name: spec.effect for spec in read_settings(flatten(policy.settings)).classes})
     for spec in specs:
         if effects.get(spec.name, spec.effect) is not spec.effect:
             was = effects[spec.name].value
--- a/springspread/rollout/record.py
+++ b/springspread/rollout/record.py
@@ -13,16 +13,20 @@
 
 import json
 import os
+import threading
 from dataclasses import asdict
+from hashlib import sha256
 from math import inf
 from pathlib import Path
 from zlib import crc32
 
 from springspread.core.files import sync_folder
+from springspread.interface import Effect
 from springspread.rollout.coordinator import History
-from springspread.rollout.document import Policy, PolicyFault, parse_policy
+from springspread.rollout.document import Past, Policy, PolicyFault, effects_of, parse_policy
 from springspread.rollout.terms import Begun, Decided, Entry, Proposed, Refused
 
+KEPT_POLICIES = 3  # decoded, in memory: the one in force, the one before it, and one that is voted on
 KINDS: dict[str, type[Entry]] = {kind.__name__.lower(): kind for kind in (Proposed, Decided, Refused, Begun)}
 
 
@@ -34,7 +38,7 @@
     """The folder of a fleet's policies. Raises ``Damaged`` or ``OSError``.
 
     ``entries``: all of the log, in order; ``history``: what they add up to; ``ends``: the decision on each
-    proposal, by its number.
+    proposal, by its number; ``digests``: of the proposed policies, by number.
     """
 
     def __init__(self, folder: Path, boot: str) -> None:
@@ -45,7 +49,10 @@
         self.entries: list[Entry] = []
         self.history = History()
         self.ends: dict[int, Decided | Refused] = {}
-        self._policies: dict[int, Policy] = {}
+        self.digests: dict[int, str] = {}
+        self._policies_lock = threading.Lock()  # orders read policies from their own threads
+        self._policies: dict[int, Policy] = {}  # the latest that were asked for
+        self._effects: dict[str, Effect] = {}
         self._size = self._read()
         self._file = os.open(self._path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
         os.ftruncate(self._file, self._size)
@@ -60,10 +67,19 @@
             self._note(self._parse(number, line))
             size += len(line) + 1
         for entry in self.entries:
-            if isinstance(entry, Proposed) and self.policy(entry.number).digest != entry.digest:
+            if isinstance(entry, Proposed) and sha256(self._bytes(entry.number)).hexdigest() != entry.digest:
                 raise Damaged(f"{self._folder / str(entry.number)}: is not what was proposed; {ADVICE}")
+        for number in self.decided:
+            self._effects.update(effects_of(json.loads(self._bytes(number))["settings"]))
         return size
 
+    def _bytes(self, number: int) -> bytes:
+        path = self._folder / str(number)
+        try:
+            return path.read_bytes()
+        except OSError as exc:
+            raise Damaged(f"{path}: {exc}; {ADVICE}") from exc
+
     def _parse(self, number: int, line: bytes) -> Entry:
         """An entry; moments of another start of the machine become ones long ago. Raises ``Damaged``."""
         checksum, _, text = line.partition(b" ")
@@ -90,17 +106,34 @@
         self.entries.append(entry)
         if isinstance(entry, Decided | Refused):
             self.ends[entry.number] = entry
+        elif isinstance(entry, Proposed):
+            self.digests[entry.number] = entry.digest
         self.history = self.history.after(entry)
 
     def policy(self, number: int) -> Policy:
         """A policy that was proposed, by its number."""
-        if number not in self._policies:
-            path = self._folder / str(number)
+        policy = self._policies.get(number)
+        if policy is None:
             try:
-                self._policies[number] = parse_policy(path.read_text())
-            except (OSError, ValueError, PolicyFault) as exc:
-                raise Damaged(f"{path}: {exc}; {ADVICE}") from exc
-        return self._policies[number]
+                policy = parse_policy(self._bytes(number).decode())
+            except (ValueError, PolicyFault) as exc:
+                raise Damaged(f"{self._folder / str(number)}: {exc}; {ADVICE}") from exc
+        self._remember(number, policy)
+        return policy
+
+    def _remember(self, number: int, policy: Policy) -> None:
+        """Guards memory: a policy of 140,000 limits takes some 30 MB, and a day may bring 1,600."""
+        with self._policies_lock:
+            self._policies.pop(number, None)
+            self._policies[number] = policy
+            while len(self._policies) > KEPT_POLICIES:
+                del self._policies[next(iter(self._policies))]
+
+    @property
+    def past(self) -> Past | None:
+        """What the next policy is checked against."""
+        decided = self.decided
+        return Past(self.policy(decided[-1]), self._effects) if decided else None
 
     @property
     def decided(self) -> list[int]:
@@ -115,7 +148,7 @@
             file.flush()
             os.fsync(file.fileno())
         sync_folder(self._folder)
-        self._policies[number] = policy
+        self._remember(number, policy)
 
     def append(self, entry: Entry) -> None:
         """Put an entry on record, synced.
@@ -134,6 +167,8 @@
             raise
         self._size += len(line)
         self._note(entry)
+        if isinstance(entry, Decided):
+            self._effects.update(effects_of(self.policy(entry.number).settings))
 
     def _remove_unsynced(self, failure: OSError) -> None:
         """Cut off a line whose sync failed: a later sync could report success without it on disk."""
