rig/ is faults/: the field's word, as the table of names has it

springspread/rig and tests/rig become springspread/faults and tests/faults, the variables RIG_... of its own processes FAULTS_...; no file format and no operator's command names them.

--- a/benchmarks/damaged_folders.py
+++ b/benchmarks/damaged_folders.py
@@ -15,8 +15,8 @@
 from random import Random
 
 from benchmarks.tables import add, tell
-from springspread.rig.chaos import fleet_of
-from springspread.rig.damage import HOWS, Damaged
+from springspread.faults.chaos import fleet_of
+from springspread.faults.damage import HOWS, Damaged
 
 
 def main() -> None:
--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -3,8 +3,9 @@
     python -m benchmarks.hollow_fleet [--senders 1100] [--destinations 140000] [--per-s 200000]
         [--seconds 15] [--warm-s 6] [--seed 1] [--faults calm] [--tight 0.0] [--csv FILE]
 
-In virtual time, with the real control code; ``springspread.rig.hollow`` says what is modelled. ``--faults``
-is one of the names in ``springspread.rig.hollow.faults.SCHEDULES``, or several joined with ``+``.
+In virtual time, with the real control code; ``springspread.faults.hollow`` says what is modelled.
+``--faults`` is one of the names in ``springspread.faults.hollow.faults.SCHEDULES``, or several joined with
+``+``.
 
     python -m benchmarks.hollow_fleet --sockets [--senders 200] [--destinations 5000] [--per-s 2000]
         [--seconds 60] [--processes 4] [--mode adaptive]
@@ -26,14 +27,14 @@
 from pathlib import Path
 
 from benchmarks.tables import add
+from springspread.faults.hollow.comparison import compare
+from springspread.faults.hollow.faults import SCHEDULES
+from springspread.faults.hollow.fleet import FleetSize
+from springspread.faults.hollow.play import Plan, play
+from springspread.faults.hollow.report import Row, digest
+from springspread.faults.hollow.sockets import SocketPlan, play_sockets
+from springspread.faults.hollow.traffic import TrafficLaw
 from springspread.fleet.limits import LimitMode
-from springspread.rig.hollow.comparison import compare
-from springspread.rig.hollow.faults import SCHEDULES
-from springspread.rig.hollow.fleet import FleetSize
-from springspread.rig.hollow.play import Plan, play
-from springspread.rig.hollow.report import Row, digest
-from springspread.rig.hollow.sockets import SocketPlan, play_sockets
-from springspread.rig.hollow.traffic import TrafficLaw
 from springspread.rollout.document import Policy
 from springspread.town.day import draw
 
--- a/benchmarks/policy_chaos.py
+++ b/benchmarks/policy_chaos.py
@@ -18,8 +18,8 @@
 import numpy as np
 
 from benchmarks.tables import add, tell_long
-from springspread.rig.chaos import Chaos, Told, fleet_of
-from springspread.rig.schedule import Act, Kind, drawn, read, smaller, written
+from springspread.faults.chaos import Chaos, Told, fleet_of
+from springspread.faults.schedule import Act, Kind, drawn, read, smaller, written
 
 LIMIT_MS = 1_000.0
 PROCESSES = (Kind.KILL, Kind.FREEZE, Kind.DAEMON)
--- a/benchmarks/policy_rounds.py
+++ b/benchmarks/policy_rounds.py
@@ -15,9 +15,9 @@
 import numpy as np
 
 from benchmarks.tables import tell, write_table
-from springspread.rig.chaos import fleet_of
-from springspread.rig.rounds import Arm, Rounds, tell_broken
-from springspread.rig.schedule import Kind
+from springspread.faults.chaos import fleet_of
+from springspread.faults.rounds import Arm, Rounds, tell_broken
+from springspread.faults.schedule import Kind
 
 MIXED = tuple(Kind)
 ARMS: dict[str, tuple[tuple[Kind, ...], bool]] = {
--- a/benchmarks/policy_sabotage.py
+++ b/benchmarks/policy_sabotage.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 
 from benchmarks.tables import tell, write_table
-from springspread.rig.chaos import Chaos, Told, fleet_of
-from springspread.rig.sabotage import SABOTAGES
-from springspread.rig.schedule import pressed
+from springspread.faults.chaos import Chaos, Told, fleet_of
+from springspread.faults.sabotage import SABOTAGES
+from springspread.faults.schedule import pressed
 
 INSTANCES = 5
 LEASE_MS = 5_000.0  # longer than a new daemon takes to begin and to decide
--- a/benchmarks/policy_steps.py
+++ b/benchmarks/policy_steps.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 
 from benchmarks.tables import tell, write_table
-from springspread.rig.chaos import fleet_of
-from springspread.rig.rounds import Rounds, tell_broken
-from springspread.rig.steps import Deed
+from springspread.faults.chaos import fleet_of
+from springspread.faults.rounds import Rounds, tell_broken
+from springspread.faults.steps import Deed
 
 MOST = 200
 
--- a/benchmarks/policy_virtual.py
+++ b/benchmarks/policy_virtual.py
@@ -16,8 +16,8 @@
 import numpy as np
 
 from benchmarks.tables import tell, write_table
+from springspread.faults.virtual import Costs, Virtual
 from springspread.fleet.wire import write
-from springspread.rig.virtual import Costs, Virtual
 from springspread.rollout.document import Policy
 from springspread.rollout.terms import Grant
 
--- a/benchmarks/power_cuts.py
+++ b/benchmarks/power_cuts.py
@@ -4,7 +4,7 @@
 
 Half of the messages may be carried once only. Tells messages that were answered 202 and have no end, unsafe
 ones that ran twice, and messages with two ends. With durability ``power`` it exits with 1 where there is any;
-with ``process`` where there is none, as the rig should find what it takes away.
+with ``process`` where there is none, as the run should find what it takes away.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 from random import Random
 
 from benchmarks.tables import add, tell_long
-from springspread.rig.chaos import Chaos, fleet_of
-from springspread.rig.observer import fullest
+from springspread.faults.chaos import Chaos, fleet_of
+from springspread.faults.observer import fullest
 
 LIMIT = (100, 1_000.0)  # so that there is always something held
 
--- a/benchmarks/power_return.py
+++ b/benchmarks/power_return.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 
 from benchmarks.tables import add, tell
-from springspread.rig.chaos import fleet_of
-from springspread.rig.comeback import Comeback, Returning
+from springspread.faults.chaos import fleet_of
+from springspread.faults.comeback import Comeback, Returning
 
 NONE = "clock_ms = 0.0\npolicy_ms = 0.0\nlist_ms = 0.0\nowed_ms = 0.0\n"
 ARMS = {
--- a/benchmarks/rollout_search.py
+++ b/benchmarks/rollout_search.py
@@ -14,8 +14,8 @@
 from multiprocessing import Pool
 from pathlib import Path
 
-from springspread.rig.planted import PLANTED
-from springspread.rig.search import Bounds, Found, search
+from springspread.faults.planted import PLANTED
+from springspread.faults.search import Bounds, Found, search
 
 SIZES = {
     "3 instances, from the first start": (Bounds(3), False),
--- a/springspread/cli/demo.py
+++ b/springspread/cli/demo.py
@@ -9,8 +9,8 @@
 
 def fleet_demo(instances: int, seconds: float, seed: int) -> int:
     """Play it; 0 where every promise held, else 1."""
-    from springspread.rig.chaos import Chaos, fleet_of
-    from springspread.rig.schedule import drawn
+    from springspread.faults.chaos import Chaos, fleet_of
+    from springspread.faults.schedule import drawn
 
     def show(now: float, rows: dict[str, dict[str, Any]], acts: list[str]) -> None:
         each = "  ".join(f"{name}:{row['policy'] or '-'}" for name, row in sorted(rows.items()))
--- a/springspread/core/files.py
+++ b/springspread/core/files.py
@@ -1,7 +1,7 @@
 """The files of one folder, as whatever keeps something there uses them: a narrow layer over the system's.
 
-All that is kept goes through here, so that the rig may put another one in its place: one that holds back what
-was not synced, or one in memory. Raises ``OSError`` as the system does.
+All that is kept goes through here, so that fault injection may put another one in its place: one that holds
+back what was not synced, or one in memory. Raises ``OSError`` as the system does.
 """
 
 from __future__ import annotations
--- a/springspread/rig/chaos.py
+++ b/springspread/faults/chaos.py
@@ -25,15 +25,15 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from springspread.faults.daemon import PROGRAM, relay_path
+from springspread.faults.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
+from springspread.faults.partner import GROUP, UNSAFE, Outside
+from springspread.faults.power import CLOCK, WRITE_BACK
+from springspread.faults.relay import Fault, Relay, Way, unseen
+from springspread.faults.sabotage import VARIABLE
+from springspread.faults.schedule import Act, Kind
 from springspread.fleet.folder import process_start
 from springspread.fleet.orders import send_order
-from springspread.rig.daemon import PROGRAM, relay_path
-from springspread.rig.observer import begun, fullest, gaps, interleaved, mixtures, nowhere, recorded
-from springspread.rig.partner import GROUP, UNSAFE, Outside
-from springspread.rig.power import CLOCK, WRITE_BACK
-from springspread.rig.relay import Fault, Relay, Way, unseen
-from springspread.rig.sabotage import VARIABLE
-from springspread.rig.schedule import Act, Kind
 
 READY_S = 30.0
 ENDS_S = 15.0  # messages live for 8 s, and may be with a process that has to be started first
@@ -118,13 +118,13 @@
         daemon and instances, from before there were policies; without relays, and nothing is proposed.
         ``sabotage``: the fault that is put into it. ``power``: instances lose what they did not sync as they
         are killed, and have this durability; every other message may be carried once only. ``instance``: the
-        rig's module that instances run in place of the program. ``write_back``: the seed by which some of
-        what was not synced is on disk all the same (``rig.power``). ``recovery``: lines of that table of the
-        fleet's file.
+        module of this package that instances run in place of the program. ``write_back``: the seed by which
+        some of what was not synced is on disk all the same (``faults.power``). ``recovery``: lines of that
+        table of the fleet's file.
         """
         self._limit, self._program, self._sabotage = limit, program, sabotage
         self._power, self._write_back = power, write_back
-        self._instance = "springspread.rig.power" if power else instance
+        self._instance = "springspread.faults.power" if power else instance
         self._each_s = each_s
         self._file, self._config, self._folder = place / "fleet.toml", place / "sender.json", place / "fleet"
         toml = (TOML if program is None else OLD_TOML).format(instances, lease_ms)
@@ -169,7 +169,7 @@
 
     def _start(self, *moment: str) -> subprocess.Popen[bytes]:
         env = {**os.environ, "RELAY_LOG_LEVEL": "debug", VARIABLE: self._sabotage}
-        line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file), *moment]
+        line = [sys.executable, "-m", "springspread.faults.daemon", str(self._file), *moment]
         if self._instance:
             env[PROGRAM] = self._instance
         if self._clock_s:
--- a/springspread/rig/comeback.py
+++ b/springspread/faults/comeback.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from threading import Timer
 
-from springspread.rig.chaos import Chaos
+from springspread.faults.chaos import Chaos
 
 AIM_MS = 1_000.0  # the class's objective
 LIFE_MS = 8_000.0  # its give-up time
--- a/springspread/rig/crashes.py
+++ b/springspread/faults/crashes.py
@@ -20,7 +20,7 @@
 from random import Random
 
 from springspread.core.journal import Journal, Owed
-from springspread.rig.disk import Crash, Disk, MemoryFiles
+from springspread.faults.disk import Crash, Disk, MemoryFiles
 
 DISK_BYTES = 32_000  # files of 2,700 bytes, and room for three of them: they turn over often
 BODY_BYTES = 300
--- a/springspread/rig/daemon.py
+++ b/springspread/faults/daemon.py
@@ -1,4 +1,6 @@
-"""The real daemon whose instances find it through relays: ``python -m springspread.rig.daemon FLEET.toml``.
+"""The real daemon whose instances find it through relays.
+
+``python -m springspread.faults.daemon FLEET.toml`` runs it.
 
 Each instance may be given a configuration of its own (its directory, say) in ``given.json``.
 
@@ -14,6 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+from springspread.faults.sabotage import SABOTAGES, VARIABLE
+from springspread.faults.steps import Deed, Disk, Steps
 from springspread.fleet import daemon as daemon_module
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.daemon import Daemon
@@ -21,11 +25,9 @@
 from springspread.fleet.plan import read_fleet
 from springspread.fleet.wire import Message
 from springspread.logs import make_log
-from springspread.rig.sabotage import SABOTAGES, VARIABLE
-from springspread.rig.steps import Deed, Disk, Steps
 from springspread.rollout import record
 
-PROGRAM = "RIG_PROGRAM"  # what instances run, in place of the program
+PROGRAM = "FAULTS_PROGRAM"  # what instances run, in place of the program
 ENDS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -82,7 +84,7 @@
     log, sink = make_log("fleet", 1000)
     if sabotage := SABOTAGES.get(os.environ.get(VARIABLE, "")):
         if sabotage.sender:
-            RelayedDaemon.program = "springspread.rig.sender"
+            RelayedDaemon.program = "springspread.faults.sender"
         else:
             sabotage.install()
     RelayedDaemon.program = os.environ.get(PROGRAM, RelayedDaemon.program)
--- a/springspread/rig/damage.py
+++ b/springspread/faults/damage.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from springspread.rig.chaos import Chaos
+from springspread.faults.chaos import Chaos
 
 OWED_S = 0.8
 NOT_KEPT = {"daemon.log", "lock", "log", "given.json"}
--- a/springspread/rig/hollow/allocator.py
+++ b/springspread/faults/hollow/allocator.py
@@ -11,6 +11,10 @@
 from math import inf
 from time import perf_counter_ns
 
+from springspread.faults.hollow.connection import Connection
+from springspread.faults.hollow.events import EventQueue
+from springspread.faults.hollow.meter import Meter
+from springspread.faults.hollow.network import Zone
 from springspread.fleet.allocator import Allocator
 from springspread.fleet.allocator_control import AllocatorControl
 from springspread.fleet.allocator_server import IDLE_MS, SLACK_MS, TICK_MS
@@ -24,10 +28,6 @@
     UseReport,
 )
 from springspread.fleet.wire import write
-from springspread.rig.hollow.connection import Connection
-from springspread.rig.hollow.events import EventQueue
-from springspread.rig.hollow.meter import Meter
-from springspread.rig.hollow.network import Zone
 
 FLEET = "hollow"
 OBSERVER = Register(PROTOCOL_VERSION, FLEET, "observer", 0)  # is told of statuses, at no modelled cost
--- a/springspread/rig/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -20,6 +20,12 @@
 from numpy.typing import NDArray
 
 from springspread.core.clock import SYSTEM
+from springspread.faults.daemon import relay_path
+from springspread.faults.hollow.fleet import FleetSize, HollowFleet
+from springspread.faults.hollow.meter import Volume
+from springspread.faults.hollow.report import Row
+from springspread.faults.hollow.traffic import Calls, TrafficLaw
+from springspread.faults.relay import Relay, Way
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.messages import (
     KeyStatuses,
@@ -30,12 +36,6 @@
     UseReport,
     Welcome,
 )
-from springspread.rig.daemon import relay_path
-from springspread.rig.hollow.fleet import FleetSize, HollowFleet
-from springspread.rig.hollow.meter import Volume
-from springspread.rig.hollow.report import Row
-from springspread.rig.hollow.traffic import Calls, TrafficLaw
-from springspread.rig.relay import Relay, Way
 from springspread.rollout.document import Policy
 from springspread.town.checker import SPAN_MS
 from springspread.town.day import Day
--- a/springspread/rig/hollow/connection.py
+++ b/springspread/faults/hollow/connection.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from springspread.faults.hollow.events import EventQueue
+from springspread.faults.hollow.network import Network, Zone
 from springspread.fleet.limits import Owner
 from springspread.fleet.wire import Lines
-from springspread.rig.hollow.events import EventQueue
-from springspread.rig.hollow.network import Network, Zone
 
 
 class Acceptor(Protocol):
--- a/springspread/rig/hollow/faults.py
+++ b/springspread/faults/hollow/faults.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from random import Random
 
-from springspread.rig.hollow.network import ZONES
+from springspread.faults.hollow.network import ZONES
 
 RESTART_MS = 1_500.0  # until a restarted sender's next process talks
 TAKEOVER_MS = 1_000.0  # until an allocator's successor serves
--- a/springspread/rig/hollow/fleet.py
+++ b/springspread/faults/hollow/fleet.py
@@ -14,21 +14,21 @@
 
 import numpy as np
 
+from springspread.faults.hollow.allocator import AllocatorProcess
+from springspread.faults.hollow.connection import Acceptor
+from springspread.faults.hollow.events import BOOTED_MS, EventQueue
+from springspread.faults.hollow.faults import Fault, FaultKind
+from springspread.faults.hollow.history import HeldUp, History
+from springspread.faults.hollow.meter import Meter
+from springspread.faults.hollow.network import Network, zone_of
+from springspread.faults.hollow.policy import PolicyProcess, PolicySession
+from springspread.faults.hollow.sender import HollowSender, WaitingCall
+from springspread.faults.hollow.traffic import CallSource, Traffic, TrafficLaw
+from springspread.faults.hollow.waiting import FAILURES, WaitingCalls
 from springspread.fleet.allocator_control import LEARNING_MS
 from springspread.fleet.limits import Limit
 from springspread.fleet.messages import fingerprint
 from springspread.fleet.shard_map import ShardMap
-from springspread.rig.hollow.allocator import AllocatorProcess
-from springspread.rig.hollow.connection import Acceptor
-from springspread.rig.hollow.events import BOOTED_MS, EventQueue
-from springspread.rig.hollow.faults import Fault, FaultKind
-from springspread.rig.hollow.history import HeldUp, History
-from springspread.rig.hollow.meter import Meter
-from springspread.rig.hollow.network import Network, zone_of
-from springspread.rig.hollow.policy import PolicyProcess, PolicySession
-from springspread.rig.hollow.sender import HollowSender, WaitingCall
-from springspread.rig.hollow.traffic import CallSource, Traffic, TrafficLaw
-from springspread.rig.hollow.waiting import FAILURES, WaitingCalls
 from springspread.rollout.document import Policy
 
 STRETCH_MS = 100.0  # of calls that are drawn at once
--- a/springspread/rig/hollow/play.py
+++ b/springspread/faults/hollow/play.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 from resource import RUSAGE_SELF, getrusage
 
-from springspread.rig.hollow.faults import Stage, schedule
-from springspread.rig.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
-from springspread.rig.hollow.report import Measurement, Row
+from springspread.faults.hollow.faults import Stage, schedule
+from springspread.faults.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
+from springspread.faults.hollow.report import Measurement, Row
 from springspread.rollout.document import Policy
 
 
--- a/springspread/rig/hollow/policy.py
+++ b/springspread/faults/hollow/policy.py
@@ -9,18 +9,18 @@
 from collections.abc import Callable
 from time import perf_counter_ns
 
+from springspread.faults.hollow.allocator import FLEET
+from springspread.faults.hollow.connection import Connection
+from springspread.faults.hollow.events import EventQueue
+from springspread.faults.hollow.meter import Meter
+from springspread.faults.hollow.network import Zone
+from springspread.faults.hollow.sender import HollowSender
 from springspread.fleet.change import LOOK_MS
 from springspread.fleet.client import RECONNECT_MS
 from springspread.fleet.limits import Owner
 from springspread.fleet.messages import PROTOCOL_VERSION, Register
 from springspread.fleet.policy_participant import REPORT_INTERVAL_MS
 from springspread.fleet.wire import Document, Message, write
-from springspread.rig.hollow.allocator import FLEET
-from springspread.rig.hollow.connection import Connection
-from springspread.rig.hollow.events import EventQueue
-from springspread.rig.hollow.meter import Meter
-from springspread.rig.hollow.network import Zone
-from springspread.rig.hollow.sender import HollowSender
 from springspread.rollout import coordinator, participant
 from springspread.rollout.coordinator import Coordinator, History, Step, Times
 from springspread.rollout.document import Policy
--- a/springspread/rig/hollow/report.py
+++ b/springspread/faults/hollow/report.py
@@ -8,11 +8,11 @@
 
 import numpy as np
 
-from springspread.rig.hollow.fleet import HollowFleet
-from springspread.rig.hollow.history import HeldUp
-from springspread.rig.hollow.memory import reachable_bytes
-from springspread.rig.hollow.meter import Meter, Volume
-from springspread.rig.hollow.spans import Fullest, SpanClass, find_spans
+from springspread.faults.hollow.fleet import HollowFleet
+from springspread.faults.hollow.history import HeldUp
+from springspread.faults.hollow.memory import reachable_bytes
+from springspread.faults.hollow.meter import Meter, Volume
+from springspread.faults.hollow.spans import Fullest, SpanClass, find_spans
 
 SAMPLED = 12  # senders whose memory is measured
 NOTICED_MS = 50.0  # a wait that is told apart from shorter ones
--- a/springspread/rig/hollow/sender.py
+++ b/springspread/faults/hollow/sender.py
@@ -13,17 +13,17 @@
 from math import inf
 from time import perf_counter_ns
 
+from springspread.faults.hollow.allocator import FLEET
+from springspread.faults.hollow.connection import Acceptor, Connection
+from springspread.faults.hollow.events import EventQueue
+from springspread.faults.hollow.meter import Meter
+from springspread.faults.hollow.network import Network, Zone
+from springspread.faults.relay import Way
 from springspread.fleet.client import LEASE_WAIT_MS, RECONNECT_MS
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.messages import KeyStatuses, LeaseGrants, Welcome
 from springspread.fleet.sender_session import POLL_MS, SenderSession
 from springspread.fleet.wire import write
-from springspread.rig.hollow.allocator import FLEET
-from springspread.rig.hollow.connection import Acceptor, Connection
-from springspread.rig.hollow.events import EventQueue
-from springspread.rig.hollow.meter import Meter
-from springspread.rig.hollow.network import Network, Zone
-from springspread.rig.relay import Way
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/rig/hollow/sockets.py
+++ b/springspread/faults/hollow/sockets.py
@@ -23,14 +23,14 @@
 
 from springspread.core.clock import SYSTEM
 from springspread.core.types import Endpoint
+from springspread.faults.hollow.history import History
+from springspread.faults.hollow.report import Row, spread
+from springspread.faults.hollow.spans import SpanClass, find_spans
+from springspread.faults.hollow.traffic import Traffic, TrafficLaw, key_of
+from springspread.faults.relay import Relay, Way
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
 from springspread.logs import make_log
-from springspread.rig.hollow.history import History
-from springspread.rig.hollow.report import Row, spread
-from springspread.rig.hollow.spans import SpanClass, find_spans
-from springspread.rig.hollow.traffic import Traffic, TrafficLaw, key_of
-from springspread.rig.relay import Relay, Way
 
 RELAYED = 10  # senders whose lines are counted
 HELD_UP_MS = 3.0  # a call whose right took longer was held up
--- a/springspread/rig/hollow/spans.py
+++ b/springspread/faults/hollow/spans.py
@@ -20,9 +20,9 @@
 import numpy as np
 from numpy.typing import NDArray
 
+from springspread.faults.hollow.history import History
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import Limit
-from springspread.rig.hollow.history import History
 
 EXPOSURE_MS = FRESH_MS
 
--- a/springspread/rig/hollow/waiting.py
+++ b/springspread/faults/hollow/waiting.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Callable
 
+from springspread.faults.hollow.events import EventQueue
 from springspread.fleet.key_health import OPENING_FAILURES
-from springspread.rig.hollow.events import EventQueue
 
 NEXT_MS = 5.0
 AGAIN_MS = 1_000.0
--- a/springspread/rig/planted.py
+++ b/springspread/faults/planted.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
-from springspread.rig.search import TIMES, Machine, altered
+from springspread.faults.search import TIMES, Machine, altered
 from springspread.rollout.coordinator import Coordinator, History, Step
 from springspread.rollout.participant import Participant
 from springspread.rollout.terms import Begun, Decided, Effect, Grant, Prepare, Proposed, Send, Vote, Write
--- a/springspread/rig/power.py
+++ b/springspread/faults/power.py
@@ -2,9 +2,9 @@
 
 ``HeldBack`` stands for the journal's files. What is written stays in memory until it is synced, so a SIGKILL
 drops it, as the loss of power drops what the system had not put on disk yet. Removals and truncations take
-hold at once, which is the worst that may happen to them. ``python -m springspread.rig.power`` runs the sender
-so. With a seed in ``RIG_WRITE_BACK`` the system writes some of it back by itself: a part from the beginning,
-or one block of 512 bytes before those that stand ahead of it, with zeros in their places.
+hold at once, which is the worst that may happen to them. ``python -m springspread.faults.power`` runs the
+sender so. With a seed in ``FAULTS_WRITE_BACK`` the system writes some of it back by itself: a part from the
+beginning, or one block of 512 bytes before those that stand ahead of it, with zeros in their places.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 from springspread.core.clock import SYSTEM, SystemClock
 from springspread.core.files import Files
 
-WRITE_BACK = "RIG_WRITE_BACK"
-CLOCK = "RIG_CLOCK_S"  # by how much the machine's clock is wrong, as it came up
+WRITE_BACK = "FAULTS_WRITE_BACK"
+CLOCK = "FAULTS_CLOCK_S"  # by how much the machine's clock is wrong, as it came up
 BLOCK = 512
 PREFIX_PART, BLOCK_PART = 0.1, 0.05  # of all appends
 
--- a/springspread/rig/rounds.py
+++ b/springspread/faults/rounds.py
@@ -15,12 +15,12 @@
 from pathlib import Path
 from random import Random
 
+from springspread.faults.chaos import Chaos
+from springspread.faults.observer import begun, borders, gaps, mixtures, over_limit
+from springspread.faults.partner import GROUP, Outside
+from springspread.faults.schedule import Act, Kind
+from springspread.faults.steps import Deed
 from springspread.fleet.orders import send_order
-from springspread.rig.chaos import Chaos
-from springspread.rig.observer import begun, borders, gaps, mixtures, over_limit
-from springspread.rig.partner import GROUP, Outside
-from springspread.rig.schedule import Act, Kind
-from springspread.rig.steps import Deed
 
 LIMITS = ((300, 500.0), (60, 500.0), (600, 500.0))  # cut to a fifth, raised tenfold, halved
 FORCE_S = 30.0  # no change may take longer
--- a/springspread/rig/sabotage.py
+++ b/springspread/faults/sabotage.py
@@ -1,6 +1,6 @@
 """Builds of the real program with one fault each, for the observer to convict.
 
-A fault is put into the daemon's process or into each instance's, by ``RIG_SABOTAGE``; the rig's launchers
+A fault is put into the daemon's process or into each instance's, by ``FAULTS_SABOTAGE``; the launchers
 install it. The search plants its own faults in the machine alone (``planted``).
 """
 
@@ -13,16 +13,16 @@
 from typing import Any
 
 from springspread.config import decoded
+from springspread.faults.schedule import Act, Kind
 from springspread.fleet.allocator_server import AllocatorServer
 from springspread.fleet.client import FleetShares
 from springspread.fleet.limits import Limit, LimitMode
-from springspread.rig.schedule import Act, Kind
 from springspread.rollout import coordinator, participant
 from springspread.rollout.participant import Participant
 from springspread.rollout.record import PolicyRecord
 from springspread.rollout.terms import Decided, Entry, Grant, Prepare, Vote
 
-VARIABLE = "RIG_SABOTAGE"
+VARIABLE = "FAULTS_SABOTAGE"
 FOR_MS = 5_000.0
 HALF_OPEN_AS_IT_DIES = (Act(3_000.0, Kind.HALF_OPEN, 0, 4_000.0), Act(3_100.0, Kind.DAEMON, 0, 150.0))
 ALL_DIE = tuple(Act(3_000.0 + 500.0 * n, Kind.KILL, n % 5, 100.0) for n in range(10))
--- a/springspread/rig/sender.py
+++ b/springspread/faults/sender.py
@@ -1,11 +1,11 @@
-"""A sabotaged instance: ``python -m springspread.rig.sender``, as the rig's daemon starts it."""
+"""A sabotaged instance: ``python -m springspread.faults.sender``, as the relayed daemon starts it."""
 
 from __future__ import annotations
 
 import os
 
 from springspread.__main__ import main
-from springspread.rig.sabotage import SABOTAGES, VARIABLE
+from springspread.faults.sabotage import SABOTAGES, VARIABLE
 
 if __name__ == "__main__":
     SABOTAGES[os.environ[VARIABLE]].install()
--- a/springspread/rig/stalls.py
+++ b/springspread/faults/stalls.py
@@ -1,5 +1,5 @@
 """A sender that is held up now and then between a call's right and its first byte, as one that is frozen or
-gets no processor: ``python -m springspread.rig.stalls``.
+gets no processor: ``python -m springspread.faults.stalls``.
 """
 
 from __future__ import annotations
--- a/springspread/town/fleet.py
+++ b/springspread/town/fleet.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
+from springspread.faults.daemon import given_path
 from springspread.fleet.limits import Limit
 from springspread.fleet.orders import send_order
-from springspread.rig.daemon import given_path
 
 READY_S = 30.0
 STOP_S = 15.0
@@ -47,7 +47,7 @@
         (self._place / "sender.json").write_text(json.dumps(config))
         own = {name_of(n): {"discovery": f"127.0.0.1:{port}"} for n, port in directories.items()}
         given_path(self._folder).write_text(json.dumps(own))
-        line = [sys.executable, "-m", "springspread.rig.daemon", str(self._file)]
+        line = [sys.executable, "-m", "springspread.faults.daemon", str(self._file)]
         with (self._place / "daemon.log").open("wb") as log:
             self._daemon = subprocess.Popen(line, stderr=log, start_new_session=True)
         end = time.monotonic() + READY_S
--- a/tests/rig/test_chaos.py
+++ b/tests/faults/test_chaos.py
@@ -1,10 +1,10 @@
 from pathlib import Path
 
-from springspread.rig.chaos import Chaos
-from springspread.rig.partner import Outside
-from springspread.rig.rounds import Rounds
-from springspread.rig.schedule import Act, Kind, drawn
-from springspread.rig.steps import Deed
+from springspread.faults.chaos import Chaos
+from springspread.faults.partner import Outside
+from springspread.faults.rounds import Rounds
+from springspread.faults.schedule import Act, Kind, drawn
+from springspread.faults.steps import Deed
 
 
 def test_changes_go_on_through_faults_between_processes(tmp_path: Path) -> None:
@@ -64,7 +64,7 @@
 def test_a_call_that_was_held_up_since_it_got_its_right_does_not_break_the_limit(tmp_path: Path) -> None:
     outside = Outside()
     limit = (30, 1_000.0)
-    chaos = Chaos(tmp_path, outside, 3, each_s=0.06, limit=limit, instance="springspread.rig.stalls")
+    chaos = Chaos(tmp_path, outside, 3, each_s=0.06, limit=limit, instance="springspread.faults.stalls")
     try:
         told = chaos.play((), 6_500.0)
     finally:
--- a/tests/rig/test_crashes.py
+++ b/tests/faults/test_crashes.py
@@ -1,7 +1,7 @@
 import pytest
 
-from springspread.rig.crashes import planted, search
-from springspread.rig.disk import Disk, MemoryFiles
+from springspread.faults.crashes import planted, search
+from springspread.faults.disk import Disk, MemoryFiles
 
 PLANTED = dict(planted())
 # Found by benchmarks.crash_points, which looks further.
--- a/tests/rig/test_hollow.py
+++ b/tests/faults/test_hollow.py
@@ -9,17 +9,17 @@
 
 import pytest
 
+from springspread.faults.hollow.faults import Fault, FaultKind, Stage, schedule
+from springspread.faults.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
+from springspread.faults.hollow.network import ZONES, zone_of
+from springspread.faults.hollow.play import Plan, play
+from springspread.faults.hollow.report import digest
+from springspread.faults.hollow.spans import SpanClass, Spans, find_spans
+from springspread.faults.hollow.traffic import TrafficLaw
 from springspread.fleet.binding import Binding
 from springspread.fleet.key_health import KeyHealth
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import LimitMode
-from springspread.rig.hollow.faults import Fault, FaultKind, Stage, schedule
-from springspread.rig.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
-from springspread.rig.hollow.network import ZONES, zone_of
-from springspread.rig.hollow.play import Plan, play
-from springspread.rig.hollow.report import digest
-from springspread.rig.hollow.spans import SpanClass, Spans, find_spans
-from springspread.rig.hollow.traffic import TrafficLaw
 from springspread.rollout.document import Policy
 
 POLICY = Policy(json.loads(Path("deploy/sender.json").read_text())["settings"], {})
--- a/tests/rig/test_observer.py
+++ b/tests/faults/test_observer.py
@@ -1,7 +1,7 @@
 import json
 from pathlib import Path
 
-from springspread.rig.observer import (
+from springspread.faults.observer import (
     Begun,
     begun,
     borders,
--- a/tests/rig/test_return.py
+++ b/tests/faults/test_return.py
@@ -11,9 +11,9 @@
 from springspread.config import Waits
 from springspread.core.gates import TABLE, Gate, Seen, Standing, step
 from springspread.core.worldtime import DOUBT_MS, offset, read
-from springspread.rig.chaos import Chaos, fleet_of
-from springspread.rig.damage import Damaged
-from springspread.rig.observer import fullest
+from springspread.faults.chaos import Chaos, fleet_of
+from springspread.faults.damage import Damaged
+from springspread.faults.observer import fullest
 from tests.peer import until
 
 HOUR = 3_600_000.0
--- a/tests/rig/test_schedule.py
+++ b/tests/faults/test_schedule.py
@@ -1,6 +1,6 @@
 import pytest
 
-from springspread.rig.schedule import Act, Kind, drawn, pressed, read, smaller, written
+from springspread.faults.schedule import Act, Kind, drawn, pressed, read, smaller, written
 
 ACTS = drawn(3, 6, 60_000.0, 1_000.0)
 
--- a/tests/rollout/test_fleet.py
+++ b/tests/rollout/test_fleet.py
@@ -14,10 +14,10 @@
 
 import pytest
 
+from springspread.faults.observer import begun, mixtures
 from springspread.fleet.daemon import Daemon
 from springspread.fleet.orders import Refused
 from springspread.fleet.plan import read_fleet
-from springspread.rig.observer import begun, mixtures
 from tests.fleet.test_allocator_server import Quiet
 from tests.fleet.test_daemon import Place
 from tests.peer import until
--- a/tests/rollout/test_relay.py
+++ b/tests/rollout/test_relay.py
@@ -9,10 +9,10 @@
 
 import pytest
 
+from springspread.faults.daemon import RelayedDaemon, relay_path
+from springspread.faults.observer import begun, mixtures
+from springspread.faults.relay import Fault, Relay, Way
 from springspread.fleet.plan import read_fleet
-from springspread.rig.daemon import RelayedDaemon, relay_path
-from springspread.rig.observer import begun, mixtures
-from springspread.rig.relay import Fault, Relay, Way
 from tests.fleet.test_allocator_server import Quiet
 from tests.peer import until
 from tests.rollout.test_fleet import TIMES, Fleet, calls_out
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -15,12 +15,12 @@
 from springspread.config import ConfigError, Durability
 from springspread.core.commit import Commit
 from springspread.core.journal import Journal
-from springspread.rig.power import HeldBack
+from springspread.faults.power import HeldBack
 from tests.peer import WAIT_S, Peer, Program, until
 from tests.test_config import make
 from tests.test_salvage import owed
 
-HELD_BACK = "springspread.rig.power"
+HELD_BACK = "springspread.faults.power"
 
 
 class Disk:
