--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -11,7 +11,6 @@
 
 import json
 from bisect import bisect_left
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
@@ -27,15 +26,8 @@
 from springspread.faults.hollow.traffic import Calls, TrafficLaw
 from springspread.faults.relay import Relay, Way
 from springspread.fleet.limits import Limit, LimitMode
-from springspread.fleet.messages import (
-    KeyStatuses,
-    LeaseGrants,
-    LeaseRequest,
-    LimitMessage,
-    Register,
-    UseReport,
-    Welcome,
-)
+from springspread.fleet.messages import LeaseRequest
+from springspread.fleet.wire import Lines
 from springspread.rollout.document import Policy
 from springspread.town.checker import SPAN_MS
 from springspread.town.day import Day
@@ -141,15 +133,31 @@
     down: Volume = field(default_factory=Volume)
 
 
-KINDS: Mapping[int, type[LimitMessage]] = {
-    1: Register,
-    2: LeaseRequest,
-    3: UseReport,
-    4: Welcome,
-    5: KeyStatuses,
-    6: LeaseGrants,
-}
-"""Messages about limits by their tags."""
+KINDS = (
+    "Register",
+    "LeaseRequest that asks",
+    "LeaseRequest that reports and takes back",
+    "LeaseRequest that reports",
+    "LeaseRequest that takes back",
+    "UseReport",
+    "Welcome",
+    "KeyStatuses",
+    "LeaseGrants",
+)
+"""Messages about limits; a request that asks for nothing says what was done with leases, or who waits no
+more."""
+
+
+def kind_of(line: bytes) -> str:
+    """Which of ``KINDS`` a line about limits is; raises ``Unreadable``."""
+    (message,) = Lines().feed(line)
+    if not isinstance(message, LeaseRequest):
+        return type(message).__name__
+    if any(message.demands.values()):
+        return "LeaseRequest that asks"
+    if message.reports:
+        return "LeaseRequest that reports" + (" and takes back" if message.demands else "")
+    return "LeaseRequest that takes back"
 
 
 class LineCounts:
@@ -158,7 +166,7 @@
     def __init__(self) -> None:
         self.counting = False
         self.limits, self.policies = Counts(), Counts()
-        self.kinds = {kind.__name__: Volume() for kind in KINDS.values()}
+        self.kinds = {kind: Volume() for kind in KINDS}
 
     def seen(self, way: Way, line: bytes) -> None:
         """A line passes."""
@@ -168,8 +176,7 @@
         counts = self.limits if of_limits else self.policies
         (counts.up if way is Way.UP else counts.down).add(1, len(line))
         if of_limits:
-            tag = int(line[1:].split(b",", 1)[0])
-            self.kinds[KINDS[tag].__name__].add(1, len(line))
+            self.kinds[kind_of(line)].add(1, len(line))
 
 
 def with_limits(day: Day) -> Day:
@@ -256,9 +263,9 @@
 def _kind_rows(real: list[LineCounts], hollow: list[LineCounts], seconds: float) -> list[Row]:
     """The lines about limits by kind of message."""
     rows = []
-    for kind in KINDS.values():
-        volumes = [[count.kinds[kind.__name__] for count in one] for one in (real, hollow)]
-        rows += _side_by_side(f"of {kind.__name__}", volumes, len(real) * seconds)
+    for kind in KINDS:
+        volumes = [[count.kinds[kind] for count in one] for one in (real, hollow)]
+        rows += _side_by_side(f"of {kind}", volumes, len(real) * seconds)
     return rows
 
 
--- a/tests/faults/test_hollow.py
+++ b/tests/faults/test_hollow.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from springspread.faults.hollow.comparison import kind_of
 from springspread.faults.hollow.faults import Fault, FaultKind, Stage, schedule
 from springspread.faults.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
 from springspread.faults.hollow.network import ZONES, zone_of
@@ -20,6 +21,8 @@
 from springspread.fleet.key_health import KeyHealth
 from springspread.fleet.lease_cache import FRESH_MS
 from springspread.fleet.limits import LimitMode
+from springspread.fleet.messages import LeaseReport, LeaseRequest, UseReport
+from springspread.fleet.wire import write
 from springspread.rollout.document import Policy
 
 POLICY = Policy(json.loads(Path("deploy/sender.json").read_text())["settings"], {})
@@ -27,6 +30,7 @@
 SIZE = FleetSize(senders=42, allocators=3, law=LAW)
 EXACT_LAW = TrafficLaw(60, 400.0, hottest_share=0.05, headroom=0.9, mode=LimitMode.EXACT)
 EXACT = FleetSize(senders=28, allocators=3, law=EXACT_LAW)
+REPORT = LeaseReport("g1", 1, 1, 5.0)
 BUSY = 0  # the destination with the most demand, of which ``JUMP`` is a hundredfold
 QUIET = 60  # one with little demand
 AT = 4_000.0  # when a fault begins
@@ -210,3 +214,17 @@
     versions = {session.version() for session in fleet.policy_sessions if session is not None}
     assert fleet.coordinator.in_force[0] == 2
     assert versions == {2}
+
+
+@pytest.mark.parametrize(
+    ("message", "kind"),
+    [
+        (LeaseRequest({"g1": 1, "g2": 0}, (REPORT,)), "LeaseRequest that asks"),
+        (LeaseRequest({"g1": 0}, (REPORT,)), "LeaseRequest that reports and takes back"),
+        (LeaseRequest({}, (REPORT,)), "LeaseRequest that reports"),
+        (LeaseRequest({"g1": 0}), "LeaseRequest that takes back"),
+        (UseReport(1), "UseReport"),
+    ],
+)
+def test_lines_beside_real_instances_are_told_by_kind(message: LeaseRequest | UseReport, kind: str) -> None:
+    assert kind_of(write(message)) == kind
