--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -33,7 +33,8 @@
 from springspread.town.day import Day
 from springspread.town.fleet import name_of
 from springspread.town.partner import Answer
-from springspread.town.sockets import Place, SocketTown
+from springspread.town.polling import Place
+from springspread.town.sockets import SocketTown
 
 WARM_MS = 10_000.0
 HOLLOW_START_MS = 1_000.0  # hollow calls begin so much after the recorded ones' zero
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -9,10 +9,7 @@
 
 import json
 import os
-import selectors
 import signal
-import socket
-import struct
 import subprocess
 import sys
 import threading
@@ -20,34 +17,30 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
-from heapq import heappop, heappush
 from math import inf
 from pathlib import Path
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-from springspread.config import Limits
 from springspread.core.types import EndpointState
 from springspread.fleet.limits import Limit
-from springspread.http1.message import Malformed
-from springspread.http1.server import Request, ServerConnection
+from springspread.http1.server import Request
 from springspread.net.exchange import FAILURES, Connection
 from springspread.town.checker import SPAN_MS, Checker
 from springspread.town.day import CLASSES, Arrival, Change, Day, Death, Fate, Service
 from springspread.town.fleet import TownFleet
 from springspread.town.partner import Answer, End, Partner, Trouble
+from springspread.town.polling import LIMITS, Place, PollingServer
 
 SIGNALS = {Fate.KILL: signal.SIGKILL, Fate.TERM: signal.SIGTERM, Fate.FREEZE: signal.SIGSTOP}
 CALL_PATHS = ("/events", "/events/bundle")
 STATUS = {End.DONE: 200, End.FAILED: 500, End.FULL: 503}
 NONSENSE = b"HTTP/1.1 2OO fine\r\nContent-Length: -1\r\n\r\n"
 WORDS = {EndpointState.READY: "Ready", EndpointState.DRAINING: "Terminating", EndpointState.GONE: "Gone"}
-RESET = struct.pack("ii", 1, 0)
 HEARD_MS = 400.0  # a client waits so long for its answer
 LATE_MS = 25.0  # a driver that was later than this, at its 99th percentile, has no result
 READY_S = 15.0
 RESTART_MS = 1_500.0  # a sender's start, at most
-LIMITS = replace(Limits(), body_bytes=1 << 20)
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,31 +56,13 @@
         return self.late_ms[0] <= LATE_MS
 
 
-class Place:
-    """One connection to the town."""
-
-    __slots__ = ("sock", "machine", "serve", "open", "at")
-
-    def __init__(self, sock: socket.socket, at: int, serve: Callable[[Place, Request], None]) -> None:
-        self.sock, self.at, self.serve = sock, at, serve  # ``at``: the port that it came to
-        self.machine = ServerConnection(LIMITS)
-        self.open = True
-
-
 class SocketTown:
     """Plays one day; use it once, then ``close``."""
 
     def __init__(self, day: Day, folder: Path) -> None:
         self.day, self._folder = day, folder
         self._begun = time.monotonic()
-        self._lock = threading.RLock()
-        self._moments: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._count = 0
-        self._late: list[float] = []
-        self._selector = selectors.DefaultSelector()
-        self._bell, self._ear = socket.socketpair()
-        self._ear.setblocking(False)
-        self._selector.register(self._ear, selectors.EVENT_READ, None)
+        self._server = PollingServer(self._now)
         self._partners = {
             spec.group: Partner(spec.group, spec.habit, [*spec.names, *spec.later], f"{day.seed}")
             for spec in day.partners
@@ -108,8 +83,7 @@
         self.checker = Checker(CLASSES, 500.0, 8, limits)
         self.strangers: list[str] = []  # requests that were no calls
         self._handed = 0
-        self._listeners: dict[int, socket.socket] = {}
-        self._ports = {name: self._listen(self._call(name)) for name in self._group}
+        self._ports = {name: self._server.listen(self._call(name)) for name in self._group}
         self._processes: dict[int, subprocess.Popen[bytes]] = {}
         self._addresses: dict[int, tuple[str, int]] = {}  # of the senders that are there
         self._directories: dict[int, int] = {}  # ports
@@ -119,11 +93,6 @@
             told = {self._limit_key(key): per_s for key, per_s in limits.items() if per_s < inf}
             shared = {key: Limit.of_rate(per_s, SPAN_MS) for key, per_s in told.items()}
             self._fleet = TownFleet(folder, day.senders, shared)
-        # Guards the polling thread's punctuality: clients' threads give way to it ten times as often.
-        self._switch_s = sys.getswitchinterval()
-        sys.setswitchinterval(0.0005)
-        self._thread = threading.Thread(target=self._run, name="town", daemon=True)
-        self._thread.start()
         self._clients = ThreadPoolExecutor(64, "client")
 
     # Time and the one polling thread
@@ -132,94 +101,16 @@
         return (time.monotonic() - self._begun) * 1000.0
 
     def _at(self, when: float, work: Callable[..., None], *values: Any) -> None:
-        with self._lock:
-            self._count += 1
-            heappush(self._moments, (when, self._count, work, values))
-            sooner = self._moments[0][1] == self._count
-        if sooner and threading.current_thread() is not self._thread:
-            self._bell.send(b"\0")
-
-    def _run(self) -> None:
-        while self._open:
-            with self._lock:
-                due = self._moments[0][0] if self._moments else inf
-            wait = min(max(due - self._now(), 0.0) / 1000.0, 0.5)
-            for key, _ in self._selector.select(wait):
-                if key.data is None:
-                    self._ear.recv(4096)
-                elif isinstance(key.data, Place):
-                    self._read(key.data)
-                else:
-                    self._accept(key.fileobj, key.data)  # type: ignore[arg-type]
-            with self._lock:
-                while self._moments and self._moments[0][0] <= self._now():
-                    when, _, work, values = heappop(self._moments)
-                    self._late.append(self._now() - when)
-                    work(*values)
-
-    def _listen(self, serve: Callable[[Place, Request], None], port: int = 0) -> int:
-        sock = socket.create_server(("127.0.0.1", port), backlog=256)
-        sock.setblocking(False)
-        self._selector.register(sock, selectors.EVENT_READ, serve)
-        port = sock.getsockname()[1]
-        self._listeners[port] = sock
-        return port
+        self._server.at(when, work, *values)
 
     def _refuse(self, name: str, refusing: bool) -> None:
         """An endpoint's machine takes no connections and resets those that it has, or takes them again."""
         port = self._ports[name]
         if not refusing:
-            self._listen(self._call(name), port)
-            return
-        listener = self._listeners.pop(port)
-        self._selector.unregister(listener)
-        listener.close()
-        for key in list(self._selector.get_map().values()):
-            if isinstance(key.data, Place) and key.data.at == port:
-                self._end(key.data, reset=True)
-
-    def _accept(self, listener: socket.socket, serve: Callable[[Place, Request], None]) -> None:
-        try:
-            sock, _ = listener.accept()
-        except OSError:
-            return
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        place = Place(sock, listener.getsockname()[1], serve)
-        self._selector.register(sock, selectors.EVENT_READ, place)
-
-    def _read(self, place: Place) -> None:
-        try:
-            data = place.sock.recv(65536)
-            request = place.machine.feed(data) if data else None
-        except (OSError, Malformed):
-            data, request = b"", None
-        if not data:
-            self._end(place)
-        elif request is not None:
-            with self._lock:
-                place.serve(place, request)
-
-    def _end(self, place: Place, reset: bool = False) -> None:
-        if place.open:
-            place.open = False
-            self._selector.unregister(place.sock)
-            if reset:
-                place.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            place.sock.close()
-
-    def _answer(self, place: Place, status: int, headers: dict[str, str], body: bytes = b"") -> None:
-        if not place.open:
-            return
-        length = {} if status == 204 else {"Content-Length": str(len(body))}
-        try:
-            place.sock.send(place.machine.answer(status, {**length, **headers}) + body)
-            request = place.machine.resume()
-        except (OSError, Malformed):
-            self._end(place)
+            self._server.listen(self._call(name), port)
             return
-        if request is not None:
-            place.serve(place, request)
+        self._server.stop_listening(port)
+        self._server.reset_all_at(port)
 
     # Partners
 
@@ -246,7 +137,7 @@
             ids = [request.headers.get("X-Correlation-Id")]
         if not self.checker.knows(ids):
             self.checker.unknown(now, name, ids)
-            self._answer(place, 404, {})
+            self._server.answer(place, 404, {})
             return
         endpoint = self._partners[group].endpoints[name]
         stood = endpoint.fallen
@@ -260,14 +151,14 @@
         if answer.ran:
             self.checker.done(now, sender, key, ids, "maybe", True)
         if answer.end is End.REFUSED:
-            self._end(place, reset=True)
+            self._server.end(place, reset=True)
         elif answer.at < inf:
             self._at(answer.at, self._told, name, place, ids, answer, bundle)
 
     def _turn_away(self, name: str, place: Place, request: Request) -> None:
         """Guards the town against another program, which takes this port for one of its own peers."""
         self.strangers.append(f"{request.method} {request.path} at {name}")
-        self._answer(place, 404, {})
+        self._server.answer(place, 404, {})
 
     def _told(self, name: str, place: Place, ids: list[str], answer: Answer, bundle: bool) -> None:
         now, key, sender = self._now(), self._key(name), self.checker.sender_of(ids[0])
@@ -284,10 +175,10 @@
         if answer.end in (End.RESET, End.SPOILT):
             if was_open and answer.end is End.SPOILT:
                 place.sock.send(NONSENSE)
-            self._end(place, reset=answer.end is End.RESET)
+            self._server.end(place, reset=answer.end is End.RESET)
             self.checker.done(now, sender, key, ids, "maybe", False)
             return
-        self._answer(place, STATUS[answer.end], headers, body)
+        self._server.answer(place, STATUS[answer.end], headers, body)
         if was_open and answer.end is End.DONE:
             self.checker.done(now, sender, key, ids, "delivered", False)
         elif answer.end is not End.FULL:
@@ -297,21 +188,16 @@
         """An endpoint gets another's address: what is open there breaks, new calls are for the newcomer."""
         unused, port = self._ports[name], self._ports[old]
         self._ports[name] = port
-        for number in (unused, port):
-            listener = self._listeners.pop(number, None)
-            if listener is not None:
-                self._selector.unregister(listener)
-                listener.close()
-        for key in list(self._selector.get_map().values()):
-            if isinstance(key.data, Place) and key.data.at == port:
-                self._end(key.data, reset=True)
-        self._listen(self._call(name), port)
+        self._server.stop_listening(unused)
+        self._server.stop_listening(port)
+        self._server.reset_all_at(port)
+        self._server.listen(self._call(name), port)
 
     def _cut(self) -> None:
         """The directory goes away: watches break."""
         watches, self._watches = self._watches, []
         for place, _, _, _ in watches:
-            self._end(place, reset=True)
+            self._server.end(place, reset=True)
 
     def _change(self, change: Change) -> None:
         if change.takes_over:
@@ -359,7 +245,7 @@
         def serve(place: Place, request: Request) -> None:
             service = Service.PLATFORM if request.method == "POST" else Service.DIRECTORY
             if self.day.away(service, self._now()) > self._now():
-                self._end(place, reset=True)
+                self._server.end(place, reset=True)
                 return
             if request.method == "POST":
                 for line in request.body.splitlines():
@@ -367,7 +253,7 @@
                     self.checker.notice(self._now(), item["id"], item["status"])
                     if item["status"] == "deferred":
                         self._again(item["id"], item.get("again_ms", 0.0))
-                self._answer(place, 204, {})
+                self._server.answer(place, 204, {})
                 return
             asked = parse_qs(urlsplit(request.path).query)
             since = int(asked["since"][0]) if "since" in asked else None
@@ -394,14 +280,14 @@
         told = {"index": self._version, "snapshot": whole, "endpoints": [self._line(n) for n in names]}
         for name in names:
             self.checker.listed(self._now(), sender, name, self._states[name] is EndpointState.READY)
-        self._answer(place, 200, {}, json.dumps(told).encode())
+        self._server.answer(place, 200, {}, json.dumps(told).encode())
 
     # Senders
 
     def _directory_of(self, index: int) -> int:
         """The port at which a sender finds its directory."""
         if index not in self._directories:
-            self._directories[index] = self._listen(self._directory(f"n{index}"))
+            self._directories[index] = self._server.listen(self._directory(f"n{index}"))
         return self._directories[index]
 
     def _config(self, index: int) -> dict[str, Any]:
@@ -509,7 +395,7 @@
                 connection.close()
         except FAILURES:
             pass
-        with self._lock:
+        with self._server.lock:
             self.checker.verdict(self._now(), id, status in (200, 202))
             if status not in (200, 202):
                 self._again(id, 0.0, unheard=not status)
@@ -570,16 +456,16 @@
             time.sleep(0.05)
             if each_s is not None and self._now() >= told + 1000.0:
                 told = self._now()
-                with self._lock:
+                with self._server.lock:
                     each_s(told, self.checker, self.sufferings())
-        with self._lock:
+        with self._server.lock:
             self.checker.close(end)
-        late = sorted(self._late) or [0.0]
+        late = sorted(self._server.late_ms) or [0.0]
         return Live(self.checker, (late[int(0.99 * (len(late) - 1))], late[-1]))
 
     def _settled(self) -> bool:
-        with self._lock:
-            return not self.checker.open and not any(work == self._hand_in for _, _, work, _ in self._moments)
+        with self._server.lock:
+            return not self.checker.open and not self._server.awaits(self._hand_in)
 
     def close(self) -> None:
         """End the senders and every socket."""
@@ -596,18 +482,7 @@
         if self._fleet is not None:
             self._fleet.close()
         self._clients.shutdown()
-        self._bell.send(b"\0")
-        self._thread.join()
-        for key in list(self._selector.get_map().values()):
-            self._close_socket(key.fileobj)
-        self._selector.close()
-        self._bell.close()
-        sys.setswitchinterval(self._switch_s)
-
-    @staticmethod
-    def _close_socket(sock: object) -> None:
-        assert isinstance(sock, socket.socket)  # nothing else is registered
-        sock.close()
+        self._server.close()
 
 
 def _ready(process: subprocess.Popen[bytes], log: Path) -> tuple[str, int]:
--- a/tests/town/test_sockets.py
+++ b/tests/town/test_sockets.py
@@ -72,9 +72,9 @@
 def test_a_request_of_another_program_is_turned_away_and_a_call_of_an_unknown_message_is_a_fault(
     tmp_path: Path,
 ) -> None:
+    switch_s = sys.getswitchinterval()
     town = SocketTown(draw(1, senders=1, length_ms=2_000.0), tmp_path)
     port = next(iter(town._ports.values()))
-    switch_s = town._switch_s
     assert request(port, "GET /endpoints?since=1") == 404
     assert [stranger.split(" at ")[0] for stranger in town.strangers] == ["GET /endpoints?since=1"]
     assert town.checker.faults == []
