News for every sender wait 50 ms in place of 250, and 250 after earlier ones

Change: the first news go out after 50 ms; those after them no sooner than 250 ms after the last, so that many bindings at once cost no more writes than before.

--- a/springspread/fleet/allocator_control.py
+++ b/springspread/fleet/allocator_control.py
@@ -132,7 +132,7 @@
         """Other limits of the operators hold from a moment on; until then the stricter ones."""
         for key, limit in self._sources.announce(limits, since).items():
             self.limited(now, key, limit)
-        self._news.send_gathered()
+        self._news.send_gathered(now)
         self._next_default = default_mode or self._default_mode
         if self._next_default is LimitMode.EXACT:
             self._set_default(now, LimitMode.EXACT)
--- a/springspread/fleet/sender_news.py
+++ b/springspread/fleet/sender_news.py
@@ -9,8 +9,10 @@
                                                        a sender and destination in minutes nobody would know
                                                        in time otherwise (docs/design/limits-at-scale.md)
 
-A sender's news go out in one write with whatever it is told next. News for every sender wait for more of them
-(``GATHER_MS``), as each write costs more than what it says.
+A sender's news go out in one write with whatever it is told next. News for every sender wait for more of
+them (``GATHER_MS``), as each write costs more than what it says, and follow the ones before after
+``SPACING_MS``: a binding that comes alone is told soon, and of many at once each sender gets a few writes a
+second.
 """
 
 from __future__ import annotations
@@ -22,8 +24,9 @@
 from springspread.fleet.messages import Fingerprint, GrantedLease, KeyStatus, LimitMessage, Welcome
 from springspread.fleet.outbox import Outbox
 
-GATHER_MS = {KeyStatus.BOUND: 250.0, KeyStatus.FREE: 1_000.0}
+GATHER_MS = {KeyStatus.BOUND: 50.0, KeyStatus.FREE: 1_000.0}
 """So long news for every sender wait for more of them, where nothing else goes out to it before."""
+SPACING_MS = 250.0  # the least between two of these writes
 
 
 class SenderNews:
@@ -38,6 +41,7 @@
         self._informed: dict[Owner, set[Fingerprint]] = {}  # of which it knows a status but the default
         self._gather_ms = inf  # how long the news for every sender wait; inf: there are none
         self._gather_since = inf
+        self._sent_at = -inf  # when news for every sender last went out
 
     def registered(self, owner: Owner) -> bool:
         """Whether this start of a sender is registered."""
@@ -132,11 +136,16 @@
         """Time goes on: what was gathered for long enough goes out."""
         if self._gather_ms < inf:
             self._gather_since = min(self._gather_since, now)
-        if now >= self._gather_since + self._gather_ms:
-            self.send_gathered()
+        if now >= self._gathered_until:
+            self.send_gathered(now)
 
-    def send_gathered(self) -> None:
+    @property
+    def _gathered_until(self) -> float:
+        return max(self._gather_since + self._gather_ms, self._sent_at + SPACING_MS)
+
+    def send_gathered(self, now: float) -> None:
         """Gather no longer."""
+        self._sent_at = now
         self._gather_ms = self._gather_since = inf
         for owner, outbox in self._outboxes.items():
             if outbox.statuses:
@@ -155,4 +164,4 @@
     def next_at(self) -> float:
         """When ``tick`` has to be called; inf: not at all."""
         untimed = self._gather_ms < inf and self._gather_since == inf
-        return -inf if untimed else self._gather_since + self._gather_ms
+        return -inf if untimed else self._gathered_until
--- a/tests/fleet/test_allocator_control.py
+++ b/tests/fleet/test_allocator_control.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import pairwise
+from math import inf
 
 import pytest
 
@@ -26,7 +28,7 @@
     fingerprint,
 )
 from springspread.fleet.outbox import Outbox
-from springspread.fleet.sender_news import GATHER_MS
+from springspread.fleet.sender_news import GATHER_MS, SPACING_MS
 from springspread.fleet.sender_session import SenderSession
 
 SPAN = 2_000.0
@@ -419,6 +421,23 @@
     assert told_late == [Welcome(KeyStatus.FREE, True, 1), KeyStatuses(0, bound=bound)]
 
 
+def test_bindings_in_a_row_are_told_to_everybody_a_few_times_a_second() -> None:
+    limits = {f"g{number}": FREE_ONE for number in range(100)}
+    control = AllocatorControl("fleet", ADAPTIVE, limits, Allocator(), 0.0)
+    owners = [control.register(0.0, Register(PROTOCOL_VERSION, "fleet", f"n{n}", 1)) for n in range(2)]
+    control.take_messages()
+    told: list[float] = []
+    for now in range(1, 1_001):
+        if now % 10 == 0:  # another limit is bound, by what the first sender reports
+            control.received(float(now), owners[0], UseReport(now, 0.0, {f"g{now // 10 - 1}": 50}))
+        assert control.next_at >= now or control.next_at == -inf
+        control.tick(float(now))
+        if owners[1] in control.take_messages():
+            told.append(float(now))
+    assert told[0] == 10.0 + GATHER_MS[KeyStatus.BOUND]
+    assert [later - at for at, later in pairwise(told)] == [SPACING_MS] * (len(told) - 1) and len(told) == 4
+
+
 def test_an_acknowledgement_goes_behind_every_status_that_was_told_before_it() -> None:
     statuses = dict.fromkeys(range(2 * MAX_KEYS + 1), KeyStatus.BOUND)
     messages = Outbox(acknowledged=7, statuses=statuses).messages()
