Hollow beside real: calls that were given up are asked for, too

Change: they are taken from the instances' logs and asked for by the hollow senders at the same moments.

--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -2,14 +2,17 @@
 
 First the real daemon and its instances play a day on sockets; a relay before each instance counts lines, and
 the calls are recorded as they come to partners. Then as many hollow senders make the same calls at the same
-times, in virtual time, with one allocator on the same host. What may differ: a real sender asks a little
-before its call arrives at the partner, and asks for calls that it then gives up; the hollow ones ask at the
-arrival, and for no others. So lines about limits are also told by kind of message.
+times, in virtual time, with one allocator on the same host. Calls that real senders asked a lease for and
+gave up are taken from their logs, and asked for by the hollow ones, too. What may differ: a real sender asks
+a little before its call arrives at the partner, the hollow ones at the arrival. Lines about limits are also
+told by kind of message.
 """
 
 from __future__ import annotations
 
 import json
+import os
+import time
 from bisect import bisect_left
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -21,10 +24,12 @@
 from springspread.core.clock import SYSTEM
 from springspread.faults.daemon import relay_path
 from springspread.faults.hollow.fleet import FleetSize, HollowFleet
+from springspread.faults.hollow.given_up import given_up
 from springspread.faults.hollow.meter import Volume
 from springspread.faults.hollow.report import Row
 from springspread.faults.hollow.traffic import Calls, TrafficLaw
 from springspread.faults.relay import Relay, Way
+from springspread.fleet.client import LEASE_WAIT_MS
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.messages import LeaseRequest
 from springspread.fleet.wire import Lines
@@ -106,6 +111,17 @@
 
         vars(self.checker).update(call=recorded_call, failed=recorded_failure)
 
+    def record_given_up(self) -> int:
+        """Add the calls that were given up to those that were made; how many there are."""
+        wall_s = time.time() - self._now() / 1000.0
+        found = [
+            (max(at - LEASE_WAIT_MS, 0.0), number, self._number(endpoint))
+            for number in range(self.day.senders)
+            for at, endpoint in given_up(self._folder / "fleet" / name_of(number) / "log", wall_s)
+        ]
+        self.recorded.calls += found
+        return len(found)
+
     def _number(self, endpoint: str) -> int:
         return self._number_of[self._limit_key(self._key(endpoint))]
 
@@ -192,6 +208,7 @@
 
 def compare(day: Day, folder: Path, mode: LimitMode) -> list[Row]:
     """A day of real instances and of hollow ones; raises ``RuntimeError`` where no fleet comes up."""
+    os.environ["RELAY_LOG_LEVEL"] = "debug"  # for calls that are given up
     town = RecordedTown(with_limits(day), folder, mode)
     relays, counts = [], []
     for number in range(day.senders):
@@ -216,11 +233,13 @@
         for relay in relays:
             relay.close()
     begin, end = window[0][0], window[1][0]
+    made, gave_up = len(town.recorded.calls), town.record_given_up()
     policy = Policy(json.loads((folder / "sender.json").read_text())["settings"], {})
     hollow = play_hollow(day.senders, town.recorded, policy, mode, begin, end)
     seconds = (end - begin) / 1000.0
     rows = [Row("real", "town late", "p99", live.late_ms[0], "ms")]
-    rows.append(Row("real", "calls", "per second", len(town.recorded.calls) / day.length_ms * 1000.0, "1/s"))
+    rows.append(Row("real", "calls", "per second", made / day.length_ms * 1000.0, "1/s"))
+    rows.append(Row("real", "calls given up", "per second", gave_up / day.length_ms * 1000.0, "1/s"))
     return rows + _rows(counts, hollow, seconds) + _kind_rows(counts, hollow, seconds)
 
 
