A listener that has closed its socket waits for events again, and does not spin

Cause: between its last accept and the end of the process, the polling thread waited until the moment at which it would listen again, which is long past: a select without any wait, over and over. In the program it takes a core's time from the calls that a stop still finishes (up to 3 s after SIGTERM).

Change: a closing listener has no such moment.

The standing test follows.

--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -138,7 +138,9 @@
     def _run(self) -> None:
         while True:
             now = clock()
-            until = min(self._admission.next_due(), inf if self._listening else self._listen_at)
+            # Guards a stop: one that has closed its socket never listens again, and would not wait at all.
+            listens = self._listening or self._closing
+            until = min(self._admission.next_due(), inf if listens else self._listen_at)
             if not self._admission.closing:
                 until = min(until, self._let_go_at)
             ready = self._selector.select(None if until == inf else max(until - now, 0.0) / 1000.0)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import selectors
 import signal
 import socket
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 
@@ -246,6 +248,26 @@
     assert listener.emptied(WAIT_S * 1000.0)
 
 
+def test_a_listener_that_has_closed_waits_without_end() -> None:
+    from springspread.config import Limits
+    from springspread.net.listener import Listener, listening
+    from springspread.platform.intake import Intake
+    from tests.test_spoilt import Silent
+
+    listener = Listener(listening(("127.0.0.1", 0), Limits()), Intake(lambda _: None), Limits(), Silent())
+    waits: deque[float | None] = deque(maxlen=1)
+    select = listener._selector.select
+
+    def noted(timeout: float | None) -> list[tuple[selectors.SelectorKey, int]]:
+        waits.append(timeout)
+        return select(timeout)
+
+    listener._selector.select = noted  # type: ignore[method-assign,assignment]
+    listener.close()
+    assert listener.emptied(WAIT_S * 1000.0)
+    until(lambda: waits[-1] is None, "it waits for the next event, however long")
+
+
 def test_room_made_in_a_crowd_resets_nobody_who_speaks_in_that_moment() -> None:
     from dataclasses import replace
 
