--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -83,14 +83,12 @@
     """A day on sockets that is written down."""
 
     def __init__(self, day: Day, folder: Path, mode: LimitMode) -> None:
-        super().__init__(day, folder)
+        super().__init__(day, folder, mode)
         groups = {self._limit_key(self._key(name)): group for name, group in self._group.items()}
         limits = {key: self._limit(group, mode) for key, group in groups.items()}
         self.recorded = Recorded(list(limits), list(limits.values()))
         self._number_of = {key: number for number, key in enumerate(limits)}
         self._record_calls()
-        if mode is LimitMode.ADAPTIVE:
-            _make_adaptive(folder / "fleet.toml")
 
     def _limit(self, group: int, mode: LimitMode) -> Limit:
         per_s = self._partners[group].habit.limit_per_s
@@ -133,15 +131,6 @@
         super()._told(name, place, ids, answer, bundle)
 
 
-def _make_adaptive(file: Path) -> None:
-    lines = ['default_mode = "adaptive"']
-    for line in file.read_text().splitlines():
-        lines.append(line)
-        if line.startswith("calls ="):
-            lines.append('mode = "adaptive"')
-    file.write_text("\n".join(lines) + "\n")
-
-
 @dataclass(slots=True)
 class Counts:
     """Lines of one kind, by direction."""
--- a/springspread/town/fleet.py
+++ b/springspread/town/fleet.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from springspread.faults.daemon import given_path
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.fleet.orders import send_order
 
 READY_S = 30.0
@@ -25,17 +25,21 @@
 class TownFleet:
     """Runs until ``close``. Raises ``RuntimeError`` where the fleet does not come up."""
 
-    def __init__(self, place: Path, senders: int, limits: Mapping[str, Limit]) -> None:
-        """``place``: an empty folder."""
+    def __init__(
+        self, place: Path, senders: int, limits: Mapping[str, Limit], mode: LimitMode = LimitMode.EXACT
+    ) -> None:
+        """``place``: an empty folder. ``mode``: of destinations that have no limit here."""
         self._place, self._senders = place, senders
         self._file, self._folder = place / "fleet.toml", place / "fleet"
         self._folder.mkdir(parents=True, exist_ok=True)
         lines = ['folder = "fleet"', 'config = "sender.json"', f"instances = {senders}"]
+        lines.append(f'default_mode = "{mode.value}"')
         for key, limit in limits.items():
             lines += [
                 f"[limits.{json.dumps(key)}]",
                 f"calls = {limit.calls}",
                 f"span_ms = {float(limit.span_ms)}",
+                f'mode = "{limit.mode.value}"',
             ]
         self._file.write_text("\n".join(lines) + "\n")
         self._pids: dict[int, int] = {}
--- a/springspread/town/sockets.py
+++ b/springspread/town/sockets.py
@@ -23,7 +23,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from springspread.core.types import EndpointState
-from springspread.fleet.limits import Limit
+from springspread.fleet.limits import Limit, LimitMode
 from springspread.http1.server import Request
 from springspread.net.exchange import FAILURES, Connection
 from springspread.town.checker import SPAN_MS, Checker
@@ -59,7 +59,8 @@
 class SocketTown:
     """Plays one day; use it once, then ``close``."""
 
-    def __init__(self, day: Day, folder: Path) -> None:
+    def __init__(self, day: Day, folder: Path, mode: LimitMode = LimitMode.EXACT) -> None:
+        """``mode``: of the limits that a fleet's senders share."""
         self.day, self._folder = day, folder
         self._begun = time.monotonic()
         self._server = PollingServer(self._now)
@@ -91,8 +92,8 @@
         self._fleet: TownFleet | None = None
         if day.shared:
             told = {self._limit_key(key): per_s for key, per_s in limits.items() if per_s < inf}
-            shared = {key: Limit.of_rate(per_s, SPAN_MS) for key, per_s in told.items()}
-            self._fleet = TownFleet(folder, day.senders, shared)
+            shared = {key: Limit.of_rate(per_s, SPAN_MS, mode) for key, per_s in told.items()}
+            self._fleet = TownFleet(folder, day.senders, shared, mode)
         self._clients = ThreadPoolExecutor(64, "client")
 
     # Time and the one polling thread
