--- a/benchmarks/cold_town.py
+++ b/benchmarks/cold_town.py
@@ -17,9 +17,9 @@
 from pathlib import Path
 
 from benchmarks.tables import tell_fullest, write_table
-from springspread.town.day import Change, draw
-from springspread.town.partner import Answer
-from springspread.town.virtual import Town
+from springspread.simulator.day import Change, draw
+from springspread.simulator.partner import Answer
+from springspread.simulator.virtual import Town
 
 
 class Watched(Town):
--- a/benchmarks/drivers.py
+++ b/benchmarks/drivers.py
@@ -13,9 +13,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
-from springspread.town.day import Day, draw
-from springspread.town.sockets import SocketTown
-from springspread.town.virtual import Town
+from springspread.simulator.day import Day, draw
+from springspread.simulator.sockets import SocketTown
+from springspread.simulator.virtual import Town
 
 COLUMNS = (
     "scenario",
--- a/benchmarks/fleet_chaos.py
+++ b/benchmarks/fleet_chaos.py
@@ -19,8 +19,8 @@
 
 from benchmarks.tables import add, tell_long
 from springspread.fleet.limits import LimitMode
-from springspread.town.day import Day, Death, Fate, draw
-from springspread.town.sockets import SocketTown
+from springspread.simulator.day import Day, Death, Fate, draw
+from springspread.simulator.sockets import SocketTown
 
 LONGEST_MS = {Fate.KILL: 3_000.0, Fate.TERM: 6_000.0, Fate.FREEZE: 10_000.0}
 
--- a/benchmarks/grown_cost.py
+++ b/benchmarks/grown_cost.py
@@ -17,8 +17,8 @@
 PLAY = """
 import sys, tempfile, time
 from pathlib import Path
-from springspread.town.day import draw
-from springspread.town.virtual import Town
+from springspread.simulator.day import draw
+from springspread.simulator.virtual import Town
 knobs = dict(senders=40, partners=5, per_s=60.0, load=1.0, length_ms=12000.0, tight=True, skew=0.5)
 with tempfile.TemporaryDirectory() as folder:
     town = Town(draw(int(sys.argv[1]), **knobs), Path(folder))
--- a/benchmarks/hollow_fleet.py
+++ b/benchmarks/hollow_fleet.py
@@ -36,7 +36,7 @@
 from springspread.faults.hollow.traffic import TrafficLaw
 from springspread.fleet.limits import LimitMode
 from springspread.rollout.document import Policy
-from springspread.town.day import draw
+from springspread.simulator.day import draw
 
 
 def machine() -> str:
--- a/benchmarks/large_town.py
+++ b/benchmarks/large_town.py
@@ -14,8 +14,8 @@
 import tempfile
 from pathlib import Path
 
-from springspread.town.day import draw
-from springspread.town.sockets import SocketTown
+from springspread.simulator.day import draw
+from springspread.simulator.sockets import SocketTown
 
 
 def main() -> None:
--- a/benchmarks/profile_town.py
+++ b/benchmarks/profile_town.py
@@ -15,8 +15,8 @@
 import time
 from pathlib import Path
 
-from springspread.town.day import Day, draw
-from springspread.town.virtual import Town
+from springspread.simulator.day import Day, draw
+from springspread.simulator.virtual import Town
 
 TOP = 10
 
--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -21,9 +21,9 @@
 from pathlib import Path
 
 from springspread import policy
-from springspread.lab.compare import mean_of, rank_correlation
-from springspread.lab.plan import Plan, read_plan
-from springspread.lab.run import run_plan
+from springspread.experiments.compare import mean_of, rank_correlation
+from springspread.experiments.plan import Plan, read_plan
+from springspread.experiments.run import run_plan
 
 MODULE = Path("springspread") / "policy.py"
 BENCH_S = 900.0
--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -43,8 +43,8 @@
     Exits with 1 where a promise was broken, with 4 where a signal or the disk stopped it.
     """
     from springspread.checked import PlanError
-    from springspread.lab.plan import read_plan
-    from springspread.lab.run import Table, run_plan
+    from springspread.experiments.plan import read_plan
+    from springspread.experiments.run import Table, run_plan
 
     try:
         read = read_plan(plan)
@@ -82,7 +82,7 @@
 @told
 def report(table: Path, out: Path) -> None:
     """Write the report of TABLE: Markdown, CSV, a chart as SVG and PNG, and one HTML page."""
-    from springspread.lab.report import write_report
+    from springspread.experiments.report import write_report
 
     for path in write_report(table, out):
         click.echo(str(path))
@@ -102,8 +102,8 @@
 
     The difference is paired by seed and knobs, with its 95 % interval (Student's).
     """
-    from springspread.lab.compare import paired
-    from springspread.lab.run import COLUMNS, read_rows
+    from springspread.experiments.compare import paired
+    from springspread.experiments.run import COLUMNS, read_rows
 
     if (theirs is None) == (arms is None):
         raise click.UsageError("give a second table, or --arms A B")
@@ -133,7 +133,7 @@
 
     CSV; destination -1 is discovery. `limit` is in calls a second, `left` the mean share told to be left.
     """
-    from springspread.lab import tally as counting
+    from springspread.experiments import tally as counting
 
     cells = counting.tally(sorted(logs.glob("*.log")), span)
     if not cells:
--- a/springspread/cli/live.py
+++ b/springspread/cli/live.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping, Sequence
 from typing import TextIO
 
-from springspread.town.checker import Checker
+from springspread.simulator.checker import Checker
 
 PERCENTILES = (50, 90, 99)
 UP = "\x1b[{}A\x1b[J"  # so many lines up, and clear from there
--- a/springspread/cli/main.py
+++ b/springspread/cli/main.py
@@ -98,8 +98,8 @@
 
         sys.exit(fleet_demo(instances, seconds, seed))
     from springspread.cli.live import Watching
-    from springspread.town.day import draw
-    from springspread.town.sockets import SocketTown
+    from springspread.simulator.day import draw
+    from springspread.simulator.sockets import SocketTown
 
     day = draw(seed, senders=1, length_ms=1000 * seconds, troubles=3, drains=2)
     with tempfile.TemporaryDirectory(prefix="springspread-demo-") as folder:
--- a/springspread/cli/town.py
+++ b/springspread/cli/town.py
@@ -12,7 +12,7 @@
 import click
 
 if TYPE_CHECKING:
-    from springspread.lab.plan import Knobs
+    from springspread.experiments.plan import Knobs
 
 
 @click.group()
@@ -29,7 +29,7 @@
 
     Example: springspread town play --seed 5 --set troubles=3 --set trouble=flapping --set deaths=2
     """
-    from springspread.town.virtual import Town
+    from springspread.simulator.virtual import Town
 
     day = _knobs(words).day(seed)
     with tempfile.TemporaryDirectory(prefix="springspread-town-") as folder:
@@ -53,7 +53,7 @@
 
 def _knobs(words: tuple[str, ...]) -> Knobs:
     from springspread.checked import PlanError
-    from springspread.lab.plan import check_plan
+    from springspread.experiments.plan import check_plan
 
     values: dict[str, object] = {}
     for word in words:
@@ -73,6 +73,6 @@
 @town.command()
 def knobs() -> None:
     """List what a day may be drawn with, as JSON Schema."""
-    from springspread.lab.plan import Knobs
+    from springspread.experiments.plan import Knobs
 
     click.echo(json.dumps(Knobs.model_json_schema(), indent=1))
--- a/springspread/lab/chart.py
+++ b/springspread/experiments/chart.py
@@ -7,8 +7,8 @@
 from matplotlib import rc_context
 from matplotlib.figure import Figure
 
-from springspread.lab.compare import Rows
-from springspread.lab.run import MEASURES, number
+from springspread.experiments.compare import Rows
+from springspread.experiments.run import MEASURES, number
 
 
 def draw_chart(rows: Rows, knob: str, path: Path) -> None:
--- a/springspread/lab/compare.py
+++ b/springspread/experiments/compare.py
@@ -13,8 +13,8 @@
 
 from scipy import stats
 
-from springspread.lab.plan import Knobs
-from springspread.lab.run import number
+from springspread.experiments.plan import Knobs
+from springspread.experiments.run import number
 
 CONFIDENCE = 0.95
 Rows = Sequence[Mapping[str, str]]
--- a/springspread/lab/plan.py
+++ b/springspread/experiments/plan.py
@@ -15,7 +15,7 @@
 
 from springspread import policy
 from springspread.checked import PlanError, Strict, faults_of, meant, read_toml
-from springspread.town.day import ANY, TROUBLES, Day, draw
+from springspread.simulator.day import ANY, TROUBLES, Day, draw
 
 MOST_RUNS = 10_000
 PLAIN = "plain"  # the arm of a plan that names none
--- a/springspread/lab/report.py
+++ b/springspread/experiments/report.py
@@ -12,11 +12,11 @@
 from hdrh.histogram import HdrHistogram
 from jinja2 import Environment
 
-from springspread.lab.chart import draw_chart
-from springspread.lab.compare import Rows, mean_of
-from springspread.lab.plan import Knobs
-from springspread.lab.run import MEASURES, number, points, read_rows, record_path
-from springspread.town.checker import LONGEST_MS
+from springspread.experiments.chart import draw_chart
+from springspread.experiments.compare import Rows, mean_of
+from springspread.experiments.plan import Knobs
+from springspread.experiments.run import MEASURES, number, points, read_rows, record_path
+from springspread.simulator.checker import LONGEST_MS
 
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 PAGE = """<!doctype html>
--- a/springspread/lab/run.py
+++ b/springspread/experiments/run.py
@@ -22,9 +22,9 @@
 from typing import Any
 
 from springspread import policy
-from springspread.lab.plan import Knobs, Plan, Run
-from springspread.town.day import CLASSES
-from springspread.town.virtual import Town
+from springspread.experiments.plan import Knobs, Plan, Run
+from springspread.simulator.day import CLASSES
+from springspread.simulator.virtual import Town
 
 MEASURES = ("grade", "service", *(f"service_{spec.name}" for spec in CLASSES))
 COLUMNS = (
--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -34,12 +34,12 @@
 from springspread.fleet.messages import LeaseRequest
 from springspread.fleet.wire import Lines
 from springspread.rollout.document import Policy
-from springspread.town.checker import SPAN_MS
-from springspread.town.day import Day
-from springspread.town.fleet import name_of
-from springspread.town.partner import Answer
-from springspread.town.polling import Place
-from springspread.town.sockets import SocketTown
+from springspread.simulator.checker import SPAN_MS
+from springspread.simulator.day import Day
+from springspread.simulator.fleet import name_of
+from springspread.simulator.partner import Answer
+from springspread.simulator.polling import Place
+from springspread.simulator.sockets import SocketTown
 
 WARM_MS = 10_000.0
 HOLLOW_START_MS = 1_000.0  # hollow calls begin so much after the recorded ones' zero
--- a/springspread/town/day.py
+++ b/springspread/simulator/day.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from springspread.interface import ClassSpec, Effect
-from springspread.town.partner import Condition, Habit, Trouble
+from springspread.simulator.partner import Condition, Habit, Trouble
 
 CLASSES = (
     ClassSpec("status-notice", 1000.0, 8000.0, 1.0, 0.1, Effect.SAFE),
--- a/springspread/town/sockets.py
+++ b/springspread/simulator/sockets.py
@@ -26,11 +26,11 @@
 from springspread.fleet.limits import Limit, LimitMode
 from springspread.http1.server import Request
 from springspread.net.exchange import FAILURES, Connection
-from springspread.town.checker import SPAN_MS, Checker
-from springspread.town.day import CLASSES, Arrival, Change, Day, Death, Fate, Service
-from springspread.town.fleet import TownFleet
-from springspread.town.partner import Answer, End, Partner, Trouble
-from springspread.town.polling import LIMITS, Place, PollingServer
+from springspread.simulator.checker import SPAN_MS, Checker
+from springspread.simulator.day import CLASSES, Arrival, Change, Day, Death, Fate, Service
+from springspread.simulator.fleet import TownFleet
+from springspread.simulator.partner import Answer, End, Partner, Trouble
+from springspread.simulator.polling import LIMITS, Place, PollingServer
 
 SIGNALS = {Fate.KILL: signal.SIGKILL, Fate.TERM: signal.SIGTERM, Fate.FREEZE: signal.SIGSTOP}
 CALL_PATHS = ("/events", "/events/bundle")
--- a/springspread/town/virtual.py
+++ b/springspread/simulator/virtual.py
@@ -53,9 +53,9 @@
     Welcome,
 )
 from springspread.fleet.sender_session import POLL_MS, SenderSession
-from springspread.town.checker import SPAN_MS, Checker
-from springspread.town.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
-from springspread.town.partner import Answer, End, Partner, Trouble
+from springspread.simulator.checker import SPAN_MS, Checker
+from springspread.simulator.day import CLASSES, KINDS, ZONES, Arrival, Change, Day, Death, Service
+from springspread.simulator.partner import Answer, End, Partner, Trouble
 
 RESULTS = {
     End.DONE: Result.DELIVERED,
--- a/tests/lab/test_lab.py
+++ b/tests/experiments/test_lab.py
@@ -19,9 +19,9 @@
 from springspread import policy
 from springspread.checked import PlanError
 from springspread.cli.main import cli
-from springspread.lab.compare import mean_of, paired, rank_correlation
-from springspread.lab.plan import check_plan, read_plan
-from springspread.lab.run import play, read_rows
+from springspread.experiments.compare import mean_of, paired, rank_correlation
+from springspread.experiments.plan import check_plan, read_plan
+from springspread.experiments.run import play, read_rows
 
 PLAN: dict[str, Any] = {
     "name": "small",
@@ -236,5 +236,5 @@
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert "springspread.core.loop" in loaded
     others = ("pydantic", "click", "hdrh", "scipy", "rich", "structlog")  # the log loads the last
-    for part in ("springspread.town", "springspread.lab", "springspread.cli", *others):
+    for part in ("springspread.simulator", "springspread.experiments", "springspread.cli", *others):
         assert f"'{part}" not in loaded
--- a/tests/lab/test_tally.py
+++ b/tests/experiments/test_tally.py
@@ -7,7 +7,7 @@
 from click.testing import CliRunner
 
 from springspread.cli.main import cli
-from springspread.lab.tally import tally, total
+from springspread.experiments.tally import tally, total
 from springspread.logs import Logger, QueueLogger
 
 
--- a/tests/town/test_checker.py
+++ b/tests/simulator/test_checker.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from springspread.town.checker import Checker
-from springspread.town.day import CLASSES
+from springspread.simulator.checker import Checker
+from springspread.simulator.day import CLASSES
 
 NOTE, FEE = (spec.name for spec in CLASSES)
 
--- a/tests/town/test_partner.py
+++ b/tests/simulator/test_partner.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from springspread.town.partner import Condition, End, Endpoint, Habit, Limit, Partner, Trouble
+from springspread.simulator.partner import Condition, End, Endpoint, Habit, Limit, Partner, Trouble
 
 HABIT = Habit(pace_ms=100.0, spread=0.0, places=2, queue=2)
 
--- a/tests/town/test_sockets.py
+++ b/tests/simulator/test_sockets.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from springspread.town.day import Change, Day, Death, Fate, Outage, Service, draw
-from springspread.town.partner import Condition, Trouble
-from springspread.town.sockets import Live, SocketTown
+from springspread.simulator.day import Change, Day, Death, Fate, Outage, Service, draw
+from springspread.simulator.partner import Condition, Trouble
+from springspread.simulator.sockets import Live, SocketTown
 from tests.peer import WAIT_S
 
 
--- a/tests/town/test_town.py
+++ b/tests/simulator/test_town.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from springspread.town.day import Change, Day, draw
-from springspread.town.virtual import Knobs, Outcome, Town
+from springspread.simulator.day import Change, Day, draw
+from springspread.simulator.virtual import Knobs, Outcome, Town
 
 
 def play(folder: Path, day: Day, **knobs: bool) -> Outcome:
@@ -94,8 +94,8 @@
 ONE_DAY = """
 import sys
 from pathlib import Path
-from springspread.town.day import draw
-from springspread.town.virtual import Town
+from springspread.simulator.day import draw
+from springspread.simulator.virtual import Town
 outcome = Town(draw(7, troubles=3, drains=3, length_ms=10_000.0), Path(sys.argv[1])).play()
 print(outcome.checker.digest)
 """
