A jump to a hundredfold at 1,100 senders is a test, held to the derived bound

It fails where statuses are told to nobody (tried); longer gathering of news alone does not fail it, as the next acknowledgement takes them along.

--- a/tests/faults/test_hollow.py
+++ b/tests/faults/test_hollow.py
@@ -12,16 +12,17 @@
 from springspread.faults.hollow.comparison import kind_of
 from springspread.faults.hollow.faults import Fault, FaultKind, Stage, schedule
 from springspread.faults.hollow.fleet import JOIN_MS, FleetSize, HollowFleet
-from springspread.faults.hollow.network import ZONES, zone_of
+from springspread.faults.hollow.network import BETWEEN_REGIONS_MS, ZONES, zone_of
 from springspread.faults.hollow.play import Plan, play
 from springspread.faults.hollow.report import digest
 from springspread.faults.hollow.spans import SpanClass, Spans, find_spans
-from springspread.faults.hollow.traffic import TrafficLaw
+from springspread.faults.hollow.traffic import Traffic, TrafficLaw
 from springspread.fleet.binding import Binding
 from springspread.fleet.key_health import KeyHealth
-from springspread.fleet.lease_cache import FRESH_MS
+from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limits import LimitMode
 from springspread.fleet.messages import LeaseReport, LeaseRequest, UseReport
+from springspread.fleet.sender_news import SPACING_MS
 from springspread.fleet.wire import write
 from springspread.rollout.document import Policy
 
@@ -104,6 +105,24 @@
     assert spans.fullest(SpanClass.EXPOSED, destination=target).ratio > 1.0  # the jump was a real one
 
 
+def test_a_jump_to_a_hundredfold_at_1_100_senders_stays_within_the_derived_bound() -> None:
+    law = TrafficLaw(20, 200.0, hottest_share=0.2, down_part=0.0)
+    size = FleetSize(1_100, 2, law)
+    target, longest_way_ms = 10, 1.1 * max(map(max, BETWEEN_REGIONS_MS))
+    jump = Fault(FaultKind.JUMP, AT, AT + 60_000.0, (target,), 100.0)
+    fleet, spans = run(size, [jump], AT + 6_000.0)
+    limit = fleet.limits[target]
+    per_ms = 100.0 * float(Traffic(law, size.senders, size.seed).rates[target]) / 1_000.0
+    exposure_ms = REPORT_MS + SPACING_MS + 2.0 * longest_way_ms
+    exposed = spans.fullest(SpanClass.EXPOSED, destination=target)
+    assert exposed.ratio > 3.0  # the jump was a real one
+    assert exposed.ratio * limit.calls <= limit.tolerated + per_ms * exposure_ms
+    bindings = [when for when, bound in fleet.history.statuses[target] if bound]
+    assert AT < bindings[-1] < AT + exposure_ms
+    later = [spans.fullest(one, begin=AT + FRESH_MS, destination=target) for one in SpanClass]
+    assert max(one.ratio for one in later) <= 1.0 and sum(one.spans for one in later) > limit.calls
+
+
 @pytest.mark.parametrize("bound_before", [False, True])
 def test_a_limit_that_falls_to_a_tenth_holds_two_seconds_later(bound_before: bool) -> None:
     target = up_destination(HollowFleet(SIZE, POLICY), BUSY)
