--- a/benchmarks/capacity/proposal.py
+++ b/benchmarks/capacity/proposal.py
@@ -23,7 +23,7 @@
 
 
 def propose_by_limits(limits: int) -> Values:
-    """One limit of so many rises: the whole command, and the daemon's part of it."""
+    """One limit of so many rises: the time of the whole command."""
     with running_fleet(INSTANCES, limits_text(limits, 50)) as fleet:
         fleet.wait_until_all_serve(INSTANCES)
         head = fleet.file.read_text().partition("default_mode")[0]
--- a/springspread/faults/hollow/comparison.py
+++ b/springspread/faults/hollow/comparison.py
@@ -54,6 +54,7 @@
     limits: list[Limit]
     calls: list[tuple[float, int, int]] = field(default_factory=list)  # when, sender, destination
     failures: list[tuple[float, int, int]] = field(default_factory=list)
+    successes: list[tuple[float, int, int]] = field(default_factory=list)
     partner_rates: list[tuple[float, int, int, float]] = field(default_factory=list)
     down: NDArray[np.bool_] = field(init=False)  # nobody: failures are recorded one by one
 
@@ -97,7 +98,7 @@
         return Limit.of_rate(per_s, SPAN_MS, mode)
 
     def _record_calls(self) -> None:
-        call, failed = self.checker.call, self.checker.failed
+        call, failed, done = self.checker.call, self.checker.failed, self.checker.done
 
         def recorded_call(at: float, sender: str, endpoint: str, group: int, key: str, ids: Any) -> None:
             self.recorded.calls.append((at, int(sender[1:]), self._number(endpoint)))
@@ -107,7 +108,12 @@
             self.recorded.failures.append((at, int(sender[1:]), self._number(endpoint)))
             failed(at, sender, endpoint)
 
-        vars(self.checker).update(call=recorded_call, failed=recorded_failure)
+        def recorded_end(at: float, sender: str, key: str, ids: Any, outcome: str, ran: bool) -> None:
+            if outcome == "delivered":
+                self.recorded.successes.append((at, int(sender[1:]), self._number_of[self._limit_key(key)]))
+            done(at, sender, key, ids, outcome, ran)
+
+        vars(self.checker).update(call=recorded_call, failed=recorded_failure, done=recorded_end)
 
     def record_given_up(self) -> int:
         """Add the calls that were given up to those that were made; how many there are."""
@@ -242,6 +248,8 @@
     fleet = HollowFleet(size, policy, traffic=recorded, one_host=True, booted_ms=booted_ms)
     for when, sender, destination in recorded.failures:
         fleet.queue.at(when + HOLLOW_START_MS, fleet.call_failed, sender, destination)
+    for when, sender, destination in recorded.successes:
+        fleet.queue.at(when + HOLLOW_START_MS, fleet.call_served, sender, destination)
     for when, sender, destination, per_s in recorded.partner_rates:
         fleet.queue.at(when + HOLLOW_START_MS, fleet.partner_told, sender, destination, per_s)
     counts = [LineCounts() for _ in range(senders)]
--- a/springspread/faults/hollow/fleet.py
+++ b/springspread/faults/hollow/fleet.py
@@ -139,9 +139,10 @@
         if self.traffic.down[destination]:
             self.call_failed(number, destination)
         elif destination in self._returned:
-            self._call_served(number, destination)
+            self.call_served(number, destination)
 
-    def _call_served(self, number: int, destination: int) -> None:
+    def call_served(self, number: int, destination: int) -> None:
+        """A call that a sender began has succeeded."""
         sender = self.senders[number]
         if sender is not None:
             sender.sessions[self.shard_of[destination]].served(self.keys[destination])
--- a/tests/faults/test_hollow.py
+++ b/tests/faults/test_hollow.py
@@ -18,7 +18,7 @@
 from springspread.faults.hollow.spans import SpanClass, Spans, find_spans
 from springspread.faults.hollow.traffic import Traffic, TrafficLaw
 from springspread.fleet.binding import Binding
-from springspread.fleet.key_health import KeyHealth
+from springspread.fleet.key_health import OPENING_FAILURES, KeyHealth
 from springspread.fleet.lease_cache import FRESH_MS, REPORT_MS
 from springspread.fleet.limits import LimitMode
 from springspread.fleet.messages import LeaseReport, LeaseRequest, UseReport
@@ -247,3 +247,15 @@
 )
 def test_lines_beside_real_instances_are_told_by_kind(message: LeaseRequest | UseReport, kind: str) -> None:
     assert kind_of(write(message)) == kind
+
+
+def test_a_success_that_a_hollow_sender_is_told_of_ends_its_row_of_failures() -> None:
+    fleet = HollowFleet(SIZE, POLICY)
+    sender = fleet.senders[0]
+    assert sender is not None
+    session = sender.sessions[fleet.shard_of[BUSY]]
+    for _ in range(OPENING_FAILURES):
+        fleet.call_failed(0, BUSY)
+    assert not session.cache.reports_early
+    fleet.call_served(0, BUSY)
+    assert session.cache.reports_early
