Logs and figures tell what the list said, when, and why a call was withheld

The incident's evidence could not tell when a list request succeeded, which version it brought, when a change was put in force or why a call went out. Now: 'list received' with scope, versions, lines and time; 'endpoint' for each change of state, with how long ago this sender was notified; 'discovery failed' with what was asked and by when it is asked again; 'call withheld' and 'begins' with ids, reason and the endpoint's state; broken client connections and refused requests with ids at debug. Figures: sender_list_version, sender_list_age_ms, sender_list_failures_total and sender_calls_withheld_total by reason. No decision changes.

--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import threading
+from enum import Enum
 from math import inf
+from typing import NamedTuple
 
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
@@ -11,6 +13,32 @@
 from springspread.core.types import Call, Endpoint, EndpointState, Result, Shares
 
 
+class Withheld(Enum):
+    """Why a call that was decided may not go out."""
+
+    RETRY_AFTER = "retry after"  # its endpoint told a wait
+    LEAVING = "leaving"  # its endpoint drains or is gone
+    CANCELLED = "cancelled"
+    LATE = "late"  # its time is up
+    STOPPING = "stopping"  # the process is about to end
+    WITHDRAWN = "withdrawn"  # its client left before the attempt was on record
+    UNRECORDED = "unrecorded"  # the attempt could not be put on record
+    NO_LEASE = "no lease"
+    OTHER_POLICY = "other policy"
+
+
+class Refusal(NamedTuple):
+    """A call that may not go out: what its attempts end in, and the rest of a told wait (ms)."""
+
+    result: Result
+    wait_ms: float
+    reason: Withheld
+
+
+def _not_sent(reason: Withheld) -> Refusal:
+    return Refusal(Result.NOT_SENT, 0.0, reason)
+
+
 class Clearance:
     """Asked by the threads that write; fed by them and by the loop."""
 
@@ -52,12 +80,12 @@
         with self._lock:
             self._stopped = True
 
-    def refuses(self, call: Call) -> tuple[Result, float] | None:
+    def refuses(self, call: Call) -> Refusal | None:
         """Why a call may not go out now, with the rest of the wait; else it is journalled as begun."""
         # First, as these may wait: whatever came meanwhile is looked at after them.
         shares = self._shares
         if shares is not None and not shares.enter(call.policy):
-            return Result.NOT_SENT, 0.0
+            return _not_sent(Withheld.OTHER_POLICY)
         right = inf if shares is None else shares.acquire(call.endpoint)
         if (refused := self._look(call, right)) is not None:
             return refused
@@ -65,11 +93,11 @@
             for run in call.attempts:
                 # Guards against a client that leaves in this moment: what the journal takes in first holds.
                 if not self._journal.begun(run.number, run.nth):
-                    return Result.NOT_SENT, 0.0
+                    return _not_sent(Withheld.WITHDRAWN)
             if call.once:  # guards rule 2 over a power loss
                 self._journal.settle()
         except OSError:  # not on record, so it may not go out
-            return Result.NOT_SENT, 0.0
+            return _not_sent(Withheld.UNRECORDED)
         if shares is None:
             return None
         if self._clock.now() >= right:
@@ -79,24 +107,26 @@
             if (refused := self._look(call, right)) is not None:
                 return refused
         # Last: guards against a mixture of policies, also where this process was frozen until just now.
-        if not shares.may(call.policy) or self._clock.now() >= right:
-            return Result.NOT_SENT, 0.0
-        return None
+        if not shares.may(call.policy):
+            return _not_sent(Withheld.OTHER_POLICY)
+        return _not_sent(Withheld.NO_LEASE) if self._clock.now() >= right else None
 
-    def _look(self, call: Call, right: float) -> tuple[Result, float] | None:
+    def _look(self, call: Call, right: float) -> Refusal | None:
         """What has come up against a call, after anything that may wait."""
         if right <= 0.0:
-            return Result.NOT_SENT, 0.0
+            return _not_sent(Withheld.NO_LEASE)
         if call.cancelled.is_set():
-            return Result.CANCELLED, 0.0
+            return Refusal(Result.CANCELLED, 0.0, Withheld.CANCELLED)
         if call.attempts and self._clock.now() >= call.until:
-            return Result.NOT_SENT, 0.0  # its connection came up, or was free, after its time
+            return _not_sent(Withheld.LATE)  # its connection came up, or was free, after its time
         # Guards rule 5: a call queued before a wait was told must not slip out after it.
         wait = self.barred_ms(call.endpoint)
         if wait > 0.0:
-            return Result.REJECTED, wait
+            return Refusal(Result.REJECTED, wait, Withheld.RETRY_AFTER)
         with self._lock:
+            if self._stopped:
+                return _not_sent(Withheld.STOPPING)
             # Guards rule 3: a call that was still opening its connection when the drain was told.
-            if self._stopped or self._clock.now() > call.endpoint.leaving_at + self._grace:
-                return Result.NOT_SENT, 0.0
+            if self._clock.now() > call.endpoint.leaving_at + self._grace:
+                return _not_sent(Withheld.LEAVING)
         return None
--- a/springspread/core/figures.py
+++ b/springspread/core/figures.py
@@ -19,12 +19,20 @@
     ATTEMPTS = "attempts"
 
 
+class Occurrence(Enum):
+    """What is counted by its reason rather than by class."""
+
+    CALLS_WITHHELD = "calls_withheld"  # decided, and not sent: by ``clearance.Withheld``
+    LIST_FAILURES = "list_failures"  # requests to discovery that brought nothing: by ``watch.Failure``
+
+
 class Figures:
     """Safe from any thread. Of classes that the settings do not name nothing is kept."""
 
     def __init__(self, classes: Iterable[str]) -> None:
         self._lock = threading.Lock()
         self._counts: dict[tuple[Figure, str], int] = {}
+        self._occurred: dict[tuple[Occurrence, Enum], int] = {}  # as many as there are reasons
         self.follow(classes)
 
     def count(self, figure: Figure, cls: str) -> None:
@@ -33,6 +41,12 @@
             if (figure, cls) in self._counts:
                 self._counts[figure, cls] += 1
 
+    def occurred(self, occurrence: Occurrence, reason: Enum) -> None:
+        """Once more, for a reason that is one of a fixed set."""
+        with self._lock:
+            key = (occurrence, reason)
+            self._occurred[key] = self._occurred.get(key, 0) + 1
+
     def follow(self, classes: Iterable[str]) -> None:
         """Other settings hold: classes that come anew are counted, too."""
         names = list(classes)
@@ -43,3 +57,8 @@
         """All counts."""
         with self._lock:
             return dict(self._counts)
+
+    def occurrences(self) -> Mapping[tuple[Occurrence, Enum], int]:
+        """All counts by reason."""
+        with self._lock:
+            return dict(self._occurred)
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -23,6 +23,7 @@
     Call,
     CoreEvent,
     Directory,
+    Endpoint,
     EndpointState,
     Executor,
     Gone,
@@ -107,6 +108,7 @@
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
         self._last = 0.0
+        self._listed_at, self._version = clock.now(), 0  # when the list was last told, and which one
         self.start = Start(config.waits, log, clock, journal.written_wall)
 
     def attach(self, executor: Executor, directory: Directory, notices: NoticeSink) -> None:
@@ -191,6 +193,8 @@
             "in_flight": len(self._held),
             "endpoints_known": len(endpoints),
             "endpoints_excluded": len(avoided),
+            "list_version": self._version,
+            "list_age_ms": int(self._clock.now() - self._listed_at),
         }
 
     def _through(self, now: float) -> list[i.Event]:
@@ -288,6 +292,8 @@
                 return self._attempt_end(event)
             case ListNews():
                 self.start.told(event.date, event.told_at)
+                if event.scope is not Scope.FAILED:
+                    self._listed_at, self._version = event.told_at, event.version
                 return [self._listed(event)]
             case ProbeEnd():
                 return [translate.probed(event)]
@@ -344,7 +350,7 @@
             # discovery has told the list, it may be one that is new.
             message.answer(Verdict.UNKNOWN_GROUP if self._groups.told else Verdict.REFUSED)
         elif len(self._held) >= self._set.max_held:
-            self._log.debug("turned away", group=message.group, cls=message.cls)
+            self._log.debug("turned away", id=message.id, group=message.group, cls=message.cls)
             message.answer(Verdict.REFUSED)
         else:
             return self._admit(message, cls)
@@ -458,13 +464,13 @@
         listed = self._endpoints.listed(news, replaced)
         named = {entry.route for entry in listed.entries}
         for member in news.members:
-            self._clearance.leaving(self._endpoints.endpoint(member), member.state, news.told_at)
+            self._enters(self._endpoints.endpoint(member), member.state, news)
         if self._shares is not None:
             self._shares.listed([self._endpoints.endpoint(member) for member in news.members])
         lacking = news.scope in (Scope.WHOLE, Scope.CACHED)
         for number, endpoint in list(self._endpoints.by_number.items()):
             if endpoint in replaced or (lacking and number not in named):
-                self._clearance.leaving(endpoint, EndpointState.GONE, news.told_at)
+                self._enters(endpoint, EndpointState.GONE, news)
             if endpoint.state is EndpointState.GONE:
                 # Guards memory on a long day: calls that are out know the endpoint themselves.
                 self._endpoints.forget(endpoint)
@@ -473,6 +479,21 @@
         self._groups.note(here, told=news.scope in (Scope.CHANGES, Scope.WHOLE))
         return listed
 
+    def _enters(self, endpoint: Endpoint, state: EndpointState, news: ListNews) -> None:
+        """Put an endpoint's state in force; changes are logged, the first state of a new one is not."""
+        before = endpoint.state
+        self._clearance.leaving(endpoint, state, news.told_at)
+        if state is not before:
+            self._log.info(
+                "endpoint",
+                endpoint=endpoint.name,
+                group=endpoint.group,
+                before=before.value,
+                state=state.value,
+                version=news.version,
+                notified_ms_ago=round(self._clock.now() - news.told_at, 1),
+            )
+
     def _forget(self, number: int, *, delivered: bool) -> None:
         owed = self._journal.owed.get(number)
         if owed is None:
--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -47,6 +47,7 @@
     since: int | None
     wait_ms: float
     give_up_at: float
+    begun_at: float
 
 
 class Watch:
@@ -74,9 +75,9 @@
         whole, self._fetches = self._fetches or self._doubts or self._version is None, False
         if whole:
             # Guards discovery against a fleet that starts at once: no short watch goes before this.
-            self._ask = Ask(None, 0.0, now + WHOLE_MS)
+            self._ask = Ask(None, 0.0, now + WHOLE_MS, now)
         else:
-            self._ask = Ask(self._version, self._wait, now + self._wait + ASIDE_MS)
+            self._ask = Ask(self._version, self._wait, now + self._wait + ASIDE_MS, now)
         self._begun, self._moved = now, False
         return self._ask
 
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from springspread.config import Address, Limits, Names
+from springspread.core.figures import Figures, Occurrence
 from springspread.core.types import CoreEvent, ListNews, Log, Scope, clock
 from springspread.core.watch import Ask, Failure, Watch
 from springspread.http1.message import Malformed
@@ -33,7 +34,9 @@
         limits: Limits,
         put: Callable[[CoreEvent], None],
         log: Log,
+        figures: Figures | None = None,
     ) -> None:
+        self._figures = figures or Figures(())
         self._caller = Caller(address, limits)
         self._names, self._put, self._log = names, put, log
         self._lock = threading.Lock()
@@ -66,32 +69,51 @@
             self._wake.clear()
             while (ask := self._begin()) is not None:
                 try:
-                    self._put_news(self._ask(ask))
+                    self._put_news(ask, self._ask(ask))
                 except MovedError as exc:
                     self._log.info("discovery moved", cut_off=str(exc))
                 except RefusedError as exc:
-                    self._failed(Failure.REFUSED, exc)
+                    self._failed(ask, Failure.REFUSED, exc)
                 except (LateError, catalog.Unreadable, Malformed) as exc:
-                    self._failed(Failure.SILENT, exc)  # also an answer that does not end or can't be read
+                    # Also an answer that does not end or can't be read.
+                    self._failed(ask, Failure.SILENT, exc)
                 except FAILURES as exc:
-                    self._failed(Failure.UNREACHED, exc)
+                    self._failed(ask, Failure.UNREACHED, exc)
 
     def _begin(self) -> Ask | None:
         with self._lock:
             return self._machine.begin(clock())
 
-    def _put_news(self, news: ListNews) -> None:
+    def _put_news(self, ask: Ask, news: ListNews) -> None:
         with self._lock:
             believed = self._machine.answered(news.version)
+        tell = self._log.info if news.members else self._log.debug
+        tell(
+            "list received",
+            scope=news.scope.value,
+            since=ask.since,
+            version=news.version,
+            lines=len(news.members),
+            took_ms=round(news.told_at - ask.begun_at, 1),
+        )
         if believed:
             self._put(news)
         else:
             self._log.warning("an older list left out", version=news.version)
 
-    def _failed(self, failure: Failure, exc: Exception) -> None:
+    def _failed(self, ask: Ask, failure: Failure, exc: Exception) -> None:
         with self._lock:
-            ask_by = self._machine.failed(failure, clock())
-        self._log.warning("discovery failed", failure=failure.value, error=repr(exc))
+            now = clock()
+            ask_by = self._machine.failed(failure, now)
+        self._figures.occurred(Occurrence.LIST_FAILURES, failure)
+        self._log.warning(
+            "discovery failed",
+            failure=failure.value,
+            error=repr(exc),
+            since=ask.since,
+            took_ms=round(now - ask.begun_at, 1),
+            again_within_ms=round(ask_by - now, 1),
+        )
         self._put(ListNews(Scope.FAILED, ask_by=ask_by))
 
     def _ask(self, ask: Ask) -> ListNews:
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -8,8 +8,8 @@
 from queue import Empty, SimpleQueue
 
 from springspread.config import Limits
-from springspread.core.clearance import Clearance
-from springspread.core.figures import Figure, Figures
+from springspread.core.clearance import Clearance, Refusal
+from springspread.core.figures import Figure, Figures, Occurrence
 from springspread.core.reuse import Bounds, Reuse
 from springspread.core.types import (
     Attempt,
@@ -229,12 +229,19 @@
     def _exchange(self, call: Call, connection: Connection) -> bool:
         refused = self._clearance.refuses(call)
         if refused is not None:
-            self._end_all(call, *refused)
-            return refused[0] is not Result.CANCELLED
+            self._withhold(call, refused)
+            return refused.result is not Result.CANCELLED
         out = delivery.write_call(call, clock())
         clear = partial(self._clear, call) if call.once else None
         written = clock()
-        self._log.debug("begins", endpoint=call.endpoint.name, policy=call.policy, at=written)
+        self._log.debug(
+            "begins",
+            endpoint=call.endpoint.name,
+            state=call.endpoint.state.value,
+            ids=[run.id for run in call.attempts],
+            policy=call.policy,
+            at=written,
+        )
         try:
             connection.write(out.method, out.target, out.headers, out.body, call.until, clear)
         except OSError:
@@ -269,6 +276,18 @@
             self._end_all(call, delivery.read_part(call, connection.status, result))
         return False
 
+    def _withhold(self, call: Call, refused: Refusal) -> None:
+        """End a call that may not go out, and tell why."""
+        self._figures.occurred(Occurrence.CALLS_WITHHELD, refused.reason)
+        self._log.debug(
+            "call withheld",
+            reason=refused.reason.value,
+            endpoint=call.endpoint.name,
+            ids=[run.id for run in call.attempts],
+            wait_ms=round(refused.wait_ms, 1),
+        )
+        self._end_all(call, refused.result, refused.wait_ms)
+
     def _broke(self, call: Call, connection: Connection, written: float) -> bool:
         """Note a connection that ended soon, without a byte of an answer, and not by our own hand."""
         soon = clock() - written < self._limits.break_ms
--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -388,6 +388,7 @@
 
     def _refuse(self, client: Client, status: int) -> None:
         """Tell an error about a request that could not be read, and end the connection."""
+        self._log.debug("request turned away", status=status, standing=client.place.standing.value)
         if client.machine.phase is not Phase.ANSWERING:
             client.machine.expire()
         self._finish(client, client.machine.answer(status, close=True))
@@ -461,6 +462,12 @@
         self._close(client)
 
     def _broke(self, client: Client) -> None:
+        pending = client.message or client.telling
+        self._log.debug(
+            "client connection broke",
+            standing=client.place.standing.value,
+            id=pending.id if pending is not None else None,
+        )
         client.ending.step(Event.BROKE)
         self._close(client)
 
--- a/springspread/platform/management.py
+++ b/springspread/platform/management.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from springspread.core.figures import Figure, Figures
+from springspread.core.figures import Figure, Figures, Occurrence
 from springspread.core.types import Message
 from springspread.http1.server import Request
 from springspread.platform.intake import Intake, Reply
@@ -60,6 +60,13 @@
                 if kind is figure:
                     quoted = cls.replace("\\", "\\\\").replace('"', '\\"')
                     lines.append(f'{name}{{class="{quoted}"}} {count}')
+        occurred = self._figures.occurrences()
+        for occurrence in Occurrence:
+            name = f"sender_{occurrence.value}_total"
+            lines.append(f"# TYPE {name} counter")
+            for (what, reason), count in occurred.items():
+                if what is occurrence:
+                    lines.append(f'{name}{{reason="{reason.value.replace(" ", "_")}"}} {count}')
         return "\n".join(lines) + "\n"
 
     def verdict(self, message: Message) -> Reply:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -9,7 +9,7 @@
 from springspread import config
 from springspread import interface as i
 from springspread.core import types as t
-from springspread.core.clearance import Clearance
+from springspread.core.clearance import Clearance, Withheld
 from springspread.core.clock import SYSTEM
 from springspread.core.journal import Journal, Owed
 from springspread.core.loop import Sender
@@ -380,7 +380,7 @@
     rig.clearance.leaving(call.endpoint, t.EndpointState.GONE, told_at + 300.0)  # counts from the first
     rig.clearance.leaving(call.endpoint, t.EndpointState.DRAINING, told_at - 20.0)
     refused = rig.clearance.refuses(call)
-    assert refused is not None and refused[0] is t.Result.NOT_SENT
+    assert refused == (t.Result.NOT_SENT, 0.0, Withheld.LEAVING)
 
 
 def test_a_link_that_a_whole_list_lacks_is_gone(tmp_path: Path) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -59,6 +59,24 @@
     return made
 
 
+def test_the_list_and_what_it_withholds_are_logged_and_counted(program: Managed, peer: Peer) -> None:
+    """A drain that comes while a call still connects, and a list request that fails, each leave a trace."""
+    with peer.lock:
+        peer.watch_bodies += [b"{", json.dumps(peer.members("Terminating", 2)).encode()]
+    until(lambda: program.figures()["sender_list_version"] == 2, "the drain is in force")
+    figures = program.figures()
+    assert figures['sender_list_failures_total{reason="silent"}'] == 1
+    assert 0 <= figures["sender_list_age_ms"] < 60_000
+    failed = next(line for line in program.log if line["event"] == "discovery failed")
+    assert failed["since"] == 1 and failed["again_within_ms"] > 0.0 and failed["took_ms"] >= 0.0
+    until(lambda: any(line["event"] == "endpoint" for line in program.log), "its line")
+    changed = next(line for line in program.log if line["event"] == "endpoint")
+    assert (changed["endpoint"], changed["before"], changed["state"]) == ("s-0", "ready", "draining")
+    assert changed["version"] == 2 and 0.0 <= changed["notified_ms_ago"] < 10_000.0
+    received = next(line for line in program.log if line["event"] == "list received")
+    assert (received["scope"], received["version"], received["lines"]) == ("whole", 2, 1)
+
+
 def test_figures_count_each_message_once_by_its_class(program: Managed, peer: Peer) -> None:
     assert program.operator("GET", "/ready")[0] == 200
     peer.answers = [(200, {}), (500, {})]
