--- /dev/null
+++ b/tests/list_service.py
@@ -0,0 +1,213 @@
+"""Stand-ins on loopback for tests of the list of endpoints: a discovery service that can fall silent, refuse
+and reset, and an endpoint that notes when the first byte of each call came.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from springspread.core.types import clock
+from tests.peer import serving
+
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+def wait_for(holds: Callable[[], object], what: str, within_s: float = 25.0) -> None:
+    """Wait on a condition."""
+    end = time.monotonic() + within_s
+    while not holds():
+        assert time.monotonic() < end, f"not in time: {what}"
+        time.sleep(0.005)
+
+
+@dataclass
+class Request:
+    """One request, with when its first byte came (ms, monotonic)."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    first_byte_at: float
+
+
+def read_request(sock: socket.socket) -> Request | None:
+    """The next request on a connection; none where it ends."""
+    data, first = b"", 0.0
+    while b"\r\n\r\n" not in data:
+        try:
+            part = sock.recv(65536)
+        except OSError:
+            return None
+        if not part:
+            return None
+        first = first or clock()
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines[1:])}
+    while len(body) < int(headers.get("content-length", "0")):
+        body += sock.recv(65536)
+    return Request(method, target, headers, body, first)
+
+
+class Behavior(Enum):
+    """What becomes of one request for the list."""
+
+    ANSWER = "answer"
+    SILENT = "silent"  # nothing more is ever heard on its connection
+    REFUSE = "refuse"
+    RESET = "reset"
+
+
+@dataclass
+class Asked:
+    """A request for the list: when it came, what for, what became of it; when its answer was written."""
+
+    at: float
+    since: int | None
+    behavior: Behavior
+    answered_at: float = 0.0
+    version: int = 0
+
+
+@dataclass
+class ListService:
+    """Discovery and the platform. ``plan`` holds what becomes of the coming list requests; then: answered."""
+
+    members: dict[str, dict[str, Any]]
+    version: int = 1
+    plan: list[Behavior] = field(default_factory=list)
+    asked: list[Asked] = field(default_factory=list)
+    finals: list[dict[str, Any]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._changed = dict.fromkeys(self.members, self.version)
+        self._news = threading.Condition()
+        self._open = True
+        self._sockets: list[socket.socket] = []
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        serving(self._listener, self._serve)
+
+    def snapshot(self) -> dict[str, Any]:
+        """The whole list, as discovery writes it."""
+        return {"index": self.version, "snapshot": True, "endpoints": list(self.members.values())}
+
+    def change(self, name: str, status: str) -> float:
+        """Change an endpoint's status; when that was (ms)."""
+        with self._news:
+            self.version += 1
+            self.members[name] = {**self.members[name], "status": status}
+            self._changed[name] = self.version
+            self._news.notify_all()
+            return clock()
+
+    def reset_watches(self) -> float:
+        """Break every connection; when that was (ms)."""
+        with self._news:
+            for sock in self._sockets:
+                _reset(sock)
+            self._sockets.clear()
+            return clock()
+
+    def answered(self, version: int) -> bool:
+        """Whether an answer with this version or a newer one has been written."""
+        return any(one.answered_at and one.version >= version for one in list(self.asked))
+
+    def close(self) -> None:
+        """End it."""
+        with self._news:
+            self._open = False
+            self._news.notify_all()
+        self._listener.close()
+        self.reset_watches()
+
+    def _serve(self, sock: socket.socket) -> None:
+        with self._news:
+            self._sockets.append(sock)
+        with contextlib.suppress(OSError):
+            while (request := read_request(sock)) is not None:
+                if request.method == "POST":
+                    self.finals += [json.loads(line) for line in request.body.splitlines()]
+                    sock.sendall(NO_CONTENT)
+                elif not self._list(sock, request):
+                    return
+
+    def _list(self, sock: socket.socket, request: Request) -> bool:
+        query = parse_qs(urlsplit(request.target).query)
+        since = int(query["since"][0]) if "since" in query else None
+        with self._news:
+            behavior = self.plan.pop(0) if self.plan else Behavior.ANSWER
+            entry = Asked(request.first_byte_at, since, behavior)
+            self.asked.append(entry)
+        if behavior is Behavior.SILENT:
+            return False
+        if behavior is Behavior.RESET:
+            _reset(sock)
+            return False
+        if behavior is Behavior.REFUSE:
+            sock.sendall(REFUSED)
+            return True
+        body = self._awaited(since, float(query.get("timeout_ms", ["0"])[0]))
+        with self._news:
+            entry.answered_at, entry.version = clock(), body["index"]
+        data = json.dumps(body).encode()
+        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data))
+        return True
+
+    def _awaited(self, since: int | None, wait_ms: float) -> dict[str, Any]:
+        with self._news:
+            if since is None:
+                return self.snapshot()
+            self._news.wait_for(lambda: self.version > since or not self._open, wait_ms / 1000.0)
+            lines = [self.members[name] for name, at in self._changed.items() if at > since]
+            return {"index": self.version, "snapshot": False, "endpoints": lines}
+
+
+def _reset(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        sock.shutdown(socket.SHUT_RD)
+    sock.close()
+
+
+class CallLog:
+    """An endpoint that serves every call at once and notes when the first byte of each came (ms)."""
+
+    def __init__(self) -> None:
+        self.calls: list[float] = []
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port: int = self._listener.getsockname()[1]
+        serving(self._listener, self._serve)
+
+    def line(self, name: str, group: int = 7, status: str = "Ready") -> dict[str, Any]:
+        """Its line in discovery's list."""
+        address = f"127.0.0.1:{self.port}"
+        kind = {"zone": "a", "type": "dealer", "group": group, "weight": 1000.0, "since_ms": 0}
+        return {"name": name, "address": address, "status": status, **kind}
+
+    def after(self, limit: float) -> list[float]:
+        """By how much calls began later than a moment (ms)."""
+        return [round(at - limit, 1) for at in list(self.calls) if at > limit]
+
+    def close(self) -> None:
+        """End it."""
+        self._listener.close()
+
+    def _serve(self, sock: socket.socket) -> None:
+        while (request := read_request(sock)) is not None:
+            self.calls.append(request.first_byte_at)
+            sock.sendall(OK)
