A list request's deadline outlasts later failures; drains hold against 0.15 s held up

Replaced: the property that one deadline follows each failure now holds over chains of failures; 'not asked without rest' allowed one call in 5 s, which is the fault itself: refusals keep that, others are bounded by the pace.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -128,7 +128,9 @@
     policy = shares.policy if shares else 0
     sender = Sender(config, journal, clearance, log, shares=shares, policy=policy, figures=figures)
     version = known.version if config.known is not None else None
-    watcher = Watcher(config.discovery, config.names, version, limits, sender.put, log, figures)
+    watcher = Watcher(
+        config.discovery, config.names, version, limits, sender.put, log, figures, settings.senders
+    )
     notices = Notices(config.discovery, limits, sender.put, log, journal.settle)
     report = config.names.report
     workers = Workers(limits, settings.slots, report, clearance, sender.put, log, figures)
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -98,14 +98,15 @@
                 self._journal.settle()
         except OSError:  # not on record, so it may not go out
             return _not_sent(Withheld.UNRECORDED)
-        if shares is None:
-            return None
-        if self._clock.now() >= right:
+        if shares is not None and self._clock.now() >= right:
             # Guards the limit against a call that was held up since it got its right (by a slow disk, a full
             # machine, a freeze): the right has been counted as used and is over by now.
             right = shares.acquire(call.endpoint)
-            if (refused := self._look(call, right)) is not None:
-                return refused
+        # Guards drains and told waits that came while the record was written.
+        if (refused := self._look(call, right)) is not None:
+            return refused
+        if shares is None:
+            return None
         # Last: guards against a mixture of policies, also where this process was frozen until just now.
         if not shares.may(call.policy):
             return _not_sent(Withheld.OTHER_POLICY)
--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -1,20 +1,29 @@
 """What is asked of discovery, which answers are believed, and by when the next call goes: decisions alone.
 
-Theory of operation. What discovery has counts as told ``TOLD_MS`` after it had it and could be reached,
-whether it arrived or not; what a call that may wait would have brought, ``WAITED_MS`` after that wait, if
-that is later. A sender that asks no sooner acts on a list that it is held not to have any more. So each way
-in which a call can end sets *told*, the moment from which something may count as told that did not come,
-and *ask by*, the latest moment of the next call whose answer still comes before it:
-
-    a call ends             told                                        ask by
-    answered                                                            (the next goes at once)
-    silent, unreadable      begin + TOLD_MS, or its wait's end          told - ANSWER_MS: where it
-                            + WAITED_MS where that is later             waited, at once
-    refused, not reached    now + TOLD_MS: it may be back from now on   told - ANSWER_MS
-
-The module's pause after a failure may be shorter, never longer. Over the fleet that is one call a sender in
-``TOLD_MS - ANSWER_MS`` at the least while discovery is away; the module draws them apart over that time, so
-that the mean is one in some three fifths of it.
+Theory of operation. What discovery has counts as notified ``NOTIFIED_MS`` after it had it and could be
+reached, whether it arrived or not; what a call that may wait would have brought, ``AFTER_WAIT_MS`` after that
+wait, if that is later. A sender that asks no sooner acts on a list that it is held not to have any more. So
+each way in which a call can end without an answer leaves a deadline, by which an answer has to be here:
+
+    a call ends                     the deadline that it leaves
+    silent, unreadable              begin + NOTIFIED_MS, or its wait's end + AFTER_WAIT_MS where that is later
+    not reached (broken, or our     the same: until it broke it may have been silent, and what failed may be
+    own system call failed)         ours alone; at the latest now + NOTIFIED_MS
+    refused                         now + NOTIFIED_MS: discovery itself says that it can't be reached
+    cut off by a move               now + MOVED_MS, and what it may have missed until then
+
+    state      what counts                                    left for
+    current    nothing is missing                             overdue at a failure or a move
+    overdue    the earliest deadline; of refusals the last    current at an answer, down as the deadline
+               one, as they say that it can't be reached      passes
+    down       the last failure's deadline                    current at an answer, overdue at a move
+
+So a later failure never moves on the deadline of an earlier one, until that has passed: whoever answered
+nothing until then is taken to be down. The next call goes an answer's time before the deadline at the latest,
+and ``Pace.retry_ms`` after a failure where that is later; a watch that fell silent is followed at once. But
+for the current state calls are short: an answer comes at once, or the call is given up while there is time
+for another one. The module's pause after a failure may be shorter, never longer; it draws the calls of a
+fleet apart.
 
 Which answers are believed: versions grow. An answer that is older than what is held is left out whole, and
 the whole list asked for; where that is older, too, the service counts anew, and it is believed.
@@ -24,12 +33,17 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import inf, log2
 
-TOLD_MS = 6000.0
-WAITED_MS = 2000.0
-ANSWER_MS = 1000.0  # a call's time from its begin to its answer, where all goes well
-WHOLE_MS = 2000.0  # a call that does not wait is given up after this
-ASIDE_MS = 1000.0  # and one that does, so long after its wait
+NOTIFIED_MS = 6000.0  # the protocol's figure, as are the two below
+AFTER_WAIT_MS = 2000.0
+MOVED_MS = 4000.0
+WHOLE_MS = 2000.0  # a call for the whole list is given up after this
+CATCH_UP_WAIT_MS = 100.0  # how long a short call may wait for news
+LARGE_FLEET = 40.0  # so many senders crowd a discovery that serves them in turn
+ANSWER_MS = 1000.0  # how long an answer may then take, where all goes well
+ANSWER_ALONE_MS = 500.0  # and for a sender that has discovery for itself
+RETRY_MS = 200.0  # the shortest pause after a failure, in fleets that are not large
 
 
 class Failure(Enum):
@@ -40,6 +54,26 @@
     UNREACHED = "not reached"  # no connection, or it broke
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Times (ms) that depend on how many senders share one discovery, which serves calls in turn.
+
+    ``answer_ms``: a call's time from its begin to its answer, where all goes well. ``aside_ms``: a watch is
+    given up so long after its wait. ``retry_ms``: the shortest pause between a failure and the next call.
+    """
+
+    answer_ms: float
+    aside_ms: float
+    retry_ms: float
+
+
+def pace(senders: int) -> Pace:
+    """The pace of one sender in a fleet of so many."""
+    crowd = min(log2(max(senders, 1)) / log2(LARGE_FLEET), 1.0)
+    answer = ANSWER_ALONE_MS + (ANSWER_MS - ANSWER_ALONE_MS) * crowd
+    return Pace(answer, answer, RETRY_MS * max(senders / LARGE_FLEET, 1.0))
+
+
 @dataclass(frozen=True, slots=True)
 class Ask:
     """One call: the whole list, or what is newer than a version, waited for so long (ms)."""
@@ -49,16 +83,29 @@
     give_up_at: float
     begun_at: float
 
+    @property
+    def missed_by(self) -> float:
+        """From when on what this call should have brought counts as notified, should it bring nothing."""
+        waited = self.begun_at + self.wait_ms + AFTER_WAIT_MS if self.wait_ms else 0.0
+        return max(self.begun_at + NOTIFIED_MS, waited)
+
 
 class Watch:
     """What one sender knows of its list. Times are milliseconds of one clock."""
 
-    def __init__(self, version: int | None, wait_ms: float) -> None:
+    def __init__(self, version: int | None, wait_ms: float, senders: int = 1) -> None:
         """``version``: of the list that is held at the start; none: the whole list comes first."""
-        self._version, self._wait = version, wait_ms
+        self._version, self._wait, self.pace = version, wait_ms, pace(senders)
         self._wants = self._fetches = self._doubts = self._moved = False
         self._ask: Ask | None = None
-        self._begun = 0.0
+        self._missed_by = inf  # the earliest deadline that a call left which was not refused
+        self._failed_by = inf  # the deadline that the last failure left, where that one counts
+        self._down = False
+
+    @property
+    def overdue_by(self) -> float:
+        """By when an answer has to be here; inf where nothing is missing."""
+        return min(self._missed_by, self._failed_by)
 
     def want(self, active: bool = True) -> None:
         """Watch from now on, or no more."""
@@ -76,9 +123,13 @@
         if whole:
             # Guards discovery against a fleet that starts at once: no short watch goes before this.
             self._ask = Ask(None, 0.0, now + WHOLE_MS, now)
+        elif self.overdue_by < inf:
+            # Guards the deadline: a long watch would not tell "nothing new" from silence before it.
+            give_up_at = now + CATCH_UP_WAIT_MS + self.pace.answer_ms
+            self._ask = Ask(self._version, min(CATCH_UP_WAIT_MS, self._wait), give_up_at, now)
         else:
-            self._ask = Ask(self._version, self._wait, now + self._wait + ASIDE_MS, now)
-        self._begun, self._moved = now, False
+            self._ask = Ask(self._version, self._wait, now + self._wait + self.pace.aside_ms, now)
+        self._moved = False
         return self._ask
 
     def answered(self, version: int) -> bool:
@@ -89,23 +140,40 @@
             self._doubts = self._fetches = True
             return False
         self._version, self._doubts = version, False
+        self._missed_by = self._failed_by = inf
+        self._down = False
         return True
 
-    def moved(self) -> None:
+    def moved(self, now: float) -> None:
         """Discovery is at another address: what was asked of the old one is asked there."""
         self._wants = self._moved = True
-        if self._ask is not None and self._ask.since is None:
-            self._fetches = True
+        self._down = False
+        self._missed_by = min(self._missed_by, now + MOVED_MS)
+        if self._ask is not None:
+            self._missed_by = min(self._missed_by, max(self._ask.missed_by, now))
+            if self._ask.since is None:
+                self._fetches = True
 
     def failed(self, failure: Failure, now: float) -> float:
         """A call brought nothing, and none goes until one is wanted again: by when (ms)."""
         assert self._ask is not None
         self._wants = self._moved  # guards a move that crosses the failure of a call to the old address
-        match failure:
-            case Failure.SILENT:
-                waited = self._begun + self._ask.wait_ms + WAITED_MS if self._ask.wait_ms else 0.0
-                told = max(self._begun + TOLD_MS, waited)
-            case Failure.REFUSED | Failure.UNREACHED:
-                # Guards discovery: what turns calls away may be overbooked, and would stay so.
-                told = now + TOLD_MS
-        return max(told - ANSWER_MS, now)
+        self._pass(now)
+        broken = now + NOTIFIED_MS if failure is Failure.UNREACHED else inf
+        if failure is Failure.REFUSED:
+            # Guards discovery: what turns calls away may be overbooked, and would stay so.
+            self._failed_by = now + NOTIFIED_MS
+        elif self._down:
+            self._failed_by = min(self._ask.missed_by, broken)
+        else:
+            self._missed_by = min(self._missed_by, self._ask.missed_by, broken)
+        if self._ask.wait_ms > CATCH_UP_WAIT_MS and now >= self._ask.give_up_at:
+            return now
+        return max(self.overdue_by - self.pace.answer_ms, now + self.pace.retry_ms)
+
+    def _pass(self, now: float) -> None:
+        """Deadlines that have passed count no more; where no refusal left one, discovery is down."""
+        if self._missed_by <= now:
+            self._missed_by, self._down = inf, True
+        if self._failed_by <= now:
+            self._failed_by = inf
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -35,12 +35,14 @@
         put: Callable[[CoreEvent], None],
         log: Log,
         figures: Figures | None = None,
+        senders: int = 1,
     ) -> None:
+        """``senders``: how many share this discovery."""
         self._figures = figures or Figures(())
         self._caller = Caller(address, limits)
         self._names, self._put, self._log = names, put, log
         self._lock = threading.Lock()
-        self._machine = Watch(version, limits.watch_ms)
+        self._machine = Watch(version, limits.watch_ms, senders)
         self._wake = threading.Event()
         spawn("discovery", self._run, log)
 
@@ -60,7 +62,7 @@
         """Ask another address from now on, also what was cut off at the old one."""
         self._caller.move(address)
         with self._lock:
-            self._machine.moved()
+            self._machine.moved(clock())
         self._wake.set()
 
     def _run(self) -> None:
--- a/tests/faults/test_late_calls.py
+++ b/tests/faults/test_late_calls.py
@@ -15,11 +15,13 @@
 from springspread.faults.failing_calls import VARIABLE, Fault, encoded
 from tests.list_service import Behavior, CallLog, ListService, wait_for
 from tests.peer import Program
+from tests.test_config import SETTINGS
 
 GRACE_MS = 500.0 + 50.0  # of the settings, and what the protocol adds on sockets
 WATCH_MS = 5000.0  # how long a watch waits with these settings
 NOTIFIED_MS = 6000.0  # after discovery had it and could be reached
 NOTIFIED_WAIT_MS = 2000.0  # after a silent watch's wait
+MOVED_MS = 4000.0  # after SIGHUP; the page names it where lists are pushed
 HELD_UP_S = 0.15  # allowed for between a look at the clock and what follows
 MODULE = "springspread.faults.failing_calls"
 
@@ -35,10 +37,11 @@
         self._stop = threading.Event()
         self._client: threading.Thread | None = None
 
-    def start(self, *faults: Fault) -> None:
+    def start(self, *faults: Fault, discovery: str = "ask") -> None:
         self._monkeypatch.setenv(VARIABLE, encoded(faults))
-        port, lines = self.service, self.service.snapshot()
-        self.program = Program(self.folder, port, known=lines, module=MODULE)  # type: ignore[arg-type]
+        self._monkeypatch.setitem(SETTINGS, "discovery", discovery)
+        lines = self.service.snapshot()
+        self.program = Program(self.folder, self.service, known=lines, module=MODULE)
         wait_for(lambda: self.service.asked, "the first list request")
 
     def gate(self, name: str) -> Path:
@@ -101,6 +104,43 @@
     assert not world.endpoint.after(notified + GRACE_MS)
 
 
+def test_what_a_silent_watch_missed_is_known_in_time_although_the_next_request_is_silent_too(
+    world: World,
+) -> None:
+    world.start()
+    world.load()
+    world.service.plan = [Behavior.SILENT, Behavior.SILENT]
+    begun = world.new_watch()
+    world.service.change("s-0", "Terminating")
+    world.in_force(world.service.version)
+    notified = max(begun + NOTIFIED_MS, begun + WATCH_MS + NOTIFIED_WAIT_MS)
+    assert not world.endpoint.after(notified + GRACE_MS)
+
+
+@pytest.mark.parametrize("first", [Behavior.SILENT, Behavior.RESET, Behavior.REFUSE])
+def test_what_a_new_address_tells_is_known_in_time_although_its_first_request_fails(
+    world: World, first: Behavior
+) -> None:
+    world.start()
+    world.load()
+    moved_to = ListService({"s-0": world.endpoint.line("s-0", status="Terminating")}, version=2, plan=[first])
+    moved_at = clock()
+    world.program.move(moved_to)
+    wait_for(lambda: any(one.since == 2 for one in list(moved_to.asked)), "its list is in force")
+    moved_to.close()
+    assert not world.endpoint.after(moved_at + MOVED_MS + GRACE_MS)
+
+
+def test_a_drain_is_in_force_before_the_next_call_where_lists_are_pushed(world: World) -> None:
+    """What the agent has counts as told, whether or not its last answer got through."""
+    world.start(discovery="push")
+    world.load()
+    drained = world.service.reset_watches()
+    world.service.change("s-0", "Terminating")
+    world.in_force(world.service.version)
+    assert not world.endpoint.after(drained + GRACE_MS)
+
+
 def test_a_change_is_known_in_time_although_the_senders_own_connects_fail_for_a_moment(world: World) -> None:
     """Discovery is there all along: only this sender's system calls fail."""
     gate = world.gate("no-route")
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from tests.test_config import make
 
@@ -81,6 +81,10 @@
         ]
         return {"index": version, "snapshot": True, "endpoints": lines}
 
+    def snapshot(self) -> dict[str, Any]:
+        """The whole list as it begins."""
+        return self.members()
+
     def ids(self) -> list[str]:
         """The messages that came, those of bundles too."""
         with self.lock:
@@ -154,13 +158,22 @@
         """Nothing is logged."""
 
 
+class ListSource(Protocol):
+    """Who stands for discovery and the platform."""
+
+    port: int
+
+    def snapshot(self) -> dict[str, Any]:
+        """The whole list, as discovery writes it."""
+
+
 class Program:
     """The real sender as a process."""
 
     def __init__(
         self,
         folder: Path,
-        peer: Peer,
+        peer: ListSource,
         sockets: int = 1024,
         tree: Path | None = None,
         known: dict[str, Any] | None = None,
@@ -173,7 +186,7 @@
         self.state = folder / "state"
         self.state.mkdir(exist_ok=True)
         self.file = folder / "config.json"
-        raw = make(self.state, discovery=f"127.0.0.1:{peer.port}", known=known or peer.members())
+        raw = make(self.state, discovery=f"127.0.0.1:{peer.port}", known=known or peer.snapshot())
         raw["settings"]["specifics"]["callsOut"] = slots
         raw["limits"]["sockets"] = sockets
         raw["durability"] = durability
@@ -211,7 +224,7 @@
         fresh.replace(self.file)
         self.process.send_signal(signal.SIGHUP)
 
-    def move(self, peer: Peer) -> None:
+    def move(self, peer: ListSource) -> None:
         """Name another peer as discovery and the platform."""
         raw = json.loads(self.file.read_text())
         self.reload(json.dumps({**raw, "discovery": f"127.0.0.1:{peer.port}"}))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -383,6 +383,31 @@
     assert refused == (t.Result.NOT_SENT, 0.0, Withheld.LEAVING)
 
 
+@pytest.mark.parametrize("comes", ["a drain", "a told wait"])
+def test_what_comes_while_an_attempt_is_put_on_record_stops_its_call(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, comes: str
+) -> None:
+    rig = Rig(tmp_path)
+    rig.restore()
+    rig.hand_in("a")
+    (call,) = rig.drivers.calls
+    begun = rig.journal.begun
+
+    def slow(number: int, attempt: int) -> bool:
+        if comes == "a drain":
+            rig.clearance.leaving(call.endpoint, t.EndpointState.DRAINING, t.clock() - 451.0)
+        else:
+            rig.clearance.bar(call.endpoint, 5000.0)
+        return begun(number, attempt)
+
+    monkeypatch.setattr(rig.journal, "begun", slow)
+    refused = rig.clearance.refuses(call)
+    assert refused is not None
+    assert refused.reason is (Withheld.LEAVING if comes == "a drain" else Withheld.RETRY_AFTER)
+    rig.sender.step([t.AttemptEnd(call, call.attempts[0], refused.result, t.clock())])
+    assert not rig.journal.owed[1].may_have_run
+
+
 def test_a_link_that_a_whole_list_lacks_is_gone(tmp_path: Path) -> None:
     rig = Rig(tmp_path)
     rig.restore()
--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -11,7 +11,7 @@
 
 from springspread import interface as i
 from springspread.config import Limits, Names
-from springspread.core.watch import ANSWER_MS, TOLD_MS, Failure, Watch
+from springspread.core.watch import ANSWER_MS, NOTIFIED_MS, Failure, Watch
 from springspread.net.discovery import Watcher
 from springspread.policy import Dispatcher
 from springspread.settings import SettingsError, parse_lines, read_settings
@@ -113,7 +113,7 @@
     """Each call is turned away after two seconds in line; what it missed counts as told six seconds later."""
     settings, asked = make_settings(senders=40, must_ask=True), 0
     for seed in range(40):
-        sender, watch, now = Dispatcher(settings, seed), Watch(1, 5000.0), 0.0
+        sender, watch, now = Dispatcher(settings, seed), Watch(1, 5000.0, 40), 0.0
         watch.want()
         while now < 40_000.0:
             assert watch.begin(now) is not None
@@ -124,7 +124,7 @@
             sender.handle(now, [i.Listed(i.ListScope.FAILED, ask_by_ms=ask_by)])
             while not any(isinstance(action, i.Watch) for action in sender.handle(now, [i.Woken(0)])):
                 now += 5.0
-            assert now <= failed_at + TOLD_MS - ANSWER_MS + 10.0
+            assert now <= failed_at + NOTIFIED_MS - ANSWER_MS + 10.0
             watch.want()
     assert asked <= 40 * 30 / 4.5
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from itertools import pairwise
+from math import ceil, inf
 from queue import SimpleQueue
 
 import pytest
@@ -16,7 +17,15 @@
 
 from springspread.config import Limits, Names
 from springspread.core.types import CoreEvent, EndpointState, ListNews, Scope, clock
-from springspread.core.watch import ANSWER_MS, TOLD_MS, WAITED_MS, Failure, Watch
+from springspread.core.watch import (
+    AFTER_WAIT_MS,
+    ANSWER_MS,
+    MOVED_MS,
+    NOTIFIED_MS,
+    Failure,
+    Watch,
+    pace,
+)
 from springspread.net import exchange
 from springspread.net.discovery import Watcher
 from tests.peer import serving, until
@@ -26,8 +35,12 @@
 FAILURES = st.sampled_from(list(Failure))
 
 
-def watching(version: int | None = 7) -> Watch:
-    watch = Watch(version, WAIT_MS)
+LARGE = 200  # senders: an answer may take ``ANSWER_MS``
+FLEETS = st.sampled_from([1, 4, 40, LARGE])
+
+
+def watching(version: int | None = 7, senders: int = LARGE) -> Watch:
+    watch = Watch(version, WAIT_MS, senders)
     watch.want()
     return watch
 
@@ -35,9 +48,9 @@
 @pytest.mark.parametrize(
     ("failure", "told"),
     [
-        (Failure.SILENT, WAIT_MS + WAITED_MS),
-        (Failure.REFUSED, TOLD_MS + 300.0),
-        (Failure.UNREACHED, TOLD_MS + 300.0),
+        (Failure.SILENT, WAIT_MS + AFTER_WAIT_MS),
+        (Failure.REFUSED, NOTIFIED_MS + 300.0),
+        (Failure.UNREACHED, NOTIFIED_MS + 300.0),
     ],
 )
 def test_a_failed_call_is_made_again_before_what_it_missed_counts_as_told(
@@ -55,40 +68,104 @@
     ask = watch.begin(0.0)
     assert ask is not None
     assert watch.failed(Failure.SILENT, ask.give_up_at) <= ask.give_up_at
-    assert ask.give_up_at + ANSWER_MS <= WAIT_MS + WAITED_MS
+    assert ask.give_up_at + ANSWER_MS <= WAIT_MS + AFTER_WAIT_MS
 
 
 @settings(derandomize=True, deadline=None, database=None)
-@given(st.lists(st.tuples(FAILURES, st.floats(0.0, ANSWER_MS)), min_size=1, max_size=8))
+@given(FLEETS, st.lists(st.tuples(FAILURES, st.floats(0.0, 1.0)), min_size=1, max_size=8))
 def test_whatever_failed_the_next_call_is_answered_before_what_was_missed_counts_as_told(
-    calls: list[tuple[Failure, float]],
+    senders: int, calls: list[tuple[Failure, float]]
 ) -> None:
-    """By the page: 6 s after discovery had it and could be reached, or 2 s after a silent call's wait."""
-    watch, now = watching(), 0.0
-    for failure, took in calls:
+    """By the page: 6 s after discovery had it and could be reached, or 2 s after a silent call's wait.
+
+    Also where one failure follows another: none moves on what an earlier call left, refusals apart, as they
+    tell that discovery could not be reached. Up to the pause that discovery is owed after each failure.
+    """
+    watch, now, missed = watching(senders=senders), 0.0, list[float]()
+    answer_ms, retry_ms = watch.pace.answer_ms, watch.pace.retry_ms
+    for failure, part in calls:
         ask = watch.begin(now)
         assert ask is not None
+        took = part * answer_ms
         failed_at = ask.give_up_at if failure is Failure.SILENT else now + took
         ask_by = max(watch.failed(failure, failed_at), failed_at)
-        assert ask_by + ANSWER_MS <= failed_at + TOLD_MS  # back in the pause: read within 6 s of that
-        if failure is Failure.SILENT:
-            waited = now + ask.wait_ms + WAITED_MS if ask.wait_ms else 0.0
-            assert ask_by + ANSWER_MS <= max(now + TOLD_MS, waited)
+        assert (
+            ask_by + answer_ms <= failed_at + NOTIFIED_MS + 1e-6
+        )  # back in the pause: read within 6 s of that
+        if failure is not Failure.REFUSED:
+            waited = now + ask.wait_ms + AFTER_WAIT_MS if ask.wait_ms else 0.0
+            broken = failed_at + NOTIFIED_MS if failure is Failure.UNREACHED else inf
+            missed.append(min(max(now + NOTIFIED_MS, waited), broken))
+        if missed and failed_at < min(missed):  # later nobody has answered for so long: it is down
+            assert ask_by <= max(min(missed) - answer_ms, failed_at + retry_ms)
         now = ask_by
         watch.want()
 
 
 @settings(derandomize=True, deadline=None, database=None)
-@given(st.lists(FAILURES, min_size=20, max_size=40))
-def test_a_discovery_that_answers_nothing_is_not_asked_without_rest(failures: list[Failure]) -> None:
-    watch, now, begun = watching(), 0.0, []
+@given(FLEETS, st.lists(FAILURES, min_size=20, max_size=40))
+def test_a_discovery_that_answers_nothing_is_not_asked_without_rest(
+    senders: int, failures: list[Failure]
+) -> None:
+    """Of each kind of failure: by refusals one call in 5 s at the least, a pause after every other."""
+    watch, now, begun, alone = watching(senders=senders), 0.0, list[float](), set(failures)
     for failure in failures:
         begun.append(now)
         assert watch.begin(now) is not None
-        now = max(watch.failed(failure, now), now)
+        now = max(watch.failed(failure, now), now + (failure is Failure.SILENT))
         watch.want()
-    assert all(later - one >= TOLD_MS - ANSWER_MS for one, later in pairwise(begun))
-    assert all(later - one <= WAIT_MS + WAITED_MS for one, later in pairwise(begun))
+    gaps = [later - one for one, later in pairwise(begun)]
+    if alone == {Failure.REFUSED}:
+        assert min(gaps) >= NOTIFIED_MS - ANSWER_MS
+    # One that is left over from a silent watch is asked for in the last of its time, and then no sooner.
+    seconds = [sum(at <= other < at + NOTIFIED_MS for other in begun) for at in begun]
+    assert max(seconds) <= 2 * (1 + ceil(watch.pace.answer_ms / watch.pace.retry_ms))
+    assert max(gaps) <= WAIT_MS + AFTER_WAIT_MS
+
+
+def test_a_silent_watchs_deadline_outlasts_the_failures_that_follow() -> None:
+    for senders in (1, 4, 40, LARGE):
+        watch = watching(senders=senders)
+        watch.begin(0.0)
+        now = WAIT_MS + watch.pace.aside_ms
+        assert watch.failed(Failure.SILENT, now) == now  # at once
+        for failure in (Failure.REFUSED, Failure.UNREACHED):
+            watch.want()
+            assert watch.begin(now) is not None
+            assert watch.overdue_by == WAIT_MS + AFTER_WAIT_MS
+            failed_at = now + 1.0
+            now = watch.failed(failure, failed_at)
+            asked_by = WAIT_MS + AFTER_WAIT_MS - watch.pace.answer_ms
+            assert now <= max(asked_by, failed_at + watch.pace.retry_ms)
+            if now >= WAIT_MS + AFTER_WAIT_MS:
+                break  # in a large fleet one call more is all that discovery can bear
+
+
+def test_calls_are_short_until_an_answer_comes() -> None:
+    watch = watching(senders=4)
+    watch.begin(0.0)
+    watch.failed(Failure.UNREACHED, 10.0)
+    watch.want()
+    ask = watch.begin(200.0)
+    assert ask is not None and ask.since == 7 and ask.give_up_at - 200.0 < 1000.0
+    assert watch.answered(7)
+    ask = watch.begin(300.0)
+    assert ask is not None and ask.wait_ms == WAIT_MS
+
+
+def test_a_move_leaves_a_deadline_and_a_short_call() -> None:
+    watch = watching(senders=4)
+    watch.begin(0.0)
+    watch.moved(100.0)
+    assert watch.overdue_by == 100.0 + MOVED_MS
+    ask = watch.begin(110.0)
+    assert ask is not None and ask.give_up_at <= 110.0 + 1000.0
+    assert watch.failed(Failure.SILENT, ask.give_up_at) <= 100.0 + MOVED_MS - watch.pace.answer_ms
+
+
+def test_the_pace_of_a_fleet_keeps_its_rate_of_retries() -> None:
+    assert pace(1).retry_ms == pace(40).retry_ms and pace(400).retry_ms == 10 * pace(40).retry_ms
+    assert pace(1).answer_ms < pace(4).answer_ms < pace(40).answer_ms == pace(400).answer_ms == ANSWER_MS
 
 
 def test_an_older_list_is_left_out_and_one_that_counts_anew_is_believed() -> None:
@@ -118,10 +195,10 @@
         watch = watching()
         watch.begin(0.0)
         if order == "moved first":
-            watch.moved()
+            watch.moved(5.0)
         watch.failed(Failure.UNREACHED, 10.0)
         if order == "failed first":
-            watch.moved()
+            watch.moved(15.0)
         assert watch.begin(20.0) is not None, order
 
 
@@ -190,7 +267,7 @@
         self.news: list[ListNews] = []
         limits = replace(Limits(), watch_ms=wait_ms)
         names = Names(("portal",), ("a",), ())
-        self.watcher = Watcher(discovery.address, names, 7, limits, self.put, Silent())
+        self.watcher = Watcher(discovery.address, names, 7, limits, self.put, Silent(), senders=LARGE)
         self.watcher.watch(True)
 
     def put(self, event: CoreEvent) -> None:
@@ -215,7 +292,7 @@
             until(lambda it=loop: it.told() == [EndpointState.DRAINING], "the change")  # type: ignore[misc]
             again, target = one.asked.get(timeout=10.0)
             assert "since=7" in target
-            assert again - at < max(TOLD_MS, wait_ms + WAITED_MS) - ANSWER_MS + 200.0
+            assert again - at < max(NOTIFIED_MS, wait_ms + AFTER_WAIT_MS) - ANSWER_MS + 200.0
 
 
 @pytest.mark.parametrize(
@@ -238,7 +315,7 @@
     begun, _ = there.asked.get(timeout=10.0)
     until(lambda: loop.news, "the failure")
     assert loop.news[0].scope is Scope.FAILED
-    assert loop.news[0].ask_by <= begun + TOLD_MS
+    assert loop.news[0].ask_by <= begun + NOTIFIED_MS
     loop.watcher.watch(True)
     until(lambda: loop.told() == [EndpointState.DRAINING], "the change")
 
