--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -115,6 +115,10 @@
         """Ask once for the whole list."""
         self._fetches = True
 
+    def doubt(self) -> None:
+        """What is held is not the list of any one version: ask for the whole list until it is answered."""
+        self._doubts = True
+
     def begin(self, now: float) -> Ask | None:
         """The call to make now; none where nothing is wanted."""
         if not (self._wants or self._fetches):
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -8,8 +8,9 @@
 
 from springspread.config import Address, Limits, Names
 from springspread.core.figures import Figures, Occurrence
-from springspread.core.types import CoreEvent, ListNews, Log, Scope, clock
+from springspread.core.types import CoreEvent, EndpointState, ListNews, Log, Scope, clock
 from springspread.core.watch import Ask, Failure, Watch
+from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
 from springspread.net.exchange import FAILURES, Caller, LateError, MovedError
 from springspread.net.threads import spawn
@@ -74,6 +75,7 @@
                     self._put_news(ask, self._ask(ask))
                 except MovedError as exc:
                     self._log.info("discovery moved", cut_off=str(exc))
+                    self._put_leaving(exc.answer)
                 except RefusedError as exc:
                     self._failed(ask, Failure.REFUSED, exc)
                 except (LateError, catalog.Unreadable, Malformed) as exc:
@@ -103,6 +105,26 @@
         else:
             self._log.warning("an older list left out", version=news.version)
 
+    def _put_leaving(self, answer: Answer | None) -> None:
+        """Take from an answer of the address of before what drains or is gone, and nothing else.
+
+        Where two events cross: SIGHUP and an answer that is written by then, and counts as notified. What it
+        says is ready is left to the new address, which is asked for its whole list.
+        """
+        if answer is None or answer.status != 200:
+            return
+        try:
+            news = catalog.read_list(answer.body, self._names, clock())
+        except catalog.Unreadable:
+            return
+        leaving = tuple(one for one in news.members if one.state is not EndpointState.READY)
+        if not leaving:
+            return
+        with self._lock:
+            self._machine.doubt()
+        self._log.info("left as the old address says", version=news.version, lines=len(leaving))
+        self._put(replace(news, scope=Scope.CHANGES, members=leaving))
+
     def _failed(self, ask: Ask, failure: Failure, exc: Exception) -> None:
         with self._lock:
             now = clock()
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -23,7 +23,14 @@
 
 
 class MovedError(Exception):
-    """The call was cut off as its caller moved to another address: it may be made again there."""
+    """The call was cut off as its caller moved to another address: it may be made again there.
+
+    ``answer``: of the address of before, where one came all the same.
+    """
+
+    def __init__(self, text: str, answer: Answer | None = None) -> None:
+        super().__init__(text)
+        self.answer = answer
 
 
 def seconds(until: float) -> float:
@@ -186,11 +193,11 @@
             connection.write(method, target, {"Host": host, **headers}, body, until)
             answer = connection.read(until)
             if current and address != self._address:
-                raise MovedError("answered by the address of before")
+                raise MovedError("answered by the address of before", answer)
             return answer
         except FAILURES as exc:
             self.close()
-            if address != self._address:
+            if address != self._address and not isinstance(exc, MovedError):
                 raise MovedError(repr(exc)) from exc
             raise
 
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -64,6 +64,7 @@
 ASK_AGAIN_MS = 1000.0  # a list request that failed is made again after this, then twice that, and so on
 ASK_FLEET = 40.0  # in a fleet of so many; fewer senders ask sooner, so that all together ask as often
 ASK_LEAST_MS = 200.0  # but no sooner than this
+ASK_LONGEST_MS = 1000.0  # nor later, drawn apart: several requests are to fit into the 6 s to an answer
 ASK_AGENT_MS = 100.0  # where lists are pushed: the agent is on this machine and answers at no cost
 
 
@@ -164,7 +165,7 @@
     def _longest_pause(self) -> float:
         if not self.set.must_ask:
             return ASK_AGENT_MS
-        return max(self.set.rules.ask_within_ms / 2 * self._ask_scale(), ASK_AGAIN_MS)
+        return max(self.set.rules.ask_within_ms / 2 * self._ask_scale(), ASK_LONGEST_MS)
 
     def _add(self, entry: i.RouteEntry) -> Route:
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else i.KindSpec("")
--- a/tests/list_service.py
+++ b/tests/list_service.py
@@ -70,6 +70,7 @@
     SILENT = "silent"  # nothing more is ever heard on its connection
     REFUSE = "refuse"
     RESET = "reset"
+    CUT = "cut"  # half an answer, and nothing more
 
 
 @dataclass
@@ -79,8 +80,12 @@
     at: float
     since: int | None
     behavior: Behavior
+    sock: socket.socket
+    wait_ms: float = 0.0
     answered_at: float = 0.0
     version: int = 0
+    silent_at: float = 0.0  # when its watch fell silent
+    reset_at: float = 0.0  # when its connection was reset from this side
 
 
 @dataclass
@@ -92,8 +97,12 @@
     plan: list[Behavior] = field(default_factory=list)
     asked: list[Asked] = field(default_factory=list)
     finals: list[dict[str, Any]] = field(default_factory=list)
+    down: Behavior | None = None  # what becomes of every request while it is down
+    slow_ms: float = 0.0  # an answer takes so long
 
     def __post_init__(self) -> None:
+        self._silences = 0
+        self.history: list[tuple[str, str, int]] = []  # name, status, version of each change
         self._changed = dict.fromkeys(self.members, self.version)
         self._news = threading.Condition()
         self._open = True
@@ -112,12 +121,27 @@
             self.version += 1
             self.members[name] = {**self.members[name], "status": status}
             self._changed[name] = self.version
+            self.history.append((name, status, self.version))
+            self._news.notify_all()
+            return clock()
+
+    def silence(self) -> float:
+        """Every open watch falls silent: what it waits for never comes; when that was (ms)."""
+        with self._news:
+            self._silences += 1
+            for one in self.asked:
+                waits = one.behavior is Behavior.ANSWER and not one.answered_at and not one.silent_at
+                if waits and one.sock in self._sockets:
+                    one.silent_at = clock()
             self._news.notify_all()
             return clock()
 
     def reset_watches(self) -> float:
         """Break every connection; when that was (ms)."""
         with self._news:
+            for one in self.asked:
+                if one.sock in self._sockets and not one.reset_at:
+                    one.reset_at = clock()
             for sock in self._sockets:
                 _reset(sock)
             self._sockets.clear()
@@ -150,8 +174,9 @@
         query = parse_qs(urlsplit(request.target).query)
         since = int(query["since"][0]) if "since" in query else None
         with self._news:
-            behavior = self.plan.pop(0) if self.plan else Behavior.ANSWER
-            entry = Asked(request.first_byte_at, since, behavior)
+            behavior = self.down or (self.plan.pop(0) if self.plan else Behavior.ANSWER)
+            wait_ms = float(query.get("timeout_ms", ["0"])[0])
+            entry = Asked(request.first_byte_at, since, behavior, sock, wait_ms)
             self.asked.append(entry)
         if behavior is Behavior.SILENT:
             return False
@@ -161,22 +186,49 @@
         if behavior is Behavior.REFUSE:
             sock.sendall(REFUSED)
             return True
-        body = self._awaited(since, float(query.get("timeout_ms", ["0"])[0]))
+        time.sleep(self.slow_ms / 1000.0)
+        body = self._awaited(entry)
+        if body is None:
+            return False
+        data = json.dumps(body).encode()
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data)
+        if behavior is Behavior.CUT:
+            sock.sendall(answer[: len(answer) // 2])
+            return False
         with self._news:
+            if sock not in self._sockets or _ended(sock):
+                return False  # reset meanwhile, or given up: nothing is written to the sender
             entry.answered_at, entry.version = clock(), body["index"]
-        data = json.dumps(body).encode()
-        sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data))
+        sock.sendall(answer)
         return True
 
-    def _awaited(self, since: int | None, wait_ms: float) -> dict[str, Any]:
+    def _awaited(self, entry: Asked) -> dict[str, Any] | None:
+        """What an answer holds, once there is news or its wait is over; none where it fell silent."""
+        since = entry.since
         with self._news:
             if since is None:
                 return self.snapshot()
-            self._news.wait_for(lambda: self.version > since or not self._open, wait_ms / 1000.0)
+            silences = self._silences
+            self._news.wait_for(
+                lambda: self.version > since or self._silences > silences or not self._open,
+                entry.wait_ms / 1000.0,
+            )
+            if entry.silent_at:
+                return None
             lines = [self.members[name] for name, at in self._changed.items() if at > since]
             return {"index": self.version, "snapshot": False, "endpoints": lines}
 
 
+def _ended(sock: socket.socket) -> bool:
+    """Whether the other side has ended its connection."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _reset(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
@@ -189,6 +241,7 @@
 
     def __init__(self) -> None:
         self.calls: list[float] = []
+        self.ids: list[str] = []
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.port: int = self._listener.getsockname()[1]
         serving(self._listener, self._serve)
@@ -210,4 +263,5 @@
     def _serve(self, sock: socket.socket) -> None:
         while (request := read_request(sock)) is not None:
             self.calls.append(request.first_byte_at)
+            self.ids.append(request.headers.get("x-correlation-id", ""))
             sock.sendall(OK)
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -229,6 +229,11 @@
         raw = json.loads(self.file.read_text())
         self.reload(json.dumps({**raw, "discovery": f"127.0.0.1:{peer.port}"}))
 
+    def known(self, lines: dict[str, Any]) -> None:
+        """What the next process holds as its list."""
+        raw = json.loads(self.file.read_text())
+        self.file.write_text(json.dumps({**raw, "known": lines}))
+
     def connect(self) -> http.client.HTTPConnection:
         return http.client.HTTPConnection(*self.address, timeout=WAIT_S)
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -357,3 +357,28 @@
     moved.set()
     until(lambda: loop.told(), "the new address's answer")
     assert loop.told() == [EndpointState.DRAINING]
+
+
+def test_a_drain_that_the_old_address_had_written_before_a_move_is_in_force(
+    discovery: Callable[..., Discovery], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It counts as notified, whatever becomes of the new address; what is ready is left to that one."""
+    old, new = discovery(says(written(9, "Terminating"))), discovery(says(b""), says(written(3, "Ready")))
+    held, moved = threading.Event(), threading.Event()
+    read = exchange.Connection.read
+
+    def late(connection: exchange.Connection, until_ms: float) -> object:
+        answer = read(connection, until_ms)  # whole, and not yet handed on
+        if connection.address == old.address:
+            held.set()
+            moved.wait(10.0)
+        return answer
+
+    monkeypatch.setattr(exchange.Connection, "read", late)
+    loop = Loop(old)
+    assert held.wait(10.0)
+    loop.watcher.move(new.address)
+    moved.set()
+    until(lambda: loop.told() == [EndpointState.DRAINING], "the drain")
+    assert "since" not in new.asked.get(timeout=10.0)[1]  # the whole list: it may be ready there
+    until(lambda: loop.told()[-1] is EndpointState.READY, "the new address's word")
