--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from springspread import interface as i
+from springspread.list_retry import ListRetry
 from springspread.state import Call, Destination, Fading, Gate, Health, Message, Route, Turn
 
 W_SERVED = 0.5  # the suitability score's weights: being served matters most
@@ -61,11 +62,6 @@
 REWALK_MS = 300.0  # pause before a message starts a new list
 STAKE_LOST = 0.8  # what a message keeps by waiting counts off its stake by this, so some of it stays
 LOOK_MS = 100.0  # waiting messages are looked at again after this, if nothing happens there sooner
-ASK_AGAIN_MS = 1000.0  # a list request that failed is made again after this, then twice that, and so on
-ASK_FLEET = 40.0  # in a fleet of so many; fewer senders ask sooner, so that all together ask as often
-ASK_LEAST_MS = 200.0  # but no sooner than this
-ASK_LONGEST_MS = 1000.0  # nor later, drawn apart: several requests are to fit into the 6 s to an answer
-ASK_AGENT_MS = 100.0  # where lists are pushed: the agent is on this machine and answers at no cost
 
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT)
@@ -87,8 +83,7 @@
         self.last_pause = RECHECK_MS * max(1.0, log2(settings.senders))  # as doublings thin out all senders
         self.use = [Fading(0.0, USE_LEAST) for _ in settings.tenants]
         self.mean_ms = min(spec.aim_ms for spec in settings.classes) / 4
-        self.ask_at = 0.0 if settings.must_ask else inf
-        self.wake_at, self.ask_pause = 0.0, self._first_pause()
+        self.wake_at, self.list_retry = 0.0, ListRetry(settings, self.rng)
         self.safe_ms, self.safe_at, self.idle_bad = inf, 0.0, 0.0
         self.resets = 0.0  # the share of all calls whose connections break
         self.out: list[i.Action] = []
@@ -123,20 +118,16 @@
             route.classes += tuple(Health() for _ in range(more))
         if len(new.tenants) != len(self.set.tenants):
             self.use = [Fading(self.now, USE_LEAST) for _ in new.tenants]
-        self.set = new
+        self.set = self.list_retry.settings = new
         for dest in self.dests.values():
             dest.look_at = 0.0
 
     def _listed(self, event: i.Listed) -> None:
         if event.scope is i.ListScope.FAILED:
-            # Guards discovery where many failed in the same moment: they come back over a span, not in step.
-            part, spread = self.rng.random(), max(1.0, log2(self.set.senders) / 2)
-            left = max(event.ask_by_ms - self.now, 0.0) * (0.2 + 0.8 * part)
-            self.ask_at = self.now + min(self.ask_pause * (0.5 + spread * part), left)
-            self.ask_pause = min(2 * self.ask_pause, self._longest_pause())
+            self.list_retry.failed(self.now, event.ask_by_ms)
             return
         if event.scope is not i.ListScope.CACHED:
-            self.ask_at, self.ask_pause = inf, self._first_pause()
+            self.list_retry.answered()
         for entry in event.entries:
             route = self.routes.get(entry.route) or self._add(entry)
             route.state, route.dest.look_at = entry.state, 0.0
@@ -154,19 +145,6 @@
             elif self.now - dest.left_at > FORGET_MS:
                 del self.dests[number]
 
-    def _ask_scale(self) -> float:
-        """The part of a large fleet's pause between list requests that keeps this fleet's rate the same."""
-        return min(self.set.senders / ASK_FLEET, 1.0) if self.set.must_ask else 0.0
-
-    def _first_pause(self) -> float:
-        least = ASK_LEAST_MS if self.set.must_ask else ASK_AGENT_MS
-        return max(ASK_AGAIN_MS * self._ask_scale(), least)
-
-    def _longest_pause(self) -> float:
-        if not self.set.must_ask:
-            return ASK_AGENT_MS
-        return max(self.set.rules.ask_within_ms / 2 * self._ask_scale(), ASK_LONGEST_MS)
-
     def _add(self, entry: i.RouteEntry) -> Route:
         kind = self.set.kinds[entry.kind] if entry.kind < len(self.set.kinds) else i.KindSpec("")
         dest = self._dest(entry.destination)
@@ -592,10 +570,9 @@
                 self._give_up(m)
 
     def _timers(self) -> None:
-        if self.now >= self.ask_at:
+        if self.list_retry.due(self.now):
             self.out.append(i.Watch())
-            self.ask_at = self.now + ASK_AGAIN_MS * 5
-        due = self.ask_at
+        due = self.list_retry.next_at
         if self.lines:
             looks = [dest.look_at for dest in self.lines if self.calls < self.set.slots]
             due = max(min([due, self.dues[0][0], *looks]), self.now + self.set.tick_ms)
