--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -336,10 +336,8 @@
     assert "since=7" in targets[0] and "since=8" in targets[1] and "since" not in targets[2]
 
 
-def test_an_answer_of_the_old_address_that_crosses_a_move_is_none(
-    discovery: Callable[..., Discovery], monkeypatch: pytest.MonkeyPatch
-) -> None:
-    old, new = discovery(says(written(9, "Ready"))), discovery(says(LIST))
+def moved_under_an_answer(old: Discovery, new: Discovery, monkeypatch: pytest.MonkeyPatch) -> Loop:
+    """A sender that moves between the moment in which the old address's answer is read and its being used."""
     held, moved = threading.Event(), threading.Event()
     read = exchange.Connection.read
 
@@ -355,6 +353,14 @@
     assert held.wait(10.0)
     loop.watcher.move(new.address)
     moved.set()
+    return loop
+
+
+def test_an_answer_of_the_old_address_that_crosses_a_move_is_none(
+    discovery: Callable[..., Discovery], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = discovery(says(written(9, "Ready"))), discovery(says(LIST))
+    loop = moved_under_an_answer(old, new, monkeypatch)
     until(lambda: loop.told(), "the new address's answer")
     assert loop.told() == [EndpointState.DRAINING]
 
@@ -364,21 +370,7 @@
 ) -> None:
     """It counts as notified, whatever becomes of the new address; what is ready is left to that one."""
     old, new = discovery(says(written(9, "Terminating"))), discovery(says(b""), says(written(3, "Ready")))
-    held, moved = threading.Event(), threading.Event()
-    read = exchange.Connection.read
-
-    def late(connection: exchange.Connection, until_ms: float) -> object:
-        answer = read(connection, until_ms)  # whole, and not yet handed on
-        if connection.address == old.address:
-            held.set()
-            moved.wait(10.0)
-        return answer
-
-    monkeypatch.setattr(exchange.Connection, "read", late)
-    loop = Loop(old)
-    assert held.wait(10.0)
-    loop.watcher.move(new.address)
-    moved.set()
+    loop = moved_under_an_answer(old, new, monkeypatch)
     until(lambda: loop.told() == [EndpointState.DRAINING], "the drain")
     assert "since" not in new.asked.get(timeout=10.0)[1]  # the whole list: it may be ready there
     until(lambda: loop.told()[-1] is EndpointState.READY, "the new address's word")
