Logs: each list request with state and deadline; reasons for every connection's close

The evidence did not tell how near its deadline a list was, how a request that brought no news went, nor why connections were closed.

--- a/springspread/core/figures.py
+++ b/springspread/core/figures.py
@@ -24,6 +24,8 @@
 
     CALLS_WITHHELD = "calls_withheld"  # decided, and not sent: by ``clearance.Withheld``
     LIST_FAILURES = "list_failures"  # requests to discovery that brought nothing: by ``watch.Failure``
+    LISTS_LATE = "lists_late"  # the list came after its deadline: by the ``watch.State`` that it ended
+    CONNECTIONS_CLOSED = "connections_closed"  # to endpoints: by ``net.endpoints.Closed``
 
 
 class Figures:
--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -54,6 +54,14 @@
     UNREACHED = "not reached"  # no connection, or it broke
 
 
+class State(Enum):
+    """How current the list is that a sender acts on; the table above says what each one is left for."""
+
+    CURRENT = "current"
+    OVERDUE = "overdue"
+    DOWN = "down"
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """Times (ms) that depend on how many senders share one discovery, which serves calls in turn.
@@ -76,12 +84,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """One call: the whole list, or what is newer than a version, waited for so long (ms)."""
+    """One call: the whole list, or what is newer than a version, waited for so long (ms).
+
+    ``number`` counts a process's calls from 1 on.
+    """
 
     since: int | None
     wait_ms: float
     give_up_at: float
     begun_at: float
+    number: int = 0
 
     @property
     def missed_by(self) -> float:
@@ -101,6 +113,15 @@
         self._missed_by = inf  # the earliest deadline that a call left which was not refused
         self._failed_by = inf  # the deadline that the last failure left, where that one counts
         self._down = False
+        self._asked = 0
+        self.due_at = inf  # the earliest deadline since the last answer, whether or not it has passed
+
+    @property
+    def state(self) -> State:
+        """How current the list is, by what the last call left."""
+        if self._down:
+            return State.DOWN
+        return State.CURRENT if self.overdue_by == inf else State.OVERDUE
 
     @property
     def overdue_by(self) -> float:
@@ -124,15 +145,18 @@
         if not (self._wants or self._fetches):
             return None
         whole, self._fetches = self._fetches or self._doubts or self._version is None, False
+        self._asked += 1
         if whole:
             # Guards discovery against a fleet that starts at once: no short watch goes before this.
-            self._ask = Ask(None, 0.0, now + WHOLE_MS, now)
+            self._ask = Ask(None, 0.0, now + WHOLE_MS, now, self._asked)
         elif self.overdue_by < inf:
             # Guards the deadline: a long watch would not tell "nothing new" from silence before it.
             give_up_at = now + CATCH_UP_WAIT_MS + self.pace.answer_ms
-            self._ask = Ask(self._version, min(CATCH_UP_WAIT_MS, self._wait), give_up_at, now)
+            wait_ms = min(CATCH_UP_WAIT_MS, self._wait)
+            self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
         else:
-            self._ask = Ask(self._version, self._wait, now + self._wait + self.pace.aside_ms, now)
+            give_up_at = now + self._wait + self.pace.aside_ms
+            self._ask = Ask(self._version, self._wait, give_up_at, now, self._asked)
         self._moved = False
         return self._ask
 
@@ -144,7 +168,7 @@
             self._doubts = self._fetches = True
             return False
         self._version, self._doubts = version, False
-        self._missed_by = self._failed_by = inf
+        self._missed_by = self._failed_by = self.due_at = inf
         self._down = False
         return True
 
@@ -171,6 +195,7 @@
             self._failed_by = min(self._ask.missed_by, broken)
         else:
             self._missed_by = min(self._missed_by, self._ask.missed_by, broken)
+        self.due_at = min(self.due_at, self.overdue_by)
         if self._ask.wait_ms > CATCH_UP_WAIT_MS and now >= self._ask.give_up_at:
             return now
         return max(self.overdue_by - self.pace.answer_ms, now + self.pace.retry_ms)
--- a/springspread/http1/ending.py
+++ b/springspread/http1/ending.py
@@ -75,12 +75,13 @@
 
 
 class Ending:
-    """One connection's."""
+    """One connection's. ``last``: the event that brought it where it stands."""
 
-    __slots__ = ("state",)
+    __slots__ = ("last", "state")
 
     def __init__(self) -> None:
         self.state = State.OPEN
+        self.last: Event | None = None
 
     def step(self, event: Event) -> State:
         """Note what happened; where it stands now."""
@@ -89,5 +90,5 @@
             after = State.CLOSED
         if after is None:
             raise Misuse(f"no {event.value} while {self.state.value}")
-        self.state = after
+        self.state, self.last = after, event
         return after
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -5,11 +5,12 @@
 import threading
 from collections.abc import Callable
 from dataclasses import replace
+from math import isfinite
 
 from springspread.config import Address, Limits, Names
 from springspread.core.figures import Figures, Occurrence
 from springspread.core.types import CoreEvent, EndpointState, ListNews, Log, Scope, clock
-from springspread.core.watch import Ask, Failure, Watch
+from springspread.core.watch import Ask, Failure, State, Watch
 from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
 from springspread.net.exchange import FAILURES, Caller, LateError, MovedError
@@ -21,6 +22,11 @@
     """Discovery turned a call away."""
 
 
+def _rounded(ms: float) -> float | None:
+    """A time for the log; none where there is no end to it, which JSON can't tell."""
+    return round(ms, 1) if isfinite(ms) else None
+
+
 class Watcher:
     """Carries out what ``core.watch`` decides; after a failure it waits until it is told to watch again.
 
@@ -90,15 +96,22 @@
 
     def _put_news(self, ask: Ask, news: ListNews) -> None:
         with self._lock:
+            before, due_at = self._machine.state, self._machine.due_at
             believed = self._machine.answered(news.version)
-        tell = self._log.info if news.members else self._log.debug
+        late_ms = news.told_at - due_at
+        if late_ms > 0.0:
+            self._figures.occurred(Occurrence.LISTS_LATE, before)
+        tell = self._log.info if news.members or before is not State.CURRENT else self._log.debug
         tell(
             "list received",
+            request=ask.number,
             scope=news.scope.value,
             since=ask.since,
             version=news.version,
             lines=len(news.members),
             took_ms=round(news.told_at - ask.begun_at, 1),
+            state=before.value,
+            due_in_ms=_rounded(-late_ms),
         )
         if believed:
             self._put(news)
@@ -129,19 +142,34 @@
         with self._lock:
             now = clock()
             ask_by = self._machine.failed(failure, now)
+            state, due_at = self._machine.state, self._machine.due_at
         self._figures.occurred(Occurrence.LIST_FAILURES, failure)
         self._log.warning(
             "discovery failed",
+            request=ask.number,
             failure=failure.value,
             error=repr(exc),
             since=ask.since,
             took_ms=round(now - ask.begun_at, 1),
             again_within_ms=round(ask_by - now, 1),
+            state=state.value,
+            due_in_ms=_rounded(due_at - now),
         )
         self._put(ListNews(Scope.FAILED, ask_by=ask_by))
 
     def _ask(self, ask: Ask) -> ListNews:
-        self._log.debug("list request", since=ask.since, wait_ms=ask.wait_ms)
+        with self._lock:
+            state, due_at = self._machine.state, self._machine.due_at
+        tell = self._log.debug if state is State.CURRENT else self._log.info
+        tell(
+            "list request",
+            request=ask.number,
+            since=ask.since,
+            wait_ms=ask.wait_ms,
+            give_up_ms=round(ask.give_up_at - ask.begun_at, 1),
+            state=state.value,
+            due_in_ms=_rounded(due_at - ask.begun_at),
+        )
         target = catalog.target(ask.since, ask.wait_ms)
         answer = self._caller.call("GET", target, {}, b"", ask.give_up_at, current=True)
         if answer.status != 200:
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -4,6 +4,7 @@
 
 import threading
 from collections.abc import Callable
+from enum import Enum
 from functools import partial
 from queue import Empty, SimpleQueue
 
@@ -37,11 +38,21 @@
     """A kept connection was dead before a call's last byte: the call has not begun."""
 
 
+class Closed(Enum):
+    """Why a connection to an endpoint was closed."""
+
+    FINISHED = "finished"  # its call left it in no state for another one
+    IDLE = "idle"
+    STALE = "stale"  # found dead, or too likely to be, as it was to be used again
+    SURPLUS = "surplus"  # more were kept than there may be
+    ENDPOINT_GONE = "endpoint gone"
+
+
 class Kept:
     """Idle connections by endpoint, the last used first."""
 
-    def __init__(self, limits: Limits) -> None:
-        self._limits = limits
+    def __init__(self, limits: Limits, figures: Figures) -> None:
+        self._limits, self._figures = limits, figures
         self._reuse = Reuse(Bounds(limits.reuse_once, limits.reuse_repeat))
         self._lock = threading.Lock()
         self._idle: dict[int, list[Connection]] = {}
@@ -60,7 +71,7 @@
             same = connection.address == (endpoint.host, endpoint.port)
             if young and same and connection.alive():
                 return connection
-            connection.close()
+            self.close(connection, Closed.STALE if young else Closed.IDLE)
 
     def heard(self, endpoint: Endpoint, idle_ms: float | None, broke: bool) -> None:
         """A call's connection has broken or served; ``idle_ms`` is how long it had stood idle, if at all."""
@@ -75,15 +86,17 @@
         the lock under which its state is looked at here.
         """
         surplus: Connection | None = connection
+        reason = Closed.ENDPOINT_GONE
         with self._lock:
             if endpoint.state is not EndpointState.GONE:
+                reason = Closed.SURPLUS
                 self._idle.setdefault(endpoint.number, []).append(connection)
                 surplus = None
                 if sum(map(len, self._idle.values())) > self._limits.idle_connections:
                     lines = [line for line in self._idle.values() if line]
                     surplus = min(lines, key=lambda line: line[0].idle_since).pop(0)
         if surplus is not None:
-            surplus.close()
+            self.close(surplus, reason)
 
     def sweep(self) -> None:
         """Close what has stood idle for long."""
@@ -101,7 +114,12 @@
             }
             self._idle = {number: line for number, line in lines.items() if line}
         for connection in old:
-            connection.close()
+            self.close(connection, Closed.IDLE)
+
+    def close(self, connection: Connection, reason: Closed) -> None:
+        """Close a connection and count why."""
+        self._figures.occurred(Occurrence.CONNECTIONS_CLOSED, reason)
+        connection.close()
 
     def drop(self, endpoint: Endpoint) -> None:
         """Close all that is kept for an endpoint."""
@@ -109,8 +127,9 @@
             idle = self._idle.pop(endpoint.number, [])
             if endpoint.state is EndpointState.GONE:
                 self._reuse.forget(endpoint.number)
+        reason = Closed.ENDPOINT_GONE if endpoint.state is EndpointState.GONE else Closed.IDLE
         for connection in idle:
-            connection.close()
+            self.close(connection, reason)
 
 
 class Workers:
@@ -130,7 +149,7 @@
         self._limits, self._report, self._clearance = limits, report, clearance
         self._put, self._log = put, log
         self._jobs: SimpleQueue[Call] = SimpleQueue()
-        self._kept = Kept(limits)
+        self._kept = Kept(limits, self._figures)
         self._lock = threading.Lock()
         self._open: dict[Call, Connection] = {}
         self._threads = 0
@@ -223,7 +242,10 @@
         finally:
             with self._lock:
                 del self._open[call]
-            self._kept.give(call.endpoint, connection) if keep else connection.close()
+            if keep:
+                self._kept.give(call.endpoint, connection)
+            else:
+                self._kept.close(connection, Closed.FINISHED)
         return True
 
     def _exchange(self, call: Call, connection: Connection) -> bool:
--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -472,6 +472,12 @@
         self._close(client)
 
     def _close(self, client: Client) -> None:
+        self._log.debug(
+            "client closed",
+            last=client.ending.last.value if client.ending.last is not None else None,
+            standing=client.place.standing.value,
+            unanswered=[one.id for one in (client.telling, client.message) if one is not None],
+        )
         for message in (client.telling, client.message):
             if message is not None:
                 self._front.gone(message)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
 
 from springspread.config import Limits
 from springspread.core.clearance import Clearance
+from springspread.core.figures import Figures
 from springspread.core.journal import Journal, JournalFull, Owed
 from springspread.core.types import (
     Attempt,
@@ -295,7 +296,7 @@
 def test_a_connection_that_is_given_back_as_its_endpoint_goes_is_not_kept(first: str) -> None:
     stand_in = StandIn(says(OK))
     address = ("127.0.0.1", stand_in.sock.getsockname()[1])
-    endpoint, kept = Endpoint(1, "s-1", *address, 7, True, 5), Kept(Limits())
+    endpoint, kept = Endpoint(1, "s-1", *address, 7, True, 5), Kept(Limits(), Figures(()))
     lock = kept._lock
 
     def goes() -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -23,6 +23,7 @@
     MOVED_MS,
     NOTIFIED_MS,
     Failure,
+    State,
     Watch,
     pace,
 )
@@ -153,6 +154,27 @@
     assert ask is not None and ask.wait_ms == WAIT_MS
 
 
+def state_of(watch: Watch) -> State:
+    return watch.state
+
+
+def test_how_late_an_answer_comes_is_known_although_its_deadline_has_passed() -> None:
+    watch = watching(senders=4)
+    watch.begin(0.0)
+    assert state_of(watch) is State.CURRENT and watch.due_at == inf
+    now = WAIT_MS + watch.pace.aside_ms
+    while now < WAIT_MS + AFTER_WAIT_MS:
+        now = max(watch.failed(Failure.SILENT, now), now + 100.0)
+        assert watch.due_at == WAIT_MS + AFTER_WAIT_MS
+        watch.want()
+        assert watch.begin(now) is not None
+    watch.failed(Failure.SILENT, now)
+    assert state_of(watch) is State.DOWN and watch.due_at == WAIT_MS + AFTER_WAIT_MS
+    watch.want()
+    assert watch.begin(now) is not None and watch.answered(8)
+    assert state_of(watch) is State.CURRENT and watch.due_at == inf
+
+
 def test_a_move_leaves_a_deadline_and_a_short_call() -> None:
     watch = watching(senders=4)
     watch.begin(0.0)
