--- a/tests/faults/test_late_calls.py
+++ b/tests/faults/test_late_calls.py
@@ -37,9 +37,10 @@
         self._stop = threading.Event()
         self._client: threading.Thread | None = None
 
-    def start(self, *faults: Fault, discovery: str = "ask") -> None:
+    def start(self, *faults: Fault, discovery: str = "ask", senders: int = 2) -> None:
         self._monkeypatch.setenv(VARIABLE, encoded(faults))
         self._monkeypatch.setitem(SETTINGS, "discovery", discovery)
+        self._monkeypatch.setitem(SETTINGS, "balancers", senders)
         lines = self.service.snapshot()
         self.program = Program(self.folder, self.service, known=lines, module=MODULE)
         wait_for(lambda: self.service.asked, "the first list request")
--- a/tests/list_service.py
+++ b/tests/list_service.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -94,6 +95,33 @@
     reset_at: float = 0.0  # when its connection was reset from this side
 
 
+CONTINUES_MS = 200.0  # a watch goes on where its next request comes within this of the last answer
+
+
+class Line:
+    """Requests are served in turn, by one discovery that several stand-ins share.
+
+    A request that would wait for longer than ``patience_ms`` is refused at once; one that is given up by its
+    sender while it waits is worked through all the same.
+    """
+
+    def __init__(self, turn_ms: float, patience_ms: float = inf) -> None:
+        self._turn_ms, self._patience_ms = turn_ms, patience_ms
+        self._free_at = 0.0
+        self.full = False  # while it is, all are refused
+        self._lock = threading.Lock()
+
+    def served(self) -> bool:
+        """Wait for the end of its turn; false where it is refused."""
+        with self._lock:
+            begin = max(clock(), self._free_at)
+            if self.full or begin - clock() > self._patience_ms:
+                return False
+            self._free_at = end = begin + self._turn_ms
+        time.sleep(max(end - clock(), 0.0) / 1000.0)
+        return True
+
+
 @dataclass
 class ListService:
     """Discovery and the platform. ``plan`` holds what becomes of the coming list requests; then: answered."""
@@ -105,6 +133,7 @@
     finals: list[dict[str, Any]] = field(default_factory=list)
     down: Behavior | None = None  # what becomes of every request while it is down
     slow_ms: float = 0.0  # an answer takes so long
+    line: Line | None = None  # requests that go on with no watch wait here
 
     def __post_init__(self) -> None:
         self._silences = 0
@@ -193,6 +222,9 @@
             sock.sendall(REFUSED)
             return True
         time.sleep(self.slow_ms / 1000.0)
+        if self.line is not None and not self._goes_on(entry) and not self.line.served():
+            sock.sendall(REFUSED)
+            return True
         body = self._awaited(entry)
         if body is None:
             return False
@@ -208,6 +240,12 @@
         sock.sendall(answer)
         return True
 
+    def _goes_on(self, entry: Asked) -> bool:
+        """Whether a request goes on with a watch on its connection."""
+        with self._news:
+            answers = [one.answered_at for one in self.asked if one.sock is entry.sock and one.answered_at]
+        return bool(answers) and entry.at - answers[-1] <= CONTINUES_MS
+
     def _awaited(self, entry: Asked) -> dict[str, Any] | None:
         """What an answer holds, once there is news or its wait is over; none where it fell silent."""
         since = entry.since
