An outdated list is not acted on; drains bind as they are read; watches are short

Class: a bound that is passed without consequence (the deadline), and a time-out that does not grow, so that a slow peer is never heard. Change: core/watch.py has a state 'outdated': past a silent call's deadline no call begins while discovery is reached, for 6 s at most, once before an answer. Each silent request is followed by one that is given twice the time. Watches wait 0.5 to 1 s alone, up to 2.5 s in large fleets, drawn apart. What was read binds in core/clearance.py before the loop has it. A call that our own machine could not make says nothing of discovery. Replaced: the start's watch was to wait 5 s exactly; it still has to be one request and no short one, by the fleet's pace, for four sizes. The waits of test_late_calls come from the request, so its deadlines are earlier than before.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -129,7 +129,16 @@
     sender = Sender(config, journal, clearance, log, shares=shares, policy=policy, figures=figures)
     version = known.version if config.known is not None else None
     watcher = Watcher(
-        config.discovery, config.names, version, limits, sender.put, log, figures, settings.senders
+        config.discovery,
+        config.names,
+        version,
+        limits,
+        sender.put_list,
+        log,
+        figures,
+        settings.senders,
+        pushed=not settings.must_ask,
+        seed=config.seed,
     )
     notices = Notices(config.discovery, limits, sender.put, log, journal.settle)
     report = config.names.report
--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -10,7 +10,9 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.journal import Journal
 from springspread.core.lanes import Lanes
-from springspread.core.types import Call, Endpoint, EndpointState, Result, Shares
+from springspread.core.list_index import ListIndex
+from springspread.core.types import Call, Endpoint, EndpointState, ListNews, Result, Shares
+from springspread.core.watch import NO_LAPSE
 
 
 class Withheld(Enum):
@@ -18,6 +20,7 @@
 
     RETRY_AFTER = "retry after"  # its endpoint told a wait
     LEAVING = "leaving"  # its endpoint drains or is gone
+    LIST_OUTDATED = "list outdated"  # what the list lacks counts as notified
     CANCELLED = "cancelled"
     LATE = "late"  # its time is up
     STOPPING = "stopping"  # the process is about to end
@@ -49,6 +52,8 @@
         self._lock = threading.Lock()
         self._bars: dict[tuple[int, int], float] = {}
         self._stopped = False
+        self._unapplied: list[tuple[ListNews, ListIndex]] = []  # read, and not in force yet
+        self._lapse = NO_LAPSE
         self._board = journal.board if isinstance(journal, Lanes) else None
 
     def bar(self, endpoint: Endpoint, wait_ms: float) -> None:
@@ -75,6 +80,22 @@
             ready = state is EndpointState.READY
             endpoint.leaving_at = inf if ready else min(endpoint.leaving_at, told_at)
 
+    def received(self, news: ListNews) -> None:
+        """Note news of the list, or a failure to get it: it binds before the loop has heard of it."""
+        index = ListIndex(news)
+        with self._lock:
+            self._lapse = news.lapse
+            self._unapplied.append((news, index))
+
+    def applied(self, news: ListNews) -> None:
+        """The loop has put news in force."""
+        with self._lock:
+            self._unapplied = [one for one in self._unapplied if one[0] is not news]
+
+    def _leaving_at(self, endpoint: Endpoint) -> float:
+        taken_away = [news.told_at for news, index in self._unapplied if index.takes_away(endpoint)]
+        return min([endpoint.leaving_at, *taken_away])
+
     def stop(self) -> None:
         """Clear nothing from now on: the process is about to end."""
         with self._lock:
@@ -128,6 +149,10 @@
             if self._stopped:
                 return _not_sent(Withheld.STOPPING)
             # Guards rule 3: a call that was still opening its connection when the drain was told.
-            if self._clock.now() > call.endpoint.leaving_at + self._grace:
+            now = self._clock.now()
+            if now > self._leaving_at(call.endpoint) + self._grace:
                 return _not_sent(Withheld.LEAVING)
+            # Guards the same against a drain that this sender has not read and counts as notified of.
+            if self._lapse.holds(now, self._grace):
+                return _not_sent(Withheld.LIST_OUTDATED)
         return None
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -119,6 +119,15 @@
         """Hand in an event, from any thread."""
         self._inbox.put(event)
 
+    def put_list(self, news: ListNews) -> None:
+        """Hand in news of the list, from any thread.
+
+        Where two events cross: a call's first byte and a drain that was read. The drain binds here, however
+        long the loop is busy, or held up by the disk.
+        """
+        self._clearance.received(news)
+        self._inbox.put(news)
+
     def restore(self, known: ListNews) -> None:
         """Take up what the last process owed; only then may a client be told that this one is ready."""
         now = self._clock.now()
@@ -294,7 +303,9 @@
                 self.start.told(event.date, event.told_at)
                 if event.scope is not Scope.FAILED:
                     self._listed_at, self._version = event.told_at, event.version
-                return [self._listed(event)]
+                listed = self._listed(event)
+                self._clearance.applied(event)
+                return [listed]
             case ProbeEnd():
                 return [translate.probed(event)]
             case Gone(message):
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -4,6 +4,7 @@
 
 from springspread import interface as i
 from springspread.core.clock import Clock
+from springspread.core.list_index import ListIndex
 from springspread.core.types import (
     AttemptEnd,
     Endpoint,
@@ -93,16 +94,8 @@
 
     def replaced(self, news: ListNews) -> list[Endpoint]:
         """Endpoints that the news does not name, but whose name or address another one in it has now."""
-        named = {self._numbers.get((member.name, member.group)) for member in news.members}
-        here = [member for member in news.members if member.state is not EndpointState.GONE]
-        names = {member.name for member in here}
-        addresses = {(member.host, member.port) for member in here}
-        return [
-            endpoint
-            for endpoint in self.by_number.values()
-            if endpoint.number not in named
-            and (endpoint.name in names or (endpoint.host, endpoint.port) in addresses)
-        ]
+        index = ListIndex(news)
+        return [endpoint for endpoint in self.by_number.values() if index.replaces(endpoint)]
 
     def forget(self, endpoint: Endpoint) -> None:
         """Drop an endpoint that is gone; one of that name that comes back is another."""
@@ -120,4 +113,5 @@
             entries.append(
                 i.RouteEntry(endpoint.number, member.zone, kind, member.group, state, member.rating, added)
             )
-        return i.Listed(SCOPES[news.scope], news.version, tuple(entries), news.ask_by)
+        outdated = (news.lapse.begin, news.lapse.end)
+        return i.Listed(SCOPES[news.scope], news.version, tuple(entries), news.ask_by, *outdated)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from springspread.core.clock import SYSTEM
+from springspread.core.watch import NO_LAPSE, Lapse
 
 if TYPE_CHECKING:
     from springspread.config import Config
@@ -137,6 +138,7 @@
     told_at: float = 0.0
     date: str = ""  # the world's time as the answer told it, at ``told_at``
     ask_by: float = float("inf")  # after a failure: when to ask again at the latest
+    lapse: Lapse = NO_LAPSE  # after a failure: when no call may begin by the list that is held
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -7,23 +7,34 @@
 
     a call ends                     the deadline that it leaves
     silent, unreadable              begin + NOTIFIED_MS, or its wait's end + AFTER_WAIT_MS where that is later
-    not reached (broken, or our     the same: until it broke it may have been silent, and what failed may be
+    not reached (broken), or our    the same: until it broke it may have been silent, and what failed may be
     own system call failed)         ours alone; at the latest now + NOTIFIED_MS
     refused                         now + NOTIFIED_MS: discovery itself says that it can't be reached
     cut off by a move               now + MOVED_MS, and what it may have missed until then
 
-    state      what counts                                    left for
-    current    nothing is missing                             overdue at a failure or a move
-    overdue    the earliest deadline; of refusals the last    current at an answer, down as the deadline
-               one, as they say that it can't be reached      passes
-    down       the last failure's deadline                    current at an answer, overdue at a move
-
-So a later failure never moves on the deadline of an earlier one, until that has passed: whoever answered
-nothing until then is taken to be down. The next call goes an answer's time before the deadline at the latest,
-and ``Pace.retry_ms`` after a failure where that is later; a watch that fell silent is followed at once. But
-for the current state calls are short: an answer comes at once, or the call is given up while there is time
-for another one. The module's pause after a failure may be shorter, never longer; it draws the calls of a
-fleet apart.
+    state      what counts                                 left for
+    current    nothing is missing                          overdue at a failure or a move
+    overdue    the earliest deadline; of refusals the      current at an answer; outdated as a silent call's
+               last one, as they say that it can't be      deadline passes while discovery is reached; down
+               reached                                     as any other passes
+    outdated   no call to an endpoint may begin            current at an answer; down after LAPSE_MS, or as
+               (a lapse)                                   discovery is not reached
+    down       the last failure's deadline                 current at an answer; overdue at a move; outdated
+                                                           as from overdue
+
+So a later failure never moves on the deadline of an earlier one, until that has passed. A discovery that is
+reached and answers late, or turns away whom it has kept waiting, is there: what it has counts as notified at
+the deadline, and the list is no longer acted on. One that nobody reaches, or that has left a whole lapse
+unanswered, is taken to be down; then the list is acted on until it is back. There is no second lapse before
+an answer has come.
+
+The next call goes an answer's time before the deadline at the latest, and ``Pace.retry_ms`` after a failure
+where that is later; a watch that fell silent is followed at once. But for the current state calls are short:
+an answer comes at once, or the call is given up while there is time for another one. Discovery may serve
+calls in turn, and whoever gives up loses its place; so each silent call is followed by one that is given
+twice the time. The module's pause after a failure may be shorter, never longer; it draws the calls of a
+fleet apart. Watches are short, too (``Pace.wait_ms``), as what is left of the time to the deadline is all
+that there is for the calls after a silent one; and drawn apart, as news reach all senders in one moment.
 
 Which answers are believed: versions grow. An answer that is older than what is held is left out whole, and
 the whole list asked for; where that is older, too, the service counts anew, and it is believed.
@@ -34,6 +45,8 @@
 from dataclasses import dataclass
 from enum import Enum
 from math import inf, log2
+from random import Random
+from typing import NamedTuple
 
 NOTIFIED_MS = 6000.0  # the protocol's figure, as are the two below
 AFTER_WAIT_MS = 2000.0
@@ -44,6 +57,12 @@
 ANSWER_MS = 1000.0  # how long an answer may then take, where all goes well
 ANSWER_ALONE_MS = 500.0  # and for a sender that has discovery for itself
 RETRY_MS = 200.0  # the shortest pause after a failure, in fleets that are not large
+WAIT_ALONE_MS = 1000.0  # how long a watch of a single sender waits
+WAIT_MS = 2500.0  # and in a large fleet, so that half of ``NOTIFIED_MS`` is left to the calls after it
+SHORTEST_WAIT = 0.5  # waits are drawn from this part of theirs on
+LONGEST_ANSWER_MS = NOTIFIED_MS  # a call is never given longer for its answer
+LAPSE_MS = NOTIFIED_MS  # a list is not acted on for so long at most
+LAPSE_PAUSE_MS = 1200.0  # it is asked for after this meanwhile, in fleets that are not large
 
 
 class Failure(Enum):
@@ -52,6 +71,7 @@
     SILENT = "silent"  # no answer in its time, or none that ends or can be read
     REFUSED = "refused"  # turned away: it can't be reached for now
     UNREACHED = "not reached"  # no connection, or it broke
+    LOCAL = "own call failed"  # this machine could not make the call: nothing is known of discovery
 
 
 class State(Enum):
@@ -59,27 +79,45 @@
 
     CURRENT = "current"
     OVERDUE = "overdue"
+    OUTDATED = "outdated"
     DOWN = "down"
 
 
+class Lapse(NamedTuple):
+    """From when on and until when no call may begin by the list that is held (ms)."""
+
+    begin: float
+    end: float
+
+    def holds(self, now: float, grace_ms: float = 0.0) -> bool:
+        """Whether it holds now, for calls that have a grace after its begin."""
+        return self.begin + grace_ms < now < self.end
+
+
+NO_LAPSE = Lapse(inf, inf)
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """Times (ms) that depend on how many senders share one discovery, which serves calls in turn.
 
     ``answer_ms``: a call's time from its begin to its answer, where all goes well. ``aside_ms``: a watch is
     given up so long after its wait. ``retry_ms``: the shortest pause between a failure and the next call.
+    ``wait_ms``: how long a watch waits.
     """
 
     answer_ms: float
     aside_ms: float
     retry_ms: float
+    wait_ms: float
 
 
 def pace(senders: int) -> Pace:
     """The pace of one sender in a fleet of so many."""
     crowd = min(log2(max(senders, 1)) / log2(LARGE_FLEET), 1.0)
     answer = ANSWER_ALONE_MS + (ANSWER_MS - ANSWER_ALONE_MS) * crowd
-    return Pace(answer, answer, RETRY_MS * max(senders / LARGE_FLEET, 1.0))
+    wait = WAIT_ALONE_MS + (WAIT_MS - WAIT_ALONE_MS) * crowd
+    return Pace(answer, answer, RETRY_MS * max(senders / LARGE_FLEET, 1.0), wait)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,24 +143,49 @@
 class Watch:
     """What one sender knows of its list. Times are milliseconds of one clock."""
 
-    def __init__(self, version: int | None, wait_ms: float, senders: int = 1) -> None:
-        """``version``: of the list that is held at the start; none: the whole list comes first."""
+    def __init__(
+        self,
+        version: int | None,
+        wait_ms: float,
+        senders: int = 1,
+        random: Random | None = None,
+        lapses: bool = True,
+    ) -> None:
+        """``version``: of the list that is held at the start; none: the whole list comes first.
+
+        ``random`` draws the waits of watches; none: each waits for all of ``wait_ms``. ``lapses``: whether a
+        discovery that is reached and says nothing may be there; an agent that lists are pushed to is silent
+        only while discovery is down.
+        """
         self._version, self._wait, self.pace = version, wait_ms, pace(senders)
+        self._random, self._lapses = random, lapses
         self._wants = self._fetches = self._doubts = self._moved = False
         self._ask: Ask | None = None
         self._missed_by = inf  # the earliest deadline that a call left which was not refused
         self._failed_by = inf  # the deadline that the last failure left, where that one counts
+        self._silent_by = inf  # the earliest deadline that a silent call left
+        self._silences = 0  # silent calls in a row
+        self._reached = True  # whether the last call reached discovery
+        self._lapsed = False  # whether a whole lapse went by without an answer
         self._down = False
         self._asked = 0
         self.due_at = inf  # the earliest deadline since the last answer, whether or not it has passed
 
-    @property
-    def state(self) -> State:
+    def state(self, now: float) -> State:
         """How current the list is, by what the last call left."""
+        if self.lapse.holds(now):
+            return State.OUTDATED
         if self._down:
             return State.DOWN
         return State.CURRENT if self.overdue_by == inf else State.OVERDUE
 
+    @property
+    def lapse(self) -> Lapse:
+        """When the list that is held may not be acted on."""
+        if self._silent_by == inf or not self._reached or not self._lapses:
+            return NO_LAPSE
+        return Lapse(self._silent_by, self._silent_by + LAPSE_MS)
+
     @property
     def overdue_by(self) -> float:
         """By when an answer has to be here; inf where nothing is missing."""
@@ -148,18 +211,25 @@
         self._asked += 1
         if whole:
             # Guards discovery against a fleet that starts at once: no short watch goes before this.
-            self._ask = Ask(None, 0.0, now + WHOLE_MS, now, self._asked)
+            self._ask = Ask(None, 0.0, now + self._patience(WHOLE_MS), now, self._asked)
         elif self.overdue_by < inf:
             # Guards the deadline: a long watch would not tell "nothing new" from silence before it.
-            give_up_at = now + CATCH_UP_WAIT_MS + self.pace.answer_ms
+            give_up_at = now + CATCH_UP_WAIT_MS + self._patience(self.pace.answer_ms)
             wait_ms = min(CATCH_UP_WAIT_MS, self._wait)
             self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
         else:
-            give_up_at = now + self._wait + self.pace.aside_ms
-            self._ask = Ask(self._version, self._wait, give_up_at, now, self._asked)
+            part = 1.0 if self._random is None else self._random.uniform(SHORTEST_WAIT, 1.0)
+            wait_ms = part * self._wait
+            give_up_at = now + wait_ms + self.pace.aside_ms
+            self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
         self._moved = False
         return self._ask
 
+    def _patience(self, answer_ms: float) -> float:
+        """How long an answer may take: more after each silent call, as discovery may be slow."""
+        most = max(LONGEST_ANSWER_MS, answer_ms)
+        return min(answer_ms * float(2 ** min(max(self._silences - 1, 0), 10)), most)
+
     def answered(self, version: int) -> bool:
         """An answer was read; whether it is believed."""
         assert self._ask is not None
@@ -168,14 +238,16 @@
             self._doubts = self._fetches = True
             return False
         self._version, self._doubts = version, False
-        self._missed_by = self._failed_by = self.due_at = inf
-        self._down = False
+        self._missed_by = self._failed_by = self._silent_by = self.due_at = inf
+        self._silences, self._reached = 0, True
+        self._down = self._lapsed = False
         return True
 
     def moved(self, now: float) -> None:
         """Discovery is at another address: what was asked of the old one is asked there."""
         self._wants = self._moved = True
-        self._down = False
+        self._down = self._lapsed = False
+        self._silences = 0
         self._missed_by = min(self._missed_by, now + MOVED_MS)
         if self._ask is not None:
             self._missed_by = min(self._missed_by, max(self._ask.missed_by, now))
@@ -187,7 +259,13 @@
         assert self._ask is not None
         self._wants = self._moved  # guards a move that crosses the failure of a call to the old address
         self._pass(now)
-        broken = now + NOTIFIED_MS if failure is Failure.UNREACHED else inf
+        if failure is not Failure.LOCAL:
+            self._reached = failure is not Failure.UNREACHED
+        if failure is Failure.SILENT:
+            self._silences += 1
+            if not self._lapsed:
+                self._silent_by = min(self._silent_by, self._ask.missed_by)
+        broken = now + NOTIFIED_MS if failure in (Failure.UNREACHED, Failure.LOCAL) else inf
         if failure is Failure.REFUSED:
             # Guards discovery: what turns calls away may be overbooked, and would stay so.
             self._failed_by = now + NOTIFIED_MS
@@ -198,6 +276,9 @@
         self.due_at = min(self.due_at, self.overdue_by)
         if self._ask.wait_ms > CATCH_UP_WAIT_MS and now >= self._ask.give_up_at:
             return now
+        if self.lapse.holds(now):
+            pause = max(LAPSE_PAUSE_MS, 2 * self.pace.retry_ms)
+            return now + min(pause, NOTIFIED_MS - self.pace.answer_ms)
         return max(self.overdue_by - self.pace.answer_ms, now + self.pace.retry_ms)
 
     def _pass(self, now: float) -> None:
@@ -206,3 +287,5 @@
             self._missed_by, self._down = inf, True
         if self._failed_by <= now:
             self._failed_by = inf
+        if self._silent_by + LAPSE_MS <= now:
+            self._silent_by, self._lapsed = inf, True
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -215,13 +215,17 @@
 class Listed:
     """News of the list; with scope FAILED a request for it failed and there are no entries.
 
-    ``ask_by_ms``: after a failure, when the list has to be asked for again at the latest.
+    ``ask_by_ms``: after a failure, when the list has to be asked for again at the latest. Between
+    ``outdated_from_ms`` and ``outdated_until_ms`` no call may begin by the list that is held, unless news of
+    it comes first.
     """
 
     scope: ListScope
     version: int = 0
     entries: tuple[RouteEntry, ...] = ()
     ask_by_ms: float = inf
+    outdated_from_ms: float = inf
+    outdated_until_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -2,21 +2,37 @@
 
 from __future__ import annotations
 
+import errno
 import threading
 from collections.abc import Callable
 from dataclasses import replace
 from math import isfinite
+from random import Random
 
 from springspread.config import Address, Limits, Names
 from springspread.core.figures import Figures, Occurrence
-from springspread.core.types import CoreEvent, EndpointState, ListNews, Log, Scope, clock
-from springspread.core.watch import Ask, Failure, State, Watch
+from springspread.core.types import EndpointState, ListNews, Log, Scope, clock
+from springspread.core.watch import Ask, Failure, State, Watch, pace
 from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
 from springspread.net.exchange import FAILURES, Caller, LateError, MovedError
 from springspread.net.threads import spawn
 from springspread.platform import catalog
 
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+"""Errors of connect and socket by which this machine says that it could not make the call."""
+
 
 class RefusedError(Exception):
     """Discovery turned a call away."""
@@ -39,17 +55,22 @@
         names: Names,
         version: int | None,
         limits: Limits,
-        put: Callable[[CoreEvent], None],
+        put: Callable[[ListNews], None],
         log: Log,
         figures: Figures | None = None,
         senders: int = 1,
+        *,
+        pushed: bool = False,
+        seed: int = 0,
     ) -> None:
-        """``senders``: how many share this discovery."""
+        """``senders``: how many share this discovery, unless lists are ``pushed`` to an agent of its own."""
         self._figures = figures or Figures(())
         self._caller = Caller(address, limits)
         self._names, self._put, self._log = names, put, log
         self._lock = threading.Lock()
-        self._machine = Watch(version, limits.watch_ms, senders)
+        sharing = 1 if pushed else senders
+        wait_ms = min(limits.watch_ms, pace(sharing).wait_ms)
+        self._machine = Watch(version, wait_ms, sharing, Random(seed), lapses=not pushed)
         self._wake = threading.Event()
         spawn("discovery", self._run, log)
 
@@ -88,7 +109,8 @@
                     # Also an answer that does not end or can't be read.
                     self._failed(ask, Failure.SILENT, exc)
                 except FAILURES as exc:
-                    self._failed(ask, Failure.UNREACHED, exc)
+                    local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
+                    self._failed(ask, Failure.LOCAL if local else Failure.UNREACHED, exc)
 
     def _begin(self) -> Ask | None:
         with self._lock:
@@ -96,7 +118,7 @@
 
     def _put_news(self, ask: Ask, news: ListNews) -> None:
         with self._lock:
-            before, due_at = self._machine.state, self._machine.due_at
+            before, due_at = self._machine.state(news.told_at), self._machine.due_at
             believed = self._machine.answered(news.version)
         late_ms = news.told_at - due_at
         if late_ms > 0.0:
@@ -142,7 +164,7 @@
         with self._lock:
             now = clock()
             ask_by = self._machine.failed(failure, now)
-            state, due_at = self._machine.state, self._machine.due_at
+            state, due_at, lapse = self._machine.state(now), self._machine.due_at, self._machine.lapse
         self._figures.occurred(Occurrence.LIST_FAILURES, failure)
         self._log.warning(
             "discovery failed",
@@ -154,12 +176,13 @@
             again_within_ms=round(ask_by - now, 1),
             state=state.value,
             due_in_ms=_rounded(due_at - now),
+            outdated_in_ms=_rounded(lapse.begin - now),
         )
-        self._put(ListNews(Scope.FAILED, ask_by=ask_by))
+        self._put(ListNews(Scope.FAILED, ask_by=ask_by, lapse=lapse))
 
     def _ask(self, ask: Ask) -> ListNews:
         with self._lock:
-            state, due_at = self._machine.state, self._machine.due_at
+            state, due_at = self._machine.state(ask.begun_at), self._machine.due_at
         tell = self._log.debug if state is State.CURRENT else self._log.info
         tell(
             "list request",
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -124,7 +124,7 @@
 
     def _listed(self, event: i.Listed) -> None:
         if event.scope is i.ListScope.FAILED:
-            self.list_retry.failed(self.now, event.ask_by_ms)
+            self.list_retry.failed(self.now, event)
             return
         if event.scope is not i.ListScope.CACHED:
             self.list_retry.answered()
@@ -496,7 +496,8 @@
         return best
 
     def _dispatch(self) -> None:
-        dests = self.lines if self.calls < self.set.slots else ()
+        outdated = self.list_retry.outdated(self.now)
+        dests = self.lines if self.calls < self.set.slots and not outdated else ()
         picks = [pick for dest in dests if dest.look_at <= self.now and (pick := self._pick(dest))]
         while picks and self.calls < self.set.slots:
             best = max(picks, key=self._yield)
@@ -575,6 +576,8 @@
         due = self.list_retry.next_at
         if self.lines:
             looks = [dest.look_at for dest in self.lines if self.calls < self.set.slots]
+            if self.list_retry.outdated(self.now):
+                looks = [self.list_retry.outdated_until]
             due = max(min([due, self.dues[0][0], *looks]), self.now + self.set.tick_ms)
         if due < inf and (self.wake_at <= self.now + self.set.tick_ms / 2 or due < self.wake_at):
             self.wake_at = due
--- a/tests/faults/test_late_calls.py
+++ b/tests/faults/test_late_calls.py
@@ -13,12 +13,11 @@
 
 from springspread.core.types import clock
 from springspread.faults.failing_calls import VARIABLE, Fault, encoded
-from tests.list_service import Behavior, CallLog, ListService, wait_for
+from tests.list_service import Asked, Behavior, CallLog, ListService, wait_for
 from tests.peer import Program
 from tests.test_config import SETTINGS
 
 GRACE_MS = 500.0 + 50.0  # of the settings, and what the protocol adds on sockets
-WATCH_MS = 5000.0  # how long a watch waits with these settings
 NOTIFIED_MS = 6000.0  # after discovery had it and could be reached
 NOTIFIED_WAIT_MS = 2000.0  # after a silent watch's wait
 MOVED_MS = 4000.0  # after SIGHUP; the page names it where lists are pushed
@@ -62,12 +61,12 @@
         self._client.start()
         wait_for(lambda: len(self.endpoint.calls) > 5, "calls")
 
-    def new_watch(self) -> float:
-        """Have the open watch answered, so that another begins; when that came (ms)."""
+    def new_watch(self) -> Asked:
+        """Have the open watch answered, so that another begins."""
         seen = len(self.service.asked)
         self.service.change("s-0", "Ready")
         wait_for(lambda: len(self.service.asked) > seen, "the next watch")
-        return self.service.asked[seen].at
+        return self.service.asked[seen]
 
     def in_force(self, version: int) -> None:
         """Wait until the sender has a version, and asks for what is newer."""
@@ -100,7 +99,7 @@
     begun = world.new_watch()
     world.service.change("s-0", "Terminating")
     drained = world.service.version
-    notified = max(begun + NOTIFIED_MS, begun + WATCH_MS + NOTIFIED_WAIT_MS)
+    notified = max(begun.at + NOTIFIED_MS, begun.at + begun.wait_ms + NOTIFIED_WAIT_MS)
     world.in_force(drained)
     assert not world.endpoint.after(notified + GRACE_MS)
 
@@ -114,7 +113,7 @@
     begun = world.new_watch()
     world.service.change("s-0", "Terminating")
     world.in_force(world.service.version)
-    notified = max(begun + NOTIFIED_MS, begun + WATCH_MS + NOTIFIED_WAIT_MS)
+    notified = max(begun.at + NOTIFIED_MS, begun.at + begun.wait_ms + NOTIFIED_WAIT_MS)
     assert not world.endpoint.after(notified + GRACE_MS)
 
 
--- a/tests/test_grown_fleet.py
+++ b/tests/test_grown_fleet.py
@@ -6,12 +6,13 @@
 from queue import SimpleQueue
 from random import Random
 from threading import Event
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 
 from springspread import interface as i
 from springspread.config import Limits, Names
-from springspread.core.watch import ANSWER_MS, NOTIFIED_MS, Failure, Watch
+from springspread.core.watch import ANSWER_MS, NOTIFIED_MS, SHORTEST_WAIT, Failure, Watch, pace
 from springspread.net.discovery import Watcher
 from springspread.policy import Dispatcher
 from springspread.settings import SettingsError, parse_lines, read_settings
@@ -129,7 +130,9 @@
     assert asked <= 40 * 30 / 4.5
 
 
-def test_a_start_asks_discovery_once_and_for_a_long_watch() -> None:
+@pytest.mark.parametrize("senders", [1, 6, 40, 200])
+def test_a_start_asks_discovery_once_and_for_a_watch_of_the_fleets_length(senders: int) -> None:
+    """No short request goes before it: forty senders that made two each crowded discovery out."""
     asked: SimpleQueue[str] = SimpleQueue()
 
     class Held:
@@ -137,10 +140,17 @@
             asked.put(target)
             Event().wait()
 
-    watcher = Watcher(("127.0.0.1", 9), Names((), (), ()), 7, Limits(), lambda _: None, Silent())
+    watcher = Watcher(
+        ("127.0.0.1", 9), Names((), (), ()), 7, Limits(), lambda _: None, Silent(), senders=senders
+    )
     watcher._caller = Held()  # type: ignore[assignment]
     watcher.watch(True)
-    assert f"timeout_ms={Limits().watch_ms:.0f}" in asked.get(timeout=WAIT_S)
+    query = parse_qs(urlsplit(asked.get(timeout=WAIT_S)).query)
+    longest = pace(senders).wait_ms
+    assert query["since"] == ["7"]
+    assert SHORTEST_WAIT * longest - 1.0 <= float(query["timeout_ms"][0]) <= longest
+    watcher.watch(True)
+    assert asked.empty()
 
 
 def test_failures_of_endpoints_that_are_gone_throttle_nobody_who_takes_their_place() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -609,3 +609,40 @@
         world.step([take(world, n)])
         world.run(2000)
     assert not world.sender._ramps(gate)
+
+
+def outdated(world: World, begin: float, end: float) -> None:
+    failed = i.Listed(i.ListScope.FAILED, outdated_from_ms=begin, outdated_until_ms=end)
+    world.step([failed])
+
+
+def test_nothing_is_sent_by_an_outdated_list_until_news_come() -> None:
+    world = World(make_settings(must_ask=True), 1, entries((1, 1, 0)))
+    outdated(world, world.now + 50.0, world.now + 6050.0)
+    world.step([take(world, 1)])
+    assert len(world.sends()) == 1  # not outdated yet
+    world.run(100.0)
+    world.step([take(world, 2)])
+    world.run(1000.0)
+    assert len(world.sends()) == 1
+    world.step([i.Listed(i.ListScope.CHANGES, 2)])
+    assert len(world.sends()) == 2
+
+
+def test_a_list_that_stays_outdated_is_acted_on_again_after_its_time() -> None:
+    world = World(make_settings(must_ask=True), 1, entries((1, 1, 0)))
+    outdated(world, world.now, world.now + 1000.0)
+    world.step([take(world, 1)])
+    world.run(990.0)
+    assert not world.sends()
+    world.run(50.0)
+    assert len(world.sends()) == 1
+
+
+def test_a_message_that_an_outdated_list_holds_up_has_its_end_in_time() -> None:
+    world = World(make_settings(must_ask=True), 1, entries((1, 1, 0)))
+    outdated(world, world.now, world.now + 1e6)
+    world.step([take(world, 1)])
+    deadline = world.sender.held[1].deadline
+    world.run(deadline - world.now)
+    assert 1 not in world.sender.held
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,6 +10,7 @@
 from itertools import pairwise
 from math import ceil, inf
 from queue import SimpleQueue
+from random import Random
 
 import pytest
 from hypothesis import given, settings
@@ -20,8 +21,11 @@
 from springspread.core.watch import (
     AFTER_WAIT_MS,
     ANSWER_MS,
+    LAPSE_MS,
     MOVED_MS,
+    NO_LAPSE,
     NOTIFIED_MS,
+    SHORTEST_WAIT,
     Failure,
     State,
     Watch,
@@ -95,7 +99,8 @@
         )  # back in the pause: read within 6 s of that
         if failure is not Failure.REFUSED:
             waited = now + ask.wait_ms + AFTER_WAIT_MS if ask.wait_ms else 0.0
-            broken = failed_at + NOTIFIED_MS if failure is Failure.UNREACHED else inf
+            own = failure in (Failure.UNREACHED, Failure.LOCAL)
+            broken = failed_at + NOTIFIED_MS if own else inf
             missed.append(min(max(now + NOTIFIED_MS, waited), broken))
         if missed and failed_at < min(missed):  # later nobody has answered for so long: it is down
             assert ask_by <= max(min(missed) - answer_ms, failed_at + retry_ms)
@@ -154,25 +159,105 @@
     assert ask is not None and ask.wait_ms == WAIT_MS
 
 
-def state_of(watch: Watch) -> State:
-    return watch.state
-
-
 def test_how_late_an_answer_comes_is_known_although_its_deadline_has_passed() -> None:
     watch = watching(senders=4)
     watch.begin(0.0)
-    assert state_of(watch) is State.CURRENT and watch.due_at == inf
+    assert watch.state(0.0) is State.CURRENT and watch.due_at == inf
     now = WAIT_MS + watch.pace.aside_ms
     while now < WAIT_MS + AFTER_WAIT_MS:
         now = max(watch.failed(Failure.SILENT, now), now + 100.0)
         assert watch.due_at == WAIT_MS + AFTER_WAIT_MS
         watch.want()
         assert watch.begin(now) is not None
-    watch.failed(Failure.SILENT, now)
-    assert state_of(watch) is State.DOWN and watch.due_at == WAIT_MS + AFTER_WAIT_MS
+    watch.failed(Failure.UNREACHED, now)
+    assert watch.state(now) is State.DOWN and watch.due_at == WAIT_MS + AFTER_WAIT_MS
     watch.want()
     assert watch.begin(now) is not None and watch.answered(8)
-    assert state_of(watch) is State.CURRENT and watch.due_at == inf
+    assert watch.state(now) is State.CURRENT and watch.due_at == inf
+
+
+@settings(derandomize=True, deadline=None, database=None)
+@given(FLEETS, st.lists(st.tuples(FAILURES, st.floats(0.0, 1.0)), min_size=1, max_size=30))
+def test_a_list_is_not_acted_on_while_what_a_silent_call_missed_counts_as_notified(
+    senders: int, calls: list[tuple[Failure, float]]
+) -> None:
+    """From that deadline on, if discovery was reached last; for one lapse, and no second one."""
+    watch, now, silent_by, lapsed = watching(senders=senders), 0.0, inf, False
+    for failure, part in calls:
+        ask = watch.begin(now)
+        assert ask is not None
+        failed_at = ask.give_up_at if failure is Failure.SILENT else now + part * watch.pace.answer_ms
+        if failed_at >= silent_by + LAPSE_MS:
+            silent_by, lapsed = inf, True
+        if failure is Failure.SILENT and not lapsed:
+            silent_by = min(silent_by, ask.missed_by)
+        again = max(watch.failed(failure, failed_at), failed_at)
+        begin = silent_by if failure in (Failure.SILENT, Failure.REFUSED) else inf
+        if failure is not Failure.LOCAL:
+            assert watch.lapse.begin == begin
+        assert watch.lapse.end == watch.lapse.begin + LAPSE_MS
+        now = again
+        watch.want()
+    watch.begin(now)
+    assert watch.answered(8) and watch.lapse == NO_LAPSE
+
+
+def test_a_call_that_this_machine_could_not_make_says_nothing_of_discovery() -> None:
+    watch = watching(senders=4)
+    watch.begin(0.0)
+    watch.failed(Failure.SILENT, 1000.0)
+    lapse = watch.lapse
+    assert lapse.begin == WAIT_MS + AFTER_WAIT_MS
+    for failure, expected in ((Failure.LOCAL, lapse), (Failure.UNREACHED, NO_LAPSE)):
+        watch.want()
+        watch.begin(1100.0)
+        watch.failed(failure, 1110.0)
+        assert watch.lapse == expected
+
+
+def test_a_silent_agent_is_one_whose_discovery_is_down() -> None:
+    watch = Watch(7, WAIT_MS, 4, lapses=False)
+    watch.want()
+    watch.begin(0.0)
+    watch.failed(Failure.SILENT, 1000.0)
+    assert watch.lapse == NO_LAPSE
+
+
+def test_each_silent_call_is_followed_by_one_that_is_given_twice_the_time() -> None:
+    """A discovery that takes longer than the first call is given is answered at last."""
+    for senders in (1, 4, 40, LARGE):
+        watch, now, given = watching(senders=senders), 0.0, list[float]()
+        watch.begin(0.0)
+        for _ in range(8):
+            now = max(watch.failed(Failure.SILENT, now), now)
+            watch.want()
+            ask = watch.begin(now)
+            assert ask is not None
+            given.append(ask.give_up_at - now - ask.wait_ms)
+            now = ask.give_up_at
+        assert given[0] == pytest.approx(watch.pace.answer_ms)
+        assert all(later == pytest.approx(min(2 * one, NOTIFIED_MS)) for one, later in pairwise(given))
+        assert watch.answered(8)
+        watch.begin(now)
+        watch.failed(Failure.SILENT, now)
+        watch.want()
+        ask = watch.begin(now)
+        assert ask is not None
+        assert ask.give_up_at - now - ask.wait_ms == pytest.approx(watch.pace.answer_ms)
+
+
+def test_watches_that_news_began_together_end_apart_and_leave_half_the_time_to_what_follows() -> None:
+    for senders in (6, 40, LARGE):
+        ends = []
+        for seed in range(senders):
+            watch = Watch(7, pace(senders).wait_ms, senders, Random(seed))
+            watch.want()
+            ask = watch.begin(0.0)
+            assert ask is not None
+            ends.append(ask.give_up_at)
+        assert max(ends) <= NOTIFIED_MS - 2.5 * pace(senders).answer_ms
+        apart = (1.0 - SHORTEST_WAIT) * pace(senders).wait_ms
+        assert max(ends) - min(ends) > 0.5 * apart
 
 
 def test_a_move_leaves_a_deadline_and_a_short_call() -> None:
