--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -7,8 +7,8 @@
 
     a call ends                     the deadline that it leaves
     silent, unreadable              begin + NOTIFIED_MS, or its wait's end + AFTER_WAIT_MS where that is later
-    not reached (broken), or our    the same: until it broke it may have been silent, and what failed may be
-    own system call failed)         ours alone; at the latest now + NOTIFIED_MS
+    not reached, broken, or our     the same: until it broke it may have been silent, and what failed may be
+    own system call failed          ours alone; at the latest now + NOTIFIED_MS
     refused                         now + NOTIFIED_MS: discovery itself says that it can't be reached
     cut off by a move               now + MOVED_MS, and what it may have missed until then
 
@@ -23,18 +23,19 @@
                                                            as from overdue
 
 So a later failure never moves on the deadline of an earlier one, until that has passed. A discovery that is
-reached and answers late, or turns away whom it has kept waiting, is there: what it has counts as notified at
-the deadline, and the list is no longer acted on. One that nobody reaches, or that has left a whole lapse
-unanswered, is taken to be down; then the list is acted on until it is back. There is no second lapse before
-an answer has come.
+reached after a silent call, and answers late, turns calls away or ends them, may well be there: what it has
+counts as notified at the deadline, and the list is no longer acted on. One that nobody reaches, or that has
+left a whole lapse unanswered, is taken to be down; then the list is acted on until it is back. There is no
+second lapse before an answer has come.
 
 The next call goes an answer's time before the deadline at the latest, and ``Pace.retry_ms`` after a failure
 where that is later; a watch that fell silent is followed at once. But for the current state calls are short:
 an answer comes at once, or the call is given up while there is time for another one. Discovery may serve
-calls in turn, and whoever gives up loses its place; so each silent call is followed by one that is given
-twice the time. The module's pause after a failure may be shorter, never longer; it draws the calls of a
-fleet apart. Watches are short, too (``Pace.wait_ms``), as what is left of the time to the deadline is all
-that there is for the calls after a silent one; and drawn apart, as news reach all senders in one moment.
+calls in turn, and whoever gives up loses its place and spends its turn; so a call is given up after discovery
+itself would have turned it away, and each silent one is followed by one that is given twice the time. The
+module's pause after a failure may be shorter, never longer; it draws the calls of a fleet apart. Watches are
+short, too (``Pace.wait_ms``), as what is left of the time to the deadline is all that there is for the calls
+after a silent one; and drawn apart, as news reach all senders in one moment.
 
 Which answers are believed: versions grow. An answer that is older than what is held is left out whole, and
 the whole list asked for; where that is older, too, the service counts anew, and it is believed.
@@ -51,11 +52,12 @@
 NOTIFIED_MS = 6000.0  # the protocol's figure, as are the two below
 AFTER_WAIT_MS = 2000.0
 MOVED_MS = 4000.0
-WHOLE_MS = 2000.0  # a call for the whole list is given up after this
+WHOLE_MS = 2500.0  # a call for the whole list is given up after this
 CATCH_UP_WAIT_MS = 100.0  # how long a short call may wait for news
 LARGE_FLEET = 40.0  # so many senders crowd a discovery that serves them in turn
 ANSWER_MS = 1000.0  # how long an answer may then take, where all goes well
 ANSWER_ALONE_MS = 500.0  # and for a sender that has discovery for itself
+QUEUED_MS = 2500.0  # a discovery that serves its senders in turn lets nobody wait for so long
 RETRY_MS = 200.0  # the shortest pause after a failure, in fleets that are not large
 WAIT_ALONE_MS = 1000.0  # how long a watch of a single sender waits
 WAIT_MS = 2500.0  # and in a large fleet, so that half of ``NOTIFIED_MS`` is left to the calls after it
@@ -70,7 +72,8 @@
 
     SILENT = "silent"  # no answer in its time, or none that ends or can be read
     REFUSED = "refused"  # turned away: it can't be reached for now
-    UNREACHED = "not reached"  # no connection, or it broke
+    UNREACHED = "not reached"  # no connection came up
+    BROKEN = "broken"  # the connection came up, and broke: somebody is there
     LOCAL = "own call failed"  # this machine could not make the call: nothing is known of discovery
 
 
@@ -103,13 +106,14 @@
 
     ``answer_ms``: a call's time from its begin to its answer, where all goes well. ``aside_ms``: a watch is
     given up so long after its wait. ``retry_ms``: the shortest pause between a failure and the next call.
-    ``wait_ms``: how long a watch waits.
+    ``wait_ms``: how long a watch waits. ``queued_ms``: whoever opens one anew may wait so long for its turn.
     """
 
     answer_ms: float
     aside_ms: float
     retry_ms: float
     wait_ms: float
+    queued_ms: float
 
 
 def pace(senders: int) -> Pace:
@@ -117,7 +121,13 @@
     crowd = min(log2(max(senders, 1)) / log2(LARGE_FLEET), 1.0)
     answer = ANSWER_ALONE_MS + (ANSWER_MS - ANSWER_ALONE_MS) * crowd
     wait = WAIT_ALONE_MS + (WAIT_MS - WAIT_ALONE_MS) * crowd
-    return Pace(answer, answer, RETRY_MS * max(senders / LARGE_FLEET, 1.0), wait)
+    queued = QUEUED_MS if senders > 1 else answer
+    return Pace(answer, answer, RETRY_MS * max(senders / LARGE_FLEET, 1.0), wait, queued)
+
+
+def _missed_by(begun_at: float, wait_ms: float) -> float:
+    waited = begun_at + wait_ms + AFTER_WAIT_MS if wait_ms else 0.0
+    return max(begun_at + NOTIFIED_MS, waited)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,8 +146,7 @@
     @property
     def missed_by(self) -> float:
         """From when on what this call should have brought counts as notified, should it bring nothing."""
-        waited = self.begun_at + self.wait_ms + AFTER_WAIT_MS if self.wait_ms else 0.0
-        return max(self.begun_at + NOTIFIED_MS, waited)
+        return _missed_by(self.begun_at, self.wait_ms)
 
 
 class Watch:
@@ -165,6 +174,9 @@
         self._failed_by = inf  # the deadline that the last failure left, where that one counts
         self._silent_by = inf  # the earliest deadline that a silent call left
         self._silences = 0  # silent calls in a row
+        self._goes_on = (
+            False  # whether the last call was answered, so that the next one goes on with its watch
+        )
         self._reached = True  # whether the last call reached discovery
         self._lapsed = False  # whether a whole lapse went by without an answer
         self._down = False
@@ -214,17 +226,27 @@
             self._ask = Ask(None, 0.0, now + self._patience(WHOLE_MS), now, self._asked)
         elif self.overdue_by < inf:
             # Guards the deadline: a long watch would not tell "nothing new" from silence before it.
-            give_up_at = now + CATCH_UP_WAIT_MS + self._patience(self.pace.answer_ms)
+            # Guards the place in line: whoever gives up loses it, and its turn is spent all the same.
+            left = self.overdue_by - now - CATCH_UP_WAIT_MS - self.pace.answer_ms
+            answer_ms = min(max(left, self.pace.answer_ms), self.pace.queued_ms)
+            give_up_at = now + CATCH_UP_WAIT_MS + self._patience(answer_ms)
             wait_ms = min(CATCH_UP_WAIT_MS, self._wait)
             self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
         else:
             part = 1.0 if self._random is None else self._random.uniform(SHORTEST_WAIT, 1.0)
             wait_ms = part * self._wait
-            give_up_at = now + wait_ms + self.pace.aside_ms
-            self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
+            self._ask = Ask(self._version, wait_ms, self._give_up_watch_at(now, wait_ms), now, self._asked)
         self._moved = False
         return self._ask
 
+    def _give_up_watch_at(self, now: float, wait_ms: float) -> float:
+        """One that goes on with no watch may wait for its turn first, as far as the deadline allows."""
+        soonest = now + wait_ms + self.pace.aside_ms
+        if self._goes_on:
+            return soonest
+        latest = _missed_by(now, wait_ms) - self.pace.answer_ms
+        return max(soonest, min(now + wait_ms + self.pace.queued_ms, latest))
+
     def _patience(self, answer_ms: float) -> float:
         """How long an answer may take: more after each silent call, as discovery may be slow."""
         most = max(LONGEST_ANSWER_MS, answer_ms)
@@ -239,7 +261,7 @@
             return False
         self._version, self._doubts = version, False
         self._missed_by = self._failed_by = self._silent_by = self.due_at = inf
-        self._silences, self._reached = 0, True
+        self._silences, self._reached, self._goes_on = 0, True, True
         self._down = self._lapsed = False
         return True
 
@@ -258,6 +280,7 @@
         """A call brought nothing, and none goes until one is wanted again: by when (ms)."""
         assert self._ask is not None
         self._wants = self._moved  # guards a move that crosses the failure of a call to the old address
+        self._goes_on = False
         self._pass(now)
         if failure is not Failure.LOCAL:
             self._reached = failure is not Failure.UNREACHED
@@ -265,7 +288,7 @@
             self._silences += 1
             if not self._lapsed:
                 self._silent_by = min(self._silent_by, self._ask.missed_by)
-        broken = now + NOTIFIED_MS if failure in (Failure.UNREACHED, Failure.LOCAL) else inf
+        broken = inf if failure is Failure.SILENT else now + NOTIFIED_MS
         if failure is Failure.REFUSED:
             # Guards discovery: what turns calls away may be overbooked, and would stay so.
             self._failed_by = now + NOTIFIED_MS
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -15,7 +15,7 @@
 from springspread.core.watch import Ask, Failure, State, Watch, pace
 from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
-from springspread.net.exchange import FAILURES, Caller, LateError, MovedError
+from springspread.net.exchange import FAILURES, Caller, ConnectError, LateError, MovedError
 from springspread.net.threads import spawn
 from springspread.platform import catalog
 
@@ -31,7 +31,14 @@
         errno.ENOMEM,
     }
 )
-"""Errors of connect and socket by which this machine says that it could not make the call."""
+"""Errors by which this machine says that it could not make the call."""
+
+
+def _kind(exc: Exception) -> Failure:
+    """What a connection that did not come up, or broke, says of discovery."""
+    if isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS:
+        return Failure.LOCAL
+    return Failure.UNREACHED if isinstance(exc, ConnectError) else Failure.BROKEN
 
 
 class RefusedError(Exception):
@@ -109,8 +116,7 @@
                     # Also an answer that does not end or can't be read.
                     self._failed(ask, Failure.SILENT, exc)
                 except FAILURES as exc:
-                    local = isinstance(exc, OSError) and exc.errno in LOCAL_ERRORS
-                    self._failed(ask, Failure.LOCAL if local else Failure.UNREACHED, exc)
+                    self._failed(ask, _kind(exc), exc)
 
     def _begin(self) -> Ask | None:
         with self._lock:
@@ -170,7 +176,7 @@
             "discovery failed",
             request=ask.number,
             failure=failure.value,
-            error=repr(exc),
+            error=repr(exc.__cause__ if isinstance(exc, ConnectError) else exc),
             since=ask.since,
             took_ms=round(now - ask.begun_at, 1),
             again_within_ms=round(ask_by - now, 1),
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -18,6 +18,10 @@
     """The answer did not come in time."""
 
 
+class ConnectError(OSError):
+    """No connection came up; ``errno`` tells why, where the system named a reason."""
+
+
 class BrokenError(Exception):
     """The connection ended before the answer was whole."""
 
@@ -206,7 +210,10 @@
         if kept is not None and kept.address == address and kept.reusable and kept.alive():
             return kept
         self.close()
-        made = Connection(address, min(until, clock() + self._limits.connect_ms), self._limits)
+        try:
+            made = Connection(address, min(until, clock() + self._limits.connect_ms), self._limits)
+        except OSError as exc:
+            raise ConnectError(exc.errno, exc.strerror or str(exc)) from exc
         with self._lock:
             self._connection = made
             if address != self._address:  # moved while it connected: nobody else cuts this one off
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -329,6 +329,24 @@
     platform.sock.close()
 
 
+def test_a_platform_that_takes_longer_than_a_first_call_is_given_is_heard_and_told_all_at_once() -> None:
+    limits = Limits(notice_ms=200.0)
+
+    def slow(sock: socket.socket) -> None:
+        threading.Event().wait(1.5 * limits.notice_ms / 1000.0)
+        sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+    platform = StandIn(slow)
+    heard: list[CoreEvent] = []
+    address = ("127.0.0.1", platform.sock.getsockname()[1])
+    notices = Notices(address, limits, heard.append, Silent(), lambda: None)
+    for number in range(10):
+        notices.tell(Notice(number, f"m{number}", False))
+    until(lambda: sum(len(cast(NoticeHeard, one).numbers) for one in heard) == 10, "all of them")
+    assert len(platform.requests) <= 5  # a silent call tells nothing of what is in it: nobody is told alone
+    platform.sock.close()
+
+
 @pytest.fixture
 def program(tmp_path: Path, peer: Peer, ended: Callable[[Program], None]) -> Program:
     made = Program(tmp_path, peer)
