--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -30,9 +30,9 @@
 
 The next call goes an answer's time before the deadline at the latest, and ``Pace.retry_ms`` after a failure
 where that is later; a watch that fell silent is followed at once. But for the current state calls are short:
-an answer comes at once, or the call is given up while there is time for another one. Discovery may serve
-calls in turn, and whoever gives up loses its place and spends its turn; so a call is given up after discovery
-itself would have turned it away, and each silent one is followed by one that is given twice the time. The
+an answer comes in its turn, or the call is given up. Discovery may serve calls in turn, and whoever gives up
+loses its place and spends its turn; so a call is given up after discovery itself would have turned it away,
+and each silent one is followed by one that is given twice the time. The
 module's pause after a failure may be shorter, never longer; it draws the calls of a fleet apart. Watches are
 short, too (``Pace.wait_ms``), as what is left of the time to the deadline is all that there is for the calls
 after a silent one; and drawn apart, as news reach all senders in one moment.
@@ -226,10 +226,7 @@
             self._ask = Ask(None, 0.0, now + self._patience(WHOLE_MS), now, self._asked)
         elif self.overdue_by < inf:
             # Guards the deadline: a long watch would not tell "nothing new" from silence before it.
-            # Guards the place in line: whoever gives up loses it, and its turn is spent all the same.
-            left = self.overdue_by - now - CATCH_UP_WAIT_MS - self.pace.answer_ms
-            answer_ms = min(max(left, self.pace.answer_ms), self.pace.queued_ms)
-            give_up_at = now + CATCH_UP_WAIT_MS + self._patience(answer_ms)
+            give_up_at = now + CATCH_UP_WAIT_MS + self._patience(self.pace.queued_ms)
             wait_ms = min(CATCH_UP_WAIT_MS, self._wait)
             self._ask = Ask(self._version, wait_ms, give_up_at, now, self._asked)
         else:
