--- a/tests/late_call_day.py
+++ b/tests/late_call_day.py
@@ -21,7 +21,7 @@
 
 from springspread.core.types import clock
 from springspread.faults.failing_calls import VARIABLE, Fault, encoded
-from tests.list_service import Asked, Behavior, CallLog, ListService, wait_for
+from tests.list_service import Asked, Behavior, CallLog, Line, ListService, wait_for
 from tests.peer import Program
 from tests.test_config import SETTINGS
 
@@ -59,6 +59,7 @@
 
     def __init__(self, seed: int, folder: Path, monkeypatch: pytest.MonkeyPatch, discovery: str) -> None:
         self._random, self._folder = Random(seed), folder
+        self._crowd = Random(f"crowd {seed}")  # of its own, so that what else a seed draws stays as it was
         self.endpoints = {f"s-{number}": CallLog() for number in range(ENDPOINTS)}
         lines = {name: log.line(name, group=int(name[2:]) % GROUPS) for name, log in self.endpoints.items()}
         self.services = [ListService(dict(lines)), ListService(dict(lines))]
@@ -124,6 +125,10 @@
             at(begin + draw.uniform(200.0, 2000.0), f"{gate.name} ends", gate.unlink)
         for _ in range(6):
             at(draw.uniform(500.0, LENGTH_MS), "held up", self._hold_up)
+        if not self._pushed:  # an agent answers at once
+            begin, turn_ms = self._crowd.uniform(500.0, LENGTH_MS), self._crowd.uniform(300.0, 1500.0)
+            at(begin, f"crowded: {turn_ms:.0f} ms a turn", partial(self._serve_in_turn, Line(turn_ms)))
+            at(begin + self._crowd.uniform(3000.0, 8000.0), "crowded no more", self._serve_in_turn)
         return sorted(steps, key=lambda step: step.at)
 
     def _change(self, name: str) -> None:
@@ -148,6 +153,10 @@
         for service in self.services:
             service.plan = list(plan)
 
+    def _serve_in_turn(self, line: Line | None = None) -> None:
+        for service in self.services:
+            service.line = line
+
     def _down(self, how: Behavior) -> None:
         for service in self.services:
             service.down = how
