A silent list request after a failure has its deadline from that failure

Calls went on for up to 0.5 s after the grace. Change: core/watch.py keeps the deadline that a failure would leave if discovery were back right after it, and a silent call takes it over; only a connection that does not come up counts it anew.

--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -26,7 +26,8 @@
 reached after a silent call, and answers late, turns calls away or ends them, may well be there: what it has
 counts as notified at the deadline, and the list is no longer acted on. One that nobody reaches, or that has
 left a whole lapse unanswered, is taken to be down; then the list is acted on until it is back. There is no
-second lapse before an answer has come.
+second lapse before an answer has come. A silent call that follows a failure may not be the first one after
+discovery came back: its deadline counts from that failure.
 
 The next call goes an answer's time before the deadline at the latest, and ``Pace.retry_ms`` after a failure
 where that is later; a watch that fell silent is followed at once. But for the current state calls are short:
@@ -172,7 +173,8 @@
         self._ask: Ask | None = None
         self._missed_by = inf  # the earliest deadline that a call left which was not refused
         self._failed_by = inf  # the deadline that the last failure left, where that one counts
-        self._silent_by = inf  # the earliest deadline that a silent call left
+        self._back_by = inf  # the deadline, had discovery been back right after it was last out of reach
+        self._silent_by = inf  # the earliest deadline that a silent call left, or took over from a failure
         self._silences = 0  # silent calls in a row
         self._goes_on = (
             False  # whether the last call was answered, so that the next one goes on with its watch
@@ -257,7 +259,7 @@
             self._doubts = self._fetches = True
             return False
         self._version, self._doubts = version, False
-        self._missed_by = self._failed_by = self._silent_by = self.due_at = inf
+        self._missed_by = self._failed_by = self._back_by = self._silent_by = self.due_at = inf
         self._silences, self._reached, self._goes_on = 0, True, True
         self._down = self._lapsed = False
         return True
@@ -281,10 +283,15 @@
         self._pass(now)
         if failure is not Failure.LOCAL:
             self._reached = failure is not Failure.UNREACHED
-        if failure is Failure.SILENT:
-            self._silences += 1
-            if not self._lapsed:
-                self._silent_by = min(self._silent_by, self._ask.missed_by)
+        match failure:
+            case Failure.SILENT:
+                self._silences += 1
+                if not self._lapsed:
+                    self._silent_by = min(self._silent_by, self._ask.missed_by, self._back_by)
+            case Failure.UNREACHED:
+                self._back_by = now + NOTIFIED_MS
+            case Failure.REFUSED | Failure.BROKEN | Failure.LOCAL:  # it may be there, and crowded
+                self._back_by = min(self._back_by, now + NOTIFIED_MS)
         broken = inf if failure is Failure.SILENT else now + NOTIFIED_MS
         if failure is Failure.REFUSED:
             # Guards discovery: what turns calls away may be overbooked, and would stay so.
@@ -296,10 +303,10 @@
         self.due_at = min(self.due_at, self.overdue_by)
         if self._ask.wait_ms > CATCH_UP_WAIT_MS and now >= self._ask.give_up_at:
             return now
+        again_by = max(self.overdue_by - self.pace.answer_ms, now + self.pace.retry_ms)
         if self.lapse.holds(now):
-            pause = max(LAPSE_PAUSE_MS, 2 * self.pace.retry_ms)
-            return now + min(pause, NOTIFIED_MS - self.pace.answer_ms)
-        return max(self.overdue_by - self.pace.answer_ms, now + self.pace.retry_ms)
+            again_by = min(again_by, now + max(LAPSE_PAUSE_MS, 2 * self.pace.retry_ms))
+        return again_by
 
     def _pass(self, now: float) -> None:
         """Deadlines that have passed count no more; where no refusal left one, discovery is down."""
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -183,7 +183,7 @@
     senders: int, calls: list[tuple[Failure, float]]
 ) -> None:
     """From that deadline on, if discovery was reached last; for one lapse, and no second one."""
-    watch, now, silent_by, lapsed = watching(senders=senders), 0.0, inf, False
+    watch, now, silent_by, back_by, lapsed = watching(senders=senders), 0.0, inf, inf, False
     for failure, part in calls:
         ask = watch.begin(now)
         assert ask is not None
@@ -191,7 +191,11 @@
         if failed_at >= silent_by + LAPSE_MS:
             silent_by, lapsed = inf, True
         if failure is Failure.SILENT and not lapsed:
-            silent_by = min(silent_by, ask.missed_by)
+            silent_by = min(silent_by, ask.missed_by, back_by)
+        elif failure is Failure.UNREACHED:  # it can't be reached now: counted anew
+            back_by = failed_at + NOTIFIED_MS
+        elif failure is not Failure.SILENT:
+            back_by = min(back_by, failed_at + NOTIFIED_MS)
         again = max(watch.failed(failure, failed_at), failed_at)
         begin = silent_by if failure is not Failure.UNREACHED else inf
         if failure is not Failure.LOCAL:
@@ -203,6 +207,19 @@
     assert watch.answered(8) and watch.lapse == NO_LAPSE
 
 
+@pytest.mark.parametrize("failure", [one for one in Failure if one is not Failure.SILENT])
+def test_a_silent_call_after_a_failure_counts_from_that_failure(failure: Failure) -> None:
+    """Discovery may have been back, with news, from then on."""
+    watch = watching(senders=4)
+    watch.begin(0.0)
+    watch.failed(failure, 10.0)
+    watch.want()
+    ask = watch.begin(700.0)
+    assert ask is not None
+    watch.failed(Failure.SILENT, ask.give_up_at)
+    assert watch.lapse.begin == 10.0 + NOTIFIED_MS
+
+
 def test_a_call_that_this_machine_could_not_make_says_nothing_of_discovery() -> None:
     watch = watching(senders=4)
     watch.begin(0.0)
