--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -299,7 +299,7 @@
         elif self._down:
             self._failed_by = min(self._ask.missed_by, broken)
         else:
-            self._missed_by = min(self._missed_by, self._ask.missed_by, broken)
+            self._missed_by = min(self._missed_by, self._ask.missed_by, broken, self._silent_by)
         self.due_at = min(self.due_at, self.overdue_by)
         if self._ask.wait_ms > CATCH_UP_WAIT_MS and now >= self._ask.give_up_at:
             return now
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -86,7 +86,7 @@
     Also where one failure follows another: none moves on what an earlier call left, refusals apart, as they
     tell that discovery could not be reached. Up to the pause that discovery is owed after each failure.
     """
-    watch, now, missed = watching(senders=senders), 0.0, list[float]()
+    watch, now, missed, back_by = watching(senders=senders), 0.0, list[float](), inf
     answer_ms, retry_ms = watch.pace.answer_ms, watch.pace.retry_ms
     for failure, part in calls:
         ask = watch.begin(now)
@@ -101,6 +101,12 @@
             waited = now + ask.wait_ms + AFTER_WAIT_MS if ask.wait_ms else 0.0
             broken = failed_at + NOTIFIED_MS if failure is not Failure.SILENT else inf
             missed.append(min(max(now + NOTIFIED_MS, waited), broken))
+        if failure is Failure.UNREACHED:
+            back_by = failed_at + NOTIFIED_MS
+        elif failure is not Failure.SILENT:
+            back_by = min(back_by, failed_at + NOTIFIED_MS)
+        else:
+            missed[-1] = min(missed[-1], back_by)
         if missed and failed_at < min(missed):  # later nobody has answered for so long: it is down
             assert ask_by <= max(min(missed) - answer_ms, failed_at + retry_ms)
         now = ask_by
