Known destinations are a module of their own; a list's moment of notification has its name

core/destinations.py is cut out of core/loop.py; told_at of ListNews is notified_at. No change of behaviour.

--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -73,12 +73,12 @@
         with self._lock:
             return max(self._bars.get(endpoint.bar_key, 0.0) - now, other - now, 0.0)
 
-    def leaving(self, endpoint: Endpoint, state: EndpointState, told_at: float) -> None:
+    def leaving(self, endpoint: Endpoint, state: EndpointState, notified_at: float) -> None:
         """Note what discovery says of an endpoint; a drain counts from when it was first told."""
         with self._lock:
             endpoint.state = state
             ready = state is EndpointState.READY
-            endpoint.leaving_at = inf if ready else min(endpoint.leaving_at, told_at)
+            endpoint.leaving_at = inf if ready else min(endpoint.leaving_at, notified_at)
 
     def received(self, news: ListNews) -> None:
         """Note news of the list, or a failure to get it: it binds before the loop has heard of it."""
@@ -93,7 +93,7 @@
             self._unapplied = [one for one in self._unapplied if one[0] is not news]
 
     def _leaving_at(self, endpoint: Endpoint) -> float:
-        taken_away = [news.told_at for news, index in self._unapplied if index.takes_away(endpoint)]
+        taken_away = [news.notified_at for news, index in self._unapplied if index.takes_away(endpoint)]
         return min([endpoint.leaving_at, *taken_away])
 
     def stop(self) -> None:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -13,6 +13,7 @@
 from springspread.core import translate
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
+from springspread.core.destinations import KnownDestinations
 from springspread.core.figures import Figure, Figures
 from springspread.core.journal import Journal, JournalFull, Owed
 from springspread.core.lanes import LOOK_MS, Lanes
@@ -54,27 +55,6 @@
     speakers: int = 1  # how often it was handed in by clients that have not left
 
 
-class Groups:
-    """The destinations that discovery names, or has named lately."""
-
-    def __init__(self, kept_ms: float, clock: Clock) -> None:
-        self._kept_ms, self._clock = kept_ms, clock
-        self._seen: dict[int, float] = {}  # when each was last seen with an endpoint
-        self.told = False  # whether discovery itself has told the whole list
-
-    def note(self, groups: set[int], told: bool) -> None:
-        """Take in the groups that have an endpoint now."""
-        now = self._clock.now()
-        self.told = self.told or told
-        self._seen.update(dict.fromkeys(groups, now))
-        for group in [group for group, at in self._seen.items() if now - at > self._kept_ms]:
-            del self._seen[group]
-
-    def knows(self, group: int) -> bool:
-        """Whether messages may go there."""
-        return group in self._seen
-
-
 class Sender:
     """Feeds the module what came in, a tick at a time, and has its actions carried out."""
 
@@ -103,7 +83,7 @@
         self._numbers: dict[str, int] = {}  # of all that is owed, notices that are out included
         self._recent: OrderedDict[str, bool] = OrderedDict()  # lately over: whether it was delivered
         self._calls: dict[Call, int] = {}
-        self._groups = Groups(config.limits.group_kept_ms, clock)
+        self._destinations = KnownDestinations(config.limits.group_kept_ms, clock)
         self._unconfirmed: list[Message] = []  # taken on in this batch, and not told before it is on disk
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
@@ -210,10 +190,10 @@
         """Through the gates that are open by now; what that sets free goes on."""
         if self.start.open:
             return []
-        if self.start.asks(now, self._groups.told):
+        if self.start.asks(now, self._destinations.listed):
             self._directory.fetch()
         acts = self._shares is None or self._shares.may(self._policy)
-        freed = self.start.through(now, self._set.slots, acts, self._groups.told)
+        freed = self.start.through(now, self._set.slots, acts, self._destinations.listed)
         return [self._goes_on(now, owed, left) for owed, left in freed]
 
     def run(self) -> None:
@@ -300,9 +280,9 @@
             case AttemptEnd():
                 return self._attempt_end(event)
             case ListNews():
-                self.start.told(event.date, event.told_at)
+                self.start.told(event.date, event.notified_at)
                 if event.scope is not Scope.FAILED:
-                    self._listed_at, self._version = event.told_at, event.version
+                    self._listed_at, self._version = event.notified_at, event.version
                 listed = self._listed(event)
                 self._clearance.applied(event)
                 return [listed]
@@ -356,10 +336,10 @@
             # A process beside this one owes it, and tells its end.
             same = (other.cls, other.group, other.body) == (message.cls, message.group, message.body)
             message.answer(Verdict.TAKEN if same else Verdict.CONFLICT)
-        elif not self._groups.knows(message.group):
+        elif not self._destinations.knows(message.group):
             # Guards the table: a destination that does not exist would hold its messages to their end. Before
             # discovery has told the list, it may be one that is new.
-            message.answer(Verdict.UNKNOWN_GROUP if self._groups.told else Verdict.REFUSED)
+            message.answer(Verdict.UNKNOWN_GROUP if self._destinations.listed else Verdict.REFUSED)
         elif len(self._held) >= self._set.max_held:
             self._log.debug("turned away", id=message.id, group=message.group, cls=message.cls)
             message.answer(Verdict.REFUSED)
@@ -487,13 +467,13 @@
                 self._endpoints.forget(endpoint)
                 self._executor.close_idle(endpoint)
         here = {endpoint.group for endpoint in self._endpoints.by_number.values()}
-        self._groups.note(here, told=news.scope in (Scope.CHANGES, Scope.WHOLE))
+        self._destinations.note(here, listed=news.scope in (Scope.CHANGES, Scope.WHOLE))
         return listed
 
     def _enters(self, endpoint: Endpoint, state: EndpointState, news: ListNews) -> None:
         """Put an endpoint's state in force; changes are logged, the first state of a new one is not."""
         before = endpoint.state
-        self._clearance.leaving(endpoint, state, news.told_at)
+        self._clearance.leaving(endpoint, state, news.notified_at)
         if state is not before:
             self._log.info(
                 "endpoint",
@@ -502,7 +482,7 @@
                 before=before.value,
                 state=state.value,
                 version=news.version,
-                notified_ms_ago=round(self._clock.now() - news.told_at, 1),
+                notified_ms_ago=round(self._clock.now() - news.notified_at, 1),
             )
 
     def _forget(self, number: int, *, delivered: bool) -> None:
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -135,8 +135,8 @@
     scope: Scope
     version: int = 0
     members: tuple[Member, ...] = ()
-    told_at: float = 0.0
-    date: str = ""  # the world's time as the answer told it, at ``told_at``
+    notified_at: float = 0.0  # when its bytes were there
+    date: str = ""  # the world's time as the answer told it, at ``notified_at``
     ask_by: float = float("inf")  # after a failure: when to ask again at the latest
     lapse: Lapse = NO_LAPSE  # after a failure: when no call may begin by the list that is held
 
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -124,9 +124,9 @@
 
     def _put_news(self, ask: Ask, news: ListNews) -> None:
         with self._lock:
-            before, due_at = self._machine.state(news.told_at), self._machine.due_at
+            before, due_at = self._machine.state(news.notified_at), self._machine.due_at
             believed = self._machine.answered(news.version)
-        late_ms = news.told_at - due_at
+        late_ms = news.notified_at - due_at
         if late_ms > 0.0:
             self._figures.occurred(Occurrence.LISTS_LATE, before)
         tell = self._log.info if news.members or before is not State.CURRENT else self._log.debug
@@ -137,7 +137,7 @@
             since=ask.since,
             version=news.version,
             lines=len(news.members),
-            took_ms=round(news.told_at - ask.begun_at, 1),
+            took_ms=round(news.notified_at - ask.begun_at, 1),
             state=before.value,
             due_in_ms=_rounded(-late_ms),
         )
--- a/springspread/platform/catalog.py
+++ b/springspread/platform/catalog.py
@@ -26,16 +26,16 @@
     return PATH if since is None else f"{PATH}?since={since}&timeout_ms={int(timeout_ms)}"
 
 
-def read_list(body: bytes, names: Names, told_at: float) -> ListNews:
+def read_list(body: bytes, names: Names, notified_at: float) -> ListNews:
     """Read an answer."""
     try:
         raw = json.loads(body)
     except (ValueError, RecursionError) as exc:
         raise Unreadable(f"not JSON: {exc}") from exc
-    return read_groups(raw, names, told_at)
+    return read_groups(raw, names, notified_at)
 
 
-def read_groups(raw: object, names: Names, told_at: float, *, cached: bool = False) -> ListNews:
+def read_groups(raw: object, names: Names, notified_at: float, *, cached: bool = False) -> ListNews:
     """Read the decoded form; one bad line makes the whole of it unreadable."""
     if not isinstance(raw, Mapping) or not isinstance(raw.get("endpoints"), list):
         raise Unreadable("endpoints: must be a list")
@@ -44,7 +44,7 @@
         raise Unreadable(f"index: not a version: {version!r}")
     members = tuple(_member(n, item, names) for n, item in enumerate(raw["endpoints"]))
     whole = Scope.WHOLE if raw.get("snapshot") is True else Scope.CHANGES
-    return ListNews(Scope.CACHED if cached else whole, version, members, told_at)
+    return ListNews(Scope.CACHED if cached else whole, version, members, notified_at)
 
 
 def _member(n: int, item: object, names: Names) -> Member:
--- a/tests/test_clearance.py
+++ b/tests/test_clearance.py
@@ -108,7 +108,7 @@
 def test_news_that_are_in_force_are_not_kept(look: Look) -> None:
     read = news(line("s-1", state=EndpointState.DRAINING))
     look.clearance.received(read)
-    look.clearance.leaving(look.endpoint, EndpointState.DRAINING, read.told_at)
+    look.clearance.leaving(look.endpoint, EndpointState.DRAINING, read.notified_at)
     look.clearance.applied(read)
     assert look.reason() is Withheld.LEAVING
     look.clearance.leaving(look.endpoint, EndpointState.READY, READ_AT + 500.0)
