An experiment ends on SIGINT and SIGTERM, also where they were ignored by its parent

Cause: the run relied on KeyboardInterrupt. Shells start background jobs with SIGINT ignored; Python then installs no handler. Evidence: `bash -c 'COMMAND &'` leaves SIGINT in SigIgn, and 8 s after SIGINT the run had written 104 rows more; in the foreground it ended after 0.5 s. Ruled out: the signal while a row is written (forced: the run ends), a fork beside threads, a full wake-up pipe (read).

Fix: handlers of its own set a flag that is looked at between results; each worker has its own pipe, and is ended with the run. A handler that is installed explicitly holds whatever was inherited, and a flag can't be raised in a place that leaves workers running.

Tests: of the new ones those with an ignored SIGINT, with SIGTERM and with a dead worker fail before, by 60 s or a traceback.

--- a/benchmarks/variants.py
+++ b/benchmarks/variants.py
@@ -23,7 +23,7 @@
 from springspread import policy
 from springspread.experiments.compare import mean_of, rank_correlation
 from springspread.experiments.plan import Plan, read_plan
-from springspread.experiments.run import run_plan
+from springspread.experiments.pool import run_plan
 
 MODULE_PATH = Path("springspread") / "policy.py"
 BENCH_TIMEOUT_S = 900.0
--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Callable
+from contextlib import closing
 from functools import wraps
 from pathlib import Path
 from typing import Any
@@ -45,7 +46,13 @@
     Exits with 1 if a promise was broken, with 4 if a signal or a disk error stopped it.
     """
     from springspread.experiments.plan import read_plan
-    from springspread.experiments.run import Table, run_plan
+    from springspread.experiments.pool import (
+        RunInterruptedError,
+        WorkerDiedError,
+        run_plan,
+        stop_on_signal,
+    )
+    from springspread.experiments.run import Table
     from springspread.validation import PlanError
 
     try:
@@ -54,23 +61,28 @@
         raise click.ClickException(str(exc)) from exc
     days, done, broken, seconds, stopped = sum(1 for _ in read.runs()), 0, 0, 0.0, ""
     table: Table | None = None
-    try:
-        table = Table(out, read)
-        results = run_plan(read, processes)
-        with click.progressbar(results, days, label=read.name, file=sys.stderr, show_pos=True) as progress:
-            for row, took in progress:
-                table.add(row)
-                done, broken, seconds = done + 1, broken + bool(row["faults"]), seconds + took
-    except KeyboardInterrupt:
-        stopped = "interrupted"
-    except OSError as exc:
-        stopped = f"the table takes no more: {exc}"
-    try:
-        if table is not None:
-            table.close()
-    except OSError as exc:
-        stopped = stopped or f"the table takes no more: {exc}"
-        click.echo(f"the rows written so far are in {table.partial_path if table else out}", err=True)
+    with stop_on_signal() as stop:
+        try:
+            table = Table(out, read)
+            with (
+                closing(run_plan(read, processes, stop)) as results,
+                click.progressbar(results, days, label=read.name, file=sys.stderr, show_pos=True) as progress,
+            ):
+                for row, took in progress:
+                    table.add(row)
+                    done, broken, seconds = done + 1, broken + bool(row["faults"]), seconds + took
+        except RunInterruptedError:
+            stopped = "interrupted"
+        except WorkerDiedError as exc:
+            stopped = str(exc)
+        except OSError as exc:
+            stopped = f"the table takes no more: {exc}"
+        try:
+            if table is not None:
+                table.close()
+        except OSError as exc:
+            stopped = stopped or f"the table takes no more: {exc}"
+            click.echo(f"the rows written so far are in {table.partial_path if table else out}", err=True)
     mean = f", {seconds / done:.2f} s each on average" if done else ""
     click.echo(f"{done} of {days} days{mean}, {broken} with broken promises: {out}")
     if stopped:
--- a/springspread/experiments/run.py
+++ b/springspread/experiments/run.py
@@ -1,4 +1,4 @@
-"""Runs a plan: days in parallel processes, one CSV row each.
+"""Simulates a day of a plan, and writes the table of an experiment: one CSV row a day.
 
 The record beside the table holds the plan, the commit and the library versions, so that the experiment can be
 repeated. Rows are written to a temporary file as they arrive, and the file is renamed at the end; if a signal
@@ -10,12 +10,10 @@
 import csv
 import json
 import platform
-import signal
 import subprocess
 import tempfile
 import time
 from collections.abc import Iterator, Mapping, Sequence
-from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
 from importlib.metadata import distributions
 from pathlib import Path
@@ -105,16 +103,6 @@
     return {"arm": run.arm, "seed": run.seed, **run.knobs.model_dump()}
 
 
-def run_plan(plan: Plan, processes: int) -> Iterator[tuple[Row, float]]:
-    """Simulate the days of a plan in parallel; yields rows in the plan's order."""
-    # Workers ignore Ctrl-C; the parent handles it.
-    pool = ProcessPoolExecutor(processes, initializer=signal.signal, initargs=(signal.SIGINT, signal.SIG_IGN))
-    try:
-        yield from pool.map(simulate, plan.runs())
-    finally:
-        pool.shutdown(wait=True, cancel_futures=True)
-
-
 class Table:
     """Writes the table of an experiment and its record; raises ``OSError`` on disk errors."""
 
--- a/tests/experiments/test_lab.py
+++ b/tests/experiments/test_lab.py
@@ -187,6 +187,91 @@
     assert len(read_rows(out)) == done
 
 
+SIGNAL_WITHIN_A_ROW = """
+import faulthandler, os, signal, sys
+from springspread.cli.main import cli
+from springspread.experiments.run import Table
+
+faulthandler.dump_traceback_later(20.0)  # says where a run that does not end stands
+add, rows, numbers = Table.add, [], iter(int(name) for name in sys.argv[1].split(","))
+
+def add_and_signal(table, row):
+    add(table, row)
+    rows.append(row)
+    if len(rows) >= 3 and (number := next(numbers, None)) is not None:
+        os.kill(os.getpid(), number)
+
+Table.add = add_and_signal
+cli(sys.argv[2:])
+"""
+
+
+@pytest.mark.parametrize(
+    "signals",
+    [[signal.SIGINT], [signal.SIGTERM], [signal.SIGINT, signal.SIGINT], [signal.SIGTERM, signal.SIGINT]],
+    ids=lambda signals: "+".join(one.name for one in signals),
+)
+def test_signal_outside_the_wait_for_results_ends_the_run(
+    tmp_path: Path, signals: list[signal.Signals]
+) -> None:
+    """Guards against a run that goes on with all its remaining days after its table is closed."""
+    plan, out = tmp_path / "plan.toml", tmp_path / "long.csv"
+    plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
+    numbers = ",".join(str(int(one)) for one in signals)
+    args = [sys.executable, "-c", SIGNAL_WITHIN_A_ROW, numbers, "lab", "run", str(plan), "--out", str(out)]
+    process = subprocess.Popen([*args, "--processes", "2"], stdout=-1, stderr=-1, text=True)
+    try:
+        output, errors = process.communicate(timeout=60.0)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        raise AssertionError(process.communicate()[1]) from None
+    assert process.returncode == 4 and "interrupted" in errors, errors
+    with out.open(newline="") as source:
+        states = [row["state"] for row in csv.DictReader(source)]
+    assert states == ["done"] * 3 + ["not run"] * 3997
+
+
+@pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGTERM], ids=lambda how: how.name)
+def test_run_ends_also_where_its_parent_ignored_the_signal(tmp_path: Path, how: signal.Signals) -> None:
+    """Guards against a run that can't be interrupted: shells start background jobs with SIGINT ignored."""
+    plan, out = tmp_path / "plan.toml", tmp_path / "long.csv"
+    plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
+    process = start_run(plan, out, preexec_fn=lambda: signal.signal(how, signal.SIG_IGN))
+    workers = await_rows(process, out, 3)
+    process.send_signal(how)
+    try:
+        output, errors = process.communicate(timeout=60.0)
+    finally:
+        process.kill()
+    assert process.returncode == 4 and "interrupted" in errors, errors
+    assert not any(Path(f"/proc/{worker}").exists() for worker in workers)
+    assert not json.loads(out.with_suffix(".json").read_text())["complete"]
+
+
+def await_rows(process: subprocess.Popen[str], out: Path, count: int) -> list[int]:
+    """Wait until a run has written some rows; returns the ids of its workers."""
+    partial, end = out.with_suffix(".new"), time.monotonic() + 60.0
+    while not partial.exists() or row_count(partial) < count:
+        assert time.monotonic() < end and process.poll() is None, "no rows"
+        time.sleep(0.02)
+    return [int(id) for id in Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()]
+
+
+def test_dead_worker_ends_the_run_and_keeps_finished_rows(tmp_path: Path) -> None:
+    """Guards against a traceback in place of a table after a worker was killed, e.g. for want of memory."""
+    plan, out = tmp_path / "plan.toml", tmp_path / "long.csv"
+    plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
+    process = start_run(plan, out)
+    for worker in await_rows(process, out, 3):
+        os.kill(worker, signal.SIGKILL)
+    output, errors = process.communicate(timeout=60.0)
+    assert process.returncode == 4 and "a worker died, exit code -9" in errors, errors
+    with out.open(newline="") as source:
+        states = [row["state"] for row in csv.DictReader(source)]
+    done = states.count("done")
+    assert 3 <= done < 1000 and states == ["done"] * done + ["not run"] * (4000 - done)
+
+
 def row_count(path: Path) -> int:
     return max(path.read_bytes().count(b"\n") - 1, 0)
 
