A newcomer is refused before an accepted message is given up unsent

Callers saw: 202, a wait, and a notice in place of a delivery.

Cause: the module evicts as it reaches mostHeld, so the loop's own refusal at mostHeld never came: a full sender accepted everything and gave up another message for each.

Fix: the module is asked for room before the 202. There is none where an unsent message would have to go before seven tenths of its time, and a destination's queue is bounded by three times the free places, or one hanging destination shuts out the rest. A refusal tells when to come again. So nothing that was accepted makes room for what was not.

The new tests of room and of newcomers fail before.

--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
@@ -84,6 +84,7 @@
         self._recently_closed: OrderedDict[str, bool] = OrderedDict()  # by id: whether delivered
         self._calls: dict[Call, int] = {}
         self._destinations = KnownDestinations(config.limits.destination_retention_ms, clock)
+        self._undecided: Counter[int] = Counter()  # accepted in this batch, by group
         self._unconfirmed: list[Message] = []  # accepted in this batch, answered after the sync
         self._timers: list[tuple[float, int]] = []
         self._stop_at = float("inf")
@@ -346,7 +347,8 @@
             # Messages to a destination that does not exist would stay open until their deadline. Before
             # discovery has answered, it may be a new one.
             message.answer(Verdict.UNKNOWN_GROUP if self._destinations.listed else Verdict.REFUSED)
-        elif len(self._open_messages) >= self._settings.max_held:
+        elif (no_room := self._module.refusal(self._clock.now(), message.group, self._undecided)) is not None:
+            message.retry_after_ms = no_room.come_back_ms
             self._log.debug("too many open messages", id=message.id, group=message.group, cls=message.cls)
             message.answer(Verdict.REFUSED)
         else:
@@ -388,6 +390,7 @@
         if not self._acknowledge(message):
             self._client_left(message)
             return []
+        self._undecided[message.group] += 1
         again, orphan = message.again, message.orphan
         return [i.Taken(number, message.group, cls, message.deadline, again=again, orphan=orphan)]
 
@@ -521,6 +524,7 @@
 
     def _decide(self, now: float, events: list[i.Event]) -> None:
         sends: list[i.Send] = []
+        self._undecided.clear()
         for action in self._module.handle(now, events):
             match action:
                 case i.Send():
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -93,6 +93,7 @@
     orphan: bool = False
     number: int = 0  # of the accepted message that it belongs to; 0: none yet
     verdict: Verdict | None = None
+    retry_after_ms: float = 0.0  # told with a refusal; 0: not told
     on_verdict: Callable[[Message], None] = _ignore_verdict
     _verdict_lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
     _withdrawn: bool = False
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -251,6 +251,13 @@
     attempts: int = 0  # made before a restart; none of them forbids another
 
 
+@dataclass(frozen=True, slots=True)
+class NoRoom:
+    """A message can't be accepted; the client may submit it again after ``come_back_ms``."""
+
+    come_back_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """An attempt ended. ``over``: the message is finished and needs no answer any more."""
--- a/springspread/platform/client_api.py
+++ b/springspread/platform/client_api.py
@@ -104,7 +104,8 @@
             case Verdict.CONFLICT:
                 return Reply(409, {"X-Fault": f"{ID} is another message's"})
             case Verdict.REFUSED:
-                return self._refused(message)
+                seconds = f"{message.retry_after_ms / 1000.0:.3f}"
+                return self._refused(message, {"Retry-After": seconds} if message.retry_after_ms else None)
             case None:
                 # The client is about to stop waiting: unless the core has accepted the message, withdraw it.
                 return self._refused(message) if message.withdraw() else self.verdict(message)
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from heapq import heappop, heappush
 from math import ceil, exp2, inf, log2
 from random import Random
@@ -62,6 +63,8 @@
 MIN_TIMEOUT_AIM_SHARE = 0.5  # of the class's aim
 NEXT_ROUND_MS = 300.0  # pause before a message that tried all routes starts over
 WAITING_DISCOUNT = 0.8  # on what a message keeps by waiting; below 1, as one that loses nothing counts too
+EVICTABLE_AFTER = 0.7  # share of its time after which a message that was not sent may be given up early
+QUEUE_SHARE = 3.0  # longest queue of a destination, as a multiple of the free places
 RESCAN_MS = 100.0  # waiting messages are examined at least this often
 
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.MOOT)
@@ -184,6 +187,7 @@
         m = Message(event.message, dest, cls, spec, event.key, aim_at, event.deadline_ms)
         self.pending[m.id] = m
         m.attempts = event.attempts  # so that the cap holds across a restart
+        m.evictable_at = self.now + EVICTABLE_AFTER * (m.deadline - self.now)
         if not event.again:  # a client's repeat is no new demand
             dest.demand.add(self.now, DECAY_MS)
         m.tenant_weight = self._tenant_weight(event.tenant) if event.tenant < len(self.tenant_usage) else 1.0
@@ -195,11 +199,36 @@
             m.key_queue = self.key_queues.setdefault(event.key, KeyQueue())
             m.key_queue.messages.append(m)
         if len(self.pending) >= self.settings.max_held:
-            # Evict the message that loses least by it from the longest queue.
+            # Evict the message that loses least by it, from the longest queue if all are owed their attempts.
             longest = max((dest.queue for dest in self.queued_dests), key=len)
-            victim = min(longest, key=lambda other: self._cost_of_waiting(other, other.spec.aim_ms))
+            candidates = self._evictable() or longest
+            victim = min(candidates, key=lambda other: self._cost_of_waiting(other, other.spec.aim_ms))
             self._give_up(victim, i.EndReason.EVICTED)
 
+    def refusal(self, now_ms: float, destination: int, waiting: Mapping[int, int]) -> i.NoRoom | None:
+        """Why a message to a destination can't be accepted; ``None``: it can.
+
+        ``waiting``: messages by destination that were accepted and that the module has not been told of.
+        There is no room where an unsent message would have to be given up before it had most of its time;
+        and where the destination's queue has its share of the places. That share shrinks with the places
+        that are left (dynamic thresholds, Choudhury and Hahne), so that one slow destination does not fill
+        them all.
+        """
+        self.now = max(self.now, now_ms)
+        dest = self._destination(destination)
+        queued = len(dest.queue) + waiting.get(destination, 0)
+        free = self.settings.max_held - 1 - len(self.pending) - sum(waiting.values())
+        if queued < QUEUE_SHARE * free:
+            return None
+        evictable = self._evictable()
+        free += len(evictable)
+        queued -= sum(m.dest is dest for m in evictable)
+        return None if queued < QUEUE_SHARE * free else i.NoRoom(self._retry_after_ms(dest))
+
+    def _evictable(self) -> list[Message]:
+        waiting = (m for dest in self.queued_dests for m in dest.queue)
+        return [m for m in waiting if m.ran_at is not None or self.now >= m.evictable_at]
+
     def _tenant_weight(self, tenant: int) -> float:
         # Protects tenants from the burst of another; also lowers one whose traffic moves to this sender.
         for number, usage in enumerate(self.tenant_usage):
@@ -514,6 +543,10 @@
         rate_per_s = sum(self._limit(r.limiter) * r.limiter.share * r.kind.per_call for r in dest.routes)
         return 1000 * len(dest.queue) / max(rate_per_s, 0.1)
 
+    def _retry_after_ms(self, dest: Destination) -> float:
+        opens_in = min((route.limiter.shut_until for route in dest.routes), default=inf) - self.now
+        return min(max(opens_in, self._backlog_ms(dest)), self.settings.max_retry_after_ms)
+
     def _is_ready(self, m: Message) -> bool:
         key_queue = m.key_queue
         return self.now >= m.not_before and (
@@ -638,10 +671,8 @@
             self.key_queues.pop(m.key, None)
 
     def _give_up(self, m: Message, reason: i.EndReason) -> None:
-        opens_in = min((route.limiter.shut_until for route in m.dest.routes), default=inf) - self.now
-        retry_after_ms = min(max(opens_in, self._backlog_ms(m.dest)), self.settings.max_retry_after_ms)
         if m.safe_to_resubmit():
-            self.actions.append(i.Refuse(m.id, retry_after_ms, reason))
+            self.actions.append(i.Refuse(m.id, self._retry_after_ms(m.dest), reason))
         else:
             self.actions.append(i.Fail(m.id, reason))
         self._finish(m)
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -132,6 +132,7 @@
     settled_at: float = 0.0
     key_queue: KeyQueue | None = None
     not_before: float = 0.0
+    evictable_at: float = 0.0
     candidates: list[Route] = field(default_factory=list)  # ranked
     tried: list[Route] = field(default_factory=list)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,11 +8,21 @@
 import pytest
 
 from springspread.config import Names
-from springspread.core.types import Attempt, Call, Endpoint, EndpointState, Notice, Result, Scope
+from springspread.core.types import (
+    Attempt,
+    Call,
+    Endpoint,
+    EndpointState,
+    Message,
+    Notice,
+    Result,
+    Scope,
+    Verdict,
+)
 from springspread.http1.client import Answer
 from springspread.http1.message import Headers, Malformed, parse_head
 from springspread.platform import catalog, delivery, notices
-from springspread.platform.client_api import InvalidRequestError, read_message
+from springspread.platform.client_api import ClientApi, InvalidRequestError, read_message
 
 VALID_HEADERS = {
     "X-Correlation-Id": "9b1f03aa5c7e2d41",
@@ -210,3 +220,11 @@
 def test_a_head_with_an_invalid_field_name_is_malformed() -> None:
     with pytest.raises(Malformed):
         headers("a b: c")
+
+
+@pytest.mark.parametrize(("retry_after_ms", "told"), [(1500.0, "1.500"), (0.0, None)])
+def test_refused_client_is_told_when_to_come_again(retry_after_ms: float, told: str | None) -> None:
+    message = Message("a", "note", 7, 8000.0, b"", retry_after_ms=retry_after_ms)
+    assert message.answer(Verdict.REFUSED)
+    reply = ClientApi(lambda event: None).verdict(message)
+    assert (reply.status, dict(reply.headers).get("Retry-After")) == (503, told)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from springspread import interface as i
+from springspread.policy import Dispatcher
 from tests.monitor import Monitor, RuleViolation, World
 
 RULES = i.Rules(20.0, 250.0, 10000.0, 0.2, 10000.0, 2.0, 2000.0, 100.0)
@@ -646,3 +647,35 @@
     deadline = world.sender.pending[1].deadline
     world.run(deadline - world.now)
     assert 1 not in world.sender.pending
+
+
+@pytest.mark.parametrize("left_ms", [4000.0, 8000.0])
+def test_room_is_made_only_by_messages_that_had_most_of_their_time(left_ms: float) -> None:
+    """A message that was not sent is not given up for another one before seven tenths of its time."""
+    sender = Dispatcher(make_settings(max_held=8), 1)
+    sender.handle(0.0, [i.Taken(n, 1, 0, left_ms) for n in range(6)])
+    sender.handle(0.1 * left_ms, [i.Taken(6, 1, 0, left_ms)])
+    for at in (0.1 * left_ms, 0.69 * left_ms):
+        assert sender.refusal(at, 1, {}) is not None
+        assert sender.refusal(at, 2, {}) is not None
+    assert sender.refusal(0.71 * left_ms, 1, {}) is None
+    assert sender.refusal(0.71 * left_ms, 1, {2: 5}) is None
+    assert sender.refusal(0.71 * left_ms, 1, {2: 6}) is not None  # the seventh has time left
+    (final,) = [
+        action
+        for action in sender.handle(0.71 * left_ms, [i.Taken(7, 1, 0, 2 * left_ms)])
+        if isinstance(action, i.Refuse)
+    ]
+    assert final.message < 6 and final.reason is i.EndReason.EVICTED
+
+
+def test_one_destination_leaves_places_to_the_others() -> None:
+    """Guards against a slow destination whose waiting messages fill all places."""
+    sender, accepted = Dispatcher(make_settings(max_held=41), 1), 0
+    while sender.refusal(0.0, 1, {}) is None:
+        sender.handle(0.0, [i.Taken(accepted, 1, 0, 8000.0)])
+        accepted += 1
+    assert 20 <= accepted < 40
+    assert sender.refusal(0.0, 2, {}) is None
+    refusal = sender.refusal(0.0, 1, {})
+    assert refusal is not None and 0.0 < refusal.come_back_ms <= 2000.0
