--- a/benchmarks/fleet_chaos.py
+++ b/benchmarks/fleet_chaos.py
@@ -30,7 +30,11 @@
     rng, drawn, available_at = Random(f"{seed}/fates"), [], [0.0] * senders
     at = 5_000.0
     while at < length_ms - 15_000.0:
-        sender = rng.choice([n for n in range(senders) if available_at[n] <= at])
+        available = [n for n in range(senders) if available_at[n] <= at]
+        if not available:
+            at = min(available_at)  # all are away: the next death waits for a return
+            continue
+        sender = rng.choice(available)
         stop_mode = rng.choice(list(StopMode))
         back_at = at + rng.uniform(4_500.0 if stop_mode is StopMode.TERM else 300.0, MAX_AWAY_MS[stop_mode])
         drawn.append(SenderOutage(at, sender, back_at, stop_mode))
