Tests of experiments that do not end kill the run with its workers

On the program before, a failing case waited for ever for the output of workers that had outlived their parent. Each run of these tests has a session of its own, which is killed at the end. The checks are unchanged.

--- a/tests/experiments/test_lab.py
+++ b/tests/experiments/test_lab.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import csv
 import json
 import os
@@ -219,12 +220,10 @@
     plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
     numbers = ",".join(str(int(one)) for one in signals)
     args = [sys.executable, "-c", SIGNAL_WITHIN_A_ROW, numbers, "lab", "run", str(plan), "--out", str(out)]
-    process = subprocess.Popen([*args, "--processes", "2"], stdout=-1, stderr=-1, text=True)
-    try:
-        output, errors = process.communicate(timeout=60.0)
-    except subprocess.TimeoutExpired:
-        process.kill()
-        raise AssertionError(process.communicate()[1]) from None
+    process = subprocess.Popen(
+        [*args, "--processes", "2"], stdout=-1, stderr=-1, text=True, start_new_session=True
+    )
+    output, errors = ended_output(process)
     assert process.returncode == 4 and "interrupted" in errors, errors
     with out.open(newline="") as source:
         states = [row["state"] for row in csv.DictReader(source)]
@@ -236,18 +235,26 @@
     """Guards against a run that can't be interrupted: shells start background jobs with SIGINT ignored."""
     plan, out = tmp_path / "plan.toml", tmp_path / "long.csv"
     plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
-    process = start_run(plan, out, preexec_fn=lambda: signal.signal(how, signal.SIG_IGN))
+    process = start_run(
+        plan, out, preexec_fn=lambda: signal.signal(how, signal.SIG_IGN), start_new_session=True
+    )
     workers = await_rows(process, out, 3)
     process.send_signal(how)
-    try:
-        output, errors = process.communicate(timeout=60.0)
-    finally:
-        process.kill()
+    output, errors = ended_output(process)
     assert process.returncode == 4 and "interrupted" in errors, errors
     assert not any(Path(f"/proc/{worker}").exists() for worker in workers)
     assert not json.loads(out.with_suffix(".json").read_text())["complete"]
 
 
+def ended_output(process: subprocess.Popen[str]) -> tuple[str, str]:
+    """The output of a run that has to end; one that does not is killed with its workers."""
+    try:
+        return process.communicate(timeout=60.0)
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            os.killpg(process.pid, signal.SIGKILL)
+
+
 def await_rows(process: subprocess.Popen[str], out: Path, count: int) -> list[int]:
     """Wait until a run has written some rows; returns the ids of its workers."""
     partial, end = out.with_suffix(".new"), time.monotonic() + 60.0
@@ -261,10 +268,10 @@
     """Guards against a traceback in place of a table after a worker was killed, e.g. for want of memory."""
     plan, out = tmp_path / "plan.toml", tmp_path / "long.csv"
     plan.write_text(TOML.replace("[1, 2]", str(list(range(1, 1001)))))
-    process = start_run(plan, out)
+    process = start_run(plan, out, start_new_session=True)
     for worker in await_rows(process, out, 3):
         os.kill(worker, signal.SIGKILL)
-    output, errors = process.communicate(timeout=60.0)
+    output, errors = ended_output(process)
     assert process.returncode == 4 and "a worker died, exit code -9" in errors, errors
     with out.open(newline="") as source:
         states = [row["state"] for row in csv.DictReader(source)]
