--- a/tests/experiments/test_lab.py
+++ b/tests/experiments/test_lab.py
@@ -30,6 +30,7 @@
     "base": {"length_ms": 5000.0, "partners": 4},
     "vary": {"load": [0.5, 1.0]},
 }
+SHIPPED_PLANS = Path(__file__).resolve().parents[2] / "deploy" / "plans"
 TOML = """
 name = "small"
 seeds = [1, 2]
@@ -63,6 +64,11 @@
     assert runs[0].knobs.day(1).length_ms == 5000.0 and len(runs[0].knobs.day(1).partners) == 4
 
 
+@pytest.mark.parametrize("path", sorted(SHIPPED_PLANS.glob("*.toml")), ids=lambda path: path.stem)
+def test_shipped_plan_is_accepted(path: Path) -> None:
+    assert any(read_plan(path).runs())
+
+
 @pytest.mark.parametrize(
     ("change", "error"),
     [
