Names that nothing reads are gone

WAIT_SLACK_MS of the simulator's checker, InjectedFaults.repeat_unsafe, observer.SLACK_MS, CallListener of the hollow sender, join_lines of the capacity measurements and rollout.coordinator.abort were left by earlier work; nothing used them (searched by name in the packages, tests and benchmarks). The checker allows no slack for waits, and did not before.

--- a/benchmarks/capacity/mechanism.py
+++ b/benchmarks/capacity/mechanism.py
@@ -174,11 +174,6 @@
     return encode(LeaseGrants(tuple(entries)))
 
 
-def join_lines(limits: int) -> bytes:
-    """The allocator's messages to a sender that joins."""
-    return Decisions(limits).join()
-
-
 def _registration(owner: Owner) -> Register:
     return Register(PROTOCOL_VERSION, "", *owner)
 
--- a/springspread/faults/hollow/sender.py
+++ b/springspread/faults/hollow/sender.py
@@ -34,7 +34,6 @@
     since: float
 
 
-CallListener = Callable[[float, int], None]
 """Called when a call begins, with the time and the destination."""
 
 LineListener = Callable[[Direction, bytes], None]
--- a/springspread/faults/observer.py
+++ b/springspread/faults/observer.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 DECIDED = re.compile(r"Decided\(number=(\d+), since=([\d.]+)\)")
-SLACK_MS = 20.0  # from the last policy check to the first byte, as the design states
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/rollout/coordinator.py
+++ b/springspread/rollout/coordinator.py
@@ -215,11 +215,6 @@
     return _grant(state, now, sorted(state.connected)) if now >= state.renew_at else (state, [])
 
 
-def abort(state: Coordinator, now: float, fault: str) -> Step:
-    """Refuse the proposal that is being voted on, on behalf of the daemon itself."""
-    return _refuse(state, now, "", fault) if state.pending is not None else (state, [])
-
-
 def _refuse(state: Coordinator, now: float, by: str, fault: str) -> Step:
     assert state.pending is not None
     effects: list[Effect] = [Write(Refused(state.pending.number, by, fault))]
--- a/springspread/simulator/checker.py
+++ b/springspread/simulator/checker.py
@@ -19,7 +19,6 @@
 ANSWER_SLACK_MS = 350.0  # tolerance for a late final status, socket latency included
 RETURN_SLACK_MS = 2_500.0  # time to retry a notice once the platform or the sender is back
 DRAIN_SLACK_MS = 50.0
-WAIT_SLACK_MS = 100.0  # calls in flight as the retry-after was sent are allowed
 SPAN_MS = 2000.0
 MAX_LATENCY_MS = 120_000
 
--- a/springspread/simulator/virtual.py
+++ b/springspread/simulator/virtual.py
@@ -112,7 +112,6 @@
     ignore_drains: bool = False
     ignore_waits: bool = False
     drop_notices: bool = False
-    repeat_unsafe: bool = False
 
 
 class Instance:
