The deadlines of a list outlast the process that watched it

Callers saw: calls at endpoints that drain or are gone, after a restart.

Cause: when a change counts as notified depends on when discovery had it, whichever process of a sender asks. The deadline that a silent or failed request left was kept in memory and died with its process; the successor counted 6 s anew from its own start.

Evidence: a real process whose watch falls silent before a drain is killed after the drain counts as notified and started once the grace is over; three resets, three refusals or one silence follow. Before, it calls the drained endpoint at once in each of the three cases.

A start inherits them: past them no call begins until discovery has answered or is found out of reach, for 6 s at most, as in one process. So the order of deadline and restart does not matter. An outage moves them on as before: two tests hold that a start in an outage, and one beside a well discovery, call within a second. A record that is torn, of another boot or of a newer list makes the list outdated from the start; without a record the list handed over is the first one, and is used.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
 from springspread.core.clock import SYSTEM
 from springspread.core.figures import Figures
 from springspread.core.journal_ownership import OwnedJournals, TooManyProcesses
+from springspread.core.list_record import ListRecordFile, boot_id, inherited_deadlines, read_files
 from springspread.core.loop import Sender
 from springspread.core.types import ListUpdate, Log, Scope, Stop
 from springspread.logs import make_log
@@ -146,6 +148,8 @@
     policy = shares.policy if shares else 0
     sender = Sender(config, journal, clearance, log, shares=shares, policy=policy, figures=figures)
     version = known.version if config.known is not None else None
+    boot = boot_id()
+    inherited = inherited_deadlines(read_files(journal.folders), boot, known.version, SYSTEM.now())
     watcher = Watcher(
         config.discovery,
         config.names,
@@ -157,12 +161,14 @@
         settings.senders,
         pushed=not settings.must_ask,
         seed=config.seed,
+        record=ListRecordFile(journal.own_folder, boot),
+        inherited=inherited,
     )
     notices = Notifier(config.discovery, limits, sender.put, log, journal.wait_synced)
     report = config.names.report
     workers = Workers(limits, settings.slots, report, clearance, sender.put, log, figures)
     sender.attach(workers, watcher, notices)
-    sender.restore(known)
+    sender.restore(replace(known, outdated_period=watcher.outdated_period))
     if shares is not None:
         from springspread.fleet.policy_compatibility import config_under_policy
 
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -124,6 +124,16 @@
     def _peer_folders(self) -> list[Path]:
         return [journal_folder(self._folder, index) for index in list(self._peers)]
 
+    @property
+    def own_folder(self) -> Path:
+        """The folder of this process's own journal."""
+        return journal_folder(self._folder, self._own_index)
+
+    @property
+    def folders(self) -> list[Path]:
+        """The folders of all journals that may be in the state folder."""
+        return [journal_folder(self._folder, index) for index in range(MAX_JOURNALS)]
+
     def _lock(self, index: int) -> bool:
         folder = journal_folder(self._folder, index)
         folder.mkdir(exist_ok=True)
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -42,6 +42,7 @@
     Stop,
     Verdict,
 )
+from springspread.core.watch import NEVER_OUTDATED, OutdatedPeriod
 from springspread.policy import Dispatcher
 
 
@@ -112,6 +113,8 @@
         """Recover the messages of the last process, before this one accepts clients."""
         now = self._clock.now()
         events: list[i.Event] = [self._listed(known)]
+        if known.outdated_period is not NEVER_OUTDATED:
+            events.append(self._list_outdated(known.outdated_period, now))
         waiting = self._recover(self._journal.pending.values())
         self.startup.begin(now, waiting)
         for name, ranges in self._journal.damaged.items():
@@ -125,6 +128,14 @@
             self._discovery.watch(True)
         self._decide(now, events + self._advance_startup(now))
 
+    def _list_outdated(self, period: OutdatedPeriod, now: float) -> i.Listed:
+        """The list that this process was started with is outdated, now or soon: request an update at once."""
+        self._log.warning("list outdated at the start", in_ms=round(period.begin - now, 1))
+        update = ListUpdate(Scope.FAILED, ask_by=now, outdated_period=period)
+        self._clearance.received(update)
+        self._clearance.applied(update)
+        return self._listed(update)
+
     def _recover(self, found: Iterable[PendingMessage]) -> list[tuple[PendingMessage, float]]:
         """Recover other processes' messages; returns those to resume, with their class's deadline (ms)."""
         waiting: list[tuple[PendingMessage, float]] = []
@@ -348,8 +359,8 @@
             # discovery has answered, it may be a new one.
             message.answer(Verdict.UNKNOWN_GROUP if self._destinations.listed else Verdict.REFUSED)
         elif (no_room := self._module.refusal(self._clock.now(), message.group, self._undecided)) is not None:
-            message.retry_after_ms = no_room.come_back_ms
             self._log.debug("too many open messages", id=message.id, group=message.group, cls=message.cls)
+            message.retry_after_ms = no_room.come_back_ms
             message.answer(Verdict.REFUSED)
         else:
             return self._admit(message, cls)
--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -29,6 +29,10 @@
 There is no second outdated period before an answer. A silent request that follows a failure may not be the
 first one after discovery came back: its deadline counts from that failure.
 
+A later process of the same sender inherits the deadlines (``ListDeadlines``, kept by ``core.list_record``).
+If no request has been answered or proved discovery unreachable for ``NOTIFIED_MS`` when it starts, its list
+is outdated from the start; a deadline that a silent request left stays in force.
+
 The next request goes at the latest one answer's time before the deadline, or ``Timings.retry_ms`` after a
 failure where that is later; a watch without an answer is followed by one at once. Unless the list is
 current, requests have a short wait. Discovery may queue requests, and a sender that gives up loses its place
@@ -64,6 +68,7 @@
 MIN_WAIT_FRACTION = 0.5  # waits are drawn from this fraction of the full wait on
 MAX_ANSWER_MS = NOTIFIED_MS  # the longest time-out for an answer
 OUTDATED_MS = NOTIFIED_MS  # the longest time for which a list counts as outdated
+MAX_DEADLINE_MS = NOTIFIED_MS + AFTER_WAIT_MS + WAIT_MS  # no deadline is further away
 OUTDATED_RETRY_MS = 1200.0  # the longest pause meanwhile, unless the fleet is large
 
 
@@ -100,6 +105,17 @@
 NEVER_OUTDATED = OutdatedPeriod(inf, inf)
 
 
+class ListDeadlines(NamedTuple):
+    """How long a list may be used by a process that hears nothing of discovery (ms).
+
+    ``usable_until``: changes made after the last answer, or after discovery was last found to be out of
+    reach, count as notified then. ``outdated_from``: the deadline that a silent request left, or inf.
+    """
+
+    usable_until: float
+    outdated_from: float
+
+
 @dataclass(frozen=True, slots=True)
 class Timings:
     """Times (ms) that depend on how many senders share one discovery, which queues requests.
@@ -202,6 +218,23 @@
         """When an answer is due; inf where nothing is missing."""
         return min(self._answer_due, self._retry_due)
 
+    def inherit(self, deadlines: ListDeadlines, now: float) -> None:
+        """Take over the deadlines of an earlier process, at the start of this one."""
+        if not self._can_be_outdated or self._version is None:
+            return
+        if deadlines.outdated_from < inf:
+            self._silent_due = max(deadlines.outdated_from, now)
+        elif deadlines.usable_until <= now:
+            self._silent_due = now
+        self._answer_due = self.first_deadline = self._silent_due
+
+    def deadlines(self, now: float) -> ListDeadlines:
+        """What a later process inherits, given that a request has ended just now."""
+        if self.outdated_period.begin < inf:
+            return ListDeadlines(self._silent_due, self._silent_due)
+        current = self._continues or self._down
+        return ListDeadlines(min(inf if current else self._answer_due, now + NOTIFIED_MS), inf)
+
     def set_active(self, active: bool = True) -> None:
         """Begin or end the watch."""
         self._active = active
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -11,8 +11,17 @@
 
 from springspread.config import Address, Limits, Names
 from springspread.core.figures import Figures, Occurrence
+from springspread.core.list_record import ListRecordFile
 from springspread.core.types import EndpointState, ListUpdate, Log, Scope, clock
-from springspread.core.watch import Failure, ListRequest, State, Watch, timings
+from springspread.core.watch import (
+    Failure,
+    ListDeadlines,
+    ListRequest,
+    OutdatedPeriod,
+    State,
+    Watch,
+    timings,
+)
 from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
 from springspread.net.exchange import FAILURES, Caller, ConnectError, DeadlineExceededError, MovedError
@@ -69,18 +78,33 @@
         *,
         pushed: bool = False,
         seed: int = 0,
+        record: ListRecordFile | None = None,
+        inherited: ListDeadlines | None = None,
     ) -> None:
-        """``senders``: how many share this discovery, unless lists are ``pushed`` to a local agent."""
+        """``senders``: how many share this discovery, unless lists are ``pushed`` to a local agent.
+
+        ``record``: where the deadlines are kept for a later process. ``inherited``: those of an earlier one.
+        """
         self._figures = figures or Figures(())
         self._caller = Caller(address, limits)
         self._names, self._put, self._log = names, put, log
+        self._version = version  # of the latest accepted list
         self._lock = threading.Lock()
         sharing = 1 if pushed else senders
         wait_ms = min(limits.watch_ms, timings(sharing).wait_ms)
         self._watch = Watch(version, wait_ms, sharing, Random(seed), can_be_outdated=not pushed)
+        if inherited is not None:
+            self._watch.inherit(inherited, clock())
+        self._record, self._record_failed = record, False
         self._wake = threading.Event()
         spawn("discovery", self._run, log)
 
+    @property
+    def outdated_period(self) -> OutdatedPeriod:
+        """When the list that is known now counts as outdated."""
+        with self._lock:
+            return self._watch.outdated_period
+
     def watch(self, active: bool) -> None:
         """Start or stop watching; a request in progress is not interrupted."""
         with self._lock:
@@ -126,6 +150,7 @@
         with self._lock:
             before, first_deadline = self._watch.state(update.notified_at), self._watch.first_deadline
             accepted = self._watch.answered(update.version)
+            deadlines = self._watch.deadlines(update.notified_at)
         late_ms = update.notified_at - first_deadline
         if late_ms > 0.0:
             self._figures.count_occurrence(Occurrence.LISTS_LATE, before)
@@ -143,6 +168,8 @@
         )
         if accepted:
             self._put(update)
+            self._version = update.version
+            self._write_record(deadlines)
         else:
             self._log.warning("outdated list ignored", version=update.version)
 
@@ -172,6 +199,7 @@
         with self._lock:
             now = clock()
             ask_by = self._watch.failed(failure, now)
+            deadlines = self._watch.deadlines(now)
             state, first_deadline, outdated_period = (
                 self._watch.state(now),
                 self._watch.first_deadline,
@@ -191,6 +219,19 @@
             outdated_in_ms=_rounded(outdated_period.begin - now),
         )
         self._put(ListUpdate(Scope.FAILED, ask_by=ask_by, outdated_period=outdated_period))
+        self._write_record(deadlines)
+
+    def _write_record(self, deadlines: ListDeadlines) -> None:
+        """Record the deadlines for a later process; without them, that one waits for an answer."""
+        if self._record is None or self._version is None:
+            return
+        try:
+            self._record.write(self._version, deadlines)
+            self._record_failed = False
+        except OSError as exc:
+            if not self._record_failed:
+                self._log.warning("deadlines of the list not recorded", reason=str(exc))
+            self._record_failed = True
 
     def _ask(self, ask: ListRequest) -> ListUpdate:
         with self._lock:
--- a/tests/faults/test_late_calls.py
+++ b/tests/faults/test_late_calls.py
@@ -4,6 +4,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import http.client
 import itertools
 import threading
 from collections.abc import Iterator
@@ -55,7 +57,8 @@
             for number in itertools.count():
                 if self._stop.wait(0.02):
                     return
-                self.program.hand_in(f"m{number}", left=1500)
+                with contextlib.suppress(OSError, http.client.HTTPException):  # killed, or not started yet
+                    self.program.hand_in(f"m{number}", left=1500)
 
         self._client = threading.Thread(target=run, daemon=True)
         self._client.start()
@@ -77,6 +80,12 @@
             "the version in force",
         )
 
+    def kill(self) -> None:
+        """Kill the sender; discovery writes nothing more to it."""
+        self.program.process.kill()
+        self.program.process.wait(10.0)
+        self.service.reset_watches()
+
     def close(self) -> None:
         self._stop.set()
         if self._client is not None:
@@ -192,3 +201,58 @@
 
 def injected_faults(scenario: Scenario, call: str) -> list[object]:
     return [line for line in scenario.program.log if line["event"] == "fault" and line["call"] == call]
+
+
+@pytest.mark.parametrize(
+    "failures",
+    [[Behavior.RESET] * 3, [Behavior.REFUSE] * 3, [Behavior.SILENT]],
+    ids=lambda failures: failures[0].value,
+)
+def test_restarted_sender_makes_no_call_by_a_list_that_was_overdue_before_its_start(
+    scenario: Scenario, failures: list[Behavior]
+) -> None:
+    """A change counts as notified to all processes of a sender, also to one that started after that."""
+    scenario.start()
+    scenario.start_client()
+    scenario.service.plan = [Behavior.SILENT] * 20
+    watch = scenario.renew_watch()
+    scenario.program.known(scenario.service.snapshot())  # the list that was last sent to the sender
+    scenario.service.change("s-0", "Terminating")
+    notified = max(watch.at + NOTIFIED_MS, watch.at + watch.wait_ms + NOTIFIED_WAIT_MS)
+    wait_for(lambda: clock() > notified, "the change counts as notified")
+    scenario.kill()
+    wait_for(lambda: clock() > notified + GRACE_MS, "the grace is over")
+    scenario.service.plan = list(failures)
+    scenario.program.start()
+    scenario.wait_until_in_force(scenario.service.version)
+    assert not scenario.endpoint.after(notified + GRACE_MS)
+
+
+def test_sender_restarted_in_an_outage_of_discovery_keeps_its_list(scenario: Scenario) -> None:
+    """Changes at an unreachable discovery do not count as notified, so nothing may be held back."""
+    scenario.start()
+    scenario.start_client()
+    scenario.renew_watch()
+    scenario.program.known(scenario.service.snapshot())
+    scenario.service.down = Behavior.REFUSE
+    down_at = scenario.service.reset_watches()
+    wait_for(lambda: clock() > down_at + 2 * NOTIFIED_MS, "a long outage")
+    scenario.kill()
+    scenario.program.start()
+    ready_at = clock()
+    wait_for(lambda: scenario.endpoint.after(ready_at), "calls go on")
+    assert min(scenario.endpoint.after(ready_at)) < 1000.0
+
+
+def test_restarted_sender_calls_at_once_where_discovery_is_well(scenario: Scenario) -> None:
+    """Deadlines of the last process cost no time while they are not over."""
+    scenario.start()
+    scenario.start_client()
+    scenario.renew_watch()
+    scenario.program.known(scenario.service.snapshot())
+    scenario.kill()
+    scenario.service.plan = [Behavior.SILENT]
+    scenario.program.start()
+    ready_at = clock()
+    wait_for(lambda: scenario.endpoint.after(ready_at), "calls go on")
+    assert min(scenario.endpoint.after(ready_at)) < 1000.0
