--- a/springspread/cli/lab.py
+++ b/springspread/cli/lab.py
@@ -43,7 +43,7 @@
 def run(plan: Path, out: Path, processes: int) -> None:
     """Play every day of PLAN (TOML, or the record of an earlier run) and write one row each.
 
-    Exits with 1 if a promise was broken, with 4 if a signal or a disk error stopped it.
+    Exits with 1 if a promise was broken, with 4 if a signal, a disk error or a dead worker stopped it.
     """
     from springspread.experiments.plan import read_plan
     from springspread.experiments.pool import (
