A message that waits for another attempt is not given up for a newcomer either

Cause: only messages that were never sent counted as owed their time. Fix: each waiting message does, for seven tenths of its time. The new test fails before and passes after.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -63,7 +63,7 @@
 MIN_TIMEOUT_AIM_SHARE = 0.5  # of the class's aim
 NEXT_ROUND_MS = 300.0  # pause before a message that tried all routes starts over
 WAITING_DISCOUNT = 0.8  # on what a message keeps by waiting; below 1, as one that loses nothing counts too
-EVICTABLE_AFTER = 0.7  # share of its time after which a message that was not sent may be given up early
+EVICTABLE_AFTER = 0.7  # share of its time after which a waiting message may be given up early
 QUEUE_SHARE = 3.0  # longest queue of a destination, as a multiple of the free places
 RESCAN_MS = 100.0  # waiting messages are examined at least this often
 
@@ -209,7 +209,7 @@
         """Why a message to a destination can't be accepted; ``None``: it can.
 
         ``waiting``: messages by destination that were accepted and that the module has not been told of.
-        There is no room where an unsent message would have to be given up before it had most of its time;
+        There is no room where a waiting message would have to be given up before it had most of its time;
         and where the destination's queue has its share of the places. That share shrinks with the places
         that are left (dynamic thresholds, Choudhury and Hahne), so that one slow destination does not fill
         them all.
@@ -227,7 +227,7 @@
 
     def _evictable(self) -> list[Message]:
         waiting = (m for dest in self.queued_dests for m in dest.queue)
-        return [m for m in waiting if m.ran_at is not None or self.now >= m.evictable_at]
+        return [m for m in waiting if self.now >= m.evictable_at]
 
     def _tenant_weight(self, tenant: int) -> float:
         # Protects tenants from the burst of another; also lowers one whose traffic moves to this sender.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -679,3 +679,14 @@
     assert sender.refusal(0.0, 2, {}) is None
     refusal = sender.refusal(0.0, 1, {})
     assert refusal is not None and 0.0 < refusal.come_back_ms <= 2000.0
+
+
+def test_message_that_waits_for_another_attempt_makes_no_room() -> None:
+    """Guards a message that was sent once, and may be sent again, against eviction by a newcomer."""
+    sender = Dispatcher(make_settings(max_held=8), 1)
+    listed = i.Listed(i.ListScope.WHOLE, 1, entries((1, 1, 0)))
+    actions = sender.handle(0.0, [listed, *(i.Taken(n, 1, 0, 8000.0) for n in range(7))])
+    (send,) = [action for action in actions if isinstance(action, i.Send)]
+    sender.handle(500.0, [i.Ended(send.message, 0, send.route, i.Outcome.TIMEOUT, 500.0, False)])
+    assert send.message in sender.pending
+    assert sender.refusal(500.0, 2, {}) is not None
