--- a/tests/simulator/test_sockets.py
+++ b/tests/simulator/test_sockets.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from springspread.simulator.checker import Checker
 from springspread.simulator.day import Change, Day, Outage, SenderOutage, Service, StopMode, draw
 from springspread.simulator.partner import Condition, Trouble
 from springspread.simulator.sockets import RunResult, SocketSimulation
@@ -17,11 +18,17 @@
 
 
 def play(folder: Path, day: Day, stall_ms: float = 0.0) -> RunResult:
+    """Play a day; ``stall_ms``: for how long its driver stands still, once, a second into the day."""
+    stalled_at: list[float] = []
+
+    def stall_once(now: float, checker: Checker, troubles: dict[str, str]) -> None:
+        if not stalled_at:
+            stalled_at.append(now)
+            time.sleep(stall_ms / 1000.0)  # holds the driver's lock
+
     simulation = SocketSimulation(day, folder)
-    if stall_ms:
-        simulation._schedule(800.0, time.sleep, stall_ms / 1000.0)
     try:
-        return simulation.play(tail_ms=5_000.0)
+        return simulation.play(stall_once if stall_ms else None, tail_ms=5_000.0)
     finally:
         simulation.close()
 
