No sender or watcher outlives its test and asks at other tests' addresses

By the schedule s-5 is gone from version 4 on, the process that knew it is killed at 9,978 ms, and the next one starts with a list without it, so it can't have called s-5 then.

Cause, likely: requests of other tests. Watchers of tests/test_watch.py asked on after their test, every 5 s, at ports that were free again; and a failed test left its process running, as the upgrade test did in the same run. A stand-in that gets such a port records them as calls.

--- a/tests/admission/test_listener.py
+++ b/tests/admission/test_listener.py
@@ -9,7 +9,6 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -23,10 +22,8 @@
 
 
 @pytest.fixture
-def program(tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]) -> Program:
-    program = Program(tmp_path, peer, sockets=192)
-    kill_at_teardown(program)
-    return program
+def program(tmp_path: Path, peer: Peer) -> Program:
+    return Program(tmp_path, peer, sockets=192)
 
 
 class Crowd:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 import pytest
 
-from tests.peer import WAIT_S, Peer, Program
+from tests.peer import Peer, Program
+
+
+@pytest.fixture(autouse=True)
+def no_program_outlives_its_test() -> Iterator[None]:
+    """Kills programs at the end: one that runs on asks at addresses that other tests' stand-ins may get."""
+    yield
+    Program.kill_all()
 
 
 @pytest.fixture
 def peer() -> Iterator[Peer]:
     made = Peer()
     yield made
+    Program.kill_all()
     made.close()
-
-
-@pytest.fixture
-def kill_at_teardown() -> Iterator[Callable[[Program], None]]:
-    """Registers a program whose process is killed when the test ends."""
-    programs: list[Program] = []
-    yield programs.append
-    for one in programs:
-        one.process.kill()
-        one.process.wait(WAIT_S)
--- a/tests/late_call_day.py
+++ b/tests/late_call_day.py
@@ -300,10 +300,12 @@
             until = min(
                 (at for name, at in self.ready_at if name == change.endpoint and at > change.at), default=inf
             )
-            calls = [at for at in self.endpoints[change.endpoint].calls if limit < at < until]
+            log = self.endpoints[change.endpoint]
+            calls = [(at, id) for at, id in zip(log.calls, log.ids, strict=False) if limit < at < until]
             if calls:
                 text = f"{change.endpoint} v{change.version}: {len(calls)} calls, up to"
-                found.append(f"{text} {max(calls) - limit:.0f} ms after its grace")
+                ids = ", ".join(id or "no id" for _, id in calls)
+                found.append(f"{text} {max(calls)[0] - limit:.0f} ms after its grace: {ids}")
         return found
 
     def without_outcome(self) -> list[str]:
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, ClassVar, Protocol
 
 from tests.test_config import make
 
@@ -179,6 +179,8 @@
 class Program:
     """The sender as a process."""
 
+    running: ClassVar[list[subprocess.Popen[str]]] = []  # all processes that a test has started
+
     def __init__(
         self,
         folder: Path,
@@ -211,6 +213,7 @@
             stderr=subprocess.PIPE,
             text=True,
         )
+        self.running.append(self.process)
         assert self.process.stderr is not None
         self.log: list[dict[str, Any]] = []
         for line in self.process.stderr:
@@ -261,6 +264,14 @@
         connection.close()
         return status
 
+    @classmethod
+    def kill_all(cls) -> None:
+        """Kill every process that is left."""
+        while cls.running:
+            process = cls.running.pop()
+            process.kill()
+            process.wait(WAIT_S)
+
     def end(self, how: signal.Signals = signal.SIGKILL) -> int:
         self.process.send_signal(how)
         return self.process.wait(WAIT_S)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,7 +6,6 @@
 import select
 import socket
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -23,10 +22,8 @@
 
 
 @pytest.fixture
-def program(tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]) -> Program:
-    made = Program(tmp_path, peer, sockets=192)
-    kill_at_teardown(made)
-    return made
+def program(tmp_path: Path, peer: Peer) -> Program:
+    return Program(tmp_path, peer, sockets=192)
 
 
 def connect(program: Program) -> socket.socket:
--- a/tests/test_client_shutdown.py
+++ b/tests/test_client_shutdown.py
@@ -6,7 +6,6 @@
 import signal
 import socket
 from collections import deque
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -130,10 +129,8 @@
 
 
 @pytest.fixture
-def program(tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]) -> Program:
-    made = Program(tmp_path, peer, sockets=192)
-    kill_at_teardown(made)
-    return made
+def program(tmp_path: Path, peer: Peer) -> Program:
+    return Program(tmp_path, peer, sockets=192)
 
 
 def message(id: bytes, body: bytes = b"hi") -> bytes:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -351,10 +351,8 @@
 
 
 @pytest.fixture
-def program(tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]) -> Program:
-    made = Program(tmp_path, peer)
-    kill_at_teardown(made)
-    return made
+def program(tmp_path: Path, peer: Peer) -> Program:
+    return Program(tmp_path, peer)
 
 
 def write_known_list(program: Program, peer: Peer, status: str) -> None:
@@ -446,12 +444,11 @@
 
 
 def test_idle_clients_that_use_up_their_descriptors_leave_one_for_the_watch(
-    tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]
+    tmp_path: Path, peer: Peer
 ) -> None:
     discovery = RawServer(then_reset(b""))
     address = SimpleNamespace(port=discovery.sock.getsockname()[1])
     program = Program(tmp_path, cast(Peer, address), sockets=96, known=peer.members())
-    kill_at_teardown(program)
     until(lambda: discovery.requests, "a watch")
     discovery.sock.shutdown(socket.SHUT_RDWR)  # down: later requests are refused
     discovery.sock.close()
--- a/tests/test_journal_ownership.py
+++ b/tests/test_journal_ownership.py
@@ -11,7 +11,6 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -34,13 +33,9 @@
 
 
 @pytest.fixture
-def processes(
-    tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]
-) -> tuple[Program, Program]:
+def processes(tmp_path: Path, peer: Peer) -> tuple[Program, Program]:
     """Two processes on one folder, the older first."""
     old, new = Program(tmp_path, peer), Program(tmp_path, peer)
-    kill_at_teardown(old)
-    kill_at_teardown(new)
     return old, new
 
 
@@ -109,6 +104,7 @@
     def begin() -> subprocess.Popen[str]:
         line = [sys.executable, "-m", "springspread"]
         process = subprocess.Popen(line, env=env, pass_fds=[fd], stderr=subprocess.PIPE, text=True)
+        Program.running.append(process)
         assert process.stderr is not None
         assert any('"ready"' in line for line in iter(process.stderr.readline, ""))
         threading.Thread(target=process.stderr.read, daemon=True).start()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,7 +9,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -53,10 +52,8 @@
 
 
 @pytest.fixture
-def program(tmp_path: Path, peer: Peer, kill_at_teardown: Callable[[Program], None]) -> Managed:
-    program = Managed(tmp_path, peer)
-    kill_at_teardown(program)
-    return program
+def program(tmp_path: Path, peer: Peer) -> Managed:
+    return Managed(tmp_path, peer)
 
 
 def test_list_changes_and_failures_are_logged_and_counted(program: Managed, peer: Peer) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -361,6 +361,7 @@
     def __post_init__(self) -> None:
         self.asked: SimpleQueue[tuple[float, str]] = SimpleQueue()
         self.open: list[socket.socket] = []
+        self.loops: list[Loop] = []  # that watch it from the start
         serve_connections(self.sock, self.serve)
 
     def serve(self, sock: socket.socket) -> None:
@@ -404,6 +405,8 @@
 
     yield make
     for one in made:
+        for loop in one.loops:
+            loop.stop()  # else it asks on, and another test's stand-in may get the address
         one.sock.close()
         for sock in one.open:
             sock.close()
@@ -414,16 +417,27 @@
 
     def __init__(self, discovery: Discovery, wait_ms: float = 500.0) -> None:
         self.updates: list[ListUpdate] = []
+        self._stopped = threading.Event()
         limits = replace(Limits(), watch_ms=wait_ms)
         names = Names(("portal",), ("a",), ())
         self.watcher = Watcher(discovery.address, names, 7, limits, self.put, NullLog(), senders=LARGE)
         self.watcher.watch(True)
+        discovery.loops.append(self)
 
     def put(self, event: CoreEvent) -> None:
         assert isinstance(event, ListUpdate)
         self.updates.append(event)
         if event.scope is Scope.FAILED:
-            threading.Timer(max(event.ask_by - clock(), 0.0) / 1000.0, self.watcher.watch, (True,)).start()
+            threading.Thread(target=self._retry, args=(event.ask_by,), daemon=True).start()
+
+    def _retry(self, at: float) -> None:
+        if not self._stopped.wait(max(at - clock(), 0.0) / 1000.0):
+            self.watcher.watch(True)
+
+    def stop(self) -> None:
+        """Make no further request."""
+        self._stopped.set()
+        self.watcher.watch(False)
 
     def states(self) -> list[EndpointState]:
         return [member.state for update in self.updates for member in update.members]
