--- a/springspread/faults/external_services.py
+++ b/springspread/faults/external_services.py
@@ -9,10 +9,10 @@
 from collections import Counter, defaultdict
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 GROUP = 7
 UNSAFE = "payment"  # the class whose calls may run once
-WATCH_TIMEOUT_S = 5.0  # a watch of an unchanged list is answered after this
 
 
 class ExternalServices:
@@ -117,10 +117,12 @@
 
     def do_GET(self) -> None:
         """Answer a list request or a watch."""
-        if "since=" not in self.path:
+        query = parse_qs(urlsplit(self.path).query)
+        if "since" not in query:
             self._reply(200, json.dumps(self.services.members()).encode())
             return
-        self.services.closed.wait(WATCH_TIMEOUT_S)
+        wait_ms = float(query.get("timeout_ms", ["0"])[0])
+        self.services.closed.wait(wait_ms / 1000.0)  # the list never changes
         self._reply(200, json.dumps({"index": 1, "snapshot": False, "endpoints": []}).encode())
 
     def do_POST(self) -> None:
--- a/tests/faults/test_chaos.py
+++ b/tests/faults/test_chaos.py
@@ -1,3 +1,4 @@
+from http.client import HTTPConnection
 from pathlib import Path
 
 from springspread.faults.chaos import ChaosFleet
@@ -33,6 +34,16 @@
     assert all(fault.at_ms + fault.duration_ms <= 28_000.0 and 0 <= fault.instance < 4 for fault in first)
 
 
+def test_watch_of_an_unchanged_list_is_answered_after_the_wait_that_it_asks_for() -> None:
+    services = ExternalServices()
+    try:
+        connection = HTTPConnection("127.0.0.1", services.port, timeout=2.0)
+        connection.request("GET", "/catalog/members?since=1&timeout_ms=100")
+        assert connection.getresponse().status == 200
+    finally:
+        services.close()
+
+
 def test_round_has_one_answer_and_limits_are_checked_at_the_partner(tmp_path: Path) -> None:
     services = ExternalServices()
     rounds = PolicyChangeRounds(tmp_path, services, 2, 1000.0)
