An outdated period lasts beyond the return of a discovery that stays silent

Cause: no call begins for 6 s from the deadline of the first silent request, then discovery is taken to be down. Where it was out of reach in between and came back silent, what had changed counts as notified 6 s after the return, which may lie beyond that period.

--- a/springspread/core/watch.py
+++ b/springspread/core/watch.py
@@ -27,7 +27,9 @@
 count as notified at the deadline, and the list is no longer used. One that is not reached, or that gave no
 answer during a whole outdated period, is taken to be down; then the list is used until discovery is back.
 There is no second outdated period before an answer. A silent request that follows a failure may not be the
-first one after discovery came back: its deadline counts from that failure.
+first one after discovery came back: its deadline counts from that failure. If discovery was refused or not
+reached since the last silent request, it has come back: the period lasts for ``OUTDATED_MS`` from the later
+deadline, too, as the time of what changed meanwhile starts again.
 
 A later process of the same sender inherits the deadlines (``ListDeadlines``, kept by ``core.list_record``).
 If no request has been answered or proved discovery unreachable for ``NOTIFIED_MS`` when it starts, its list
@@ -190,6 +192,8 @@
         self._retry_due = inf  # of the last failure: a refusal, or any while discovery is down
         self._recovery_due = inf  # if discovery came back right after it was last out of reach
         self._silent_due = inf  # the earliest that a silent request left or inherited
+        self._outdated_until = inf  # the end of the outdated period, if there is one
+        self._out_of_reach = False  # whether a request was refused or not reached since the last silent one
         self._silent_requests = 0  # in a row
         self._continues = False  # whether the last request was answered: the next one continues its watch
         self._reached = True  # whether the last request reached discovery
@@ -211,7 +215,7 @@
         """When the list counts as outdated."""
         if self._silent_due == inf or not self._reached or not self._can_be_outdated:
             return NEVER_OUTDATED
-        return OutdatedPeriod(self._silent_due, self._silent_due + OUTDATED_MS)
+        return OutdatedPeriod(self._silent_due, self._outdated_until)
 
     @property
     def deadline(self) -> float:
@@ -227,6 +231,7 @@
         elif deadlines.usable_until <= now:
             self._silent_due = now
         self._answer_due = self.first_deadline = self._silent_due
+        self._outdated_until = self._silent_due + OUTDATED_MS
 
     def deadlines(self, now: float) -> ListDeadlines:
         """What a later process inherits, given that a request has ended just now."""
@@ -297,6 +302,7 @@
             return False
         self._version, self._invalid = version, False
         self._answer_due = self._retry_due = self._recovery_due = self._silent_due = self.first_deadline = inf
+        self._outdated_until, self._out_of_reach = inf, False
         self._silent_requests, self._reached, self._continues = 0, True, True
         self._down = self._was_outdated = False
         return True
@@ -324,11 +330,13 @@
             case Failure.SILENT:
                 self._silent_requests += 1
                 if not self._was_outdated:
-                    self._silent_due = min(self._silent_due, self._request.deadline, self._recovery_due)
+                    self._extend_outdated_period(min(self._request.deadline, self._recovery_due))
+                self._out_of_reach = False
             case Failure.UNREACHED:
-                self._recovery_due = now + NOTIFIED_MS
+                self._recovery_due, self._out_of_reach = now + NOTIFIED_MS, True
             case Failure.REFUSED | Failure.BROKEN | Failure.LOCAL:  # discovery may be up, and overloaded
                 self._recovery_due = min(self._recovery_due, now + NOTIFIED_MS)
+                self._out_of_reach |= failure is Failure.REFUSED
         broken = inf if failure is Failure.SILENT else now + NOTIFIED_MS
         if failure is Failure.REFUSED:
             # Earlier retries would keep an overloaded discovery overloaded.
@@ -345,11 +353,20 @@
             retry_by = min(retry_by, now + max(OUTDATED_RETRY_MS, 2 * self.timings.retry_ms))
         return retry_by
 
+    def _extend_outdated_period(self, deadline: float) -> None:
+        """A silent request left a deadline: the list is outdated from the earliest such one on."""
+        if self._silent_due == inf:
+            self._outdated_until = deadline + OUTDATED_MS
+        elif self._out_of_reach:
+            self._outdated_until = max(self._outdated_until, deadline + OUTDATED_MS)
+        self._silent_due = min(self._silent_due, deadline)
+
     def _expire(self, now: float) -> None:
         """Drop deadlines that have passed; unless a refusal left it, discovery is down."""
         if self._answer_due <= now:
             self._answer_due, self._down = inf, True
         if self._retry_due <= now:
             self._retry_due = inf
-        if self._silent_due + OUTDATED_MS <= now:
-            self._silent_due, self._was_outdated = inf, True
+        if self._outdated_until <= now:
+            self._silent_due = self._outdated_until = inf
+            self._was_outdated = True
