The lead of a stricter limit covers a call that is held up

Partners could count calls of the older, wider limit in a span that ends under the stricter one: a call of the last lease may arrive 220 ms after it (right, held up, hold of the last byte), and the lead had 100 ms.

It now is the allocator's 225 ms and the 25 ms that were above it, in which a decision is applied.

Evidence: test_lead_of_a_stricter_limit_covers_a_call_that_is_held_up fails before (2,300 against 2,420 ms) and passes after. The leads that tests/rollout/test_policy_record.py pins follow from the same parts: 4.45 in place of 4.3 s and 4.25 in place of 4.1 s, as exact as before.

--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -17,7 +17,15 @@
 from typing import Any
 
 from springspread.fleet.lease_cache import FRESH_MS
-from springspread.fleet.limits import MAX_CALLS, MAX_SPAN_MS, MIN_SPAN_MS, PARTNER_SPAN_MS, Limit, LimitMode
+from springspread.fleet.limits import (
+    CALL_SLACK_MS,
+    MAX_CALLS,
+    MAX_SPAN_MS,
+    MIN_SPAN_MS,
+    PARTNER_SPAN_MS,
+    Limit,
+    LimitMode,
+)
 from springspread.gc_pause import collector_paused
 from springspread.interface import ClassSpec, Effect
 from springspread.settings import SettingsError, flatten, read_settings
@@ -35,7 +43,7 @@
 )
 FIXED_PREFIXES = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
 LEASE_MS = 200.0  # the longest lease of a limit
-SLACK_MS = 100.0
+APPLY_MS = 25.0  # from a decision until the allocator applies its stricter limits
 MAX_LIMITS = 200_000
 MAX_POLICY_BYTES = 16 << 20  # of its text; fits 140,000 limits with keys of 90 characters
 SPELLING_CUTOFF = 0.8  # similarity (0 to 1) from which a new key counts as misspelt
@@ -215,7 +223,8 @@
     """
     leads = [_limit_lead_ms(old, key, limit) for key, limit in stricter_limits(old, new).items()]
     if old.default_mode is LimitMode.ADAPTIVE and new.default_mode is LimitMode.EXACT:
-        leads.append(PARTNER_SPAN_MS + SLACK_MS + FRESH_MS)  # limits that partners report become exact, too
+        # Limits that partners report become exact, too.
+        leads.append(PARTNER_SPAN_MS + CALL_SLACK_MS + APPLY_MS + FRESH_MS)
     return max(leads, default=0.0)
 
 
@@ -223,7 +232,8 @@
     """The limit's span, counted from the last call that the old policy may have allowed."""
     before = old.limits.get(key)
     was_adaptive = LimitMode.ADAPTIVE is (old.default_mode if before is None else before.mode)
-    return limit.span_ms + SLACK_MS + (max(FRESH_MS, LEASE_MS) if was_adaptive else LEASE_MS)
+    right_ms = max(FRESH_MS, LEASE_MS) if was_adaptive else LEASE_MS
+    return limit.span_ms + CALL_SLACK_MS + APPLY_MS + right_ms
 
 
 def _stricter(old: Limit, new: Limit) -> bool:
--- a/tests/fleet/test_held_up_calls.py
+++ b/tests/fleet/test_held_up_calls.py
@@ -7,6 +7,7 @@
 from springspread.fleet.allocator_server import TICK_MS
 from springspread.fleet.lease_cache import LeaseCache
 from springspread.fleet.limits import CALL_SLACK_MS, PARTNER_SPAN_MS, RIGHT_TTL_MS, Limit
+from springspread.rollout.document import LEASE_MS, Policy, lead_ms
 
 HELD_UP_MS = 150.0  # allowed by the protocol between reading the clock and writing
 KEY, CALLS = "g1", 5
@@ -49,3 +50,10 @@
     """A sender may be held up for 150 ms between its last look at a lease and the call's first byte."""
     times = arrivals(RIGHT_TTL_MS + HELD_UP_MS + Limits().last_byte_hold_max_ms)
     assert len(times) > CALLS and most_in_a_span(times) <= CALLS
+
+
+def test_lead_of_a_stricter_limit_covers_a_call_that_is_held_up() -> None:
+    """No span that ends under the new policy contains a call of the old one's last lease."""
+    old, new = (Policy({}, {KEY: Limit(calls, PARTNER_SPAN_MS)}) for calls in (2 * CALLS, CALLS))
+    last_arrival = LEASE_MS + RIGHT_TTL_MS + HELD_UP_MS + Limits().last_byte_hold_max_ms
+    assert lead_ms(old, new) >= last_arrival + PARTNER_SPAN_MS
--- a/tests/rollout/test_policy_record.py
+++ b/tests/rollout/test_policy_record.py
@@ -171,7 +171,7 @@
     old = policy(limits={"g1": Limit(40, 2000.0), "g2": Limit(10, 1000.0)})
     new = policy(slots=7, limits={"g1": Limit(8, 2000.0), "g2": Limit(100, 1000.0), "g3": Limit(5, 4000.0)})
     assert stricter_limits(old, new) == {"g1": Limit(8, 2000.0), "g3": Limit(5, 4000.0)}
-    assert lead_ms(old, new) == 4300.0 and lead_ms(old, old) == 0.0
+    assert lead_ms(old, new) == 4450.0 and lead_ms(old, old) == 0.0
     assert "limits.g1: 40 in 2000 ms -> 8 in 2000 ms" in differences(old, new)
     assert "settings.specifics.callsOut: 6 -> 7" in differences(old, new)
     assert parse_policy(new.text) == new and new.digest != old.digest
@@ -208,13 +208,13 @@
 
 def test_default_that_becomes_exact_has_lead_time_for_partners_limits() -> None:
     adaptive, exact = Policy({}, {}, LimitMode.ADAPTIVE), Policy({}, {})
-    assert lead_ms(adaptive, exact) == 4100.0 and lead_ms(exact, adaptive) == 0.0
+    assert lead_ms(adaptive, exact) == 4250.0 and lead_ms(exact, adaptive) == 0.0
 
 
 def test_limit_that_becomes_exact_applies_before_the_change() -> None:
     adaptive = Policy({}, {"g1": Limit(40, 2000.0, LimitMode.ADAPTIVE)})
     exact = Policy({}, {"g1": Limit(40, 2000.0)})
-    assert stricter_limits(adaptive, exact) == exact.limits and lead_ms(adaptive, exact) == 4100.0
+    assert stricter_limits(adaptive, exact) == exact.limits and lead_ms(adaptive, exact) == 4250.0
     assert stricter_limits(exact, adaptive) == {} and lead_ms(exact, adaptive) == 0.0
 
 
