No call of the old policy is sent under the new one by a sender held up

Partners could get a call under the old policy up to 130 ms after a new one was in force: an instance may be held up for 150 ms between its last look at its grant and the first byte, and grants of the old policy ended 20 ms before the change.

Cause: slack_ms, in which nobody acts, left out being held up. It is 170 ms now.

--- a/springspread/rollout/coordinator.py
+++ b/springspread/rollout/coordinator.py
@@ -36,6 +36,7 @@
 from dataclasses import dataclass, field, replace
 from math import inf
 
+from springspread.fleet.limits import HELD_UP_MS
 from springspread.rollout.protocol import (
     Begun,
     Decided,
@@ -61,7 +62,7 @@
     vote_ms: float = 300.0  # the timeout for votes
     cut_ms: float = 500.0  # from a proposal to the moment from which a yes gives up earlier grants
     lead_ms: float = 50.0  # the time to send a decision to all instances
-    slack_ms: float = 20.0  # from an instance's last check of its grant to a call's first byte
+    slack_ms: float = HELD_UP_MS + 20.0  # from an instance's last check of its grant to a call's first byte
 
 
 @dataclass(frozen=True, slots=True)
