--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from heapq import heappop, heappush
 from queue import Empty, SimpleQueue
 
@@ -17,6 +17,7 @@
 from springspread.core.figures import Figure, Figures
 from springspread.core.journal import Journal, JournalFull, PendingMessage
 from springspread.core.journal_ownership import OWNERSHIP_CHECK_MS, OwnedJournals
+from springspread.core.message_table import MessageTable, OpenMessage
 from springspread.core.start import Startup
 from springspread.core.types import (
     Attempt,
@@ -46,16 +47,6 @@
 from springspread.policy import Dispatcher
 
 
-@dataclass(slots=True, eq=False)
-class OpenMessage:
-    """An accepted message that the decision module has not ended yet."""
-
-    pending: PendingMessage
-    spec: i.ClassSpec
-    deadline: float
-    waiting_clients: int = 1  # requests for it whose clients have not left
-
-
 class Sender:
     """Passes events to the decision module, one batch per tick, and has its actions carried out."""
 
@@ -80,9 +71,7 @@
         self._classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self._endpoints = translate.EndpointTable(config.settings.kinds, clock)
         self._inbox: SimpleQueue[CoreEvent] = SimpleQueue()
-        self._open_messages: dict[int, OpenMessage] = {}
-        self._numbers: dict[str, int] = {}  # by id; includes messages with an undelivered notice
-        self._recently_closed: OrderedDict[str, bool] = OrderedDict()  # by id: whether delivered
+        self._messages = MessageTable(config.limits.recent_results)
         self._calls: dict[Call, int] = {}
         self._destinations = KnownDestinations(config.limits.destination_retention_ms, clock)
         self._undecided: Counter[int] = Counter()  # accepted in this batch, by group
@@ -140,7 +129,7 @@
         """Recover other processes' messages; returns those to resume, with their class's deadline (ms)."""
         waiting: list[tuple[PendingMessage, float]] = []
         for pending in list(found):
-            self._numbers[pending.id] = pending.number
+            self._messages.numbers[pending.id] = pending.number
             cls = self._classes.get(pending.cls)
             spec = self._settings.classes[cls] if cls is not None else None
             if pending.ending is not None:
@@ -167,7 +156,7 @@
         self._log.debug(
             "message resumed", number=pending.number, left_ms=round(left, 1), attempts=pending.attempts
         )
-        self._open_messages[pending.number] = OpenMessage(pending, self._settings.classes[cls], deadline)
+        self._messages.add(OpenMessage(pending, self._settings.classes[cls], deadline))
         return i.Taken(
             pending.number,
             pending.group,
@@ -195,7 +184,7 @@
             or self._clearance.retry_after_left_ms(endpoint) > 0.0
         ]
         return {
-            "in_flight": len(self._open_messages),
+            "in_flight": len(self._messages.open),
             "endpoints_known": len(endpoints),
             "endpoints_excluded": len(avoided),
             "list_version": self._list_version,
@@ -287,7 +276,9 @@
         since = self._clock.now() - self._stop_at
         if since < self._limits.accept_after_stop_ms + 500.0:
             return False
-        return since >= self._limits.stop_ms or not (self._open_messages or self._calls or self._numbers)
+        return since >= self._limits.stop_ms or not (
+            self._messages.open or self._calls or self._messages.numbers
+        )
 
     def _handle(self, event: CoreEvent) -> list[i.Event]:
         match event:
@@ -332,20 +323,20 @@
         cls = self._classes.get(message.cls)
         if cls is None:
             message.answer(Verdict.UNKNOWN_CLASS)
-        elif message.id in self._numbers:
+        elif message.id in self._messages.numbers:
             # A retry by a client that got no answer; another client's message may not use the same id.
-            number = self._numbers[message.id]
+            number = self._messages.numbers[message.id]
             pending = self._journal.pending[number]
             if (pending.cls, pending.group, pending.body) != (message.cls, message.group, message.body):
                 message.answer(Verdict.CONFLICT)
                 return []
             message.number = number
             self._log.debug("message handed in again", id=message.id, number=number)
-            if number in self._open_messages:
-                self._open_messages[number].waiting_clients += 1
+            if number in self._messages.open:
+                self._messages.open[number].waiting_clients += 1
             if not self._acknowledge(message):
                 return self._client_left(message)
-        elif self._recently_closed.get(message.id):
+        elif self._messages.was_delivered(message.id):
             message.answer(Verdict.DELIVERED)
         elif (
             self._owned_journals is not None
@@ -396,8 +387,7 @@
             cls=message.cls,
             left_ms=round(left, 1),
         )
-        self._open_messages[number] = OpenMessage(pending, self._settings.classes[cls], message.deadline)
-        self._numbers[message.id] = number
+        self._messages.add(OpenMessage(pending, self._settings.classes[cls], message.deadline))
         if not self._acknowledge(message):
             self._client_left(message)
             return []
@@ -407,7 +397,7 @@
 
     def _client_left(self, message: Message) -> list[i.Event]:
         number, message.number = message.number, 0
-        open_message = self._open_messages.get(number)
+        open_message = self._messages.open.get(number)
         if open_message is None:
             return []
         if open_message.waiting_clients > 1:
@@ -416,7 +406,7 @@
         if not self._journal.withdraw(number):
             return []  # a call is in flight, and the client may have read the answer: it needs its end
         self._log.debug("message withdrawn", number=number)
-        del self._open_messages[number]
+        del self._messages.open[number]
         self._close(open_message.pending, delivered=False)
         return [i.Withdrawn(number)]
 
@@ -451,7 +441,7 @@
                 )
         if end.result.never_ran:
             self._journal.record_not_run(attempt.number, attempt.index)
-        open_message = self._open_messages.get(attempt.number)
+        open_message = self._messages.open.get(attempt.number)
         finished = open_message is None
         if open_message is not None and end.result is Result.DELIVERED and self._too_late(open_message, end):
             # A late answer does not count. Within the margin before the deadline the platform may get a
@@ -462,7 +452,7 @@
             finished = True
             if end.result is Result.DELIVERED:
                 self._figures.count(Figure.SERVED, open_message.pending.cls)
-            del self._open_messages[attempt.number]
+            del self._messages.open[attempt.number]
             self._complete(attempt.number, delivered=end.result is Result.DELIVERED)
         return [translate.ended(end, finished)]
 
@@ -515,15 +505,12 @@
 
     def _close(self, pending: PendingMessage, delivered: bool) -> None:
         self.startup.message_ended(pending.number)
-        self._numbers.pop(pending.id, None)
-        self._recently_closed[pending.id] = delivered
-        if len(self._recently_closed) > self._limits.recent_results:
-            self._recently_closed.popitem(last=False)
+        self._messages.close(pending.id, delivered)
 
     def _end(self, number: int, reason: i.EndReason, *, deferred: bool, again_ms: float = 0.0) -> None:
         """Send the final status; the message is closed in the journal once the platform has accepted it."""
         pending = self._journal.pending.get(number)
-        self._open_messages.pop(number, None)
+        self._messages.open.pop(number, None)
         if pending is not None and pending.ending is None:
             self.startup.message_ended(number)
             self._figures.count(Figure.REFUSED if deferred else Figure.FAILED, pending.cls)
@@ -598,7 +585,7 @@
             self._executor.start(call)
 
     def _attempt(self, now: float, send: i.Send) -> Attempt | None:
-        message, endpoint = self._open_messages.get(send.message), self._endpoints.by_number.get(send.route)
+        message, endpoint = self._messages.open.get(send.message), self._endpoints.by_number.get(send.route)
         if message is None or endpoint is None:
             return None
         index = self._module.pending[send.message].attempts - 1
--- /dev/null
+++ b/springspread/core/message_table.py
@@ -0,0 +1,54 @@
+"""The messages that a sender is responsible for, and the results of those that it closed lately."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from springspread import interface as i
+from springspread.core.journal import PendingMessage
+
+
+@dataclass(slots=True, eq=False)
+class OpenMessage:
+    """An accepted message that the decision module has not ended yet."""
+
+    pending: PendingMessage
+    spec: i.ClassSpec
+    deadline: float
+    waiting_clients: int = 1  # requests for it whose clients have not left
+
+
+class MessageTable:
+    """Messages by number and by id, from their acceptance until they are closed.
+
+    ``open``: by number. ``numbers``: by id, including those that have ended and whose notice is undelivered.
+    """
+
+    def __init__(self, max_results: int) -> None:
+        """``max_results``: how many results of closed messages are kept."""
+        self.open: dict[int, OpenMessage] = {}
+        self.numbers: dict[str, int] = {}
+        self._max_results = max_results
+        self._delivered: OrderedDict[str, bool] = OrderedDict()  # by id, of messages closed lately
+
+    def add(self, message: OpenMessage) -> None:
+        """Add an open message."""
+        self.open[message.pending.number] = message
+        self.numbers[message.pending.id] = message.pending.number
+
+    def was_delivered(self, id: str) -> bool:
+        """Whether a message with this id was closed lately and had been delivered."""
+        return self._delivered.get(id, False)
+
+    def close(self, id: str, delivered: bool) -> None:
+        """Remove a message and keep its result."""
+        self.numbers.pop(id, None)
+        self._delivered[id] = delivered
+        if len(self._delivered) > self._max_results:
+            self._delivered.popitem(last=False)
+
+    @property
+    def result_count(self) -> int:
+        """The number of results that are kept."""
+        return len(self._delivered)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -292,7 +292,7 @@
     def sizes() -> list[int]:
         endpoints = sender._endpoints
         known = (endpoints.by_number, endpoints._numbers)
-        tables = (*known, sender._open_messages, sender._numbers, sender._calls, module.pending)
+        tables = (*known, sender._messages.open, sender._messages.numbers, sender._calls, module.pending)
         more = (
             module.routes,
             module.dests,
@@ -327,7 +327,7 @@
     while any(now > then for now, then in zip(sizes(), before, strict=True)) and t.clock() < end:
         serve()
     assert all(now <= then for now, then in zip(sizes(), before, strict=True)), (sizes(), before)
-    assert len(sender._recently_closed) <= rig.config.limits.recent_results
+    assert sender._messages.result_count <= rig.config.limits.recent_results
 
 
 def test_a_waiting_message_uses_a_route_that_is_listed_later(tmp_path: Path) -> None:
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -129,7 +129,7 @@
             pending is not None
             and not pending.begun
             and pending.ending is None
-            and number in self.sender._open_messages
+            and number in self.sender._messages.open
         )
         life.left = life.left or free
         self.step(t.ClientLeft(life.message))
@@ -160,9 +160,9 @@
             self.step(t.ProbeEnd(call.endpoint, t.Result.DELIVERED, 5.0))
         for attempt, result in zip(call.attempts, results, strict=False):
             life = self.lives[attempt.id]
-            is_open = attempt.number in self.sender._open_messages
+            is_open = attempt.number in self.sender._messages.open
             end = t.AttemptEnd(call, attempt, result, self.clock.now())
-            late = is_open and self.sender._too_late(self.sender._open_messages[attempt.number], end)
+            late = is_open and self.sender._too_late(self.sender._messages.open[attempt.number], end)
             if result in NEVER_RAN:
                 life.may_have_run = False
             if result is t.Result.DELIVERED and is_open and not late:
@@ -200,8 +200,8 @@
 
     @invariant()
     def open_messages_are_recorded(self) -> None:
-        assert set(self.sender._open_messages) <= set(self.journal.pending)
-        assert set(self.sender._numbers.values()) == set(self.journal.pending)
+        assert set(self.sender._messages.open) <= set(self.journal.pending)
+        assert set(self.sender._messages.numbers.values()) == set(self.journal.pending)
 
     def teardown(self) -> None:
         self.clock.at += 40_000.0
@@ -215,8 +215,8 @@
             self.step(t.NoticesDelivered((notice.number,)))
         for life in self.lives.values():
             assert life.left or life.delivered or life.notified_by, "no end"
-        assert not self.journal.pending and not self.sender._open_messages and not self.sender._calls
-        assert not self.sender._numbers and not self.sender._module.pending
+        assert not self.journal.pending and not self.sender._messages.open and not self.sender._calls
+        assert not self.sender._messages.numbers and not self.sender._module.pending
         self.journal.close()
         shutil.rmtree(self.folder)
 
