The time of a policy change is pinned to a number again in its test

Cause: when slack_ms grew to 170 ms, tests/faults/test_virtual_fleet.py got the sums of Timings in place of 520 and 5,020 ms.

Change: 670 and 5,170 ms, the old numbers and the 150 ms. Measured: the file's 3 tests pass; the whole suite was not run again after this.

--- a/tests/faults/test_virtual_fleet.py
+++ b/tests/faults/test_virtual_fleet.py
@@ -2,19 +2,17 @@
 from pathlib import Path
 
 from springspread.faults.virtual_fleet import Costs, VirtualFleet
-from springspread.rollout.coordinator import Timings
 from springspread.rollout.document import Policy
 
 POLICY = Policy(json.loads(Path("deploy/sender.json").read_text())["settings"], {})
 
 
 def test_change_takes_as_long_for_many_as_for_few_and_waits_for_grants_of_deaf_instances() -> None:
-    timings = Timings()
     times = {size: VirtualFleet(size, POLICY).change() for size in (5, 100)}
-    assert times[5] == times[100] == timings.cut_ms + timings.slack_ms
+    assert times[5] == times[100] == 670.0
     fleet = VirtualFleet(20, POLICY, deaf=5)
     assert fleet.acting() == {1: 20}
-    assert 3_000.0 < fleet.change() <= timings.lease_ms + timings.slack_ms
+    assert 3_000.0 < fleet.change() <= 5_170.0
     assert fleet.acting() == {2: 15, 0: 5}
 
 
