A surplus copy of an answer is not taken for the answer to the next call

Cause: an answer is attributed by its place on the connection, and a pooled connection was checked for surplus bytes only when taken from the pool. Where the endpoint holds a small write back until the first one is acknowledged (Nagle), the copy arrives right after the next request's first bytes. The hold of an unsafe call's last byte saw it and ignored it; any other call had no hold.

Change: an answer is acknowledged at once, so that a copy comes within a round trip; bytes during the hold send the call over a new connection, as it has not begun; other requests wait until their connection has been idle for 1.5 round trips, unless another one has, and look again before their first byte. The same for the connections to discovery and to the platform. This works as no answer can come before the last byte of its request, and bytes written right behind an answer are there within a round trip.

The stub in test_crossings takes the new argument of alive().

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -67,8 +67,8 @@
     stale_risk_once: float = 0.03  # accepted risk of a stale connection, for a call that may run only once
     stale_risk_repeatable: float = 0.25  # for a repeatable call, which loses less by it
     stale_break_ms: float = 30.0  # a reused connection that breaks sooner was probably stale
-    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call that may run only once
-    last_byte_hold_max_ms: float = 50.0
+    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call that may run only once, and rest
+    last_byte_hold_max_ms: float = 50.0  # of a connection before its reuse by any other
     answer_read_ms: float = 500.0  # from an answer's first byte to its last
     idle_ms: float = 3_500.0
     watch_ms: float = 5_000.0
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -26,7 +26,12 @@
     clock,
 )
 from springspread.http1.message import Malformed
-from springspread.net.exchange import Connection, ConnectionLostError, DeadlineExceededError
+from springspread.net.exchange import (
+    Connection,
+    ConnectionLostError,
+    DeadlineExceededError,
+    SurplusInputError,
+)
 from springspread.net.threads import spawn
 from springspread.platform import delivery
 
@@ -35,7 +40,7 @@
 
 
 class StaleError(Exception):
-    """A pooled connection broke before the call's last byte was written: the call has not begun."""
+    """A pooled connection became unusable before the call's last byte was written: it has not begun."""
 
 
 class CloseReason(Enum):
@@ -61,18 +66,29 @@
         """A usable idle connection that is unlikely to be stale; ``once``: the call may run only once."""
         while True:
             with self._lock:
-                idle, now = self._idle.get(endpoint.number), clock()
-                if not idle or not self._reuse.allows(endpoint.number, now - idle[-1].idle_since, once, now):
-                    return None
-                connection = idle.pop()
-                connection.idle_ms = now - connection.idle_since
+                connection = self._take(endpoint.number, once, clock())
+            if connection is None:
+                return None
             # A request on a connection that the peer has closed would be reset.
             fresh = clock() - connection.idle_since < self._limits.idle_ms
             same = connection.address == (endpoint.host, endpoint.port)
-            if fresh and same and connection.alive():
+            # The hold of its last byte shows a call that may run only once what this rest shows others.
+            if fresh and same and connection.alive(0.0 if once else connection.settles_at):
                 return connection
             self.close(connection, CloseReason.STALE if fresh else CloseReason.IDLE)
 
+    def _take(self, number: int, once: bool, now: float) -> Connection | None:
+        """Remove the most recently used connection that may be reused, if possible one that need not rest."""
+        idle = self._idle.get(number, [])
+        rested = [connection for connection in idle if once or connection.settles_at <= now]
+        for connection in (*rested[-1:], *idle[-1:]):
+            idle_ms = now - connection.idle_since
+            if self._reuse.allows(number, idle_ms, once, now):
+                idle.remove(connection)
+                connection.idle_ms = idle_ms
+                return connection
+        return None
+
     def record_use(self, endpoint: Endpoint, idle_ms: float | None, broke: bool) -> None:
         """Record whether a call's connection broke; ``idle_ms``: its idle time before, None for a new one."""
         with self._lock:
@@ -267,6 +283,14 @@
             connection.write(
                 request.method, request.target, request.headers, request.body, call.until, may_finish
             )
+        except SurplusInputError as exc:
+            self._log.warning(
+                "connection not reused; the call goes over a new one",
+                endpoint=call.endpoint.name,
+                idle_ms=round(connection.idle_ms or 0.0, 1),
+                fault=str(exc),
+            )
+            raise StaleError from None
         except OSError:
             if self._record_break(call, connection, written_at) and connection.idle_ms is not None:
                 raise StaleError from None
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -26,6 +26,13 @@
     """The connection ended before the answer was complete."""
 
 
+class SurplusInputError(ConnectionError):
+    """A reused connection brought bytes before its request was complete: they belong to an earlier answer.
+
+    The request has not begun, and what else arrives on the connection can't be attributed.
+    """
+
+
 class MovedError(Exception):
     """The caller moved to another address during the call, which may be repeated there.
 
@@ -68,13 +75,29 @@
         """The status of the answer being read; 0 until its status line is complete."""
         return self._machine.status
 
-    def alive(self) -> bool:
-        """Whether an idle connection is usable: not closed by the peer, and without unexpected bytes."""
+    @property
+    def settles_at(self) -> float:
+        """From when on an idle connection brings no more bytes that were written right behind its answer."""
+        return self.idle_since + self._round_trip_bound_ms
+
+    @property
+    def _round_trip_bound_ms(self) -> float:
+        """A time (ms) within which the peer's reaction to something sent arrives."""
+        min_ms, max_ms = self._limits.last_byte_hold_min_ms, self._limits.last_byte_hold_max_ms
+        return min(max(1.5 * self.round_trip_ms, min_ms), max_ms)
+
+    def alive(self, until: float = 0.0) -> bool:
+        """Whether an idle connection is usable: not closed by the peer, and without unexpected bytes.
+
+        Waits for such bytes until a time.
+        """
         try:
-            self.sock.settimeout(0)
+            self.sock.settimeout(max(until - clock(), 0.0) / 1000.0)
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
+        except TimeoutError as exc:
+            return exc.errno is None  # ETIMEDOUT is a broken connection, not the end of the wait
         except OSError:
             return False
         return False
@@ -90,16 +113,19 @@
     ) -> None:
         """Write a complete request; raises ``OSError`` if its last byte was not written.
 
-        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is
-        reset, and then written only if ``may_finish()`` is true.
+        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is reset
+        and surplus bytes of an earlier answer arrive. It is then written only if ``may_finish()`` is true.
         """
         data = self._machine.request(method, target, headers, body)
         self.received = False
         until = min(until, clock() + self._limits.endpoint_write_ms)
-        self.sock.settimeout(timeout_s(until))
         if may_finish is None:
+            if self.idle_ms is not None and not self.alive():
+                raise SurplusInputError("closed, or bytes arrived, before the request")
+            self.sock.settimeout(timeout_s(until))
             self.sock.sendall(data)
             return
+        self.sock.settimeout(timeout_s(until))
         self.sock.sendall(data[:-1])
         self._hold_last_byte(until)
         if not may_finish():
@@ -108,15 +134,16 @@
         self.sock.sendall(data[-1:])
 
     def _hold_last_byte(self, until: float) -> None:
-        # A call begins with its last byte: a break before that proves that it never ran.
-        min_ms, max_ms = self._limits.last_byte_hold_min_ms, self._limits.last_byte_hold_max_ms
-        hold_ms = min(max(1.5 * self.round_trip_ms, min_ms), max_ms)
-        self.sock.settimeout(timeout_s(min(until, clock() + hold_ms)))
+        # A call begins with its last byte: a break before that proves that it never ran, and no answer to
+        # it can have come.
+        self.sock.settimeout(timeout_s(min(until, clock() + self._round_trip_bound_ms)))
         try:
             if not self.sock.recv(1, socket.MSG_PEEK):
                 raise ConnectionResetError("closed by the peer before the last byte")
         except TimeoutError:
-            pass
+            return
+        if self.idle_ms is not None:  # on a new connection it is an early answer, such as a rejection
+            raise SurplusInputError("bytes arrived before the last byte")
 
     def read(self, until: float) -> Answer:
         """Read the answer. After ``DeadlineExceededError`` the read may be repeated."""
@@ -142,11 +169,21 @@
             self.received = self.received or bool(data)
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
+                self._acknowledge()
                 self.idle_since = clock()
                 return answer
             if not data:
                 raise ConnectionLostError("closed by the peer before the answer was complete")
 
+    def _acknowledge(self) -> None:
+        """Acknowledge the answer now: a peer may hold small writes back until then (Nagle's algorithm).
+
+        With a delayed acknowledgement, bytes right behind the answer would come only with the next request.
+        """
+        if self.reusable:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
     def abort(self) -> None:
         """Shut the connection down from another thread: a blocked read returns."""
         with contextlib.suppress(OSError):
@@ -206,7 +243,7 @@
 
     def _connected(self, address: Address, until: float) -> Connection:
         kept = self._connection
-        if kept is not None and kept.address == address and kept.reusable and kept.alive():
+        if kept is not None and kept.address == address and kept.reusable and kept.alive(kept.settles_at):
             return kept
         self.close()
         try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -267,8 +267,8 @@
     (pooled,) = [idle[0] for idle in rig.workers._pool._idle.values()]
     alive = pooled.alive
 
-    def check_alive() -> bool:
-        result = alive()
+    def check_alive(until: float = 0.0) -> bool:
+        result = alive(until)
         ends[0].set()
         pooled.sock.settimeout(WAIT_S)
         assert pooled.sock.recv(1, socket.MSG_PEEK) == b""  # its end has arrived, after the check
