A pending message and the encoding of its records are a module of their own

What encodes and decodes a message now stands in core/journal_records.py; no statement behaves otherwise, and no byte on disk differs.

--- a/benchmarks/recovery_size.py
+++ b/benchmarks/recovery_size.py
@@ -17,7 +17,8 @@
 from pathlib import Path
 
 from benchmarks.tables import append_row, print_row
-from springspread.core.journal import Journal, PendingMessage
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage
 
 DISK_BYTES = 1 << 40
 
--- a/springspread/cli/journal.py
+++ b/springspread/cli/journal.py
@@ -11,7 +11,8 @@
 import click
 
 if TYPE_CHECKING:
-    from springspread.core.journal import Journal, PendingMessage
+    from springspread.core.journal import Journal
+    from springspread.core.journal_records import PendingMessage
 
 FOLDER = click.Path(path_type=Path, file_okay=False, exists=True)
 MAX_ATTEMPTS = 5
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -13,21 +13,18 @@
 
 import threading
 from contextlib import suppress
-from dataclasses import dataclass, field
 from pathlib import Path
 from struct import error as StructError
-from zlib import crc32
 
 from springspread.core import sync_position
 from springspread.core.commit import GroupCommit
 from springspread.core.files import Files
+from springspread.core.journal_records import PendingMessage, decode_taken, encode_frame
 from springspread.core.journal_repair import (
     BEGUN,
     COMPLETED,
     ENDING,
     FRAME_HEADER,
-    POLICY,
-    TAKEN,
     DamagedRange,
     RecordReader,
 )
@@ -43,54 +40,6 @@
     """Recording the message would not leave enough room to compact old files."""
 
 
-@dataclass(slots=True)
-class PendingMessage:
-    """A message on record without a final outcome, and what is known of its attempts."""
-
-    number: int
-    id: str
-    cls: str
-    group: int
-    deadline_wall: float
-    body: bytes
-    again: bool = False
-    orphan: bool = False
-    begun: set[int] = field(default_factory=set)
-    not_run: set[int] = field(default_factory=set)
-    ending: tuple[bool, float] | None = None  # deferred, again_ms
-    file: int = 0  # the number of the file with its latest *taken* record
-    policy: int = 0  # the fleet's policy it was taken under; 0 without a fleet
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether an attempt was begun and is not proved never to have run."""
-        return bool(self.begun - self.not_run)
-
-    @property
-    def attempts(self) -> int:
-        """The number of attempts begun."""
-        return max(self.begun, default=-1) + 1
-
-    def records(self) -> bytes:
-        """Everything known of the message, encoded as records."""
-        name, cls = self.id.encode("latin-1"), self.cls.encode()
-        flags = self.again | self.orphan << 1
-        head = TAKEN.pack(
-            b"T", self.number, self.deadline_wall, self.group, flags, len(cls), len(name), len(self.body)
-        )
-        policy = POLICY.pack(self.policy) if self.policy else b""  # optional trailer
-        frames = [_encode_frame(head + cls + name + self.body + policy)]
-        frames += [_encode_frame(BEGUN.pack(b"B", self.number, n)) for n in sorted(self.begun)]
-        frames += [_encode_frame(BEGUN.pack(b"N", self.number, n)) for n in sorted(self.not_run)]
-        if self.ending is not None:
-            frames.append(_encode_frame(ENDING.pack(b"E", self.number, *self.ending)))
-        return b"".join(frames)
-
-
-def _encode_frame(payload: bytes) -> bytes:
-    return FRAME_HEADER.pack(len(payload), crc32(payload)) + payload
-
-
 class Journal:
     """Appends are thread-safe; the oldest file is compacted when room is needed.
 
@@ -301,24 +250,12 @@
     def _apply(self, payload: bytes, file: int) -> None:
         kind = payload[:1]
         if kind == b"T":
-            _, number, deadline, group, flags, cls_size, id_size, body_size = TAKEN.unpack_from(payload)
-            offset = TAKEN.size
-            class_name, id_ = (
-                payload[offset : offset + cls_size].decode(),
-                payload[offset + cls_size : offset + cls_size + id_size].decode("latin-1"),
-            )
-            end = offset + cls_size + id_size + body_size
-            body = payload[offset + cls_size + id_size : end]
-            policy = POLICY.unpack_from(payload, end)[0] if len(payload) >= end + POLICY.size else 0
-            again, orphan = bool(flags & 1), bool(flags & 2)
-            if number in self.pending:
+            message = decode_taken(payload, file)
+            if message.number in self.pending:
                 # A copy made by compaction. What is known of its attempts is kept, as a kill may have cut
                 # off the records that follow the copy; otherwise an unsafe call could be repeated.
-                self.pending[number].file = file
+                self.pending[message.number].file = file
                 return
-            message = PendingMessage(
-                number, id_, class_name, group, deadline, body, again, orphan, file=file, policy=policy
-            )
             self._add(message)
         elif kind in (b"B", b"N"):
             _, number, attempt = BEGUN.unpack(payload)
@@ -346,8 +283,7 @@
             self._live_bytes -= self._reserved_bytes(message)
 
     def _reserved_bytes(self, message: PendingMessage) -> int:
-        fixed = FRAME_HEADER.size + TAKEN.size + POLICY.size + len(message.cls.encode()) + len(message.id)
-        return fixed + len(message.body) + self._record_reserve
+        return message.taken_bytes + self._record_reserve
 
     def record_taken(self, message: PendingMessage) -> None:
         """Put a message on record, or raise ``JournalFull`` if it could exceed the disk limit."""
@@ -364,7 +300,7 @@
         """Record that an attempt is about to write its first byte; false if its message is not pending."""
         with self._lock:
             if number in self.pending:
-                self._append(_encode_frame(BEGUN.pack(b"B", number, attempt)))
+                self._append(encode_frame(BEGUN.pack(b"B", number, attempt)))
                 self.pending[number].begun.add(attempt)
                 return True
         return False
@@ -375,7 +311,7 @@
             if number not in self.pending or self.pending[number].begun:
                 return False
             self._drop(number)
-            self._append_best_effort(_encode_frame(COMPLETED.pack(b"O", number)))
+            self._append_best_effort(encode_frame(COMPLETED.pack(b"O", number)))
             return True
 
     def record_not_run(self, number: int, attempt: int) -> None:
@@ -383,21 +319,21 @@
         with self._lock:
             if number in self.pending and attempt in self.pending[number].begun:
                 self.pending[number].not_run.add(attempt)
-                self._append_best_effort(_encode_frame(BEGUN.pack(b"N", number, attempt)))
+                self._append_best_effort(encode_frame(BEGUN.pack(b"N", number, attempt)))
 
     def record_ending(self, number: int, deferred: bool, again_ms: float) -> None:
         """Record the final answer, which still has to be delivered."""
         with self._lock:
             if number in self.pending:
                 self.pending[number].ending = (deferred, again_ms)
-                self._append_best_effort(_encode_frame(ENDING.pack(b"E", number, deferred, again_ms)))
+                self._append_best_effort(encode_frame(ENDING.pack(b"E", number, deferred, again_ms)))
 
     def record_completed(self, number: int) -> None:
         """Record that nothing more is to be done for a message."""
         with self._lock:
             if number in self.pending:
                 self._drop(number)
-                self._append_best_effort(_encode_frame(COMPLETED.pack(b"O", number)))
+                self._append_best_effort(encode_frame(COMPLETED.pack(b"O", number)))
 
     def _append_best_effort(self, record: bytes) -> None:
         """Append a record whose loss is harmless: the next process only knows less."""
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -26,7 +26,8 @@
 from pathlib import Path
 
 from springspread.core.commit import GroupCommit
-from springspread.core.journal import FILE_PREFIX, Journal, PendingMessage
+from springspread.core.journal import FILE_PREFIX, Journal
+from springspread.core.journal_records import PendingMessage
 from springspread.core.journal_repair import DamagedRange, RecordReader
 from springspread.core.shared_backoff import SharedBackoff
 
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -15,8 +15,9 @@
 from springspread.core.clock import SYSTEM, Clock
 from springspread.core.destinations import KnownDestinations
 from springspread.core.figures import Figure, Figures
-from springspread.core.journal import Journal, JournalFull, PendingMessage
+from springspread.core.journal import Journal, JournalFull
 from springspread.core.journal_ownership import OWNERSHIP_CHECK_MS, OwnedJournals
+from springspread.core.journal_records import PendingMessage
 from springspread.core.message_table import MessageTable, OpenMessage
 from springspread.core.start import Startup
 from springspread.core.types import (
--- a/springspread/core/message_table.py
+++ b/springspread/core/message_table.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from springspread import interface as i
-from springspread.core.journal import PendingMessage
+from springspread.core.journal_records import PendingMessage
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/core/start.py
+++ b/springspread/core/start.py
@@ -10,7 +10,7 @@
 from springspread.config import Waits
 from springspread.core import wall_clock
 from springspread.core.clock import Clock
-from springspread.core.journal import PendingMessage
+from springspread.core.journal_records import PendingMessage
 from springspread.core.startup_stages import Conditions, Progress, Stage, advance
 from springspread.core.types import Log
 
--- a/springspread/faults/crash_points.py
+++ b/springspread/faults/crash_points.py
@@ -19,7 +19,8 @@
 from pathlib import Path
 from random import Random
 
-from springspread.core.journal import Journal, PendingMessage
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage
 from springspread.faults.disk import Crash, Disk, MemoryFiles
 
 DISK_BYTES = 32_000  # room for three files of 2,700 bytes, so that compaction runs often
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -16,7 +16,8 @@
 from springspread.cli.live import columns
 from springspread.cli.main import cli
 from springspread.config import ConfigError
-from springspread.core.journal import Journal, PendingMessage
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage
 from springspread.logs import make_log
 from tests.test_config import make
 
--- a/tests/test_clearance.py
+++ b/tests/test_clearance.py
@@ -7,7 +7,8 @@
 import pytest
 
 from springspread.core.clearance import Clearance, WithheldReason
-from springspread.core.journal import Journal, PendingMessage
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage
 from springspread.core.types import (
     Attempt,
     Call,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,8 @@
 from springspread.core import types as t
 from springspread.core.clearance import Clearance, WithheldReason
 from springspread.core.clock import SYSTEM
-from springspread.core.journal import Journal, PendingMessage
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage
 from springspread.core.loop import Sender
 from tests.test_config import make
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,7 +20,8 @@
 from springspread.config import Limits
 from springspread.core.clearance import Clearance
 from springspread.core.figures import Figures
-from springspread.core.journal import Journal, JournalFull, PendingMessage
+from springspread.core.journal import Journal, JournalFull
+from springspread.core.journal_records import PendingMessage
 from springspread.core.types import (
     Attempt,
     AttemptEnd,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from springspread.core.journal import Journal, JournalFull, PendingMessage
+from springspread.core.journal import Journal, JournalFull
+from springspread.core.journal_records import PendingMessage
 
 DISK = 3_000_000
 
--- a/tests/test_journal_repair.py
+++ b/tests/test_journal_repair.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from springspread.core.journal import Journal, PendingMessage, _encode_frame
+from springspread.core.journal import Journal
+from springspread.core.journal_records import PendingMessage, encode_frame
 from springspread.core.journal_repair import FRAME_HEADER, DamagedRange, RecordReader
 
 DISK = 3 << 20
@@ -63,7 +64,7 @@
 
 def test_body_of_a_torn_record_is_not_searched(tmp_path: Path) -> None:
     write_journal(tmp_path, 2)
-    forged_records = _encode_frame(b"O" + (1).to_bytes(4, "little")) * 3
+    forged_records = encode_frame(b"O" + (1).to_bytes(4, "little")) * 3
     record = message(3, b"y" * 50 + forged_records + b"y" * 200).records()
     with (tmp_path / FIRST).open("ab") as out:
         out.write(record[:-100])
@@ -75,7 +76,7 @@
 
 def test_damaged_record_is_skipped_by_its_length(tmp_path: Path) -> None:
     write_journal(tmp_path, 1)
-    forged_records = _encode_frame(b"O" + (1).to_bytes(4, "little")) * 3
+    forged_records = encode_frame(b"O" + (1).to_bytes(4, "little")) * 3
     record = message(2, forged_records + b"y" * 20).records()
     data = flip_bit(record, len(record) - 1) + message(3).records()
     with (tmp_path / FIRST).open("ab") as out:
@@ -112,7 +113,7 @@
 records = st.lists(
     st.one_of(
         st.builds(lambda n, size: message(n, b"q" * size).records(), st.integers(1, 9), st.integers(0, 90)),
-        st.builds(lambda n: _encode_frame(b"O" + n.to_bytes(4, "little")), st.integers(1, 9)),
+        st.builds(lambda n: encode_frame(b"O" + n.to_bytes(4, "little")), st.integers(1, 9)),
     ),
     min_size=1,
     max_size=12,
