A message's Idempotency-Key goes on every call of it

Change: the key is read and checked, on record before the 202, and in each call, alone or in a bundle, also after a restart. The taken record gets optional fields behind a flag; older journals are read, and a record without a key is the same bytes as before. The same id with another key is a conflict. This works as endpoints now get what they know a repeat by.

--- a/springspread/cli/journal.py
+++ b/springspread/cli/journal.py
@@ -41,6 +41,7 @@
         "id": message.id,
         "class": message.cls,
         "destination": message.group,
+        "idempotency_key": message.idempotency_key or None,
         "deadline": deadline.isoformat(timespec="milliseconds"),
         "bytes": len(message.body),
         "attempts": message.attempts,
--- a/springspread/core/journal_records.py
+++ b/springspread/core/journal_records.py
@@ -2,10 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import IntEnum
+from struct import error as StructError
 from zlib import crc32
 
-from springspread.core.journal_repair import BEGUN, ENDING, FRAME_HEADER, POLICY, TAKEN
+from springspread.core.journal_repair import (
+    BEGUN,
+    ENDING,
+    FIELD,
+    FRAME_HEADER,
+    HAS_FIELDS,
+    POLICY,
+    TAKEN,
+)
+
+
+class FieldKind(IntEnum):
+    """The optional fields of a *taken* record; a reader skips kinds that it does not know."""
+
+    IDEMPOTENCY_KEY = 1
 
 
 @dataclass(slots=True)
@@ -25,6 +42,7 @@
     ending: tuple[bool, float] | None = None  # deferred, again_ms
     file: int = 0  # the number of the file with its latest *taken* record
     policy: int = 0  # the fleet's policy it was taken under; 0 without a fleet
+    idempotency_key: str = ""
 
     @property
     def may_have_run(self) -> bool:
@@ -40,17 +58,22 @@
     def taken_bytes(self) -> int:
         """The most bytes that its *taken* record takes."""
         fixed = FRAME_HEADER.size + TAKEN.size + POLICY.size
-        return fixed + len(self.cls.encode()) + len(self.id) + len(self.body)
+        return fixed + len(self.cls.encode()) + len(self.id) + len(self.body) + len(self._fields())
+
+    def _fields(self) -> bytes:
+        values = {FieldKind.IDEMPOTENCY_KEY: self.idempotency_key.encode("latin-1")}
+        return b"".join(FIELD.pack(kind, len(value)) + value for kind, value in values.items() if value)
 
     def records(self) -> bytes:
         """Everything known of the message, encoded as records."""
         name, cls = self.id.encode("latin-1"), self.cls.encode()
-        flags = self.again | self.orphan << 1
+        fields = self._fields()
+        flags = self.again | self.orphan << 1 | HAS_FIELDS * bool(fields)
         head = TAKEN.pack(
             b"T", self.number, self.deadline_wall, self.group, flags, len(cls), len(name), len(self.body)
         )
-        policy = POLICY.pack(self.policy) if self.policy else b""  # optional trailer
-        frames = [encode_frame(head + cls + name + self.body + policy)]
+        policy = POLICY.pack(self.policy) if self.policy or fields else b""  # optional trailer
+        frames = [encode_frame(head + cls + name + self.body + policy + fields)]
         frames += [encode_frame(BEGUN.pack(b"B", self.number, n)) for n in sorted(self.begun)]
         frames += [encode_frame(BEGUN.pack(b"N", self.number, n)) for n in sorted(self.not_run)]
         if self.ending is not None:
@@ -77,4 +100,29 @@
     body = payload[body_at:policy_at]
     policy = POLICY.unpack_from(payload, policy_at)[0] if len(payload) >= policy_at + POLICY.size else 0
     again, orphan = bool(flags & 1), bool(flags & 2)
-    return PendingMessage(number, id, cls, group, deadline, body, again, orphan, file=file, policy=policy)
+    fields = _decode_fields(payload, policy_at + POLICY.size) if flags & HAS_FIELDS else {}
+    return PendingMessage(
+        number,
+        id,
+        cls,
+        group,
+        deadline,
+        body,
+        again,
+        orphan,
+        file=file,
+        policy=policy,
+        idempotency_key=fields.get(FieldKind.IDEMPOTENCY_KEY, b"").decode("latin-1"),
+    )
+
+
+def _decode_fields(payload: bytes, offset: int) -> Mapping[int, bytes]:
+    fields: dict[int, bytes] = {}
+    while offset < len(payload):
+        kind, size = FIELD.unpack_from(payload, offset)
+        offset += FIELD.size
+        if offset + size > len(payload):
+            raise StructError("an optional field is longer than its record")
+        fields[kind] = payload[offset : offset + size]
+        offset += size
+    return fields
--- a/springspread/core/journal_repair.py
+++ b/springspread/core/journal_repair.py
@@ -29,6 +29,9 @@
 ENDING = Struct("<cIBd")
 COMPLETED = Struct("<cI")
 POLICY = Struct("<I")
+HAS_FIELDS = 4  # flag of a *taken* record: optional fields follow the policy
+FIELD = Struct("<BH")  # kind and length of an optional field
+MAX_FIELDS_BYTES = 1024
 FIXED_SIZES = {ord("B"): BEGUN.size, ord("N"): BEGUN.size, ord("E"): ENDING.size, ord("O"): COMPLETED.size}
 MAX_SEARCH_BYTES = 64 << 20
 
@@ -96,8 +99,11 @@
         return size == FIXED_SIZES.get(kind, 0)
     if offset + FRAME_HEADER.size + TAKEN.size > len(data):
         return True
-    *_, cls, name, body = TAKEN.unpack_from(data, offset + FRAME_HEADER.size)
-    return size - TAKEN.size - int(cls) - int(name) - int(body) in (0, POLICY.size)
+    *_, flags, cls, name, body = TAKEN.unpack_from(data, offset + FRAME_HEADER.size)
+    rest = size - TAKEN.size - int(cls) - int(name) - int(body)
+    if flags & HAS_FIELDS:
+        return POLICY.size + FIELD.size < rest <= POLICY.size + MAX_FIELDS_BYTES
+    return rest in (0, POLICY.size)
 
 
 def _resume_offset(data: bytes, offset: int, budget: list[int]) -> int:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -18,7 +18,7 @@
 from springspread.core.journal import Journal, JournalFull
 from springspread.core.journal_ownership import OWNERSHIP_CHECK_MS, OwnedJournals
 from springspread.core.journal_records import PendingMessage
-from springspread.core.message_table import MessageTable, OpenMessage
+from springspread.core.message_table import MessageTable, OpenMessage, is_repeat
 from springspread.core.start import Startup
 from springspread.core.types import (
     Attempt,
@@ -327,8 +327,7 @@
         elif message.id in self._messages.numbers:
             # A retry by a client that got no answer; another client's message may not use the same id.
             number = self._messages.numbers[message.id]
-            pending = self._journal.pending[number]
-            if (pending.cls, pending.group, pending.body) != (message.cls, message.group, message.body):
+            if not is_repeat(message, self._journal.pending[number]):
                 message.answer(Verdict.CONFLICT)
                 return []
             message.number = number
@@ -344,8 +343,7 @@
             and (other := self._owned_journals.pending_elsewhere(message.id)) is not None
         ):
             # Another process on this folder is responsible for it.
-            same = (other.cls, other.group, other.body) == (message.cls, message.group, message.body)
-            message.answer(Verdict.ACCEPTED if same else Verdict.CONFLICT)
+            message.answer(Verdict.ACCEPTED if is_repeat(message, other) else Verdict.CONFLICT)
         elif not self._destinations.knows(message.group):
             # Messages to a destination that does not exist would stay open until their deadline. Before
             # discovery has answered, it may be a new one.
@@ -372,6 +370,7 @@
             message.again,
             message.orphan,
             policy=self._policy,
+            idempotency_key=message.idempotency_key,
         )
         try:
             self._journal.record_taken(pending)
@@ -595,7 +594,16 @@
         wait = min(send.timeout_ms, left) if send.timeout_ms > 0 else left
         safe = message.spec.effect is i.Effect.SAFE
         pending = message.pending
-        attempt = Attempt(send.message, index, pending.id, pending.body, now + wait, safe, cls=pending.cls)
+        attempt = Attempt(
+            send.message,
+            index,
+            pending.id,
+            pending.body,
+            now + wait,
+            safe,
+            cls=pending.cls,
+            idempotency_key=pending.idempotency_key,
+        )
         if endpoint.group != message.pending.group:
             # Must never happen: the message would reach another partner.
             self._log.error(
--- a/springspread/core/message_table.py
+++ b/springspread/core/message_table.py
@@ -7,6 +7,7 @@
 
 from springspread import interface as i
 from springspread.core.journal_records import PendingMessage
+from springspread.core.types import Message
 
 
 @dataclass(slots=True, eq=False)
@@ -19,6 +20,16 @@
     waiting_clients: int = 1  # requests for it whose clients have not left
 
 
+def is_repeat(message: Message, pending: PendingMessage) -> bool:
+    """Whether a message that was handed in is the one on record, and not another one with the same id."""
+    return (
+        message.cls == pending.cls
+        and message.group == pending.group
+        and message.body == pending.body
+        and message.idempotency_key == pending.idempotency_key
+    )
+
+
 class MessageTable:
     """Messages by number and by id, from their acceptance until they are closed.
 
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -91,6 +91,7 @@
     body: bytes
     again: bool = False
     orphan: bool = False
+    idempotency_key: str = ""  # the client's, by which endpoints know a repeat
     number: int = 0  # of the accepted message that it belongs to; 0: none yet
     verdict: Verdict | None = None
     retry_after_ms: float = 0.0  # told with a refusal; 0: not told
@@ -187,6 +188,7 @@
     may_repeat: bool
     done: bool = False
     cls: str = ""  # of its message
+    idempotency_key: str = ""  # of its message
 
 
 @dataclass(slots=True, eq=False)
--- a/springspread/platform/client_api.py
+++ b/springspread/platform/client_api.py
@@ -13,8 +13,10 @@
 
 ID, CLASS, TIME_LEFT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms"
 CONSIGNEE, REPEAT = "X-Consignee", "X-Repeat"
+IDEMPOTENCY_KEY = "Idempotency-Key"
 INTEGER = re.compile(r"[0-9]{1,9}\Z")
 VISIBLE_ASCII = re.compile(r"[!-~]{1,128}\Z")
+PRINTABLE_ASCII = re.compile(r"[ -~]{1,255}\Z")
 DESTINATION = re.compile(r"(?:.*[;,&\s])?dest=([0-9]{1,9})(?:[;,&\s].*)?\Z")
 METHODS = {"/api": "POST", "/_health": "GET"}
 
@@ -36,22 +38,33 @@
 
 def read_message(headers: Headers, body: bytes, begun: float) -> Message:
     """The message of a request; its time starts when the request begins. Raises ``InvalidRequestError``."""
-    for name in (ID, CLASS, TIME_LEFT, CONSIGNEE, REPEAT):
+    for name in (ID, CLASS, TIME_LEFT, CONSIGNEE, REPEAT, IDEMPOTENCY_KEY):
         if name.lower() in headers.doubled:
             raise InvalidRequestError(f"{name} came twice")
     id, cls, time_left, consignee = (headers.get(name) for name in (ID, CLASS, TIME_LEFT, CONSIGNEE))
     dest = DESTINATION.match(consignee)
+    idempotency_key = headers.get(IDEMPOTENCY_KEY)
     for name, valid in (
         (ID, VISIBLE_ASCII.match(id)),
         (CLASS, cls),
         (TIME_LEFT, INTEGER.match(time_left)),
         (CONSIGNEE, dest),
+        (IDEMPOTENCY_KEY, IDEMPOTENCY_KEY not in headers or PRINTABLE_ASCII.match(idempotency_key)),
     ):
         if not valid:
             raise InvalidRequestError(f"{name} is missing or makes no sense")
     assert dest is not None
     repeat = headers.get(REPEAT)
-    return Message(id, cls, int(dest[1]), begun + int(time_left), body, repeat == "1", repeat == "again")
+    return Message(
+        id,
+        cls,
+        int(dest[1]),
+        begun + int(time_left),
+        body,
+        repeat == "1",
+        repeat == "again",
+        idempotency_key=idempotency_key,
+    )
 
 
 class ClientApi:
--- a/springspread/platform/delivery.py
+++ b/springspread/platform/delivery.py
@@ -65,12 +65,21 @@
     if len(call.attempts) == 1:
         (attempt,) = call.attempts
         headers = {"Host": host, "X-Correlation-Id": attempt.id, "X-Time-Left-Ms": time_left}
+        if attempt.idempotency_key:
+            headers["Idempotency-Key"] = attempt.idempotency_key
         return OutgoingRequest("POST", SINGLE_PATH, headers, attempt.body)
-    items = [{"id": attempt.id, "body": b64encode(attempt.body).decode()} for attempt in call.attempts]
+    items = [_bundle_item(attempt) for attempt in call.attempts]
     headers = {"Host": host, "X-Time-Left-Ms": time_left, "Content-Type": "application/json"}
     return OutgoingRequest("POST", BUNDLE_PATH, headers, json.dumps(items, separators=(",", ":")).encode())
 
 
+def _bundle_item(attempt: Attempt) -> dict[str, str]:
+    item = {"id": attempt.id, "body": b64encode(attempt.body).decode()}
+    if attempt.idempotency_key:
+        item["key"] = attempt.idempotency_key
+    return item
+
+
 def read_retry_after(headers: Headers) -> float:
     """The ``Retry-After`` in milliseconds; 0 if it is absent or invalid."""
     try:
--- a/tests/peer.py
+++ b/tests/peer.py
@@ -59,6 +59,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.calls: list[tuple[str, str, bytes]] = []  # path, id, body
+        self.keys: list[tuple[str, str]] = []  # id and idempotency key of each message, in bundles too
         self.notices: list[dict[str, Any]] = []
         self.answers: list[tuple[int, dict[str, str]]] = []  # for the next calls; after those 200
         self.notice_answers: list[int] = []
@@ -156,6 +157,7 @@
             return
         with self.peer.lock:
             self.peer.calls.append((self.path, self.headers.get("X-Correlation-Id", ""), body))
+            self.peer.keys += self.keys_of(body)
             status, headers = self.peer.answers.pop(0) if self.peer.answers else (200, {})
         self.peer.answer_calls.wait(WAIT_S)
         answer = b""
@@ -163,6 +165,11 @@
             answer = json.dumps([{"id": item["id"], "state": "done"} for item in json.loads(body)]).encode()
         self.reply(status, answer, headers)
 
+    def keys_of(self, body: bytes) -> list[tuple[str, str]]:
+        if self.path == "/events/bundle":
+            return [(item["id"], item.get("key", "")) for item in json.loads(body)]
+        return [(self.headers.get("X-Correlation-Id", ""), self.headers.get("Idempotency-Key", ""))]
+
     def log_message(self, format: str, *args: Any) -> None:
         """Nothing is logged."""
 
@@ -250,7 +257,13 @@
         return http.client.HTTPConnection(*self.address, timeout=WAIT_S)
 
     def hand_in(
-        self, id: str, cls: str = "note", body: bytes = b"hello", left: int = 8000, group: int = 7
+        self,
+        id: str,
+        cls: str = "note",
+        body: bytes = b"hello",
+        left: int = 8000,
+        group: int = 7,
+        extra: dict[str, str] | None = None,
     ) -> int:
         connection = self.connect()
         fields = {
@@ -258,6 +271,7 @@
             "X-Service-Class": cls,
             "X-Time-Left-Ms": str(left),
             "X-Consignee": f"dest={group}",
+            **(extra or {}),
         }
         connection.request("POST", "/api", body, fields)
         status = connection.getresponse().status
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import os
+from dataclasses import replace
 from pathlib import Path
+from struct import error as StructError
 
 import pytest
 
 from springspread.core.journal import Journal, JournalFull
-from springspread.core.journal_records import PendingMessage
+from springspread.core.journal_records import PendingMessage, decode_taken
+from springspread.core.journal_repair import FIELD, FRAME_HEADER
 
 DISK = 3_000_000
 
@@ -52,6 +55,49 @@
     assert again.pending[2].body == under.body
 
 
+# Guards against a repeat after a restart without the key that its first call had.
+def test_records_keep_the_idempotency_key_also_through_compaction(tmp_path: Path) -> None:
+    first = Journal(tmp_path, DISK)
+    keyed, without = message(1), message(2)
+    keyed.idempotency_key = "5c0f6e1a"
+    first.record_taken(keyed)
+    first.record_taken(without)
+    first.record_begun(1, 0)
+    first._compact_oldest()
+    first.close()
+    again = Journal(tmp_path, DISK)
+    assert not again.damaged
+    assert {number: one.idempotency_key for number, one in again.pending.items()} == {1: "5c0f6e1a", 2: ""}
+    assert again.pending[1].body == message(1).body and again.pending[1].may_have_run
+
+
+# Guards against losing messages of another version's journal: older records, and fields of a later one.
+def test_records_without_fields_and_with_unknown_ones_are_read() -> None:
+    keyed = message(1)
+    keyed.idempotency_key = "5c0f6e1a"
+    payload = keyed.records()[FRAME_HEADER.size :]
+    later = payload + FIELD.pack(200, 3) + b"new"
+    assert decode_taken(later, 1).idempotency_key == "5c0f6e1a"
+    plain = message(1).records()[FRAME_HEADER.size :]
+    assert decode_taken(plain, 1) == replace(keyed, idempotency_key="", file=1)
+    with pytest.raises(StructError):
+        decode_taken(payload + FIELD.pack(200, 4) + b"new", 1)
+
+
+@pytest.mark.parametrize("cut", [1, 5, 20, 45])
+def test_torn_record_with_fields_is_cut_off(tmp_path: Path, cut: int) -> None:
+    first = Journal(tmp_path, DISK)
+    first.record_taken(message(1))
+    torn = message(2)
+    torn.idempotency_key = "k" * 255
+    first.record_taken(torn)
+    first.close()
+    (path,) = tmp_path.glob("journal.*")
+    path.write_bytes(path.read_bytes()[:-cut])
+    again = Journal(tmp_path, DISK)
+    assert sorted(again.pending) == [1] and again.cut_bytes and not again.damaged
+
+
 @pytest.mark.parametrize("cut", [1, 5, 20])
 def test_torn_tail_is_cut_off_and_later_records_are_kept(tmp_path: Path, cut: int) -> None:
     first = Journal(tmp_path, DISK)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -94,6 +94,28 @@
         read_message(headers(*lines({**VALID_HEADERS, "X-Consignee": f"dest={number}"})), b"", 0.0)
 
 
+# Guards against repeats that endpoints can't know, as their calls lack the client's key.
+def test_the_idempotency_key_passes_unchanged_from_the_client_to_single_calls_and_bundles() -> None:
+    key = '5c0f6e1a2b3d4c59; "a b"'
+    message = read_message(headers(*lines(VALID_HEADERS), f"Idempotency-Key: {key}"), b"", 0.0)
+    assert message.idempotency_key == key
+    assert read_message(headers(*lines(VALID_HEADERS)), b"", 0.0).idempotency_key == ""
+    keyed = Attempt(0, 0, "id-0", b"x", 2000.0, False, idempotency_key=key)
+    without = Attempt(1, 0, "id-1", b"x", 2000.0, True)
+    endpoint = Endpoint(1, "s-1", "127.0.0.1", 80, 3, True, 5)
+    assert delivery.encode_call(Call(endpoint, (keyed,), 0.0), 0.0).headers["Idempotency-Key"] == key
+    assert "Idempotency-Key" not in delivery.encode_call(Call(endpoint, (without,), 0.0), 0.0).headers
+    bundle = json.loads(delivery.encode_call(Call(endpoint, (keyed, without), 0.0), 0.0).body)
+    assert [item.get("key") for item in bundle] == [key, None]
+
+
+# Guards against calls with half a key, or with another client's header in it.
+@pytest.mark.parametrize("value", ["", "\xe9", "k" * 256, "a\r\nIdempotency-Key: b"])
+def test_an_unusable_idempotency_key_is_named(value: str) -> None:
+    with pytest.raises(InvalidRequestError, match="Idempotency-Key"):
+        read_message(headers(*lines(VALID_HEADERS), f"Idempotency-Key: {value}"), b"", 0.0)
+
+
 def test_one_message_is_sent_alone_and_several_as_a_bundle() -> None:
     one = delivery.encode_call(call(1), 500.0)
     assert (one.target, one.headers["X-Time-Left-Ms"], one.body) == ("/events", "1500", b"hello")
