A connection's rest follows its fastest exchange, not its connect time alone

Cause: the rest before a connection's reuse is 1.5 times its connect time, 50 ms at most. A connection that came up late, as on a busy machine, so rested 50 ms before each reuse for good, however fast its endpoint answered.

Change: an exchange that took less than the connect time lowers the round trip that is assumed, as no round trip takes longer than a whole exchange. The hold of an unsafe call's last byte follows the same estimate.

--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -58,7 +58,8 @@
         self.address, self._limits = address, limits
         begun = clock()
         self.sock = socket.create_connection(address, timeout=timeout_s(until))
-        self.round_trip_ms = clock() - begun
+        self.round_trip_ms = clock() - begun  # at most; an exchange that took less lowers it
+        self._written_at = begun
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._machine = ClientConnection(limits, optional)
         self.idle_since = clock()
@@ -124,6 +125,7 @@
                 raise SurplusInputError("closed, or bytes arrived, before the request")
             self.sock.settimeout(timeout_s(until))
             self.sock.sendall(data)
+            self._written_at = clock()
             return
         self.sock.settimeout(timeout_s(until))
         self.sock.sendall(data[:-1])
@@ -132,6 +134,7 @@
             raise ConnectionAbortedError("cancelled before its last byte")
         self.sock.settimeout(timeout_s(until))
         self.sock.sendall(data[-1:])
+        self._written_at = clock()
 
     def _hold_last_byte(self, until: float) -> None:
         # A call begins with its last byte: a break before that proves that it never ran, and no answer to
@@ -166,7 +169,9 @@
                 raise Malformed("answer not completed in time")
             if data is None:
                 continue
-            self.received = self.received or bool(data)
+            if data and not self.received:
+                self.received = True
+                self.round_trip_ms = min(self.round_trip_ms, clock() - self._written_at)
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
                 self._acknowledge()
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -36,6 +36,11 @@
             sock.sendall(REJECTED)
 
 
+def keep_serving(sock: socket.socket) -> None:
+    while read_request(sock):
+        sock.sendall(GOOD)
+
+
 class CopyingEndpoint:
     """Answers its requests by turns with 200 and 503. Right behind each 200 it writes a second copy.
 
@@ -182,6 +187,19 @@
     assert make_rig(reject_at_once, LONG_HOLD).call(safe=False) is Result.REJECTED
 
 
+# Guards against 50 ms of rest before each reuse of a connection that came up late.
+def test_connection_that_came_up_late_rests_for_the_time_of_its_exchanges(
+    make_rig: Callable[..., Rig],
+) -> None:
+    connection = Connection(make_rig(keep_serving).address, clock() + 5000.0, Limits())
+    connection.round_trip_ms = 1000.0
+    begun = clock()
+    connection.write("POST", "/events", {}, b"body", clock() + 5000.0)
+    assert connection.read(clock() + 5000.0).status == 200
+    assert connection.round_trip_ms <= connection.idle_since - begun
+    connection.close()
+
+
 # Guards against reusing a connection that failed with ETIMEDOUT, which Python raises as the end of a wait.
 def test_connection_that_failed_while_it_rests_is_not_alive(make_rig: Callable[..., Rig]) -> None:
     class FailedSocket(socket.socket):
