Messages of one X-Session-Key go one at a time and in their order

Cause: as with the Idempotency-Key, client_api did not read the header, so the decision module, which keeps order by key, was told none.

Change: the key is read and checked, on record with the message, and told to the module as a 64-bit number; recovered messages come in the order of their acceptance, which compaction does not keep. This works as the module already holds a key's messages back until the one before them is over.

--- a/springspread/core/journal_records.py
+++ b/springspread/core/journal_records.py
@@ -23,6 +23,7 @@
     """The optional fields of a *taken* record; a reader skips kinds that it does not know."""
 
     IDEMPOTENCY_KEY = 1
+    ORDERING_KEY = 2
 
 
 @dataclass(slots=True)
@@ -43,6 +44,7 @@
     file: int = 0  # the number of the file with its latest *taken* record
     policy: int = 0  # the fleet's policy it was taken under; 0 without a fleet
     idempotency_key: str = ""
+    ordering_key: str = ""
 
     @property
     def may_have_run(self) -> bool:
@@ -61,8 +63,12 @@
         return fixed + len(self.cls.encode()) + len(self.id) + len(self.body) + len(self._fields())
 
     def _fields(self) -> bytes:
-        values = {FieldKind.IDEMPOTENCY_KEY: self.idempotency_key.encode("latin-1")}
-        return b"".join(FIELD.pack(kind, len(value)) + value for kind, value in values.items() if value)
+        values = {
+            FieldKind.IDEMPOTENCY_KEY: self.idempotency_key,
+            FieldKind.ORDERING_KEY: self.ordering_key,
+        }
+        encoded = {kind: value.encode("latin-1") for kind, value in values.items() if value}
+        return b"".join(FIELD.pack(kind, len(value)) + value for kind, value in encoded.items())
 
     def records(self) -> bytes:
         """Everything known of the message, encoded as records."""
@@ -113,6 +119,7 @@
         file=file,
         policy=policy,
         idempotency_key=fields.get(FieldKind.IDEMPOTENCY_KEY, b"").decode("latin-1"),
+        ordering_key=fields.get(FieldKind.ORDERING_KEY, b"").decode("latin-1"),
     )
 
 
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -129,7 +129,8 @@
     def _recover(self, found: Iterable[PendingMessage]) -> list[tuple[PendingMessage, float]]:
         """Recover other processes' messages; returns those to resume, with their class's deadline (ms)."""
         waiting: list[tuple[PendingMessage, float]] = []
-        for pending in list(found):
+        # In the order of acceptance, which compaction does not keep.
+        for pending in sorted(found, key=lambda one: one.number):
             self._messages.numbers[pending.id] = pending.number
             cls = self._classes.get(pending.cls)
             spec = self._settings.classes[cls] if cls is not None else None
@@ -163,6 +164,7 @@
             pending.group,
             cls,
             deadline,
+            key=translate.to_key(pending.ordering_key),
             again=pending.again,
             orphan=pending.orphan,
             attempts=pending.attempts,
@@ -371,6 +373,7 @@
             message.orphan,
             policy=self._policy,
             idempotency_key=message.idempotency_key,
+            ordering_key=message.ordering_key,
         )
         try:
             self._journal.record_taken(pending)
@@ -392,8 +395,17 @@
             self._client_left(message)
             return []
         self._undecided[message.group] += 1
-        again, orphan = message.again, message.orphan
-        return [i.Taken(number, message.group, cls, message.deadline, again=again, orphan=orphan)]
+        return [
+            i.Taken(
+                number,
+                message.group,
+                cls,
+                message.deadline,
+                key=translate.to_key(message.ordering_key),
+                again=message.again,
+                orphan=message.orphan,
+            )
+        ]
 
     def _client_left(self, message: Message) -> list[i.Event]:
         number, message.number = message.number, 0
--- a/springspread/core/message_table.py
+++ b/springspread/core/message_table.py
@@ -27,6 +27,7 @@
         and message.group == pending.group
         and message.body == pending.body
         and message.idempotency_key == pending.idempotency_key
+        and message.ordering_key == pending.ordering_key
     )
 
 
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 from springspread import interface as i
 from springspread.core.clock import Clock
 from springspread.core.list_index import ListIndex
@@ -46,6 +48,13 @@
     return i.Report(load.left_share, load.limit_per_s)
 
 
+def to_key(ordering_key: str) -> int:
+    """The decision module's number of an ordering key; 0: none."""
+    if not ordering_key:
+        return 0
+    return int.from_bytes(blake2b(ordering_key.encode(), digest_size=8).digest(), "little") or 1
+
+
 def ended(end: AttemptEnd, final: bool) -> i.Ended:
     """An attempt's end."""
     attempt, call = end.attempt, end.call
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -92,6 +92,7 @@
     again: bool = False
     orphan: bool = False
     idempotency_key: str = ""  # the client's, by which endpoints know a repeat
+    ordering_key: str = ""  # in a class that keeps order, messages of one key go one at a time
     number: int = 0  # of the accepted message that it belongs to; 0: none yet
     verdict: Verdict | None = None
     retry_after_ms: float = 0.0  # told with a refusal; 0: not told
--- a/springspread/platform/client_api.py
+++ b/springspread/platform/client_api.py
@@ -13,7 +13,7 @@
 
 ID, CLASS, TIME_LEFT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left-Ms"
 CONSIGNEE, REPEAT = "X-Consignee", "X-Repeat"
-IDEMPOTENCY_KEY = "Idempotency-Key"
+IDEMPOTENCY_KEY, ORDERING_KEY = "Idempotency-Key", "X-Session-Key"
 INTEGER = re.compile(r"[0-9]{1,9}\Z")
 VISIBLE_ASCII = re.compile(r"[!-~]{1,128}\Z")
 PRINTABLE_ASCII = re.compile(r"[ -~]{1,255}\Z")
@@ -38,18 +38,18 @@
 
 def read_message(headers: Headers, body: bytes, begun: float) -> Message:
     """The message of a request; its time starts when the request begins. Raises ``InvalidRequestError``."""
-    for name in (ID, CLASS, TIME_LEFT, CONSIGNEE, REPEAT, IDEMPOTENCY_KEY):
+    for name in (ID, CLASS, TIME_LEFT, CONSIGNEE, REPEAT, IDEMPOTENCY_KEY, ORDERING_KEY):
         if name.lower() in headers.doubled:
             raise InvalidRequestError(f"{name} came twice")
     id, cls, time_left, consignee = (headers.get(name) for name in (ID, CLASS, TIME_LEFT, CONSIGNEE))
     dest = DESTINATION.match(consignee)
-    idempotency_key = headers.get(IDEMPOTENCY_KEY)
     for name, valid in (
         (ID, VISIBLE_ASCII.match(id)),
         (CLASS, cls),
         (TIME_LEFT, INTEGER.match(time_left)),
         (CONSIGNEE, dest),
-        (IDEMPOTENCY_KEY, IDEMPOTENCY_KEY not in headers or PRINTABLE_ASCII.match(idempotency_key)),
+        (IDEMPOTENCY_KEY, _is_absent_or_key(headers, IDEMPOTENCY_KEY)),
+        (ORDERING_KEY, _is_absent_or_key(headers, ORDERING_KEY)),
     ):
         if not valid:
             raise InvalidRequestError(f"{name} is missing or makes no sense")
@@ -63,10 +63,15 @@
         body,
         repeat == "1",
         repeat == "again",
-        idempotency_key=idempotency_key,
+        idempotency_key=headers.get(IDEMPOTENCY_KEY),
+        ordering_key=headers.get(ORDERING_KEY),
     )
 
 
+def _is_absent_or_key(headers: Headers, name: str) -> bool:
+    return name not in headers or PRINTABLE_ASCII.match(headers.get(name)) is not None
+
+
 class ClientApi:
     """Answers requests; passes messages to the core for a verdict."""
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -56,10 +56,10 @@
 
 
 # Guards against a repeat after a restart without the key that its first call had.
-def test_records_keep_the_idempotency_key_also_through_compaction(tmp_path: Path) -> None:
+def test_records_keep_the_keys_also_through_compaction(tmp_path: Path) -> None:
     first = Journal(tmp_path, DISK)
     keyed, without = message(1), message(2)
-    keyed.idempotency_key = "5c0f6e1a"
+    keyed.idempotency_key, keyed.ordering_key = "5c0f6e1a", "7f3a9c21"
     first.record_taken(keyed)
     first.record_taken(without)
     first.record_begun(1, 0)
@@ -67,7 +67,8 @@
     first.close()
     again = Journal(tmp_path, DISK)
     assert not again.damaged
-    assert {number: one.idempotency_key for number, one in again.pending.items()} == {1: "5c0f6e1a", 2: ""}
+    keys = {number: (one.idempotency_key, one.ordering_key) for number, one in again.pending.items()}
+    assert keys == {1: ("5c0f6e1a", "7f3a9c21"), 2: ("", "")}
     assert again.pending[1].body == message(1).body and again.pending[1].may_have_run
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -110,10 +110,12 @@
 
 
 # Guards against calls with half a key, or with another client's header in it.
-@pytest.mark.parametrize("value", ["", "\xe9", "k" * 256, "a\r\nIdempotency-Key: b"])
-def test_an_unusable_idempotency_key_is_named(value: str) -> None:
-    with pytest.raises(InvalidRequestError, match="Idempotency-Key"):
-        read_message(headers(*lines(VALID_HEADERS), f"Idempotency-Key: {value}"), b"", 0.0)
+@pytest.mark.parametrize("name", ["Idempotency-Key", "X-Session-Key"])
+@pytest.mark.parametrize("value", ["", "\xe9", "k" * 256, "a\r\n{name}: b"])
+def test_an_unusable_key_is_named(name: str, value: str) -> None:
+    line = f"{name}: {value.format(name=name)}"
+    with pytest.raises(InvalidRequestError, match=name):
+        read_message(headers(*lines(VALID_HEADERS), line), b"", 0.0)
 
 
 def test_one_message_is_sent_alone_and_several_as_a_bundle() -> None:
