Reasons behind constants and rules that the rewording lost are put back

Not put back: the old formula of all senders' calls in a ramp ("L ln(1 + T / W)"), as nothing says what its L is; its price stands there again. Comments and one docstring only; no statement differs.

--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -18,13 +18,13 @@
 
 SUCCESS_WEIGHT = 0.5  # weights of the suitability score
 LATENCY_WEIGHT = 0.3
-FEE_WEIGHT = 0.2
-EWMA_WEIGHT = 0.2  # of a new sample in a route's success share and response time
+FEE_WEIGHT = 0.2  # so that of similar routes the cheaper one leads
+EWMA_WEIGHT = 0.2  # of a new sample in a route's success share and response time: about five calls
 FLAG_AFTER_FAULTS = 3  # successive faults
 RECHECK_MS = 1500.0  # interval of messages to a flagged route; also the longest backoff of a lone sender
-WINDOW_DECREASE = 0.6  # factor on a route's window after a fault or refusal
+WINDOW_DECREASE = 0.6  # factor on a route's window after a fault or refusal; a served call adds one
 SLOT_TIME_EXPONENT = 0.7  # below 1, so that slow destinations still get slots
-CONGESTED_RATIO = 2.0  # response time over that of an unloaded route
+CONGESTED_RATIO = 2.0  # response time over that of an unloaded route; such a route has enough calls
 CONGESTED_DECREASE = 0.9  # factor on a congested route's window after a served call
 UNSAFE_MIN_SUCCESS = 0.8  # unsafe messages avoid routes with a lower success share
 DESTINATION_SLOT_SHARE = 0.75  # most slots that the calls of one destination may take
@@ -32,23 +32,23 @@
 RECENT_SUCCESS_MS = 1500.0
 ROUGH_RATING_FACTOR = 1.5  # a rough rating may be this factor too high
 BURST_MS = 600.0  # depth of a token bucket, as time at its rate
-TENANT_USAGE_DECAY_MS = 6000.0
+TENANT_USAGE_DECAY_MS = 6000.0  # longer than clumps of messages for one destination
 TENANT_USAGE_SLACK = 2.0  # allowed multiple of the median tenant's use
 TENANT_USAGE_MIN = 20.0  # messages below which use is not compared
 SHARE_INCREASE = 0.3  # gain on the limit share after a served call
 LIMIT_HEADROOM = 0.25  # share of a limit that all senders together leave unused
 LIMIT_EXHAUSTED = 0.6  # a refusal with less than this left may be the limit's
 SHARE_DECREASE = 0.6  # factor on the limit share after a refusal
-MIN_SHARE = 0.5  # of an equal limit share
+MIN_SHARE = 0.5  # of an equal limit share, so that all senders together can reach the limit again
 MAX_DEMAND_MULTIPLE = 2.0  # after a refusal the share is at most this multiple of the sender's own demand
 DECAY_MS = 20000.0  # of demand counts; the safe idle time doubles in the same period
 OUTAGE_RETRY_AFTER_MS = 2000.0  # a longer retry-after means an outage; limits count over shorter periods
 BACK_OFF_MS = 300.0  # first pause after a refusal without retry-after; doubles
 FAULT_SUSPICION = 0.5  # added per fault or refusal; at 1 an outage is assumed
 CONNECTION_FAULTS = (i.Outcome.RESET, i.Outcome.CONNECT_FAILED)  # one suffices without a recent success
-RESET_SUSPICION = 0.34  # added per reset on a route with recent successes
+RESET_SUSPICION = 0.34  # per reset on a route with recent successes, where connections break now and then
 USUAL_RESET_SHARE = 0.02  # resets count less where more of all calls than this are reset
-RESET_EWMA_WEIGHT = 0.01
+RESET_EWMA_WEIGHT = 0.01  # about a hundred calls
 MIN_STUCK_MS = 400.0  # a call without an answer for less than this is not stuck
 ROUTE_PRIOR_CALLS = 3.0  # the route's success share weighs as much as this many calls of one class
 QUICK_RESET_SHARE = 0.4  # a reset within this share of the response time came as the call was written
@@ -323,12 +323,14 @@
             if limiter.tokens < 1.0 or spare < 0.0:
                 self._set_share(limiter, limiter.share * (1.0 + SHARE_INCREASE * spare))
             return
-        # No sign of an outage if a call sent later was served.
+        # No sign of an outage if a call sent later was served, as this one was just slow. May be wrong as a
+        # route dies.
         recent = self.now - limiter.served_at <= RECENT_SUCCESS_MS
         suspicion = 1.0 if outcome in CONNECTION_FAULTS and not recent else FAULT_SUSPICION
         suspicion = RESET_SUSPICION if outcome is i.Outcome.RESET and recent else suspicion
         suspicion *= route.health.served_sent_at <= call.sent_at
-        # Where calls are reset everywhere, a reset is weaker evidence against the one route.
+        # Where calls are reset everywhere, a reset is weaker evidence against the one route. Protects healthy
+        # destinations; may be wrong where one endpoint resets all its calls.
         evidence = (
             min(1.0, USUAL_RESET_SHARE / max(self.reset_share, 0.001)) if outcome is i.Outcome.RESET else 1.0
         )
@@ -442,7 +444,8 @@
         # Rule 4, fail-back: the senders' own rates before the outage sum to the limit, so that together they
         # use RAMP_MARGIN of the budget; of the cold one until a call sent after the last sign is served. A
         # sender with hardly any rate gets about one call in warm_within_ms, halved with each further sign.
-        # Unused tokens lapse, so that calls do not accumulate during the outage.
+        # Unused tokens lapse, so that calls do not accumulate during the outage. The price: the return of a
+        # destination that senders hardly call may be found late.
         limiter, rules = route.limiter, self.settings.rules
         limit = self._limit(limiter)
         limiter.rate_per_s = max(limit * limiter.share, 0.001)
--- a/springspread/rollout/document.py
+++ b/springspread/rollout/document.py
@@ -42,7 +42,7 @@
     "weightSource",
 )
 FIXED_PREFIXES = ("specifics.separateRoutes", "specifics.perCall", "rules.drainGraceMs")
-LEASE_MS = 200.0  # the longest lease of a limit
+LEASE_MS = 200.0  # the longest lease of a limit: those granted before it shrank have expired by then
 APPLY_MS = 25.0  # from a decision until the allocator applies its stricter limits
 MAX_LIMITS = 200_000
 MAX_POLICY_BYTES = 16 << 20  # of its text; fits 140,000 limits with keys of 90 characters
--- a/springspread/rollout/policy_record.py
+++ b/springspread/rollout/policy_record.py
@@ -129,7 +129,10 @@
         return policy
 
     def _cache(self, number: int, policy: Policy) -> None:
-        """Cache a policy, and evict the least recently used: a large one takes some 30 MB."""
+        """Cache a policy, and evict the least recently used.
+
+        A policy of 140,000 limits takes some 30 MB, and a day may bring 1,600 changes.
+        """
         with self._policies_lock:
             self._policies.pop(number, None)
             self._policies[number] = policy
