Logs name the connection of each call, its answer, and the result of each attempt

Change, all at debug level: 'begins' has the connection's number, its earlier requests and idle time, and the attempts' indexes; new lines 'answered', 'attempt ended', 'connection closed' (with its reason) and 'notices accepted'. With these a shifted answer shows as one that came on a connection with earlier requests, too soon for its call. Reasons of refusals and of calls withheld were there already.

No behaviour differs. test_crossings hands the pool a log.

--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -56,8 +56,8 @@
 class ConnectionPool:
     """Idle connections by endpoint, the most recently used first."""
 
-    def __init__(self, limits: Limits, figures: Figures) -> None:
-        self._limits, self._figures = limits, figures
+    def __init__(self, limits: Limits, figures: Figures, log: Log) -> None:
+        self._limits, self._figures, self._log = limits, figures, log
         self._reuse = Reuse(Bounds(limits.stale_risk_once, limits.stale_risk_repeatable))
         self._lock = threading.Lock()
         self._idle: dict[int, list[Connection]] = {}
@@ -132,8 +132,16 @@
             self.close(connection, CloseReason.IDLE)
 
     def close(self, connection: Connection, reason: CloseReason) -> None:
-        """Close a connection and count the reason."""
+        """Close a connection, count and log the reason."""
         self._figures.count_occurrence(Occurrence.CONNECTIONS_CLOSED, reason)
+        self._log.debug(
+            "connection closed",
+            connection=connection.number,
+            address=connection.address,
+            reason=reason.value,
+            requests=connection.requests,
+            idle_ms=round(clock() - connection.idle_since, 1),
+        )
         connection.close()
 
     def drop(self, endpoint: Endpoint) -> None:
@@ -164,7 +172,7 @@
         self._limits, self._load_fields, self._clearance = limits, load_fields, clearance
         self._put, self._log = put, log
         self._jobs: SimpleQueue[Call] = SimpleQueue()
-        self._pool = ConnectionPool(limits, self._figures)
+        self._pool = ConnectionPool(limits, self._figures, log)
         self._lock = threading.Lock()
         self._open: dict[Call, Connection] = {}
         self._threads = 0
@@ -216,6 +224,14 @@
     ) -> None:
         if not attempt.done:
             attempt.done = True
+            self._log.debug(
+                "attempt ended",
+                id=attempt.id,
+                attempt=attempt.index,
+                endpoint=call.endpoint.name,
+                result=result.value,
+                wait_ms=wait_ms,
+            )
             self._put(AttemptEnd(call, attempt, result, clock(), wait_ms, load or Load(), final))
 
     def _end_all(self, call: Call, result: Result, wait_ms: float = 0.0) -> None:
@@ -276,8 +292,12 @@
             endpoint=call.endpoint.name,
             state=call.endpoint.state.value,
             ids=[attempt.id for attempt in call.attempts],
+            attempts=[attempt.index for attempt in call.attempts],
             policy=call.policy,
             at=written_at,
+            connection=connection.number,
+            earlier_requests=connection.requests,
+            idle_ms=connection.idle_ms,
         )
         try:
             connection.write(
@@ -306,6 +326,13 @@
             self._figures.count(Figure.ATTEMPTS, attempt.cls)
         try:
             answer = connection.read(call.until)
+            self._log.debug(
+                "answered",
+                endpoint=call.endpoint.name,
+                connection=connection.number,
+                status=answer.status,
+                took_ms=round(clock() - written_at, 1),
+            )
             self._pool.record_use(call.endpoint, connection.idle_ms, False)
             parsed = delivery.read_answer(call, answer, self._load_fields)
             self._apply(call, parsed)
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import socket
 import threading
 from collections.abc import Callable, Mapping
@@ -49,13 +50,18 @@
     return max((until - clock()) / 1000.0, 0.001)
 
 
+_connection_numbers = itertools.count(1)
+
+
 class Connection:
-    """One outgoing connection."""
+    """One outgoing connection. ``number`` identifies it in the log, ``requests`` counts what it carried."""
 
     def __init__(
         self, address: Address, until: float, limits: Limits, optional: frozenset[str] = frozenset()
     ) -> None:
         self.address, self._limits = address, limits
+        self.number = next(_connection_numbers)
+        self.requests = 0
         begun = clock()
         self.sock = socket.create_connection(address, timeout=timeout_s(until))
         self.round_trip_ms = clock() - begun  # at most; an exchange that took less lowers it
@@ -118,6 +124,7 @@
         and surplus bytes of an earlier answer arrive. It is then written only if ``may_finish()`` is true.
         """
         data = self._machine.request(method, target, headers, body)
+        self.requests += 1
         self.received = False
         until = min(until, clock() + self._limits.endpoint_write_ms)
         if may_finish is None:
--- a/springspread/net/notices.py
+++ b/springspread/net/notices.py
@@ -100,4 +100,5 @@
         if answer.status != 204:
             self._log.warning("notice refused", count=len(batch), status=answer.status)
             return PostOutcome.REFUSED
+        self._log.debug("notices accepted", ids=[notice.id for notice in batch])
         return PostOutcome.ACCEPTED
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -300,7 +300,8 @@
 def test_a_connection_returned_while_its_endpoint_is_removed_is_not_kept(first: str) -> None:
     server = RawServer(sends(OK))
     address = ("127.0.0.1", server.sock.getsockname()[1])
-    endpoint, pool = Endpoint(1, "s-1", *address, 7, True, 5), ConnectionPool(Limits(), Figures(()))
+    endpoint = Endpoint(1, "s-1", *address, 7, True, 5)
+    pool = ConnectionPool(Limits(), Figures(()), NullLog())
     lock = pool._lock
 
     def remove() -> None:
