Tests, known red: a copy of an answer that comes while the next call is processed

The smallest forms need no process and no time: a server that writes the copy once the next request is complete.

--- a/springspread/simulator/day.py
+++ b/springspread/simulator/day.py
@@ -128,6 +128,7 @@
     list_lag_ms: float = 1500.0
     zones: Mapping[str, str] = field(default_factory=dict)
     shared: bool = False  # the senders are a fleet and share the partners' limits
+    copies: float = 0.0  # share of all answers that are written twice; on sockets alone
 
     def unavailable_until(self, service: Service, now: float) -> float:
         """When an outage of a service at ``now`` ends; ``now`` if there is none."""
@@ -215,6 +216,7 @@
     skew: float = 0.0,
     falls: int = 0,
     killed: float = 0.0,
+    copies: float = 0.0,
 ) -> Day:
     """Draw a day. ``load`` is the mean traffic as a fraction of the partners' limits.
 
@@ -227,6 +229,8 @@
     For large fleets: ``tight`` gives every partner a limit that rejected calls use up, and short service
     times; ``skew`` is the lognormal spread of the senders' shares of the traffic; ``falls`` limits drop to a
     third for nine seconds; ``killed`` is the share of senders that are killed together at 0.4 of the day.
+
+    On sockets alone: ``copies`` is the share of all answers that are written twice (``simulator.surplus``).
     """
     specs = _partners(seed, partners, per_s / load)
     if tight:
@@ -263,6 +267,7 @@
         outages=tuple(outages),
         zones=zones,
         shared=shared,
+        copies=copies,
     )
 
 
--- a/springspread/simulator/polling.py
+++ b/springspread/simulator/polling.py
@@ -20,6 +20,7 @@
 from springspread.config import Limits
 from springspread.http1.message import Malformed
 from springspread.http1.server import Request, ServerConnection
+from springspread.simulator.surplus import AnswerCopier, Copy, CopyMoment
 
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER with 0 s: close sends a reset
 LIMITS = replace(Limits(), body_bytes=1 << 20)
@@ -30,14 +31,15 @@
 
 
 class AcceptedConnection:
-    """An accepted connection. ``port``: the local port."""
+    """An accepted connection. ``port``: the local port; ``copy``: due with the next request."""
 
-    __slots__ = ("sock", "http", "serve", "open", "port")
+    __slots__ = ("sock", "http", "serve", "open", "port", "copy")
 
     def __init__(self, sock: socket.socket, port: int, serve: Handler) -> None:
         self.sock, self.port, self.serve = sock, port, serve
         self.http = ServerConnection(LIMITS)
         self.open = True
+        self.copy: Copy | None = None
 
 
 Handler = Callable[[AcceptedConnection, Request], None]
@@ -45,10 +47,13 @@
 
 
 class PollingServer:
-    """Serves until ``close``. ``now``: the clock (ms) of scheduled callbacks."""
+    """Serves until ``close``. ``now``: the clock (ms) of scheduled callbacks.
 
-    def __init__(self, now: Callable[[], float]) -> None:
-        self._now = now
+    ``copier`` decides which answers are written twice.
+    """
+
+    def __init__(self, now: Callable[[], float], copier: AnswerCopier | None = None) -> None:
+        self._now, self._copier = now, copier
         self.lock = threading.RLock()
         self.late_ms: list[float] = []  # of each callback
         self._timers: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -117,7 +122,9 @@
             return
         length = {} if status == 204 else {"Content-Length": str(len(body))}
         try:
-            connection.sock.send(connection.http.answer(status, {**length, **headers}) + body)
+            data = connection.http.answer(status, {**length, **headers}) + body
+            connection.sock.send(data)
+            self._plan_copy(connection, data)
             request = connection.http.resume()
         except (OSError, Malformed):
             self.end(connection)
@@ -125,6 +132,33 @@
         if request is not None:
             connection.serve(connection, request)
 
+    def _plan_copy(self, connection: AcceptedConnection, data: bytes) -> None:
+        copy = None if self._copier is None else self._copier.draw(data)
+        if copy is None:
+            return
+        if copy.moment in (CopyMoment.REQUEST_BEGUN, CopyMoment.REQUEST_COMPLETE):
+            connection.copy = copy
+        else:
+            self.schedule(self._now() + copy.delay_ms, self._write_copy, connection, copy)
+
+    def _write_copy(self, connection: AcceptedConnection, copy: Copy) -> None:
+        if not connection.open or self._copier is None:
+            return
+        try:
+            connection.sock.send(copy.data)
+        except OSError:
+            self.end(connection)
+            return
+        self._copier.count(copy)
+
+    def _write_copy_with_request(self, connection: AcceptedConnection, request: Request | None) -> None:
+        """Write the copy that is due when a request has begun, or is complete."""
+        copy = connection.copy
+        if copy is None or (copy.moment is CopyMoment.REQUEST_COMPLETE and request is None):
+            return
+        connection.copy = None
+        self.schedule(self._now() + copy.delay_ms, self._write_copy, connection, copy)
+
     def close(self) -> None:
         """Stop the thread and close every socket."""
         self._running = False
@@ -175,6 +209,8 @@
             data, request = b"", None
         if not data:
             self.end(connection)
-        elif request is not None:
+            return
+        self._write_copy_with_request(connection, request)
+        if request is not None:
             with self.lock:
                 connection.serve(connection, request)
--- a/springspread/simulator/sockets.py
+++ b/springspread/simulator/sockets.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, replace
 from math import inf
 from pathlib import Path
+from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -31,6 +32,7 @@
 from springspread.simulator.fleet import FleetProcess
 from springspread.simulator.partner import Answer, End, Partner, Trouble
 from springspread.simulator.polling import LIMITS, AcceptedConnection, PollingServer
+from springspread.simulator.surplus import AnswerCopier
 
 SIGNALS = {StopMode.KILL: signal.SIGKILL, StopMode.TERM: signal.SIGTERM, StopMode.FREEZE: signal.SIGSTOP}
 CALL_PATHS = ("/events", "/events/bundle")
@@ -67,7 +69,8 @@
         """``mode``: the mode of a fleet's shared limits."""
         self.day, self._folder = day, folder
         self._started_at = time.monotonic()
-        self._server = PollingServer(self._now)
+        self.copier = AnswerCopier(day.copies, Random(f"{day.seed}/copies"))
+        self._server = PollingServer(self._now, self.copier)
         self._partners = {
             spec.group: Partner(spec.group, spec.profile, [*spec.names, *spec.later], f"{day.seed}")
             for spec in day.partners
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -178,6 +178,52 @@
     caller.close()
 
 
+class LateCopies:
+    """Gives a fixed series of answers; writes a second copy of a connection's earlier one before the next."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self._answers = iter(answers)
+
+    def __call__(self, sock: socket.socket) -> None:
+        earlier = b""
+        while read_request(sock):
+            sock.sendall(earlier)  # only now: the request is complete, so no check before it can see the copy
+            earlier = next(self._answers)
+            sock.sendall(earlier)
+
+
+# Guards against a message lost by the copy of a 200, or run twice by the copy of a 503, of an earlier call.
+@pytest.mark.parametrize("safe", [True, False])
+@pytest.mark.parametrize(
+    ("answers", "results"),
+    [
+        ((GOOD, REJECTED), [Result.DELIVERED, Result.REJECTED]),
+        ((REJECTED, GOOD), [Result.REJECTED, Result.DELIVERED]),
+        (
+            (GOOD, GOOD, REJECTED, GOOD),
+            [Result.DELIVERED, Result.DELIVERED, Result.REJECTED, Result.DELIVERED],
+        ),
+    ],
+    ids=["lost", "run twice", "shifted"],
+)
+def test_copy_that_arrives_while_a_call_is_processed_is_not_its_answer(
+    make_rig: Callable[..., Rig], answers: tuple[bytes, ...], results: list[Result], safe: bool
+) -> None:
+    rig = make_rig(LateCopies(*answers))
+    assert [rig.call(safe=safe) for _ in answers] == results
+
+
+# Guards against a notice lost by the copy of a 204, and against an old list taken for the current one.
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_copy_that_arrives_while_a_request_is_processed_is_not_its_answer(
+    make_rig: Callable[..., Rig], method: str
+) -> None:
+    caller = Caller(make_rig(LateCopies(GOOD, REJECTED)).address, Limits())
+    statuses = [caller.call(method, "/", {}, b"", clock() + 5000.0).status for _ in range(2)]
+    caller.close()
+    assert statuses == [200, 503]
+
+
 # Guards against a wait that an early rejection tells being ignored: nothing came before on a new connection.
 def test_early_answer_on_a_new_connection_is_the_answer(make_rig: Callable[..., Rig]) -> None:
     def reject_at_once(sock: socket.socket) -> None:
