A connection carries one request, so no answer is taken for another one's

Cause: an answer has no id and was attributed by its place on a kept connection. A second copy of an earlier answer that came once the next request was under way was taken for that request's answer: a 200 lost the message, a 503 had it sent again while it ran.

Change: class, not moment. A connection carries one request and is closed at its answer, to endpoints, discovery and the platform alike; the HTTP machine refuses a second request. Before an attempt's end is reported the connection is shut down, as after a time-out. ETIMEDOUT during the hold of a last byte counts as a broken connection, not as the end of the wait.

Why it works: the first answer on a connection can be no copy of an earlier one, as there is none; what comes later is read by nobody.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -16,7 +16,7 @@
 
 
 RESERVED_DESCRIPTORS = 26  # standard streams, listeners, wake-ups, journals, list, notices, one extra worker
-POOL_SHARES = 1 / 3 + 1 / 8 + 1 / 4  # of the remaining descriptors: clients, workers, idle connections
+POOL_SHARES = 1 / 3 + 1 / 8  # of the remaining descriptors: clients, workers
 RELOADABLE = ("discovery", "known", "seed")
 """Keys that may differ on a reload: the first takes effect, the others matter only at startup."""
 
@@ -41,7 +41,6 @@
     client_closing_connections: int = 32  # closing after their last answer, in addition
     operator_connections: int = 28
     backlog: int = 1024  # hundreds may connect at once; beyond it, a client waits for its SYN retry
-    idle_connections: int = 128
     workers: int = 128
     recent_results: int = 2048
     notices_in_call: int = 64
@@ -64,13 +63,9 @@
     verdict_ms: float = 380.0
     connect_ms: float = 1_000.0
     endpoint_write_ms: float = 2_000.0  # a request that its endpoint does not read within this never ran
-    stale_risk_once: float = 0.03  # accepted risk of a stale connection, for a call that may run only once
-    stale_risk_repeatable: float = 0.25  # for a repeatable call, which loses less by it
-    stale_break_ms: float = 30.0  # a reused connection that breaks sooner was probably stale
-    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call that may run only once, and rest
-    last_byte_hold_max_ms: float = 50.0  # of a connection before its reuse by any other
+    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call that may run only once
+    last_byte_hold_max_ms: float = 50.0
     answer_read_ms: float = 500.0  # from an answer's first byte to its last
-    idle_ms: float = 3_500.0
     watch_ms: float = 5_000.0
     notice_ms: float = 1_000.0
     notice_retry_ms: float = 100.0
@@ -264,10 +259,9 @@
     sockets = int(limit_number("sockets", 1024, 64))
     memory_mb = limit_number("memory_mb", 192, 16)
     disk_mb = limit_number("disk_mb", 3, 0.5)
-    idle_ms = settings.number("limits.connIdleMs", 5000.0)
     # The descriptors of discovery, notices, the journal and operators are reserved first, so that crowds of
-    # clients cannot take them. Of the rest clients get a third, closing ones included, workers an eighth and
-    # idle connections a quarter. Partial requests get an eighth of the memory.
+    # clients cannot take them. Of the rest clients get a third, closing ones included, and workers an eighth.
+    # Partial requests get an eighth of the memory.
     operator_connections = min(base.operator_connections, sockets // 12)
     sockets = min(sockets, int((sockets - RESERVED_DESCRIPTORS - operator_connections) / POOL_SHARES))
     closing = min(base.client_closing_connections, sockets // 24)
@@ -279,8 +273,6 @@
         operator_connections=operator_connections,
         client_bytes=int(memory_mb * 1024 * 1024 / 8),
         workers=min(base.workers, max(2, sockets // 8)),
-        idle_connections=min(base.idle_connections, sockets // 4),
         connect_ms=settings.number("limits.connectTimeoutMs", base.connect_ms) or base.connect_ms,
-        idle_ms=0.7 * idle_ms,
         watch_ms=min(base.watch_ms, max(settings.number("rules.mustAskInMs", 10000.0) / 2, 500.0)),
     )
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -487,7 +487,6 @@
             if endpoint.state is EndpointState.GONE:
                 # Bounds memory; calls in flight keep a reference of their own.
                 self._endpoints.forget(endpoint)
-                self._executor.close_idle(endpoint)
         groups = {endpoint.group for endpoint in self._endpoints.by_number.values()}
         self._destinations.note(groups, listed=update.scope in (Scope.CHANGES, Scope.WHOLE))
         return listed
@@ -555,9 +554,8 @@
                     if route in self._endpoints.by_number:
                         endpoint = self._endpoints.by_number[route]
                         self._executor.start(Call(endpoint, (), now, policy=self._policy))
-                case i.CloseIdle(route):
-                    if route in self._endpoints.by_number:
-                        self._executor.close_idle(self._endpoints.by_number[route])
+                case i.CloseIdle():
+                    pass  # there are none: each call has a connection of its own
                 case i.Log(text):
                     self._log.info("module", text=text)
                 case i.Tell():
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -285,9 +285,6 @@
     def cancel(self, call: Call) -> None:
         """Close the call's connection."""
 
-    def close_idle(self, endpoint: Endpoint) -> None:
-        """Close idle connections to an endpoint."""
-
     def grow(self, slots: int) -> None:
         """Allow at least ``slots`` concurrent calls."""
 
--- a/springspread/fleet/policy_compatibility.py
+++ b/springspread/fleet/policy_compatibility.py
@@ -14,7 +14,6 @@
 
 SETTING_KEYS = {
     "connect_ms": "limits.connectTimeoutMs",
-    "idle_ms": "limits.connIdleMs",
     "watch_ms": "rules.mustAskInMs",
 }
 """The key of the setting that each bound of the process is derived from."""
--- a/springspread/http1/client.py
+++ b/springspread/http1/client.py
@@ -1,4 +1,4 @@
-"""The client side of a connection: one request at a time, its answer parsed from the bytes fed."""
+"""The client side of a connection: one request, its answer parsed from the bytes fed."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 class ClientConnection:
-    """State machine of one connection: idle, reading a head, reading a body, closed.
+    """State machine of one connection: idle, reading a head, reading a body, closed. It takes one request.
 
     ``optional`` names header fields that are dropped where their value is invalid.
     """
@@ -57,15 +57,13 @@
         self._answer: tuple[int, Headers] = (0, Headers())
         self._remaining: int | None = None  # bytes of the body or chunk; None: until the connection ends
         self._chunked = self._trailer = False
-        self._keep_alive = True
         self.phase = Phase.IDLE
 
     def request(self, method: str, target: str, headers: Mapping[str, str], body: bytes = b"") -> bytes:
-        """Begin a request and return the bytes to write."""
+        """Begin the request and return the bytes to write; raises ``ValueError`` if it was begun before."""
         if self.phase is not Phase.IDLE:
-            raise ValueError(f"cannot begin a request: the connection is {self.phase.value}")
+            raise ValueError(f"a connection carries one request, and this one is {self.phase.value}")
         self.phase = Phase.HEAD
-        self.status = self._interim_answers = 0
         fields = dict(headers)
         if body or method == "POST":
             fields["Content-Length"] = str(len(body))
@@ -77,7 +75,7 @@
         return self.phase is Phase.BODY or (self.phase is Phase.HEAD and bool(self._buffer.data))
 
     def abandon(self) -> None:
-        """Stop reading an answer that does not end; the connection can't be reused."""
+        """Stop reading an answer that does not end."""
         self.phase = Phase.CLOSED
 
     def feed(self, data: bytes) -> Answer | None:
@@ -121,7 +119,7 @@
         first, headers = parse_head(head, self._optional)
         if not STATUS_LINE.match(first):
             raise Malformed("invalid status line")
-        version, status = first[:8], int(first[9:12])
+        status = int(first[9:12])
         if 100 <= status < 200:
             # Endless interim answers would occupy the call until its deadline.
             self._interim_answers += 1
@@ -130,8 +128,6 @@
             self.status = 0
             return
         self._answer = (status, headers)
-        self._keep_alive = version == b"HTTP/1.1" and not headers.closes
-        self._body.clear()
         self._chunked = headers.get("transfer-encoding").lower() == "chunked"
         if "transfer-encoding" in headers and (not self._chunked or "content-length" in headers):
             raise Malformed("unsupported Transfer-Encoding, or one beside a Content-Length")
@@ -151,9 +147,8 @@
             self._read_sized()
             if self._remaining is None or self._remaining:
                 return None
-        # Surplus bytes belong to no request: the connection is not reused.
-        reuse = self._keep_alive and not self._buffer.data
-        self.phase = Phase.IDLE if reuse else Phase.CLOSED
+        # What else arrives belongs to no request.
+        self.phase = Phase.CLOSED
         return Answer(*self._answer, bytes(self._body))
 
     def _read_sized(self) -> None:
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -11,7 +11,7 @@
 
 from springspread.config import Address, Limits
 from springspread.core.types import clock
-from springspread.http1.client import Answer, ClientConnection, Phase
+from springspread.http1.client import Answer, ClientConnection
 from springspread.http1.message import Malformed
 
 
@@ -27,13 +27,6 @@
     """The connection ended before the answer was complete."""
 
 
-class SurplusInputError(ConnectionError):
-    """A reused connection brought bytes before its request was complete: they belong to an earlier answer.
-
-    The request has not begun, and what else arrives on the connection can't be attributed.
-    """
-
-
 class MovedError(Exception):
     """The caller moved to another address during the call, which may be repeated there.
 
@@ -54,61 +47,28 @@
 
 
 class Connection:
-    """One outgoing connection. ``number`` identifies it in the log, ``requests`` counts what it carried."""
+    """One outgoing connection; it carries one request. ``number`` identifies it in the log.
+
+    Answers carry no identifier, and a peer may write bytes behind an answer at any later time. On a
+    connection that has carried another request, nothing tells them from the answer to the next one.
+    """
 
     def __init__(
         self, address: Address, until: float, limits: Limits, optional: frozenset[str] = frozenset()
     ) -> None:
         self.address, self._limits = address, limits
         self.number = next(_connection_numbers)
-        self.requests = 0
         begun = clock()
         self.sock = socket.create_connection(address, timeout=timeout_s(until))
-        self.round_trip_ms = clock() - begun  # at most; an exchange that took less lowers it
-        self._written_at = begun
+        self.round_trip_ms = clock() - begun  # at most
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._machine = ClientConnection(limits, optional)
-        self.idle_since = clock()
-        self.idle_ms: float | None = None  # idle time before the current call; None: the connection is new
-        self.received = False  # whether a byte of the current call's answer has arrived
-
-    @property
-    def reusable(self) -> bool:
-        """Whether another request may be sent over it."""
-        return self._machine.phase is Phase.IDLE
 
     @property
     def status(self) -> int:
         """The status of the answer being read; 0 until its status line is complete."""
         return self._machine.status
 
-    @property
-    def settles_at(self) -> float:
-        """From when on an idle connection brings no more bytes that were written right behind its answer."""
-        return self.idle_since + self._round_trip_bound_ms
-
-    @property
-    def _round_trip_bound_ms(self) -> float:
-        """A time (ms) within which the peer's reaction to something sent arrives."""
-        min_ms, max_ms = self._limits.last_byte_hold_min_ms, self._limits.last_byte_hold_max_ms
-        return min(max(1.5 * self.round_trip_ms, min_ms), max_ms)
-
-    def alive(self, until: float = 0.0) -> bool:
-        """Whether an idle connection is usable: not closed by the peer, and without unexpected bytes.
-
-        Waits for such bytes until a time.
-        """
-        try:
-            self.sock.settimeout(max(until - clock(), 0.0) / 1000.0)
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except TimeoutError as exc:
-            return exc.errno is None  # ETIMEDOUT is a broken connection, not the end of the wait
-        except OSError:
-            return False
-        return False
-
     def write(
         self,
         method: str,
@@ -118,42 +78,35 @@
         until: float,
         may_finish: Callable[[], bool] | None = None,
     ) -> None:
-        """Write a complete request; raises ``OSError`` if its last byte was not written.
+        """Write the request; raises ``OSError`` if its last byte was not written.
 
-        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is reset
-        and surplus bytes of an earlier answer arrive. It is then written only if ``may_finish()`` is true.
+        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is reset,
+        and then written only if ``may_finish()`` is true. Raises ``ValueError`` at a second request.
         """
         data = self._machine.request(method, target, headers, body)
-        self.requests += 1
-        self.received = False
         until = min(until, clock() + self._limits.endpoint_write_ms)
+        self.sock.settimeout(timeout_s(until))
         if may_finish is None:
-            if self.idle_ms is not None and not self.alive():
-                raise SurplusInputError("closed, or bytes arrived, before the request")
-            self.sock.settimeout(timeout_s(until))
             self.sock.sendall(data)
-            self._written_at = clock()
             return
-        self.sock.settimeout(timeout_s(until))
         self.sock.sendall(data[:-1])
         self._hold_last_byte(until)
         if not may_finish():
             raise ConnectionAbortedError("cancelled before its last byte")
         self.sock.settimeout(timeout_s(until))
         self.sock.sendall(data[-1:])
-        self._written_at = clock()
 
     def _hold_last_byte(self, until: float) -> None:
-        # A call begins with its last byte: a break before that proves that it never ran, and no answer to
-        # it can have come.
-        self.sock.settimeout(timeout_s(min(until, clock() + self._round_trip_bound_ms)))
+        # A call begins with its last byte: a break before that proves that it never ran.
+        min_ms, max_ms = self._limits.last_byte_hold_min_ms, self._limits.last_byte_hold_max_ms
+        hold_ms = min(max(1.5 * self.round_trip_ms, min_ms), max_ms)
+        self.sock.settimeout(timeout_s(min(until, clock() + hold_ms)))
         try:
             if not self.sock.recv(1, socket.MSG_PEEK):
                 raise ConnectionResetError("closed by the peer before the last byte")
-        except TimeoutError:
-            return
-        if self.idle_ms is not None:  # on a new connection it is an early answer, such as a rejection
-            raise SurplusInputError("bytes arrived before the last byte")
+        except TimeoutError as exc:
+            if exc.errno is not None:  # ETIMEDOUT is a broken connection, not the end of the wait
+                raise
 
     def read(self, until: float) -> Answer:
         """Read the answer. After ``DeadlineExceededError`` the read may be repeated."""
@@ -176,26 +129,12 @@
                 raise Malformed("answer not completed in time")
             if data is None:
                 continue
-            if data and not self.received:
-                self.received = True
-                self.round_trip_ms = min(self.round_trip_ms, clock() - self._written_at)
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
-                self._acknowledge()
-                self.idle_since = clock()
                 return answer
             if not data:
                 raise ConnectionLostError("closed by the peer before the answer was complete")
 
-    def _acknowledge(self) -> None:
-        """Acknowledge the answer now: a peer may hold small writes back until then (Nagle's algorithm).
-
-        With a delayed acknowledgement, bytes right behind the answer would come only with the next request.
-        """
-        if self.reusable:
-            with contextlib.suppress(OSError):
-                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
-
     def abort(self) -> None:
         """Shut the connection down from another thread: a blocked read returns."""
         with contextlib.suppress(OSError):
@@ -207,14 +146,14 @@
 
 
 class Caller:
-    """Calls one address over a persistent connection, which is reopened when it is no longer usable.
+    """Calls one address, each time over a new connection.
 
     One thread calls; another may change the address meanwhile.
     """
 
     def __init__(self, address: Address, limits: Limits) -> None:
         self._address, self._limits = address, limits
-        self._connection: Connection | None = None
+        self._connection: Connection | None = None  # of the call in progress
         self._lock = threading.Lock()
 
     def move(self, address: Address) -> None:
@@ -234,13 +173,13 @@
         *,
         current: bool = False,
     ) -> Answer:
-        """Make a call; any failure closes the connection and is raised.
+        """Make a call; raises one of ``FAILURES``.
 
         With ``current`` an answer from an address that was replaced meanwhile raises ``MovedError``.
         """
         address = self._address
         try:
-            connection = self._connected(address, until)
+            connection = self._connect(address, until)
             host = f"{address[0]}:{address[1]}"
             connection.write(method, target, {"Host": host, **headers}, body, until)
             answer = connection.read(until)
@@ -248,16 +187,13 @@
                 raise MovedError("answered by the previous address", answer)
             return answer
         except FAILURES as exc:
-            self.close()
             if address != self._address and not isinstance(exc, MovedError):
                 raise MovedError(repr(exc)) from exc
             raise
+        finally:
+            self._close()
 
-    def _connected(self, address: Address, until: float) -> Connection:
-        kept = self._connection
-        if kept is not None and kept.address == address and kept.reusable and kept.alive(kept.settles_at):
-            return kept
-        self.close()
+    def _connect(self, address: Address, until: float) -> Connection:
         try:
             opened = Connection(address, min(until, clock() + self._limits.connect_ms), self._limits)
         except OSError as exc:
@@ -268,8 +204,7 @@
                 opened.abort()
         return opened
 
-    def close(self) -> None:
-        """Close the connection."""
+    def _close(self) -> None:
         with self._lock:
             if self._connection is not None:
                 self._connection.close()
--- a/tests/simulator/test_sockets.py
+++ b/tests/simulator/test_sockets.py
@@ -47,6 +47,13 @@
     assert result.checker.faults == [] and result.checker.tally.service > 0.5
 
 
+# Guards against answers told apart by when they come: copies of earlier ones come at any moment.
+def test_answers_written_twice_at_any_moment_break_no_promise(tmp_path: Path) -> None:
+    day = draw(4, senders=3, length_ms=8_000.0, troubles=3, trouble="shut", copies=0.3)
+    result = play(tmp_path, day)
+    assert result.checker.faults == [] and result.checker.tally.service > 0.5
+
+
 def test_fleet_senders_that_are_killed_terminated_and_frozen(tmp_path: Path) -> None:
     """With reused addresses, and outages of the directory and the platform."""
     day = draw(3, senders=3, length_ms=7_000.0, drains=8, takeovers=3, shared=True)
