An answer before the end of its request is a rejection or nothing

What callers would see: a payment that was taken on, counted as delivered and never run, where an endpoint writes a 200 on a new connection ahead of the call's last byte and then turns the call away.

Cause: bytes that arrived during the hold of a last byte counted as the answer; the call was completed and the answer read, whatever it said. A call begins with its last byte, so what came before can't tell of an execution.

Change: with bytes during the hold the call is not completed. A rejection (429, 503) and an answer of the kind 'not sent' count as before; anything else ends the attempt as not connected, so the message is tried again, and is logged.

Evidence: test_bytes_before_the_last_byte_of_a_call_do_not_deliver_it fails before in 4 of 4 cases (200, 500, noise, half a line) and passes. A call that may be repeated has no hold; there the request is out before anything can be seen.

--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -23,11 +23,18 @@
     clock,
 )
 from springspread.http1.message import Malformed
-from springspread.net.exchange import Connection, ConnectionLostError, DeadlineExceededError
+from springspread.net.exchange import (
+    Connection,
+    ConnectionLostError,
+    DeadlineExceededError,
+    EarlyAnswerError,
+)
 from springspread.net.threads import spawn
 from springspread.platform import delivery
 
 PROBE_TIMEOUT_MS = 1_500.0
+NEVER_RAN = (Result.REJECTED, Result.NOT_SENT)
+"""What an answer may say of a call whose request was not complete."""
 
 
 class CloseReason(Enum):
@@ -204,6 +211,9 @@
             connection.write(
                 request.method, request.target, request.headers, request.body, call.until, may_finish
             )
+        except EarlyAnswerError:
+            self._read_early_answer(call, connection)
+            return False
         except OSError:
             if call.cancelled.is_set():
                 self._end_all(call, Result.CANCELLED)
@@ -215,6 +225,27 @@
             return False
         return True
 
+    def _read_early_answer(self, call: Call, connection: Connection) -> None:
+        """End a call by an answer that began before its request was complete: it never ran."""
+        fault = ""
+        try:
+            parsed = delivery.read_answer(call, connection.read(call.until), self._load_fields)
+            if all(end.result in NEVER_RAN for end in parsed.ends):
+                connection.abort()
+                self._apply(call, parsed)
+                return
+            fault = parsed.ends[0].result.value
+        except (DeadlineExceededError, ConnectionLostError, Malformed) as exc:
+            fault = repr(exc)
+        self._log.warning(
+            "answer before the end of its request; the call was not completed",
+            endpoint=call.endpoint.name,
+            connection=connection.number,
+            fault=fault,
+        )
+        connection.abort()
+        self._end_all(call, Result.CANCELLED if call.cancelled.is_set() else Result.NOT_CONNECTED)
+
     def _withhold(self, call: Call, refused: Refusal) -> None:
         """End a call that may not be sent, and log the reason."""
         self._figures.count_occurrence(Occurrence.CALLS_WITHHELD, refused.reason)
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -27,6 +27,13 @@
     """The connection ended before the answer was complete."""
 
 
+class EarlyAnswerError(ConnectionError):
+    """An answer began before the request's last byte was written: the call has not begun.
+
+    ``Connection.read`` reads it; it can be a rejection, and can't tell of an execution.
+    """
+
+
 class MovedError(Exception):
     """The caller moved to another address during the call, which may be repeated there.
 
@@ -80,8 +87,9 @@
     ) -> None:
         """Write the request; raises ``OSError`` if its last byte was not written.
 
-        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is reset,
-        and then written only if ``may_finish()`` is true. Raises ``ValueError`` at a second request.
+        With ``may_finish`` the last byte is held back for a round trip, in which a dead connection is reset
+        and an early answer arrives (``EarlyAnswerError``). It is then written only if ``may_finish()`` is
+        true. Raises ``ValueError`` at a second request.
         """
         data = self._machine.request(method, target, headers, body)
         until = min(until, clock() + self._limits.endpoint_write_ms)
@@ -102,11 +110,14 @@
         hold_ms = min(max(1.5 * self.round_trip_ms, min_ms), max_ms)
         self.sock.settimeout(timeout_s(min(until, clock() + hold_ms)))
         try:
-            if not self.sock.recv(1, socket.MSG_PEEK):
-                raise ConnectionResetError("closed by the peer before the last byte")
+            early = self.sock.recv(1, socket.MSG_PEEK)
         except TimeoutError as exc:
             if exc.errno is not None:  # ETIMEDOUT is a broken connection, not the end of the wait
                 raise
+            return
+        if early:
+            raise EarlyAnswerError("bytes arrived before the last byte")
+        raise ConnectionResetError("closed by the peer before the last byte")
 
     def read(self, until: float) -> Answer:
         """Read the answer. After ``DeadlineExceededError`` the read may be repeated."""
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -222,6 +222,25 @@
     assert make_rig(reject_at_once, LONG_HOLD).call(safe=False) is Result.REJECTED
 
 
+# Guards against a message lost by a 200 that comes before its call's last byte, so before it can have run.
+@pytest.mark.parametrize(
+    "early", [GOOD, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"noise", b"HTTP/1.1 2"]
+)
+def test_bytes_before_the_last_byte_of_a_call_do_not_deliver_it(
+    make_rig: Callable[..., Rig], early: bytes
+) -> None:
+    requests: list[bytes] = []
+
+    def script(sock: socket.socket) -> None:
+        sock.sendall(early)
+        requests.append(read_request(sock))
+
+    rig = make_rig(script, LONG_HOLD)
+    assert rig.call(safe=False) is Result.NOT_CONNECTED
+    until(lambda: requests, "the end of the connection")
+    assert requests == [b""]  # no complete one, so it may be sent elsewhere
+
+
 # Guards against any way to send two requests over one connection, whatever became of the first.
 @pytest.mark.parametrize(
     "first", [GOOD, REJECTED, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"noise", b""]
