--- a/springspread/simulator/virtual.py
+++ b/springspread/simulator/virtual.py
@@ -66,7 +66,7 @@
     End.MALFORMED: Result.MALFORMED,
 }
 ALLOCATOR_LATENCY_MS = 0.5  # one way, between an instance and the allocator
-IDLE_CONNECTION_MS = 3_500.0  # the longest idle time of a reused connection
+HANDSHAKE_WAYS = 2  # one-way latencies until a call's new connection is up
 EPOCH_MS = 1.8e12  # the wall-clock time of the day's begin
 
 
@@ -143,7 +143,6 @@
             sim.control.register(sim.clock.now(), Register(PROTOCOL_VERSION, "", self.name, epoch))
         self.sender.attach(self, self, self)
         self._in_flight: dict[Call, None] = {}
-        self._idle_connections: dict[int, list[float]] = {}
         self._watching = False
         self._step_at = inf
         self._last_step_at = -inf
@@ -283,7 +282,8 @@
         endpoint = call.endpoint.name
         sim.checker.call(now, self.name, endpoint, call.endpoint.group, sim.key(endpoint), _ids(call))
         latency_ms = sim.latency_ms(self.index, endpoint)
-        sim.schedule(now + latency_ms + self._handshake(call.endpoint, latency_ms), self._call_arrived, call)
+        sim.checker.tally.handshakes += 1
+        sim.schedule(now + (HANDSHAKE_WAYS + 1) * latency_ms, self._call_arrived, call)
         sim.schedule(call.until, self._timed_out, call)
 
     def _overrides(self, result: Result) -> bool:
@@ -294,16 +294,6 @@
             or (injected.ignore_drains and result is Result.NOT_SENT)
         )
 
-    def _handshake(self, endpoint: Endpoint, latency_ms: float) -> float:
-        now, idle = self.sim.clock.now(), self._idle_connections.get(endpoint.number, [])
-        fresh = [at for at in idle if now - at < IDLE_CONNECTION_MS]
-        if fresh:
-            self._idle_connections[endpoint.number] = fresh[:-1]
-            return 0.0
-        self._idle_connections.pop(endpoint.number, None)
-        self.sim.checker.tally.handshakes += 1
-        return 2 * latency_ms
-
     def _call_arrived(self, call: Call) -> None:
         if call not in self._in_flight:
             return  # its connection was closed meanwhile
@@ -338,8 +328,6 @@
             self.sim.checker.done(now, self.name, key, ids, "delivered", False)
         elif answer.end in (End.FAILED, End.RESET, End.MALFORMED) and not answer.ran:
             self.sim.checker.done(now, self.name, key, ids, "maybe", False)
-        if answer.end not in (End.REFUSED, End.RESET, End.MALFORMED):
-            self._idle_connections.setdefault(call.endpoint.number, []).append(now)
         for run in call.attempts:
             load = Load(answer.left_share, answer.limit_per_s)
             self.put(AttemptEnd(call, run, result, now, answer.wait_ms, load))
@@ -366,10 +354,6 @@
         end = ProbeEnd(call.endpoint, Result.DELIVERED, 2 * latency_ms)
         self.sim.schedule(self.sim.clock.now() + 2 * latency_ms, self.put, end)
 
-    def close_idle(self, endpoint: Endpoint) -> None:
-        """Close the idle connections to an endpoint."""
-        self._idle_connections.pop(endpoint.number, None)
-
     # Discovery
 
     def watch(self, active: bool) -> None:
