An error of this machine while connecting is no failure of the endpoint

What callers would see: 503 for a destination whose endpoints are well, where connect fails for a moment with EADDRNOTAVAIL, ENOBUFS, ENFILE or ENETUNREACH.

Cause: every failure to connect counted as the endpoint's.

Change: a call tries again after 10 ms while the time for its connection lasts, as discovery's requests already tell such errors apart (LOCAL_ERRORS, moved). A cancel ends the wait, and is reported as one.

Evidence: test_a_call_that_this_machine_can_not_connect_for_a_moment fails before in 4 of 4 cases.

--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import threading
 from collections.abc import Callable
 from dataclasses import replace
@@ -24,24 +23,17 @@
 )
 from springspread.http1.client import Answer
 from springspread.http1.message import Malformed
-from springspread.net.exchange import FAILURES, Caller, ConnectError, DeadlineExceededError, MovedError
+from springspread.net.exchange import (
+    FAILURES,
+    LOCAL_ERRORS,
+    Caller,
+    ConnectError,
+    DeadlineExceededError,
+    MovedError,
+)
 from springspread.net.threads import spawn
 from springspread.platform import catalog
 
-LOCAL_ERRORS = frozenset(
-    {
-        errno.EADDRNOTAVAIL,
-        errno.EAGAIN,
-        errno.ECONNABORTED,
-        errno.EMFILE,
-        errno.ENETUNREACH,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-    }
-)
-"""System errors on this machine's side: they say nothing about discovery."""
-
 
 def _classify(exc: Exception) -> Failure:
     """The kind of failure, for a connection that could not be established or broke."""
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -24,6 +24,7 @@
 )
 from springspread.http1.message import Malformed
 from springspread.net.exchange import (
+    LOCAL_ERRORS,
     Connection,
     ConnectionLostError,
     DeadlineExceededError,
@@ -33,6 +34,7 @@
 from springspread.platform import delivery
 
 PROBE_TIMEOUT_MS = 1_500.0
+LOCAL_RETRY_MS = 10.0  # pause before another attempt after an error of this machine
 NEVER_RAN = (Result.REJECTED, Result.NOT_SENT)
 """What an answer may say of a call whose request was not complete."""
 
@@ -124,13 +126,19 @@
             self._end(call, attempt, result, wait_ms)
 
     def _connect(self, call: Call, until: float) -> Connection | None:
+        """Open a connection for a call; ``None`` if none is up in time. After local errors, try again."""
         until = min(until, call.sent_at + self._limits.connect_ms)
+        address = (call.endpoint.host, call.endpoint.port)
         self._log.debug("connecting", endpoint=call.endpoint.name, group=call.endpoint.group)
-        try:
-            address = (call.endpoint.host, call.endpoint.port)
-            return Connection(address, until, self._limits, delivery.OPTIONAL_HEADERS)
-        except OSError:
-            return None
+        while True:
+            try:
+                return Connection(address, until, self._limits, delivery.OPTIONAL_HEADERS)
+            except OSError as exc:
+                self._log.debug("not connected", endpoint=call.endpoint.name, error=repr(exc))
+                if exc.errno not in LOCAL_ERRORS or clock() + LOCAL_RETRY_MS >= until:
+                    return None
+            if call.cancelled.wait(LOCAL_RETRY_MS / 1000.0):
+                return None
 
     def _close(self, connection: Connection, reason: CloseReason) -> None:
         """Close a connection, count and log the reason."""
@@ -146,7 +154,7 @@
     def _call(self, call: Call) -> None:
         connection = self._connect(call, call.until)
         if connection is None:
-            self._end_all(call, Result.NOT_CONNECTED)
+            self._end_all(call, Result.CANCELLED if call.cancelled.is_set() else Result.NOT_CONNECTED)
             return
         with self._lock:
             self._open[call] = connection
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import itertools
 import socket
 import threading
@@ -14,6 +15,20 @@
 from springspread.http1.client import Answer, ClientConnection
 from springspread.http1.message import Malformed
 
+LOCAL_ERRORS = frozenset(
+    {
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
+"""System errors on this machine's side: they say nothing about the peer."""
+
 
 class DeadlineExceededError(Exception):
     """The answer was not complete at the call's deadline."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import json
 import signal
 import socket
@@ -248,6 +249,41 @@
     rig.check_reusable()
 
 
+@pytest.mark.parametrize("error", [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENFILE, errno.ENETUNREACH])
+def test_a_call_that_this_machine_can_not_connect_for_a_moment_is_no_failure_of_its_endpoint(
+    make_rig: Callable[..., WorkerRig], monkeypatch: pytest.MonkeyPatch, error: int
+) -> None:
+    create, failures = socket.create_connection, iter(range(3))
+
+    def fail_first(*args: Any, **kwargs: Any) -> socket.socket:
+        if next(failures, None) is not None:
+            raise OSError(error, "not now")
+        return create(*args, **kwargs)
+
+    monkeypatch.setattr(socket, "create_connection", fail_first)
+    rig = make_rig(sends(OK))
+    rig.start(safe=False)
+    assert rig.result() is Result.DELIVERED
+
+
+def test_a_call_that_is_cancelled_while_this_machine_can_not_connect_ends_at_once(
+    make_rig: Callable[..., WorkerRig], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    tried = threading.Event()
+
+    def fail(*_: Any, **__: Any) -> socket.socket:
+        tried.set()
+        raise OSError(errno.EADDRNOTAVAIL, "not now")
+
+    monkeypatch.setattr(socket, "create_connection", fail)
+    rig = make_rig(sends(OK))
+    call = rig.start()
+    assert tried.wait(WAIT_S)
+    rig.workers.cancel(call)
+    assert rig.result() is Result.CANCELLED
+    assert clock() < call.sent_at + Limits().connect_ms
+
+
 def test_a_connection_that_ends_as_the_next_call_begins_loses_no_message(
     make_rig: Callable[..., WorkerRig],
 ) -> None:
