The last byte of every call and notice is held back, so an early answer shows

What callers would see: a repeatable message or a notice that is lost, where an endpoint or the platform writes a 200 or 204 on a new connection ahead of the request.

Cause: told an early answer by the held last byte, and only calls that may run once had one. For any other request the bytes looked like its answer.

Evidence: test_bytes_before_the_last_byte fails before in its 4 repeatable cases, and test_answer_ahead_of_its_notice.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -63,7 +63,7 @@
     verdict_ms: float = 380.0
     connect_ms: float = 1_000.0
     endpoint_write_ms: float = 2_000.0  # a request that its endpoint does not read within this never ran
-    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call that may run only once
+    last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call or a notice
     last_byte_hold_max_ms: float = 50.0
     answer_read_ms: float = 500.0  # from an answer's first byte to its last
     watch_ms: float = 5_000.0
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -204,7 +204,7 @@
     def _write(self, call: Call, connection: Connection, begun_at: float) -> bool:
         """Write a call's request; if its last byte is not written, end the call and return false."""
         request = delivery.encode_call(call, clock())
-        may_finish = partial(self._may_finish, call) if call.once else None
+        may_finish = partial(self._may_finish, call)
         self._log.debug(
             "begins",
             endpoint=call.endpoint.name,
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -198,16 +198,19 @@
         until: float,
         *,
         current: bool = False,
+        hold_last_byte: bool = False,
     ) -> Answer:
         """Make a call; raises one of ``FAILURES``.
 
-        With ``current`` an answer from an address that was replaced meanwhile raises ``MovedError``.
+        With ``current`` an answer from an address that was replaced meanwhile raises ``MovedError``. With
+        ``hold_last_byte`` one that comes ahead of its request is a failure.
         """
         address = self._address
         try:
             connection = self._connect(address, until)
             host = f"{address[0]}:{address[1]}"
-            connection.write(method, target, {"Host": host, **headers}, body, until)
+            may_finish = _always if hold_last_byte else None
+            connection.write(method, target, {"Host": host, **headers}, body, until, may_finish)
             answer = connection.read(until)
             if current and address != self._address:
                 raise MovedError("answered by the previous address", answer)
@@ -237,5 +240,10 @@
             self._connection = None
 
 
+def _always() -> bool:
+    """Nothing stops the request before its last byte."""
+    return True
+
+
 FAILURES = (OSError, ConnectionLostError, DeadlineExceededError, MovedError, Malformed)
 """Everything that a call may raise."""
--- a/springspread/net/notices.py
+++ b/springspread/net/notices.py
@@ -81,7 +81,7 @@
                 # Each timeout doubles the next, so that a platform slower than the first gets to answer.
                 timeout_ms = self._limits.notice_ms * float(2 ** min(self._timeouts, MAX_TIMEOUT_DOUBLINGS))
                 until = clock() + timeout_ms
-                return self._caller.call("POST", notices.PATH, headers, body, until)
+                return self._caller.call("POST", notices.PATH, headers, body, until, hold_last_byte=True)
             except MovedError as exc:
                 self._log.info("platform address changed", cut_off=str(exc))
 
--- a/tests/test_surplus_answers.py
+++ b/tests/test_surplus_answers.py
@@ -10,9 +10,10 @@
 import pytest
 
 from springspread.config import Limits
-from springspread.core.types import Attempt, AttemptEnd, Call, CoreEvent, Endpoint, Result, clock
+from springspread.core.types import Attempt, AttemptEnd, Call, CoreEvent, Endpoint, Notice, Result, clock
 from springspread.net.endpoints import Workers
 from springspread.net.exchange import Caller, Connection
+from springspread.net.notices import Notifier
 from tests.peer import WAIT_S, serve_connections, until
 from tests.test_malformed_answers import GOOD, NullLog, PermissiveClearance, read_request
 
@@ -223,11 +224,12 @@
 
 
 # Guards against a message lost by a 200 that comes before its call's last byte, so before it can have run.
+@pytest.mark.parametrize("safe", [True, False])
 @pytest.mark.parametrize(
     "early", [GOOD, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"noise", b"HTTP/1.1 2"]
 )
 def test_bytes_before_the_last_byte_of_a_call_do_not_deliver_it(
-    make_rig: Callable[..., Rig], early: bytes
+    make_rig: Callable[..., Rig], early: bytes, safe: bool
 ) -> None:
     requests: list[bytes] = []
 
@@ -236,11 +238,30 @@
         requests.append(read_request(sock))
 
     rig = make_rig(script, LONG_HOLD)
-    assert rig.call(safe=False) is Result.NOT_CONNECTED
+    assert rig.call(safe=safe) is Result.NOT_CONNECTED
     until(lambda: requests, "the end of the connection")
     assert requests == [b""]  # no complete one, so it may be sent elsewhere
 
 
+# Guards against a notice lost by a 204 that comes ahead of it.
+def test_answer_ahead_of_its_notice_does_not_confirm_it(make_rig: Callable[..., Rig]) -> None:
+    def script(sock: socket.socket) -> None:
+        sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")  # before a byte of the request is read
+        read_request(sock)
+
+    events: list[CoreEvent] = []
+    warnings: list[str] = []
+
+    class Log(NullLog):
+        def warning(self, event: str, **values: object) -> None:
+            warnings.append(event)
+
+    address = make_rig(script).address
+    Notifier(address, LONG_HOLD, events.append, Log(), lambda: None).deliver(Notice(4, "late", False))
+    until(lambda: len(warnings) >= 2, "two attempts")
+    assert set(warnings) == {"notice not sent"} and events == []
+
+
 # Guards against any way to send two requests over one connection, whatever became of the first.
 @pytest.mark.parametrize(
     "first", [GOOD, REJECTED, b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"noise", b""]
