The next message of a key waits until the notice of the one before it is answered

What callers saw: a charge sent while the one before it on the same X-Session-Key was not over.

Cause: the module took a message for over when it gave it up.

Change: the module is told (EndConfirmed), and holds a key's next message until then.

test_next_message_of_a_key_waits_until_the_notice fails before and passes.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -197,7 +197,7 @@
     except SettingsError as exc:
         raise ConfigError(f"settings.{exc}") from exc
     # Each call needs a worker thread, so there are never more slots than workers.
-    settings = replace(settings, slots=min(settings.slots, limits.workers))
+    settings = replace(settings, slots=min(settings.slots, limits.workers), confirms_ends=True)
     return Config(
         name=env.get("RELAY_NAME") or str(raw.get("name") or "sender"),
         listen=listen,
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -303,6 +303,7 @@
             case NoticesDelivered(numbers):
                 for number in numbers:
                     self._complete(number, delivered=False)
+                return [i.EndConfirmed(number) for number in numbers]
             case NewPolicy(number, config):
                 return [self._new_policy(number, config)]
             case Stop():
--- a/springspread/interface.py
+++ b/springspread/interface.py
@@ -173,6 +173,7 @@
     tells_retry_after: bool = False
     max_retry_after_ms: float = 0.0
     over_share_worth: float = 1.0
+    confirms_ends: bool = False  # an ``EndConfirmed`` follows each message that is given up
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -289,6 +290,13 @@
     message: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndConfirmed:
+    """The platform has taken the final status of a message that was given up."""
+
+    message: int
+
+
 @dataclass(frozen=True, slots=True)
 class Woken:
     """A timer set by ``Wake`` expired."""
@@ -321,7 +329,7 @@
     settings: Settings
 
 
-Event = Changed | Listed | Taken | Ended | Probed | Withdrawn | Woken | Began | Heard
+Event = Changed | Listed | Taken | Ended | Probed | Withdrawn | EndConfirmed | Woken | Began | Heard
 
 
 @dataclass(frozen=True, slots=True)
--- a/springspread/policy.py
+++ b/springspread/policy.py
@@ -82,6 +82,7 @@
         self.queued_dests: dict[Destination, None] = {}  # with waiting messages, oldest first
         self.in_flight: dict[tuple[int, int], tuple[Message, Call]] = {}
         self.key_queues: dict[int, KeyQueue] = {}
+        self.unconfirmed: dict[int, tuple[int, KeyQueue]] = {}  # key and queue, by message
         self.expiries: list[tuple[float, int]] = []  # heap of (time, message)
         # Larger fleets back off longer, which spreads their retries.
         self.max_backoff_ms = RECHECK_MS * max(1.0, log2(settings.senders))
@@ -106,6 +107,8 @@
                 if m.in_flight and self.settings.may_cancel:
                     self.actions.append(i.Cancel(m.id, m.attempts - 1))
                 self._finish(m)
+            elif isinstance(event, i.EndConfirmed):
+                self._on_end_confirmed(event)
             elif isinstance(event, i.Listed):
                 self._on_listed(event)
             elif isinstance(event, i.Changed):
@@ -115,6 +118,16 @@
         self._set_timer()
         return self.actions
 
+    def _on_end_confirmed(self, event: i.EndConfirmed) -> None:
+        key, key_queue = self.unconfirmed.pop(event.message, (0, None))
+        if key_queue is None:
+            return
+        key_queue.unconfirmed.discard(event.message)
+        if key_queue.messages:
+            key_queue.messages[0].dest.next_scan_at = 0.0
+        elif key_queue.is_idle(self.now):
+            self.key_queues.pop(key, None)
+
     def _on_settings(self, new: i.Settings) -> None:
         """Apply new settings; what was learnt stays, and pending messages keep their class."""
         added = len(new.classes) - len(self.settings.classes)
@@ -553,7 +566,10 @@
     def _is_ready(self, m: Message) -> bool:
         key_queue = m.key_queue
         return self.now >= m.not_before and (
-            not key_queue or key_queue.messages[0] is m and self.now >= key_queue.settled_at
+            not key_queue
+            or key_queue.messages[0] is m
+            and self.now >= key_queue.settled_at
+            and not key_queue.unconfirmed
         )
 
     def _max_calls(self, dest: Destination) -> int:
@@ -678,6 +694,9 @@
             self.actions.append(i.Refuse(m.id, self._retry_after_ms(m.dest), reason))
         else:
             self.actions.append(i.Fail(m.id, reason))
+        if m.key_queue and self.settings.confirms_ends:
+            m.key_queue.unconfirmed.add(m.id)
+            self.unconfirmed[m.id] = (m.key, m.key_queue)
         self._finish(m)
 
     def _expire(self) -> None:
--- a/springspread/state.py
+++ b/springspread/state.py
@@ -103,13 +103,18 @@
 
     messages: deque[Message] = field(default_factory=deque)
     settled_at: float = 0.0  # the next message waits until then, as the last one may still run
+    unconfirmed: set[int] = field(default_factory=set)  # given up; the platform has not taken it yet
 
     def remove(self, m: Message, now: float) -> bool:
         """Remove a finished message; return whether the queue can be dropped."""
         if m in self.messages:
             self.messages.remove(m)
             self.settled_at = max(self.settled_at, m.settled_at)
-        return not self.messages and now >= self.settled_at
+        return self.is_idle(now)
+
+    def is_idle(self, now: float) -> bool:
+        """Whether the next message would not have to wait."""
+        return not self.messages and now >= self.settled_at and not self.unconfirmed
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -64,6 +64,25 @@
     assert rig.drivers.calls[4].attempts[0].id == "a-2"
 
 
+# Guards against a charge that is sent while the one before it is not over: its notice is not answered yet.
+def test_next_message_of_a_key_waits_until_the_notice_of_the_one_before_it_is_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(SETTINGS["classes"][1], "inTurn", True)
+    rig = Rig(tmp_path)
+    rig.restore(*(member(n) for n in range(1, COUNT + 1)))
+    for id in ("a-0", "a-1"):
+        rig.sender.step([t.Message(id, "pay", 7, t.clock() + 8000.0, b"", ordering_key="a")])
+    rig.settle(1)
+    rig.end(rig.drivers.calls[0], t.Result.BROKEN)
+    (notice,) = rig.drivers.notices
+    rig.settle(2)  # gives up after a while, as there is no second call
+    assert len(rig.drivers.calls) == 1
+    rig.sender.step([t.NoticesDelivered((notice.number,))])
+    rig.settle(2)
+    assert rig.drivers.calls[1].attempts[0].id == "a-1"
+
+
 # Guards against an order that is lost with the process.
 def test_the_order_of_a_key_outlasts_the_process(program: OrderedProgram, peer: Peer) -> None:
     peer.answers = [(429, {"Retry-After": "30"})]
