--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from springspread import Dispatcher
+from springspread import interface as i
 from springspread.core import types as t
 from tests.peer import Peer, Program, until
 from tests.test_config import SETTINGS
@@ -83,6 +85,22 @@
     assert rig.drivers.calls[1].attempts[0].id == "a-1"
 
 
+# Guards against memory that grows by each key whose last message may still have been running at its end.
+def test_keys_of_finished_messages_are_forgotten_after_their_rest() -> None:
+    charge = i.ClassSpec("charge", 1000.0, 8000.0, 1.0, 0.1, i.Effect.UNSAFE, in_order=True)
+    rules = i.Rules(order_settle_ms=100.0)
+    settings = i.Settings((charge,), (i.KindSpec("dealer"),), slots=20, max_held=200, rules=rules)
+    module = Dispatcher(settings, seed=7)
+    module.handle(
+        0.0, [i.Listed(i.ListScope.WHOLE, 1, (i.RouteEntry(1, 0, 0, 3, i.RouteState.READY, 100.0),))]
+    )
+    (send,) = [a for a in module.handle(1.0, [i.Taken(1, 3, 0, 8000.0, key=5)]) if isinstance(a, i.Send)]
+    module.handle(2.0, [i.Ended(1, 0, send.route, i.Outcome.RESET, 1.0, False)])
+    assert not module.pending
+    module.handle(60_000.0, [])
+    assert not module.key_queues
+
+
 # Guards against an order that is lost with the process.
 def test_the_order_of_a_key_outlasts_the_process(program: OrderedProgram, peer: Peer) -> None:
     peer.answers = [(429, {"Retry-After": "30"})]
