Test: the slow endpoint reads its whole request before it trickles an answer

Trace: the stand-in wrote its first byte after the first part of a request of 700 kB, which it never read to its end. Whether the byte came within the hold of 2.5 ms was a race of two threads; under load all three came within. The program is right in both orders: a call whose last byte was not written never ran.

Now the stand-in reads the whole request, of a usual size, and then trickles, which is what the test is about: the result is 'malformed' each time. Results, counts and bounds are as they were.

--- a/tests/test_slow_endpoints.py
+++ b/tests/test_slow_endpoints.py
@@ -15,7 +15,7 @@
 from springspread.core.types import Attempt, AttemptEnd, Call, CoreEvent, Endpoint, Result, clock
 from springspread.net.endpoints import Workers
 from tests.peer import until
-from tests.test_malformed_answers import NullLog, PermissiveClearance
+from tests.test_malformed_answers import NullLog, PermissiveClearance, read_request
 
 LIMITS = replace(Limits(), endpoint_write_ms=300.0, answer_read_ms=300.0)
 Script = Callable[[socket.socket], None]
@@ -26,7 +26,7 @@
 
 
 def trickles(sock: socket.socket) -> None:
-    sock.recv(65536)
+    read_request(sock)
     for byte in b"HTTP/1.1 503 Busy\r\n":
         sock.send(bytes([byte]))
         time.sleep(0.1)
@@ -92,8 +92,8 @@
     ends: list[CoreEvent] = []
     workers = Workers(LIMITS, 8, (), PermissiveClearance(), ends.append, NullLog())
     fast = serve(answers)
-    for script in (trickles, trickles, trickles, reads_nothing, reads_nothing, reads_nothing):
-        workers.start(call(serve(script), 9 if script is reads_nothing else 1, 700_000))
+    for script, count, size in [(trickles, 1, 10)] * 3 + [(reads_nothing, 9, 700_000)] * 3:
+        workers.start(call(serve(script), count, size))
     durations = []
     for _ in range(20):
         begun, before = time.monotonic(), len(ends)
