--- a/review/common_2.py
+++ b/review/common_2.py
@@ -342,7 +342,8 @@
 
     def snapshot(self) -> dict[str, Any]:
         """The whole list."""
-        return {"index": self.version, "snapshot": True, "endpoints": list(self._members.values())}
+        present = [member for member in self._members.values() if member["status"] != "Gone"]
+        return {"index": self.version, "snapshot": True, "endpoints": present}
 
     def change(self, name: str, status: str) -> float:
         """Change an endpoint's status; returns when."""
@@ -354,6 +355,17 @@
             self._condition.notify_all()
             return now()
 
+    def replace(self, gone: str, member: dict[str, Any]) -> float:
+        """An endpoint has gone, and another one is listed; returns when."""
+        with self._condition:
+            self.version += 1
+            self._members[gone] = {**self._members[gone], "status": "Gone"}
+            self._members[member["name"]] = member
+            self._changed[gone] = self._changed[member["name"]] = self.version
+            self.record.add("list", self.name, "version", self.version, gone, "Gone", member["name"], "Ready")
+            self._condition.notify_all()
+            return now()
+
     def set_mode(self, mode: str) -> float:
         """Change the mode; watches that are open take part in it."""
         with self._condition:
