--- a/springspread/cli/journal.py
+++ b/springspread/cli/journal.py
@@ -15,7 +15,6 @@
     from springspread.core.journal_records import PendingMessage
 
 FOLDER = click.Path(path_type=Path, file_okay=False, exists=True)
-MAX_ATTEMPTS = 5
 
 
 @click.group()
@@ -24,14 +23,13 @@
 
 
 def _open_journal(folder: Path) -> Journal:
-    from springspread.core.journal import Journal
+    from springspread.core.journal_ownership import read_journal
 
-    for _ in range(MAX_ATTEMPTS):
-        try:
-            return Journal(folder, 1 << 40, read_only=True)
-        except FileNotFoundError:
-            continue  # a running sender has just removed a file
-    raise click.ClickException(f"{folder}: the journal's files change faster than they can be read")
+    try:
+        return read_journal(folder)
+    except FileNotFoundError:
+        text = f"{folder}: the journal's files change faster than they can be read"
+        raise click.ClickException(text) from None
 
 
 def _describe(message: PendingMessage) -> dict[str, object]:
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -46,12 +46,22 @@
     return folder / f"lane.{index}" if index else folder
 
 
+def read_journal(folder: Path) -> Journal:
+    """Read the journal in its folder without locking it, also beside its process; raises ``OSError``."""
+    for _ in range(READ_ATTEMPTS - 1):
+        try:
+            return Journal(folder, 1 << 40, read_only=True)
+        except FileNotFoundError:
+            continue  # deleted by compaction or a takeover: its pending messages are in a later file
+    return Journal(folder, 1 << 40, read_only=True)
+
+
 def read_pending(folder: Path) -> dict[int, PendingMessage]:
     """Read the pending messages of all journals in a folder, without locking; raises ``OSError``."""
     found: dict[int, PendingMessage] = {}
     for index in range(MAX_JOURNALS):
         if (place := journal_folder(folder, index)).is_dir():
-            found |= Journal(place, 1 << 40, read_only=True).pending
+            found |= read_journal(place).pending
     return found
 
 
--- a/tests/test_journal_ownership.py
+++ b/tests/test_journal_ownership.py
@@ -57,6 +57,24 @@
     assert Counter(served) == dict.fromkeys((*ids, "new"), 1) and not peer.notices
 
 
+def test_reader_without_a_lock_survives_the_deletion_of_a_file_it_has_listed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A reader beside the process failed where a file was deleted between its listing and its reading."""
+    writer = OwnedJournals(tmp_path, 400_000, 8, 4096)
+    writer.record_taken(message(1))
+    list_names = Files.names
+
+    def compacted_meanwhile(files: Files) -> list[str]:
+        names = list_names(files)
+        monkeypatch.undo()
+        writer._journals[0]._compact_oldest()
+        return names
+
+    monkeypatch.setattr(Files, "names", compacted_meanwhile)
+    assert [one.id for one in read_pending(tmp_path).values()] == [message(1).id]
+
+
 def test_message_pending_in_another_process_is_not_recorded_again(
     processes: tuple[Program, Program], peer: Peer
 ) -> None:
