Send a notice again where its connection is silent, over another one

Cause: the notifier was one thread that made one call after the other. It waited 1,000 ms for an answer that never comes, and all notices that fell due waited behind it.

Evidence: the case's record has the notice at the silent connection 0.1 s before the message's time and no other for 1.1 s; the sender's log has the time-out (DeadlineExceededError) at the end of that.

A notice without an answer is sent again after 100 ms over another connection, then at doubled intervals, while the first call is still waited for; new ones wait 100 ms behind it at most. The first answer counts, and the platform takes copies without harm. A platform that answers still gets one call at a time; another gets four at most, for which three descriptors more are reserved. A refused notice goes alone, and no longer makes all others go alone.

Searched for the same mistake in the watch, the calls and the fleet's control connections: none found.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -15,7 +15,7 @@
 Address = tuple[str, int]
 
 
-RESERVED_DESCRIPTORS = 26  # standard streams, listeners, wake-ups, journals, list, notices, one extra worker
+RESERVED_DESCRIPTORS = 29  # standard streams, listeners, wake-ups, journals, list, notices, one extra worker
 POOL_SHARES = 1 / 3 + 1 / 8  # of the remaining descriptors: clients, workers
 RELOADABLE = ("discovery", "known", "seed")
 """Keys that may differ on a reload: the first takes effect, the others matter only at startup."""
@@ -68,7 +68,10 @@
     answer_read_ms: float = 500.0  # from an answer's first byte to its last
     watch_ms: float = 5_000.0
     notice_ms: float = 1_000.0
+    notice_resend_ms: float = 100.0  # without an answer; the first two copies are in time for the rule
     notice_retry_ms: float = 100.0
+    notice_max_wait_ms: float = 1_000.0
+    notice_calls: int = 4  # at a time
     drain_margin_ms: float = 350.0  # 150 ms for the list, 150 ms before a first byte, 50 ms spare
     accept_after_stop_ms: float = 500.0
     drain_close_ms: float = 600.0  # from an operator's drain until client connections are closed
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -189,6 +189,12 @@
             if self._connection is not None:
                 self._connection.abort()
 
+    def abort(self) -> None:
+        """Abort the call in progress, if its connection is open."""
+        with self._lock:
+            if self._connection is not None:
+                self._connection.abort()
+
     def call(
         self,
         method: str,
