Read whole lists of large fleets: discovery's answers have limits of their own

Cause: one bound, 256 KiB and 500 ms from the first byte to the last, held for the answers of endpoints, of the platform and of discovery. A whole list of 3,200 endpoints has 462 KB and more, so each one was ended as "answer body too long" and counted as silence.

Evidence: the sender's log names that error for each list; by the record discovery answers at once.

Fix: list requests have limits of their own, 2 MiB and the time that the request has. A list that stalls is given up after 500 ms without a byte, as before. The error names size and bound.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -33,6 +33,7 @@
     length_required: bool = True  # a request with a body must have a Content-Length
     head_bytes: int = 16 * 1024
     answer_bytes: int = 256 * 1024
+    list_bytes: int = 2 * 1024 * 1024  # of discovery's answers: 3,200 endpoints, indented, with room
     interim_answers: int = 16
     read_bytes: int = 64 * 1024
     stack_bytes: int = 384 * 1024  # deeply nested JSON needs 128 to 160 KiB before Python rejects it
@@ -66,6 +67,8 @@
     last_byte_hold_min_ms: float = 2.5  # delay of the last byte of a call or a notice
     last_byte_hold_max_ms: float = 50.0
     answer_read_ms: float = 500.0  # from an answer's first byte to its last
+    answer_stall_ms: float = 500.0  # from one piece of an answer to the next
+    list_read_ms: float = 6_000.0  # as ``answer_read_ms``, of discovery's answers; their deadline is earlier
     watch_ms: float = 5_000.0
     notice_ms: float = 1_000.0
     notice_resend_ms: float = 100.0  # without an answer; the first two copies are in time for the rule
@@ -94,6 +97,11 @@
     )
 
 
+def discovery_limits(limits: Limits) -> Limits:
+    """The limits of list requests: their answers grow with the fleet and take longer to arrive."""
+    return replace(limits, answer_bytes=limits.list_bytes, answer_read_ms=limits.list_read_ms)
+
+
 @dataclass(frozen=True, slots=True)
 class Names:
     """The deployment's names, in the order of their numbers in the settings."""
--- a/springspread/http1/client.py
+++ b/springspread/http1/client.py
@@ -135,8 +135,7 @@
         self._remaining = 0 if empty or self._chunked else content_length(headers)
         self._chunked = self._chunked and not empty
         self._trailer = False
-        if (self._remaining or 0) > self._limits.answer_bytes:
-            raise Malformed("answer body too long")
+        self._check_size(self._remaining or 0)
         self.phase = Phase.BODY
 
     def _read_body(self) -> Answer | None:
@@ -151,6 +150,12 @@
         self.phase = Phase.CLOSED
         return Answer(*self._answer, bytes(self._body))
 
+    def _check_size(self, size: int) -> None:
+        if size > self._limits.answer_bytes:
+            raise Malformed(
+                f"answer body too long: {size} bytes or more, {self._limits.answer_bytes} at most"
+            )
+
     def _read_sized(self) -> None:
         size = len(self._buffer.data) if self._remaining is None else self._remaining
         data = self._buffer.data[:size]
@@ -158,8 +163,7 @@
         self._body += data
         if self._remaining is not None:
             self._remaining -= len(data)
-        if len(self._body) > self._limits.answer_bytes:
-            raise Malformed("answer body too long")
+        self._check_size(len(self._body))
 
     def _read_chunks(self) -> bool:
         while True:
--- a/springspread/net/discovery.py
+++ b/springspread/net/discovery.py
@@ -8,7 +8,7 @@
 from math import isfinite
 from random import Random
 
-from springspread.config import Address, Limits, Names
+from springspread.config import Address, Limits, Names, discovery_limits
 from springspread.core.figures import Figures, Occurrence
 from springspread.core.list_record import ListRecordFile
 from springspread.core.types import EndpointState, ListUpdate, Log, Scope, clock
@@ -78,7 +78,7 @@
         ``record``: where the deadlines are kept for a later process. ``inherited``: those of an earlier one.
         """
         self._figures = figures or Figures(())
-        self._caller = Caller(address, limits)
+        self._caller = Caller(address, discovery_limits(limits))
         self._names, self._put, self._log = names, put, log
         self._version = version  # of the latest accepted list
         self._lock = threading.Lock()
--- a/springspread/net/exchange.py
+++ b/springspread/net/exchange.py
@@ -136,25 +136,29 @@
 
     def read(self, until: float) -> Answer:
         """Read the answer. After ``DeadlineExceededError`` the read may be repeated."""
-        finish_by = inf
+        finish_by = stalled_at = inf
         while True:
-            if until <= clock():
+            now = clock()
+            if until <= now:
                 raise DeadlineExceededError
             if self._machine.answer_begun:
-                finish_by = min(finish_by, clock() + self._limits.answer_read_ms)
-            self.sock.settimeout(timeout_s(min(until, finish_by)))
+                finish_by = min(finish_by, now + self._limits.answer_read_ms)
+                stalled_at = min(stalled_at, now + self._limits.answer_stall_ms)
+            self.sock.settimeout(timeout_s(min(until, finish_by, stalled_at)))
             try:
                 data = self.sock.recv(self._limits.read_bytes)
             except TimeoutError:
                 data = None
             except OSError as exc:
                 raise ConnectionLostError(str(exc)) from exc
-            if clock() >= finish_by:
+            now = clock()
+            if now >= finish_by or (data is None and now >= stalled_at):
                 # An answer that has begun but never ends must not occupy the slot until the deadline.
                 self._machine.abandon()
                 raise Malformed("answer not completed in time")
             if data is None:
                 continue
+            stalled_at = inf
             answer = self._machine.feed(data) if data else self._machine.end()
             if answer is not None:
                 return answer
