--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -26,6 +26,7 @@
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM
 from springspread.core.figures import Figures
+from springspread.core.folder_lock import FolderBusy
 from springspread.core.journal_ownership import OwnedJournals, TooManyProcesses
 from springspread.core.list_record import ListRecordFile, boot_id, inherited_deadlines, read_files
 from springspread.core.loop import Sender
@@ -139,7 +140,7 @@
         journal = OwnedJournals(
             config.state, limits.disk_bytes, max_attempts, limits.body_bytes, durable=durable
         )
-    except TooManyProcesses as exc:
+    except (TooManyProcesses, FolderBusy) as exc:
         raise ConfigError(f"state: {exc}") from exc
     grace = max(settings.rules.drain_grace_ms - limits.drain_margin_ms, 0.0)
     shares = fleet_shares(log)
--- a/springspread/cli/journal.py
+++ b/springspread/cli/journal.py
@@ -23,7 +23,7 @@
 
 
 def _open_journal(folder: Path) -> Journal:
-    from springspread.core.journal_ownership import read_journal
+    from springspread.core.peer_journal import read_journal
 
     try:
         return read_journal(folder)
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -11,7 +11,9 @@
 
 Taking over copies nothing: pending messages continue to be recorded in the journal that holds them, so a
 crash at any moment leaves each message in exactly one journal. Each journal has its own range of message
-numbers. A message that is pending in a peer's journal is not recorded again. All journals together stay
+numbers. A message that is pending in a peer's journal is not recorded again.
+
+A process records a new message while it holds the folder's lock (``folder_lock``). All journals together stay
 within the disk limit: a process with a peer counts half of the limit, or the peer's size if larger, as used.
 """
 
@@ -20,21 +22,24 @@
 import fcntl
 import os
 from collections import ChainMap
-from collections.abc import Mapping
-from contextlib import suppress
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager, suppress
 from functools import partial
 from pathlib import Path
 
 from springspread.core.commit import GroupCommit
+from springspread.core.folder_lock import FolderLock
 from springspread.core.journal import FILE_PREFIX, Journal
 from springspread.core.journal_records import PendingMessage
-from springspread.core.journal_repair import DamagedRange, RecordReader
+from springspread.core.journal_repair import DamagedRange
+from springspread.core.peer_journal import PeerJournal, read_journal
 from springspread.core.shared_backoff import SharedBackoff
 
 MAX_JOURNALS = 4  # and processes that can share a folder
 NUMBERS_PER_JOURNAL = 1 << 30  # size of each journal's range of message numbers
 OWNERSHIP_CHECK_MS = 100.0
-READ_ATTEMPTS = 5
+START_WAIT_MS = 1000.0  # for the folder's lock
+ADMISSION_WAIT_MS = 20.0  # a process holds it for less than a millisecond, unless it is frozen
 
 
 class TooManyProcesses(OSError):
@@ -46,16 +51,6 @@
     return folder / f"lane.{index}" if index else folder
 
 
-def read_journal(folder: Path) -> Journal:
-    """Read the journal in its folder without locking it, also beside its process; raises ``OSError``."""
-    for _ in range(READ_ATTEMPTS - 1):
-        try:
-            return Journal(folder, 1 << 40, read_only=True)
-        except FileNotFoundError:
-            continue  # deleted by compaction or a takeover: its pending messages are in a later file
-    return Journal(folder, 1 << 40, read_only=True)
-
-
 def read_pending(folder: Path) -> dict[int, PendingMessage]:
     """Read the pending messages of all journals in a folder, without locking; raises ``OSError``."""
     found: dict[int, PendingMessage] = {}
@@ -65,52 +60,14 @@
     return found
 
 
-class PeerJournal:
-    """Read-only view of another process's journal; its files are read incrementally."""
-
-    def __init__(self, folder: Path) -> None:
-        self._folder = folder
-        self._read_offsets: dict[tuple[str, int], int] = {}  # by file name and inode
-        self._replica = Journal.replica()
-
-    def find(self, id: str) -> PendingMessage | None:
-        """The pending message with this id."""
-        for _ in range(READ_ATTEMPTS):
-            try:
-                self._read_new_records()
-                break
-            except FileNotFoundError:
-                continue  # deleted by compaction: its pending messages are in a later file
-        return next((message for message in self._replica.pending.values() if message.id == id), None)
-
-    def _read_new_records(self) -> None:
-        names = sorted(entry.name for entry in self._folder.iterdir() if entry.name.startswith(FILE_PREFIX))
-        files = {(name, (self._folder / name).stat().st_ino): name for name in names}
-        if self._read_offsets.keys() - files.keys():
-            # A deleted file may have held *completed* records that were not read yet.
-            self._read_offsets, self._replica = {}, Journal.replica()
-        for key, name in files.items():
-            offset = self._read_offsets.get(key, 0)
-            with (self._folder / name).open("rb") as file:
-                file.seek(offset)
-                reader = RecordReader(file.read())
-            for item in reader:
-                if not isinstance(item, DamagedRange):
-                    self._replica.apply_record(item[1])
-            self._read_offsets[key] = offset + reader.end
-
-    @property
-    def size(self) -> int:
-        """The total size of its files (bytes)."""
-        with suppress(FileNotFoundError):  # deleted by compaction meanwhile
-            return sum(entry.stat().st_size for entry in self._folder.iterdir() if entry.is_file())
-        return 0
+def _has_files(folder: Path) -> bool:
+    return any(entry.name.startswith(FILE_PREFIX) for entry in folder.iterdir())
 
 
 class OwnedJournals:
     """The journals this process owns, with the interface of a single ``Journal``.
 
-    Raises ``TooManyProcesses`` if the folder has no free journal, or another ``OSError``.
+    Raises ``TooManyProcesses`` if the folder has no free journal, ``FolderBusy``, or another ``OSError``.
     """
 
     def __init__(
@@ -122,10 +79,14 @@
         )
         self._locks: dict[int, int] = {}
         self._peers: dict[int, PeerJournal] = {}
-        self._own_index = next((index for index in range(MAX_JOURNALS) if self._lock(index)), -1)
-        if self._own_index < 0:
-            raise TooManyProcesses(f"{folder}: {MAX_JOURNALS} processes use it already")
+        self._folder_lock = FolderLock(folder)
+        with self._folder_lock.hold(START_WAIT_MS):
+            self._own_index = next((index for index in range(MAX_JOURNALS) if self._lock(index)), -1)
+            if self._own_index < 0:
+                raise TooManyProcesses(f"{folder}: {MAX_JOURNALS} processes use it already")
+            self._folder_lock.count_process()
         self._journals = {self._own_index: self._open_journal(self._own_index)}
+        self._process_count = -1  # as of the last look for peers
         self._folder_mtime_ns = -1
         self._next_check = 0.0
         self._refresh()
@@ -181,45 +142,96 @@
             return []
 
     def _refresh_if_changed(self) -> list[PendingMessage]:
-        mtime_ns = (
-            self._folder.stat().st_mtime_ns
-        )  # changes when another process creates its journal's folder
-        if mtime_ns == self._folder_mtime_ns and not self._peers and len(self._journals) == 1:
-            return []
-        return self._refresh()
+        unchanged = (
+            self._folder.stat().st_mtime_ns == self._folder_mtime_ns
+            and self._folder_lock.process_count == self._process_count
+        )
+        return [] if unchanged and not self.has_other_journals else self._refresh()
 
     def _refresh(self) -> list[PendingMessage]:
         self._folder_mtime_ns = self._folder.stat().st_mtime_ns
+        self._process_count = self._folder_lock.process_count
         found: list[PendingMessage] = []
-        for index in range(MAX_JOURNALS):
-            if index in self._journals or not (journal_folder(self._folder, index) / "lock").exists():
-                continue
-            if not self._lock(index):
-                self._peers.setdefault(index, PeerJournal(journal_folder(self._folder, index)))
-                continue
-            try:
-                self._journals[index] = self._open_journal(index)
-            except OSError:  # e.g. disk full: nothing is lost, and the next check retries
-                self._unlock(index)
-                self._peers.setdefault(index, PeerJournal(journal_folder(self._folder, index)))
-                continue
-            self._peers.pop(index, None)
-            found += self._journals[index].pending.values()
-        for index in [
+        for index in self._other_indexes():
+            if (journal := self._take_over(index)) is not None:
+                found += journal.pending.values()
+        self._delete_finished()
+        with suppress(OSError):  # retried at the next check; what was taken over is in ``found`` alone
+            self._limit_disk()
+        return found
+
+    def _other_indexes(self) -> list[int]:
+        """The journals that another process owns, or owned and left."""
+        return [
             index
-            for index, journal in self._journals.items()
-            if index != self._own_index and not journal.pending
-        ]:
+            for index in range(MAX_JOURNALS)
+            if index not in self._journals and (journal_folder(self._folder, index) / "lock").exists()
+        ]
+
+    def _take_over(self, index: int) -> Journal | None:
+        """Take over a journal if its process has died; else, or after an error, it is a peer's."""
+        if not self._lock(index):
+            self._add_peer(index)
+            return None
+        if not _has_files(journal_folder(self._folder, index)):
+            self._peers.pop(index, None)
+            self._unlock(index)
+            return None
+        try:
+            journal = self._open_journal(index)
+        except OSError:  # e.g. disk full: nothing is lost, and the next check retries
+            self._add_peer(index)
+            self._unlock(index)
+            return None
+        self._peers.pop(index, None)
+        self._journals[index] = journal
+        return journal
+
+    def _add_peer(self, index: int) -> None:
+        if index not in self._peers:
+            self._peers[index] = PeerJournal(journal_folder(self._folder, index))
+
+    def _delete_finished(self) -> None:
+        """Delete the journals that were taken over and have no pending message left."""
+        for index, journal in list(self._journals.items()):
+            if index == self._own_index or journal.pending:
+                continue
             with suppress(OSError):  # retried at the next check
-                self._journals[index].delete()
+                journal.delete()
                 del self._journals[index]
                 self._unlock(index)
+
+    # Admission
+
+    @contextmanager
+    def admission(self) -> Iterator[None]:
+        """Look for a message in other journals and record it, as one step among all processes of the folder.
+
+        Raises ``FolderBusy`` or another ``OSError``.
+        """
+        with self._folder_lock.hold(ADMISSION_WAIT_MS):
+            if self._folder_lock.process_count != self._process_count:
+                self._find_peers()
+            if self.has_other_journals:
+                self._limit_disk()
+            yield
+
+    def _find_peers(self) -> None:
+        """Find processes that came up; journals without a process are left to the next check."""
+        self._process_count = self._folder_lock.process_count
+        for index in self._other_indexes():
+            if index not in self._peers and not self._lock(index):
+                self._add_peer(index)
+            elif index in self._locks:
+                self._unlock(index)
+
+    def _limit_disk(self) -> None:
+        """Limit this process's own journal to what all others do not use and may not need."""
         taken_over_bytes = sum(
             journal.size for index, journal in self._journals.items() if index != self._own_index
         )
         peer_bytes = max((max(self._disk_bytes // 2, peer.size) for peer in self._peers.values()), default=0)
         self._journals[self._own_index].set_disk_limit(self._disk_bytes - taken_over_bytes - peer_bytes)
-        return found
 
     @property
     def has_other_journals(self) -> bool:
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from contextlib import ExitStack
 from dataclasses import replace
 from heapq import heappop, heappush
 from queue import Empty, SimpleQueue
@@ -341,13 +342,30 @@
                 return self._client_left(message)
         elif self._messages.was_delivered(message.id):
             message.answer(Verdict.DELIVERED)
-        elif (
-            self._owned_journals is not None
-            and (other := self._owned_journals.pending_elsewhere(message.id)) is not None
-        ):
-            # Another process on this folder is responsible for it.
-            message.answer(Verdict.ACCEPTED if is_repeat(message, other) else Verdict.CONFLICT)
-        elif not self._destinations.knows(message.group):
+        else:
+            return self._consider(message, cls)
+        return []
+
+    def _consider(self, message: Message, cls: int) -> list[i.Event]:
+        """Decide on a message that this process does not know, unless another one on the folder does."""
+        if self._owned_journals is None:
+            return self._decide_admission(message, cls)
+        with ExitStack() as admission:
+            try:
+                admission.enter_context(self._owned_journals.admission())
+                other = self._owned_journals.pending_elsewhere(message.id)
+            except OSError as exc:
+                self._log.warning("other journals not read; refusing a message", reason=repr(exc))
+                message.answer(Verdict.REFUSED)
+                return []
+            if other is not None:
+                # Another process on this folder is responsible for it.
+                message.answer(Verdict.ACCEPTED if is_repeat(message, other) else Verdict.CONFLICT)
+                return []
+            return self._decide_admission(message, cls)
+
+    def _decide_admission(self, message: Message, cls: int) -> list[i.Event]:
+        if not self._destinations.knows(message.group):
             # Messages to a destination that does not exist would stay open until their deadline. Before
             # discovery has answered, it may be a new one.
             message.answer(Verdict.UNKNOWN_GROUP if self._destinations.listed else Verdict.REFUSED)
