Keep the disk limit over all processes of a folder, by the sum of their journals

Cause: what others use was taken as the largest of their journals, and not as the sum, though a process owns several after a takeover.

Fix: a message is recorded under the folder's lock, in what the sum of the others, and the room that each needs for compaction, leaves.

--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -118,6 +118,11 @@
         with self._lock:
             return self._used_bytes()
 
+    @property
+    def reserve_bytes(self) -> int:
+        """How much more disk space than its records it may use for a while, to compact itself (bytes)."""
+        return self._disk_bytes - self._base_budget
+
     def set_disk_limit(self, disk_bytes: int) -> None:
         """Limit the disk space from now on; pending messages are kept even if they exceed it."""
         with self._lock:
@@ -127,6 +132,14 @@
             )
             self._update_budget()
 
+    def compact(self, max_files: int = FILE_COUNT) -> None:
+        """Free most of the space of completed messages, in a few files; raises ``OSError``."""
+        with self._lock:
+            for _ in range(min(max_files, len(self._sizes))):
+                if self._used_bytes() - self._live_bytes <= self._file_bytes:
+                    return
+                self._compact_oldest()
+
     def delete(self) -> None:
         """Delete the files of a journal without pending messages, oldest first, and close it."""
         with self._lock:
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -13,8 +13,10 @@
 crash at any moment leaves each message in exactly one journal. Each journal has its own range of message
 numbers. A message that is pending in a peer's journal is not recorded again.
 
-A process records a new message while it holds the folder's lock (``folder_lock``). All journals together stay
-within the disk limit: a process with a peer counts half of the limit, or the peer's size if larger, as used.
+All journals together stay within the disk limit. A process records a new message while it holds the folder's
+lock (``folder_lock``), and only in space that is left by all journals of the others, with the room that each
+of them needs for compaction. While there are others it uses half of the limit, unless it had more in use
+before, and keeps itself compact.
 """
 
 from __future__ import annotations
@@ -32,7 +34,7 @@
 from springspread.core.journal import FILE_PREFIX, Journal
 from springspread.core.journal_records import PendingMessage
 from springspread.core.journal_repair import DamagedRange
-from springspread.core.peer_journal import PeerJournal, read_journal
+from springspread.core.peer_journal import PeerJournal, folder_bytes, read_journal
 from springspread.core.shared_backoff import SharedBackoff
 
 MAX_JOURNALS = 4  # and processes that can share a folder
@@ -157,6 +159,8 @@
                 found += journal.pending.values()
         self._delete_finished()
         with suppress(OSError):  # retried at the next check; what was taken over is in ``found`` alone
+            if self._peers:
+                self._journals[self._own_index].compact(max_files=1)
             self._limit_disk()
         return found
 
@@ -179,6 +183,7 @@
             return None
         try:
             journal = self._open_journal(index)
+            journal.compact()
         except OSError:  # e.g. disk full: nothing is lost, and the next check retries
             self._add_peer(index)
             self._unlock(index)
@@ -190,6 +195,8 @@
     def _add_peer(self, index: int) -> None:
         if index not in self._peers:
             self._peers[index] = PeerJournal(journal_folder(self._folder, index))
+            with suppress(OSError):
+                self._journals[self._own_index].compact()  # leaves the other process more room
 
     def _delete_finished(self) -> None:
         """Delete the journals that were taken over and have no pending message left."""
@@ -227,11 +234,15 @@
 
     def _limit_disk(self) -> None:
         """Limit this process's own journal to what all others do not use and may not need."""
-        taken_over_bytes = sum(
-            journal.size for index, journal in self._journals.items() if index != self._own_index
+        own = self._journals[self._own_index]
+        taken_over = sum(
+            folder_bytes(journal_folder(self._folder, index))
+            for index in self._journals
+            if index != self._own_index
         )
-        peer_bytes = max((max(self._disk_bytes // 2, peer.size) for peer in self._peers.values()), default=0)
-        self._journals[self._own_index].set_disk_limit(self._disk_bytes - taken_over_bytes - peer_bytes)
+        peers = sum(peer.size + own.reserve_bytes for peer in self._peers.values())
+        share = self._disk_bytes // 2 if self._peers else self._disk_bytes
+        own.set_disk_limit(min(self._disk_bytes - peers, share) - taken_over)
 
     @property
     def has_other_journals(self) -> bool:
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
+from random import Random
 
 import pytest
 
 from springspread.core.journal import JournalFull
-from springspread.core.journal_ownership import MAX_JOURNALS, OwnedJournals, journal_folder
+from springspread.core.journal_ownership import MAX_JOURNALS, OwnedJournals, TooManyProcesses, journal_folder
 from springspread.core.journal_records import PendingMessage
 from springspread.core.peer_journal import folder_bytes
 
@@ -83,6 +85,33 @@
     assert processes.accept(new, "pay") and not processes.accept(old, "pay")
 
 
+def test_journals_of_two_upgrades_in_a_row_stay_within_the_disk_limit(processes: Processes) -> None:
+    """The largest journal of the others was counted, and not the sum: 3.6 MB with a limit of 3."""
+    count = 0
+    for _ in range(3):
+        process = processes.start()
+        for _ in range(25):
+            count += 1
+            processes.accept(process, f"m{count}", BODY_BYTES)
+            assert processes.used <= DISK_BYTES
+        if len(processes.running) == 2:
+            processes.die(processes.running[0])
+            processes.check(process)
+    assert processes.used > 0.6 * DISK_BYTES
+
+
+def test_room_of_completed_messages_is_left_to_a_process_that_comes_up(processes: Processes) -> None:
+    old = processes.start()
+    for number in range(200):
+        if processes.accept(old, f"m{number}", BODY_BYTES):
+            old.record_completed(old.last_number)
+    assert processes.used > 0.6 * DISK_BYTES
+    new = processes.start()
+    processes.check(old)
+    for number in range(10):
+        assert processes.accept(new, f"n{number}", BODY_BYTES)
+
+
 def test_messages_taken_over_are_returned_although_the_disk_fails(
     processes: Processes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -99,3 +128,29 @@
     monkeypatch.setattr(OwnedJournals, "_limit_disk", full)
     processes.now += CHECK_INTERVAL
     assert [one.id for one in new.check_ownership(processes.now)] == ["owed"]
+
+
+@pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + 8))
+def test_disk_limit_holds_over_starts_deaths_and_takeovers(processes: Processes, seed: int) -> None:
+    random = Random(seed)
+    processes.start()
+    accepted = 0
+    for step in range(600):
+        process = random.choice(processes.running)
+        draw = random.random()
+        if draw < 0.02 and len(processes.running) < 3:
+            with suppress(TooManyProcesses):
+                processes.start()
+        elif draw < 0.035 and len(processes.running) > 1:
+            processes.die(process)
+        elif draw < 0.1:
+            processes.check(process)
+        elif draw < 0.6:
+            accepted += processes.accept(process, f"m{step}", random.choice((50, 2000, BODY_BYTES)))
+        elif process.pending:
+            number = random.choice(list(process.pending))
+            process.record_begun(number, 0)
+            if random.random() < 0.8:
+                process.record_completed(number)
+        assert processes.used <= DISK_BYTES, f"step {step}"
+    assert accepted > 100
