Answer one pipelined request of a client a turn, so that others are not held up

Cause: the listener answered all requests of a read, some 1,800 in 64 KiB, before it looked at the next client.

Fix: one request a client and turn. A client with more takes its place in a queue that is worked through once after each look at the sockets, which does not wait meanwhile.

--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -6,6 +6,7 @@
 import selectors
 import socket
 import threading
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from math import inf
@@ -101,6 +102,7 @@
         self._admission = Admission(limits)
         self._clients: dict[ClientEntry, Client] = {}
         self._verdicts: SimpleQueue[tuple[Client, Message]] = SimpleQueue()
+        self._turns: deque[Client] = deque()  # whose next request has arrived, behind one that is answered
         self._woken = self._closing = False
         self._drain_at = inf  # when an operator's drain ends idle connections
         self._closed, self._emptied = threading.Event(), threading.Event()
@@ -155,6 +157,8 @@
             until = min(self._admission.next_expiry(), inf if listens else self._resume_at)
             if not self._admission.closing:
                 until = min(until, self._drain_at)
+            if self._turns:
+                until = now
             ready = self._selector.select(None if until == inf else max(until - now, 0.0) / 1000.0)
             connecting = False
             for key, events in ready:
@@ -168,6 +172,7 @@
                     self._wake_receiver.recv(4096)
                     self._woken = False
             self._answer_verdicts()
+            self._take_turns()
             self._admission.closing = self._closed.is_set() or clock() >= self._drain_at
             self._expire()
             if connecting:  # last: connected clients are served first
@@ -326,18 +331,16 @@
         self._handle(client, request)
 
     def _handle(self, client: Client, request: Request | None) -> None:
-        """Handle a request and those pipelined behind it, or record the progress of an incomplete one."""
+        """Handle one request, or record the progress of an incomplete one."""
         entry = client.entry
-        while request is not None:
+        if request is not None:
             begun = self._admission.request_received(entry, clock())
             answer = self._handler.respond(request, begun, partial(self._on_verdict, client))
             if isinstance(answer, Message):
                 client.message = answer
-                return
-            if not self._reply(client, answer):
-                return
-            request = self._next_request(client)
-        if client.machine.phase is Phase.READING:
+            elif self._reply(client, answer):
+                self._after_answer(client)
+        elif client.machine.phase is Phase.READING:
             if entry.state not in (ClientState.READING, ClientState.SLOW):
                 self._admission.step(entry, ClientState.READING, clock())
             self._admission.set_buffered(entry, client.machine.buffered)
@@ -347,6 +350,21 @@
         elif entry.state is ClientState.WRITING:
             self._admission.set_idle(entry, clock())
 
+    def _after_answer(self, client: Client) -> None:
+        """A client whose answer is written: bytes pipelined behind its request wait for its next turn."""
+        if client.machine.buffered:
+            self._turns.append(client)
+        else:
+            self._admission.set_idle(client.entry, clock())
+
+    def _take_turns(self) -> None:
+        """Handle the next pipelined request of each client that has one."""
+        for _ in range(len(self._turns)):
+            client = self._turns.popleft()
+            if client.open:
+                self._watch(client, READ)  # not while it had its answer written: see ``_on_ready``
+                self._handle(client, self._next_request(client))
+
     # Answering
 
     def _answer_verdicts(self) -> None:
@@ -361,7 +379,7 @@
     def _answer_message(self, client: Client, message: Message) -> None:
         client.message = None
         if self._reply(client, self._handler.verdict(message)):
-            self._handle(client, self._next_request(client))
+            self._after_answer(client)
 
     def _reply(self, client: Client, reply: Reply) -> bool:
         """Write an answer; true if all of it is written and the connection stays open."""
@@ -394,7 +412,7 @@
 
     def _flush(self, client: Client) -> None:
         if self._write(client):
-            self._handle(client, self._next_request(client))
+            self._after_answer(client)
 
     def _next_request(self, client: Client) -> Request | None:
         """The next pipelined request, if it is complete."""
