Bound the header fields of a request and of an answer, before any is parsed

Cause: a head was bounded in bytes only. 2,600 fields fit into 16 KiB, and took 3 ms of the thread that serves all clients.

Evidence: the time of parse_head alone, 3.0 ms for such a head; the crowd's rate times that is a core.

Fix: at most 128 fields, counted by their line ends when the head is complete; one over it gets 431. The same holds for answers. Control characters are found by one search in place of a loop over the characters.

Two new tests fail on the code before; 32 more hold the control characters as they were.

--- a/springspread/config.py
+++ b/springspread/config.py
@@ -32,6 +32,7 @@
     body_bytes: int = 64 * 1024
     length_required: bool = True  # a request with a body must have a Content-Length
     head_bytes: int = 16 * 1024
+    head_fields: int = 128
     answer_bytes: int = 256 * 1024
     list_bytes: int = 2 * 1024 * 1024  # of discovery's answers: 3,200 endpoints, indented, with room
     interim_answers: int = 16
--- a/springspread/http1/client.py
+++ b/springspread/http1/client.py
@@ -52,7 +52,7 @@
         self._limits, self._optional = limits, optional
         self._interim_answers = 0
         self.status = 0  # of the answer being read; 0 until its status line is complete
-        self._buffer = HeadBuffer(limits.head_bytes)
+        self._buffer = HeadBuffer(limits.head_bytes, limits.head_fields)
         self._body = bytearray()
         self._answer: tuple[int, Headers] = (0, Headers())
         self._remaining: int | None = None  # bytes of the body or chunk; None: until the connection ends
--- a/springspread/http1/message.py
+++ b/springspread/http1/message.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 DIGITS = re.compile(r"[0-9]{1,15}\Z")
 HEAD_END = b"\r\n\r\n"
@@ -54,7 +55,7 @@
             raise Malformed("header field without a valid name")
         value = value.strip(b" \t")
         key = name.decode("ascii").lower()
-        if any(c < 32 and c != 9 or c == 127 for c in value):
+        if CONTROL.search(value):
             if key in optional:
                 continue
             raise Malformed("control character in a header field")
@@ -81,11 +82,12 @@
 
 
 class HeadBuffer:
-    """Collects bytes until a head is complete."""
+    """Collects bytes until a head is complete; it has at most ``limit`` bytes and ``max_fields`` fields."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, max_fields: int) -> None:
         self.data = bytearray()
-        self._limit, self._searched = limit, 0
+        self._limit, self._max_fields = limit, max_fields
+        self._searched = 0
 
     def take_head(self) -> bytes | None:
         """Remove and return the head, without its blank line, once it is complete."""
@@ -100,6 +102,8 @@
         if end > self._limit:
             raise Malformed("head too long", 431)
         head = bytes(self.data[:end])
+        if head.count(b"\r\n") > self._max_fields:  # before any of them costs time
+            raise Malformed(f"over {self._max_fields} header fields", 431)
         del self.data[: end + 4]
         self._searched = 0
         return head
--- a/springspread/http1/server.py
+++ b/springspread/http1/server.py
@@ -56,7 +56,7 @@
 
     def __init__(self, limits: Limits) -> None:
         self._limits = limits
-        self._buffer = HeadBuffer(limits.head_bytes)
+        self._buffer = HeadBuffer(limits.head_bytes, limits.head_fields)
         self._head: tuple[str, str, Headers, int] | None = None
         self._close_after = False
         self.phase = Phase.IDLE
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -242,3 +242,40 @@
     assert machine.phase is client.Phase.CLOSED
     with pytest.raises(Malformed):
         machine.feed(b"Content-Length: 0\r\n\r\n")
+
+
+def head_of(fields: int) -> bytes:
+    """A request whose head has so many short fields."""
+    return b"GET /_health HTTP/1.1\r\n" + b"".join(b"%x:\r\n" % n for n in range(fields)) + b"\r\n"
+
+
+def test_head_of_very_many_short_fields_is_refused_before_any_is_parsed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Heads of 2,600 fields within 16 KiB took 3 ms each, and a sound client's answer 385 ms."""
+
+    def parse(*_: object) -> None:
+        raise AssertionError("parsed")
+
+    monkeypatch.setattr(server, "parse_head", parse)
+    machine = server.ServerConnection(LIMITS)
+    with pytest.raises(Malformed) as refused:
+        machine.feed(head_of(2600))
+    assert refused.value.status == 431
+    monkeypatch.undo()
+    assert server.ServerConnection(LIMITS).feed(head_of(LIMITS.head_fields)) is not None
+
+
+def test_answer_of_very_many_short_fields_is_malformed() -> None:
+    machine = client.ClientConnection(LIMITS)
+    machine.request("GET", "/", {})
+    fields = b"".join(b"%x:\r\n" % n for n in range(LIMITS.head_fields + 1))
+    with pytest.raises(Malformed, match="header fields"):
+        machine.feed(b"HTTP/1.1 204 No Content\r\n" + fields + b"\r\n")
+
+
+@pytest.mark.parametrize("code", [*range(9), *range(10, 32), 127])
+def test_control_character_in_a_field_is_refused(code: int) -> None:
+    head = b"GET / HTTP/1.1\r\nX-A: b%cc\r\n\r\n" % code
+    with pytest.raises(Malformed):
+        server.ServerConnection(LIMITS).feed(head)
