--- a/springspread/config.py
+++ b/springspread/config.py
@@ -44,7 +44,6 @@
     operator_connections: int = 28
     backlog: int = 1024  # hundreds may connect at once; beyond it, a client waits for its SYN retry
     workers: int = 128
-    recent_results: int = 2048
     notices_in_call: int = 64
     log_lines: int = 1000
     retry_after_s: float = 1.0  # sent to clients that connect before the sender is ready
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -1,8 +1,9 @@
 """The journal: the messages this sender still has to finish, in append-only files that outlast the process.
 
 Records: *taken* (the message itself), *begun* (an attempt is about to write its first byte), *not run*
-(proof that an attempt never ran), *ending* (the final answer that was decided) and *completed*. Each carries
-its length and a checksum, so that a torn tail is detected and cut off. Deadlines are wall-clock times.
+(proof that an attempt never ran), *ending* (the final answer that was decided), *completed*, and *result* (of
+a message whose other records have been removed, ``closed_messages``). Each carries its length and a checksum,
+so that a torn tail is detected and cut off. Deadlines are wall-clock times.
 
 If a file is damaged in the middle, only the damaged records are lost (``journal_repair``): they are set
 aside, all pending messages are rewritten, and every message recorded before the damage counts as possibly
@@ -12,11 +13,14 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable, Iterable
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
 from struct import error as StructError
 
 from springspread.core import sync_position
+from springspread.core.closed_messages import ClosedMessage, ClosedMessages
 from springspread.core.commit import GroupCommit
 from springspread.core.files import Files
 from springspread.core.journal_records import PendingMessage, decode_taken, encode_frame
@@ -25,6 +29,7 @@
     COMPLETED,
     ENDING,
     FRAME_HEADER,
+    RESULT,
     DamagedRange,
     RecordReader,
 )
@@ -33,6 +38,9 @@
 DAMAGED_PREFIX = "damaged."  # followed by the number of the journal file whose unreadable bytes it holds
 BLOCK_BYTES = 512  # granularity of the disk limit
 FILE_COUNT = 12  # the disk limit is divided into about this many files
+MAX_RESULTS = 2048  # of closed messages
+MAX_RESULTS_SHARE = 0.25  # of a file, for the records of results
+RESULT_BYTES = FRAME_HEADER.size + RESULT.size
 MAX_LIVE_SHARE = 0.8  # of the disk limit, for live records; above it, compaction frees too little
 
 
@@ -78,7 +86,10 @@
             disk_bytes - self._file_bytes - max_message_bytes - BLOCK_BYTES * 3 * FILE_COUNT,
         )
         self._budget, self._budget_change = self._base_budget, 0
-        self._max_live_bytes = min(MAX_LIVE_SHARE * disk_bytes, self._base_budget - max_message_bytes)
+        max_results = min(MAX_RESULTS, int(MAX_RESULTS_SHARE * self._file_bytes) // RESULT_BYTES)
+        self._results_reserve = max_results * RESULT_BYTES
+        self.closed = ClosedMessages(max_results)
+        self._update_max_live_bytes()
         self._lock = threading.Lock()
         self.pending: dict[int, PendingMessage] = {}
         self.last_number = first_number
@@ -105,6 +116,7 @@
         """An in-memory copy without files, fed with records through ``apply_record``."""
         journal = cls.__new__(cls)
         journal.pending, journal.last_number, journal._live_bytes, journal._record_reserve = {}, 0, 0, 0
+        journal.closed = ClosedMessages(MAX_RESULTS)
         return journal
 
     def apply_record(self, payload: bytes) -> None:
@@ -256,9 +268,12 @@
             self._files.unlink(set_aside.pop(0))
             sizes.pop(0)
         self._budget = self._base_budget + self._budget_change - sum(sizes)
-        self._max_live_bytes = min(
-            MAX_LIVE_SHARE * (self._disk_bytes + self._budget_change), self._budget - self._max_message_bytes
-        )
+        self._update_max_live_bytes()
+
+    def _update_max_live_bytes(self) -> None:
+        """Set how much the pending messages may take, so that compaction always frees enough."""
+        share = MAX_LIVE_SHARE * (self._disk_bytes + self._budget_change)
+        self._max_live_bytes = min(share, self._budget - self._max_message_bytes) - self._results_reserve
 
     def _apply(self, payload: bytes, file: int) -> None:
         kind = payload[:1]
@@ -284,16 +299,21 @@
             _, number = COMPLETED.unpack(payload)
             self.last_number = max(self.last_number, number)
             self._drop(number)
+        elif kind == b"R" and (closed := ClosedMessage.decode(payload, file)) is not None:
+            self.closed.add(closed)
 
     def _add(self, message: PendingMessage) -> None:
         self.pending[message.number] = message
         self.last_number = max(self.last_number, message.number)
         self._live_bytes += self._reserved_bytes(message)
 
-    def _drop(self, number: int) -> None:
+    def _drop(self, number: int, delivered: bool = False) -> None:
         message = self.pending.pop(number, None)
-        if message is not None:
-            self._live_bytes -= self._reserved_bytes(message)
+        if message is None:
+            return
+        self._live_bytes -= self._reserved_bytes(message)
+        if (closed := ClosedMessage.of(message, delivered)) is not None:
+            self.closed.add(closed)
 
     def _reserved_bytes(self, message: PendingMessage) -> int:
         return message.taken_bytes + self._record_reserve
@@ -318,6 +338,10 @@
                 return True
         return False
 
+    def find_closed(self, id: str) -> ClosedMessage | None:
+        """The result of a message with this id that was completed lately."""
+        return self.closed.find(id)
+
     def withdraw(self, number: int) -> bool:
         """Complete a message unless an attempt has begun; returns whether it did."""
         with self._lock:
@@ -341,13 +365,24 @@
                 self.pending[number].ending = (deferred, again_ms)
                 self._append_best_effort(encode_frame(ENDING.pack(b"E", number, deferred, again_ms)))
 
-    def record_completed(self, number: int) -> None:
+    def record_completed(self, number: int, *, delivered: bool = False) -> None:
         """Record that nothing more is to be done for a message."""
         with self._lock:
             if number in self.pending:
-                self._drop(number)
+                self._drop(number, delivered)
                 self._append_best_effort(encode_frame(COMPLETED.pack(b"O", number)))
 
+    def record_results(self, results: Iterable[ClosedMessage]) -> None:
+        """Record the results of another journal, which is about to be deleted; raises ``OSError``."""
+        with self._lock:
+            for closed in results:
+                self._make_room(RESULT_BYTES)
+                self._write_result(closed, self.closed.add)
+
+    def _write_result(self, closed: ClosedMessage, keep: Callable[[ClosedMessage], None]) -> None:
+        self._write(encode_frame(closed.encode()))
+        keep(replace(closed, file=self._file_number))
+
     def _append_best_effort(self, record: bytes) -> None:
         """Append a record whose loss is harmless: the next process only knows less."""
         try:
@@ -356,11 +391,14 @@
             self.write_failures += 1
 
     def _append(self, record: bytes) -> None:
+        self._make_room(len(record))
+        self._write(record)
+
+    def _make_room(self, size: int) -> None:
         for _ in range(len(self._sizes)):
-            if self._used_bytes() + len(record) <= self._budget:
-                break
+            if self._used_bytes() + size <= self._budget:
+                return
             self._compact_oldest()
-        self._write(record)
 
     def _write(self, record: bytes) -> None:
         if self._sizes[self._file_number] >= self._file_bytes:
@@ -382,6 +420,9 @@
         for message in [message for message in self.pending.values() if message.file == oldest]:
             self._write(message.records())
             message.file = self._file_number
+        for closed in self.closed:
+            if closed.file == oldest:
+                self._write_result(closed, self.closed.moved)
         self._sync_file()  # the copies must be on disk before the originals are deleted
         self._files.unlink(_file_name(oldest))
         if self.commit is not None:
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -29,6 +29,7 @@
 from functools import partial
 from pathlib import Path
 
+from springspread.core.closed_messages import ClosedMessage
 from springspread.core.commit import GroupCommit
 from springspread.core.folder_lock import FolderLock
 from springspread.core.journal import FILE_PREFIX, Journal
@@ -204,6 +205,7 @@
             if index == self._own_index or journal.pending:
                 continue
             with suppress(OSError):  # retried at the next check
+                self._journals[self._own_index].record_results(journal.closed)
                 journal.delete()
                 del self._journals[index]
                 self._unlock(index)
@@ -255,6 +257,11 @@
             (message for peer in self._peers.values() if (message := peer.find(id)) is not None), None
         )
 
+    def find_closed(self, id: str) -> ClosedMessage | None:
+        """The result of a message with this id that was completed lately, by this process or before it."""
+        results = (journal.find_closed(id) for journal in self._journals.values())
+        return next((closed for closed in results if closed is not None), None)
+
     # The interface of a journal
 
     def _journal_for(self, number: int) -> Journal:
@@ -317,6 +324,6 @@
         """As ``Journal.record_ending``."""
         self._journal_for(number).record_ending(number, deferred, again_ms)
 
-    def record_completed(self, number: int) -> None:
+    def record_completed(self, number: int, *, delivered: bool = False) -> None:
         """As ``Journal.record_completed``."""
-        self._journal_for(number).record_completed(number)
+        self._journal_for(number).record_completed(number, delivered=delivered)
--- a/springspread/core/journal_repair.py
+++ b/springspread/core/journal_repair.py
@@ -32,7 +32,14 @@
 HAS_FIELDS = 4  # flag of a *taken* record: optional fields follow the policy
 FIELD = Struct("<BH")  # kind and length of an optional field
 MAX_FIELDS_BYTES = 1024
-FIXED_SIZES = {ord("B"): BEGUN.size, ord("N"): BEGUN.size, ord("E"): ENDING.size, ord("O"): COMPLETED.size}
+RESULT = Struct("<c16s8sB")  # kind, digests of the id and of the content, outcome
+FIXED_SIZES = {
+    ord("B"): BEGUN.size,
+    ord("N"): BEGUN.size,
+    ord("E"): ENDING.size,
+    ord("O"): COMPLETED.size,
+    ord("R"): RESULT.size,
+}
 MAX_SEARCH_BYTES = 64 << 20
 
 
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -14,6 +14,7 @@
 from springspread.core import translate
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
+from springspread.core.closed_messages import ClosedMessage, Outcome
 from springspread.core.destinations import KnownDestinations
 from springspread.core.figures import Figure, Figures
 from springspread.core.journal import Journal, JournalFull
@@ -73,7 +74,7 @@
         self._classes = {spec.name: n for n, spec in enumerate(config.settings.classes)}
         self._endpoints = translate.EndpointTable(config.settings.kinds, clock)
         self._inbox: SimpleQueue[CoreEvent] = SimpleQueue()
-        self._messages = MessageTable(config.limits.recent_results)
+        self._messages = MessageTable()
         self._calls: dict[Call, int] = {}
         self._destinations = KnownDestinations(config.limits.destination_retention_ms, clock)
         self._undecided: Counter[int] = Counter()  # accepted in this batch, by group
@@ -340,12 +341,27 @@
                 self._messages.open[number].waiting_clients += 1
             if not self._acknowledge(message):
                 return self._client_left(message)
-        elif self._messages.was_delivered(message.id):
-            message.answer(Verdict.DELIVERED)
+        elif self._answer_closed(message, cls, self._journal.find_closed(message.id)):
+            pass
         else:
             return self._consider(message, cls)
         return []
 
+    def _answer_closed(self, message: Message, cls: int, closed: ClosedMessage | None) -> bool:
+        """Answer a message by the result of an earlier one with its id; false if it has to be decided on."""
+        if closed is None:
+            return False
+        if closed.outcome is Outcome.MAY_HAVE_RUN and self._settings.classes[cls].effect is i.Effect.SAFE:
+            return False
+        self._log.debug("closed message handed in again", id=message.id, outcome=closed.outcome.name)
+        if not closed.is_of(message):
+            message.answer(Verdict.CONFLICT)
+        elif closed.outcome is Outcome.DELIVERED:
+            message.answer(Verdict.DELIVERED)
+        else:
+            message.answer(Verdict.ACCEPTED)  # its end has been told, and it may not run again
+        return True
+
     def _consider(self, message: Message, cls: int) -> list[i.Event]:
         """Decide on a message that this process does not know, unless another one on the folder does."""
         if self._owned_journals is None:
@@ -438,7 +454,7 @@
             return []  # a call is in flight, and the client may have read the answer: it needs its end
         self._log.debug("message withdrawn", number=number)
         del self._messages.open[number]
-        self._close(open_message.pending, delivered=False)
+        self._close(open_message.pending)
         return [i.Withdrawn(number)]
 
     def _attempt_end(self, end: AttemptEnd) -> list[i.Event]:
@@ -530,12 +546,12 @@
         if pending is None:
             return
         self._log.debug("message closed", number=number, delivered=delivered)
-        self._journal.record_completed(number)
-        self._close(pending, delivered)
+        self._journal.record_completed(number, delivered=delivered)
+        self._close(pending)
 
-    def _close(self, pending: PendingMessage, delivered: bool) -> None:
+    def _close(self, pending: PendingMessage) -> None:
         self.startup.message_ended(pending.number)
-        self._messages.close(pending.id, delivered)
+        self._messages.close(pending.id)
 
     def _end(self, number: int, reason: i.EndReason, *, deferred: bool, again_ms: float = 0.0) -> None:
         """Send the final status; the message is closed in the journal once the platform has accepted it."""
--- a/springspread/core/message_table.py
+++ b/springspread/core/message_table.py
@@ -1,8 +1,7 @@
-"""The messages that a sender is responsible for, and the results of those that it closed lately."""
+"""The messages that a sender is responsible for."""
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass
 
 from springspread import interface as i
@@ -37,30 +36,15 @@
     ``open``: by number. ``numbers``: by id, including those that have ended and whose notice is undelivered.
     """
 
-    def __init__(self, max_results: int) -> None:
-        """``max_results``: how many results of closed messages are kept."""
+    def __init__(self) -> None:
         self.open: dict[int, OpenMessage] = {}
         self.numbers: dict[str, int] = {}
-        self._max_results = max_results
-        self._delivered: OrderedDict[str, bool] = OrderedDict()  # by id, of messages closed lately
 
     def add(self, message: OpenMessage) -> None:
         """Add an open message."""
         self.open[message.pending.number] = message
         self.numbers[message.pending.id] = message.pending.number
 
-    def was_delivered(self, id: str) -> bool:
-        """Whether a message with this id was closed lately and had been delivered."""
-        return self._delivered.get(id, False)
-
-    def close(self, id: str, delivered: bool) -> None:
-        """Remove a message and keep its result."""
+    def close(self, id: str) -> None:
+        """Remove a message."""
         self.numbers.pop(id, None)
-        self._delivered[id] = delivered
-        if len(self._delivered) > self._max_results:
-            self._delivered.popitem(last=False)
-
-    @property
-    def result_count(self) -> int:
-        """The number of results that are kept."""
-        return len(self._delivered)
