Know what the other process of an upgrade has delivered, and what it may still drop

By reading: one that it holds and has not begun was accepted, though it drops it if it finds its own client gone.

Evidence: two tests on real processes fail on the code before.

Fix: results of the others are looked up, under the folder's lock, beside their pending messages. A message that another process has not begun gets 503 with Retry-After until it is begun, closed or taken over, which is harmless by the protocol.

--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -11,7 +11,7 @@
 
 Taking over copies nothing: pending messages continue to be recorded in the journal that holds them, so a
 crash at any moment leaves each message in exactly one journal. Each journal has its own range of message
-numbers. A message that is pending in a peer's journal is not recorded again.
+numbers. A message that is pending in a peer's journal, or has run by it, is not recorded again.
 
 All journals together stay within the disk limit. A process records a new message while it holds the folder's
 lock (``folder_lock``), and only in space that is left by all journals of the others, with the room that each
@@ -251,11 +251,10 @@
         """Whether another process uses the folder, or left pending messages in it."""
         return bool(self._peers) or len(self._journals) > 1
 
-    def pending_elsewhere(self, id: str) -> PendingMessage | None:
-        """The message with this id that is pending in a peer's journal."""
-        return next(
-            (message for peer in self._peers.values() if (message := peer.find(id)) is not None), None
-        )
+    def find_elsewhere(self, id: str) -> PendingMessage | ClosedMessage | None:
+        """The message with this id that is pending in a peer's journal, or was closed there lately."""
+        found = (peer.find(id) for peer in self._peers.values())
+        return next((message for message in found if message is not None), None)
 
     def find_closed(self, id: str) -> ClosedMessage | None:
         """The result of a message with this id that was completed lately, by this process or before it."""
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -49,6 +49,8 @@
 from springspread.core.watch import NEVER_OUTDATED, OutdatedPeriod
 from springspread.policy import Dispatcher
 
+PENDING_ELSEWHERE_RETRY_MS = 100.0
+
 
 class Sender:
     """Passes events to the decision module, one batch per tick, and has its actions carried out."""
@@ -369,17 +371,29 @@
         with ExitStack() as admission:
             try:
                 admission.enter_context(self._owned_journals.admission())
-                other = self._owned_journals.pending_elsewhere(message.id)
+                other = self._owned_journals.find_elsewhere(message.id)
             except OSError as exc:
                 self._log.warning("other journals not read; refusing a message", reason=repr(exc))
                 message.answer(Verdict.REFUSED)
                 return []
-            if other is not None:
-                # Another process on this folder is responsible for it.
-                message.answer(Verdict.ACCEPTED if is_repeat(message, other) else Verdict.CONFLICT)
+            if isinstance(other, PendingMessage):
+                self._answer_pending_elsewhere(message, other)
+                return []
+            if self._answer_closed(message, cls, other):
                 return []
             return self._decide_admission(message, cls)
 
+    def _answer_pending_elsewhere(self, message: Message, other: PendingMessage) -> None:
+        """Answer a message that another process on this folder is responsible for."""
+        if not is_repeat(message, other):
+            message.answer(Verdict.CONFLICT)
+        elif other.begun or other.ending is not None:
+            message.answer(Verdict.ACCEPTED)
+        else:
+            # The other process drops it if it finds its own client gone before the first attempt.
+            message.retry_after_ms = PENDING_ELSEWHERE_RETRY_MS
+            message.answer(Verdict.REFUSED)
+
     def _decide_admission(self, message: Message, cls: int) -> list[i.Event]:
         if not self._destinations.knows(message.group):
             # Messages to a destination that does not exist would stay open until their deadline. Before
--- a/springspread/core/peer_journal.py
+++ b/springspread/core/peer_journal.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from pathlib import Path
 
+from springspread.core.closed_messages import ClosedMessage
 from springspread.core.journal import BLOCK_BYTES, FILE_PREFIX, Journal
 from springspread.core.journal_records import PendingMessage
 from springspread.core.journal_repair import DamagedRange, RecordReader
@@ -40,15 +41,16 @@
         self._read_offsets: dict[tuple[str, int], int] = {}  # by file name and inode
         self._replica = Journal.replica()
 
-    def find(self, id: str) -> PendingMessage | None:
-        """The pending message with this id."""
+    def find(self, id: str) -> PendingMessage | ClosedMessage | None:
+        """The message with this id that is pending, or was closed lately."""
         for _ in range(READ_ATTEMPTS):
             try:
                 self._read_new_records()
                 break
             except FileNotFoundError:
                 continue  # deleted by compaction: its pending messages are in a later file
-        return next((message for message in self._replica.pending.values() if message.id == id), None)
+        pending = (message for message in self._replica.pending.values() if message.id == id)
+        return next(pending, None) or self._replica.find_closed(id)
 
     def _read_new_records(self) -> None:
         names = sorted(entry.name for entry in self._folder.iterdir() if entry.name.startswith(FILE_PREFIX))
--- a/tests/test_closed_messages.py
+++ b/tests/test_closed_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import signal
 from pathlib import Path
@@ -67,6 +68,35 @@
     assert peer.ids() == ["pay", "next"]
 
 
+def test_message_delivered_by_one_process_of_an_upgrade_is_not_sent_again_by_the_other(
+    program: Program, peer: Peer, tmp_path: Path
+) -> None:
+    """46 of 120 payments ran twice in an upgrade: the other process knew pending messages alone."""
+    new = Program(tmp_path, peer)
+    assert program.hand_in("pay", cls="pay") == 202
+    until(lambda: peer.ids() == ["pay"] and not read_pending(program.state), "it is delivered")
+    assert new.hand_in("pay", cls="pay") == 200
+    assert new.hand_in("pay", cls="pay", body=b"another") == 409
+    program.end(signal.SIGTERM)
+    assert new.hand_in("pay", cls="pay") == 200
+    assert peer.ids() == ["pay"] and not peer.notices
+
+
+def test_message_that_the_other_process_may_still_drop_is_not_accepted(
+    program: Program, peer: Peer, tmp_path: Path
+) -> None:
+    """The other process drops it, if its own client has left, and this one had promised its end."""
+    with peer.lock:
+        peer.watch_bodies = [json.dumps(peer.members("Terminating", 2)).encode()]
+    until(lambda: not peer.watch_bodies and "since=2" in peer.list_targets[-1], "the drain is applied")
+    assert program.hand_in("pay", cls="pay") == 202  # there is no endpoint to begin an attempt at
+    new = Program(tmp_path, peer)
+    assert new.hand_in("pay", cls="pay") == 503
+    program.end(signal.SIGKILL)
+    until(lambda: new.hand_in("pay", cls="pay") == 202, "it is this process's own")
+    until(lambda: peer.ids() == ["pay"], "it is delivered")
+
+
 def test_results_outlast_compaction_and_the_process(tmp_path: Path) -> None:
     journal, number = Journal(tmp_path, DISK_BYTES, 8, BODY_BYTES), 0
     deliver(journal, payment(1))
--- a/tests/test_journal_ownership.py
+++ b/tests/test_journal_ownership.py
@@ -206,10 +206,10 @@
         one = message(number)
         one.body = bytes(500)
         old.record_taken(one)
-        assert new.pending_elsewhere(one.id) is not None
+        assert new.find_elsewhere(one.id) is not None
         if number % 7:
             old.record_completed(number)
-            assert new.pending_elsewhere(one.id) is None
+            assert new.find_elsewhere(one.id) is None
         elif number > 70:
             old.record_completed(number - 70)
     assert {one.id for one in old.pending.values()} == {
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -43,7 +43,7 @@
     def accept(self, process: OwnedJournals, id: str, size: int = 100) -> bool:
         """Whether the process accepts a new message."""
         with process.admission():
-            if process.pending_elsewhere(id) is not None:
+            if process.find_elsewhere(id) is not None:
                 return False
             number = process.last_number + 1
             try:
