Hand on no request of a client that has left its connection

Cause: that a client has left showed only as an answer could not be written. One that closes after it pipelined requests had its next one handed on between the first answer and that error; one that reset its connection had what was unread handed on.

Evidence: two tests in which the listener is held in a request while the client closes or resets; both fail on the code before, with the path of the request that was handed on.

Fix: the socket's error is looked at before a request is handed on. A client that only ends its sending has no error, and is answered as before (third test, passes on both).

--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -334,6 +334,9 @@
         """Handle one request, or record the progress of an incomplete one."""
         entry = client.entry
         if request is not None:
+            if client.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._on_broken(client)  # nobody waits for an answer to this request any more
+                return
             begun = self._admission.request_received(entry, clock())
             answer = self._handler.respond(request, begun, partial(self._on_verdict, client))
             if isinstance(answer, Message):
--- a/tests/admission/test_turns.py
+++ b/tests/admission/test_turns.py
@@ -90,6 +90,52 @@
     assert handler.paths.index("/single") - handler.paths.index("/crowd") < 5
 
 
+def test_requests_pipelined_by_a_client_that_has_closed_its_connection_are_not_handled(
+    handler: Handler, connect: Callable[[], socket.socket]
+) -> None:
+    """The next request was still handed on, as only a failed answer told that its client had left."""
+    leaving, other = connect(), connect()
+    handler.go_on.clear()
+    leaving.sendall(request("/first") + request("/second") + request("/third"))
+    until(lambda: handler.paths == ["/first"], "the first request")
+    leaving.close()
+    handler.go_on.set()
+    other.sendall(request("/other"))
+    assert read_answers(other, 1) == 1
+    other.sendall(request("/last"))
+    assert read_answers(other, 1) == 1
+    assert handler.paths == ["/first", "/other", "/last"]
+
+
+def test_unread_request_of_a_client_that_reset_its_connection_is_not_handled(
+    handler: Handler, connect: Callable[[], socket.socket]
+) -> None:
+    leaving, other = connect(), connect()
+    for sock in (leaving, other):
+        sock.sendall(request("/before"))
+        assert read_answers(sock, 1) == 1
+    handler.go_on.clear()
+    other.sendall(request("/other"))
+    until(lambda: handler.paths[2:] == ["/other"], "the listener is busy")
+    leaving.sendall(request("/left"))
+    leaving.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    leaving.close()
+    handler.go_on.set()
+    assert read_answers(other, 1) == 1
+    other.sendall(request("/last"))
+    assert read_answers(other, 1) == 1
+    assert handler.paths[2:] == ["/other", "/last"]
+
+
+def test_client_that_only_ended_its_sending_is_answered(
+    handler: Handler, connect: Callable[[], socket.socket]
+) -> None:
+    sock = connect()
+    sock.sendall(request("/one") + request("/two"))
+    sock.shutdown(socket.SHUT_WR)
+    assert read_answers(sock, 2) == 2 and handler.paths == ["/one", "/two"]
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_pipelined_requests_that_are_cut_anywhere_are_all_answered(
     handler: Handler, connect: Callable[[], socket.socket], seed: int
