Send no call to an address that another endpoint has now

Cause: before a call's first byte the sender looked at whether its endpoint is leaving, and not at whether the connection goes where the endpoint is. An endpoint that moved is ready, so a connection that came up late was used at its old address. One that has gone has a grace for calls under way, also where the same list names another one at its address.

The clearance alone permits the call for five forms of such a list.

Fix: a call knows the address that it is connected to. It neither begins nor ends there once the list, as read, has the endpoint elsewhere or another one there; no grace then. It counts as address_lost.

Two cases of test_an_endpoints_update_applies_before_the_loop_has_handled_it asked for that grace ("address taken", "in another group"). They are held to no call at all now, before and after the grace.

--- a/springspread/core/clearance.py
+++ b/springspread/core/clearance.py
@@ -20,6 +20,7 @@
 
     RETRY_AFTER = "retry after"  # its endpoint asked for a wait
     LEAVING = "leaving"  # its endpoint is draining or gone
+    ADDRESS_LOST = "address lost"  # another endpoint is listed where its connection goes
     LIST_OUTDATED = "list outdated"  # later changes count as notified
     CANCELLED = "cancelled"
     LATE = "late"  # its deadline has passed
@@ -88,6 +89,11 @@
             ready = state is EndpointState.READY
             endpoint.leaving_at = inf if ready else min(endpoint.leaving_at, notified_at)
 
+    def set_address_lost(self, endpoint: Endpoint) -> None:
+        """Another endpoint is listed at an endpoint's address, until the endpoint itself is listed again."""
+        with self._lock:
+            endpoint.address_lost = True
+
     def received(self, update: ListUpdate) -> None:
         """Apply a list update, or a failure to get one, before the loop has handled it."""
         index = ListIndex(update)
@@ -104,6 +110,20 @@
         removed_at = [update.notified_at for update, index in self._unapplied if index.removes(endpoint)]
         return min([endpoint.leaving_at, *removed_at])
 
+    def _is_address_lost(self, call: Call) -> bool:
+        endpoint = call.endpoint
+        address = call.address or (endpoint.host, endpoint.port)
+        if endpoint.address_lost or address != (endpoint.host, endpoint.port):
+            return True
+        return any(index.takes_address(endpoint, address) for _, index in self._unapplied)
+
+    def may_finish(self, call: Call) -> bool:
+        """Whether the last byte of a call may still be written."""
+        if call.cancelled.is_set() or self.retry_after_left_ms(call.endpoint) > 0.0:
+            return False
+        with self._lock:
+            return not self._is_address_lost(call)
+
     def stop(self) -> None:
         """Refuse all calls from now on: the process is shutting down."""
         with self._lock:
@@ -155,6 +175,8 @@
         with self._lock:
             if self._stopped:
                 return _not_sent(WithheldReason.STOPPING)
+            if self._is_address_lost(call):
+                return _not_sent(WithheldReason.ADDRESS_LOST)  # no grace: it would reach another endpoint
             # The call may still have been opening its connection when the drain was notified.
             now = self._clock.now()
             if now > self._leaving_at(call.endpoint) + self._grace_ms:
--- a/springspread/core/list_index.py
+++ b/springspread/core/list_index.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 from springspread.core.types import Endpoint, EndpointState, ListUpdate, Scope
 
 
@@ -16,7 +18,10 @@
         present = [member for member in update.members if member.state is not EndpointState.GONE]
         self._states = {(member.name, member.group): member.state for member in update.members}
         self._names = {member.name for member in present}
-        self._addresses = {(member.host, member.port) for member in present}
+        self._addresses = {(member.name, member.group): (member.host, member.port) for member in present}
+        self._holders: defaultdict[tuple[str, int], set[tuple[str, int]]] = defaultdict(set)
+        for key, address in self._addresses.items():
+            self._holders[address].add(key)
         self._whole = update.scope is Scope.WHOLE
 
     def lists(self, endpoint: Endpoint) -> bool:
@@ -25,7 +30,7 @@
 
     def replaces(self, endpoint: Endpoint) -> bool:
         """Whether another endpoint has its name or its address now."""
-        in_use = endpoint.name in self._names or (endpoint.host, endpoint.port) in self._addresses
+        in_use = endpoint.name in self._names or (endpoint.host, endpoint.port) in self._holders
         return in_use and not self.lists(endpoint)
 
     def removes(self, endpoint: Endpoint) -> bool:
@@ -34,3 +39,9 @@
         if state is not None:
             return state is not EndpointState.READY
         return self._whole or self.replaces(endpoint)
+
+    def takes_address(self, endpoint: Endpoint, address: tuple[str, int]) -> bool:
+        """Whether an address that was the endpoint's is another one's now, or the endpoint is at another."""
+        key = (endpoint.name, endpoint.group)
+        holders = self._holders.get(address)
+        return (holders is not None and key not in holders) or self._addresses.get(key, address) != address
--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -527,6 +527,8 @@
         named = {entry.route for entry in listed.entries}
         for member in update.members:
             self._set_endpoint_state(self._endpoints.endpoint(member), member.state, update)
+        for endpoint in self._endpoints.without_address(update):
+            self._clearance.set_address_lost(endpoint)
         if self._shares is not None:
             self._shares.listed([self._endpoints.endpoint(member) for member in update.members])
         complete = update.scope in (Scope.WHOLE, Scope.CACHED)
--- a/springspread/core/translate.py
+++ b/springspread/core/translate.py
@@ -101,8 +101,14 @@
             )
             self.by_number[number] = endpoint
         endpoint.host, endpoint.port = member.host, member.port
+        endpoint.address_lost = False
         return endpoint
 
+    def without_address(self, update: ListUpdate) -> list[Endpoint]:
+        """Endpoints at whose address an update, which has been applied, lists another one."""
+        index = ListIndex(update)
+        return [one for one in self.by_number.values() if index.takes_address(one, (one.host, one.port))]
+
     def replaced_by(self, update: ListUpdate) -> list[Endpoint]:
         """Endpoints that an update does not list, and whose name or address another one in it has."""
         index = ListIndex(update)
--- a/springspread/core/types.py
+++ b/springspread/core/types.py
@@ -157,6 +157,7 @@
     per_call: int
     state: EndpointState = EndpointState.READY
     leaving_at: float = float("inf")  # when it was notified as draining or gone
+    address_lost: bool = False  # another endpoint is listed at its address
 
     @property
     def retry_after_key(self) -> tuple[int, int]:
@@ -201,6 +202,7 @@
     sent_at: float
     cancelled: threading.Event = field(default_factory=threading.Event)
     policy: int = 0  # under which it was decided
+    address: tuple[str, int] | None = None  # that its connection goes to; None: not known yet
 
     @property
     def once(self) -> bool:
--- a/springspread/net/endpoints.py
+++ b/springspread/net/endpoints.py
@@ -128,7 +128,7 @@
     def _connect(self, call: Call, until: float) -> Connection | None:
         """Open a connection for a call; ``None`` if none is up in time. After local errors, try again."""
         until = min(until, call.sent_at + self._limits.connect_ms)
-        address = (call.endpoint.host, call.endpoint.port)
+        address = call.address = (call.endpoint.host, call.endpoint.port)
         self._log.debug("connecting", endpoint=call.endpoint.name, group=call.endpoint.group)
         while True:
             try:
@@ -204,7 +204,7 @@
     def _write(self, call: Call, connection: Connection, begun_at: float) -> bool:
         """Write a call's request; if its last byte is not written, end the call and return false."""
         request = delivery.encode_call(call, clock())
-        may_finish = partial(self._may_finish, call)
+        may_finish = partial(self._clearance.may_finish, call)
         self._log.debug(
             "begins",
             endpoint=call.endpoint.name,
@@ -266,10 +266,6 @@
         )
         self._end_all(call, refused.result, refused.wait_ms)
 
-    def _may_finish(self, call: Call) -> bool:
-        """Whether the last byte of a call may still be written."""
-        return not call.cancelled.is_set() and self._clearance.retry_after_left_ms(call.endpoint) <= 0.0
-
     def _apply(self, call: Call, parsed: delivery.ParsedAnswer) -> None:
         if parsed.wait_ms > 0:
             self._clearance.set_retry_after(call.endpoint, parsed.wait_ms)
--- a/tests/test_clearance.py
+++ b/tests/test_clearance.py
@@ -9,6 +9,7 @@
 from springspread.core.clearance import Clearance, WithheldReason
 from springspread.core.journal import Journal
 from springspread.core.journal_records import PendingMessage
+from springspread.core.translate import EndpointTable
 from springspread.core.types import (
     Attempt,
     Call,
@@ -78,8 +79,6 @@
     "drains": update(line("s-1", state=EndpointState.DRAINING)),
     "gone": update(line("s-1", state=EndpointState.GONE)),
     "not on the whole list": update(line("s-2", port=10), scope=Scope.WHOLE),
-    "in another group": update(line("s-1", group=8)),
-    "address taken": update(line("s-2")),
 }
 STAYING = {
     "ready": update(line("s-1")),
@@ -133,3 +132,48 @@
     assert rig.reason() is WithheldReason.LIST_OUTDATED
     rig.clearance.received(then)
     assert rig.reason() is None
+
+
+LOST = {
+    "address taken": update(line("s-2")),
+    "address taken in another group": update(line("s-2", group=8)),
+    "in another group": update(line("s-1", group=8)),
+    "gone, and address taken": update(line("s-1", state=EndpointState.GONE), line("s-2", group=8)),
+    "moved, and address taken": update(line("s-1", port=10), line("s-2", group=8)),
+}
+
+
+@pytest.mark.parametrize("read", LOST.values(), ids=LOST)
+def test_call_to_an_address_that_another_endpoint_has_now_is_not_sent_within_the_grace(
+    rig: ClearanceRig, read: ListUpdate
+) -> None:
+    """A call under way for an endpoint that had gone reached the one that came up at its address."""
+    assert rig.reason(0.0) is None
+    rig.clearance.received(read)
+    assert rig.reason(0.0) is WithheldReason.ADDRESS_LOST
+    assert rig.reason() is WithheldReason.ADDRESS_LOST
+
+
+def test_call_that_is_connected_to_the_old_address_of_its_endpoint_is_not_completed(
+    rig: ClearanceRig,
+) -> None:
+    attempt = Attempt(1, 0, "m1", b"body", rig.clock.at + 1000.0, True)
+    call = Call(rig.endpoint, (attempt,), rig.clock.at, address=("127.0.0.1", 9))
+    assert rig.clearance.may_finish(call)
+    rig.endpoint.port = 10  # as the loop applies an update
+    assert not rig.clearance.may_finish(call)
+
+
+def test_endpoint_that_returns_to_its_address_is_called_again(rig: ClearanceRig) -> None:
+    rig.clearance.set_address_lost(rig.endpoint)
+    assert rig.reason(0.0) is WithheldReason.ADDRESS_LOST
+    table = EndpointTable((), rig.clock)
+    table.by_number[1] = rig.endpoint
+    table._numbers[("s-1", 7)] = 1
+    assert table.endpoint(line("s-1")) is rig.endpoint
+    assert rig.reason(0.0) is None
+
+
+def test_drain_that_leaves_the_address_alone_keeps_its_grace(rig: ClearanceRig) -> None:
+    rig.clearance.received(update(line("s-1", state=EndpointState.GONE), line("s-2", port=10)))
+    assert rig.reason(1.0) is None and rig.reason() is WithheldReason.LEAVING
--- a/tests/test_malformed_answers.py
+++ b/tests/test_malformed_answers.py
@@ -29,6 +29,10 @@
     def check(self, call: Call) -> None:
         """Never."""
 
+    def may_finish(self, call: Call) -> bool:
+        """Unless it is cancelled, or has to wait."""
+        return not call.cancelled.is_set() and self.retry_after_left_ms(call.endpoint) <= 0.0
+
     def retry_after_left_ms(self, endpoint: Endpoint) -> float:
         """Never."""
         return 0.0
