Know an instance's ready line by its epoch, too, and not by the process id alone

A process that has the id of the instance's process before it is listed at that one's address until it ends: the daemon records the first address it finds.

Cause: the daemon looks for the last ready line in the instance's log and compares the process id, which the system may use again.

Fix: the ready line of a fleet's instance carries its epoch, which is never that of an earlier process of the name; lines of an older version are read as before.

--- a/springspread/__main__.py
+++ b/springspread/__main__.py
@@ -200,7 +200,7 @@
                 config = reload(config, (watcher, notices), log)
     client_api.ready = sender.open
     listen = f"{listener.address[0]}:{listener.address[1]}"
-    fields = {"policy": shares.policy} if shares else {}
+    fields = {"policy": shares.policy, "epoch": shares.epoch} if shares else {}
     fields |= {"pid": os.getpid()}
     if client_api.ready:
         log.info("ready", listen=listen, slots=settings.slots, clients=limits.client_connections, **fields)
--- a/springspread/fleet/client.py
+++ b/springspread/fleet/client.py
@@ -72,6 +72,7 @@
         self._path, self._log, self._clock = path, log, clock
         self._participant = PolicyParticipant(policy, log, clock)
         self._cache = LeaseCache()
+        self.epoch = epoch
         self._session = SenderSession(name, epoch, fleet, self._cache)
         self._received = threading.Condition()  # notified after each batch of messages
         self._wake = threading.Event()  # set when there may be messages to write
--- a/springspread/fleet/instance_files.py
+++ b/springspread/fleet/instance_files.py
@@ -40,8 +40,11 @@
     return inf
 
 
-def listen_address(folder: Path, pid: int) -> str:
-    """The ``host:port`` in the ready line that its process logged; empty where there is none yet."""
+def listen_address(folder: Path, pid: int, epoch: int) -> str:
+    """The ``host:port`` in the ready line that its process logged; empty where there is none yet.
+
+    An earlier process may have had the same process id, but not the same epoch.
+    """
     log = folder / "log"
     try:
         with log.open("rb") as source:
@@ -53,7 +56,8 @@
         if b'"event": "ready"' in line:
             with suppress(ValueError, KeyError):
                 ready = json.loads(line)
-                return str(ready["listen"]) if ready.get("pid", pid) == pid else ""
+                own = ready.get("pid", pid) == pid and ready.get("epoch", epoch) == epoch
+                return str(ready["listen"]) if own else ""
     return ""
 
 
--- a/springspread/fleet/supervisor.py
+++ b/springspread/fleet/supervisor.py
@@ -152,7 +152,7 @@
     def _record_address(self, row: Row, now: float) -> Row:
         if row.listen or row.emptying or now >= row.started_at + ADDRESS_SEARCH_MS:
             return row
-        address = listen_address(self._plan.folder / row.name, row.pid)
+        address = listen_address(self._plan.folder / row.name, row.pid, row.epoch)
         # Recorded, as the log may be rotated before another daemon starts.
         return self._store_row(replace(row, listen=address)) if address else row
 
