--- a/springspread/core/loop.py
+++ b/springspread/core/loop.py
@@ -11,16 +11,16 @@
 
 from springspread import interface as i
 from springspread.config import Config
-from springspread.core import translate
+from springspread.core import repeats, translate
 from springspread.core.clearance import Clearance
 from springspread.core.clock import SYSTEM, Clock
-from springspread.core.closed_messages import ClosedMessage, Outcome
+from springspread.core.closed_messages import ClosedMessage
 from springspread.core.destinations import KnownDestinations
 from springspread.core.figures import Figure, Figures
 from springspread.core.journal import Journal, JournalFull
 from springspread.core.journal_ownership import OWNERSHIP_CHECK_MS, OwnedJournals
 from springspread.core.journal_records import PendingMessage
-from springspread.core.message_table import MessageTable, OpenMessage, is_repeat
+from springspread.core.message_table import MessageTable, OpenMessage
 from springspread.core.start import Startup
 from springspread.core.types import (
     Attempt,
@@ -49,8 +49,6 @@
 from springspread.core.watch import NEVER_OUTDATED, OutdatedPeriod
 from springspread.policy import Dispatcher
 
-PENDING_ELSEWHERE_RETRY_MS = 100.0
-
 
 class Sender:
     """Passes events to the decision module, one batch per tick, and has its actions carried out."""
@@ -334,7 +332,7 @@
         elif message.id in self._messages.numbers:
             # A retry by a client that got no answer; another client's message may not use the same id.
             number = self._messages.numbers[message.id]
-            if not is_repeat(message, self._journal.pending[number]):
+            if not repeats.is_same(message, self._journal.pending[number]):
                 message.answer(Verdict.CONFLICT)
                 return []
             message.number = number
@@ -343,9 +341,7 @@
                 self._messages.open[number].waiting_clients += 1
             if not self._acknowledge(message):
                 return self._client_left(message)
-        elif self._answer_closed(message, cls, self._journal.find_closed(message.id)):
-            pass
-        else:
+        elif not self._answer_closed(message, cls, self._journal.find_closed(message.id)):
             return self._consider(message, cls)
         return []
 
@@ -353,15 +349,12 @@
         """Answer a message by the result of an earlier one with its id; false if it has to be decided on."""
         if closed is None:
             return False
-        if closed.outcome is Outcome.MAY_HAVE_RUN and self._settings.classes[cls].effect is i.Effect.SAFE:
+        may_repeat = self._settings.classes[cls].effect is i.Effect.SAFE
+        verdict = repeats.verdict_if_closed(message, closed, may_repeat)
+        if verdict is None:
             return False
         self._log.debug("closed message handed in again", id=message.id, outcome=closed.outcome.name)
-        if not closed.is_of(message):
-            message.answer(Verdict.CONFLICT)
-        elif closed.outcome is Outcome.DELIVERED:
-            message.answer(Verdict.DELIVERED)
-        else:
-            message.answer(Verdict.ACCEPTED)  # its end has been told, and it may not run again
+        message.answer(verdict)
         return True
 
     def _consider(self, message: Message, cls: int) -> list[i.Event]:
@@ -377,23 +370,13 @@
                 message.answer(Verdict.REFUSED)
                 return []
             if isinstance(other, PendingMessage):
-                self._answer_pending_elsewhere(message, other)
+                message.retry_after_ms = repeats.RETRY_MS
+                message.answer(repeats.verdict_if_pending_elsewhere(message, other))
                 return []
             if self._answer_closed(message, cls, other):
                 return []
             return self._decide_admission(message, cls)
 
-    def _answer_pending_elsewhere(self, message: Message, other: PendingMessage) -> None:
-        """Answer a message that another process on this folder is responsible for."""
-        if not is_repeat(message, other):
-            message.answer(Verdict.CONFLICT)
-        elif other.begun or other.ending is not None:
-            message.answer(Verdict.ACCEPTED)
-        else:
-            # The other process drops it if it finds its own client gone before the first attempt.
-            message.retry_after_ms = PENDING_ELSEWHERE_RETRY_MS
-            message.answer(Verdict.REFUSED)
-
     def _decide_admission(self, message: Message, cls: int) -> list[i.Event]:
         if not self._destinations.knows(message.group):
             # Messages to a destination that does not exist would stay open until their deadline. Before
--- a/springspread/core/message_table.py
+++ b/springspread/core/message_table.py
@@ -6,7 +6,6 @@
 
 from springspread import interface as i
 from springspread.core.journal_records import PendingMessage
-from springspread.core.types import Message
 
 
 @dataclass(slots=True, eq=False)
@@ -19,17 +18,6 @@
     waiting_clients: int = 1  # requests for it whose clients have not left
 
 
-def is_repeat(message: Message, pending: PendingMessage) -> bool:
-    """Whether a message that was handed in is the one on record, and not another one with the same id."""
-    return (
-        message.cls == pending.cls
-        and message.group == pending.group
-        and message.body == pending.body
-        and message.idempotency_key == pending.idempotency_key
-        and message.ordering_key == pending.ordering_key
-    )
-
-
 class MessageTable:
     """Messages by number and by id, from their acceptance until they are closed.
 
--- a/tests/list_service.py
+++ b/tests/list_service.py
@@ -233,7 +233,7 @@
             sock.sendall(answer[: len(answer) // 2])
             return False
         with self._condition:
-            if sock not in self._sockets or _ended(sock):
+            if sock not in self._sockets or ended(sock):
                 return False  # reset or closed meanwhile: nothing is written to the sender
             entry.answered_at, entry.version = clock(), body["index"]
         sock.sendall(answer)
@@ -264,7 +264,7 @@
             return {"index": self.version, "snapshot": False, "endpoints": lines}
 
 
-def _ended(sock: socket.socket) -> bool:
+def ended(sock: socket.socket) -> bool:
     """Whether the peer has closed its connection."""
     try:
         return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/tests/test_notice_queue.py
+++ b/tests/test_notice_queue.py
@@ -16,7 +16,7 @@
 from springspread.core.notice_queue import CallOutcome, NoticeCall, NoticeQueue
 from springspread.core.types import CoreEvent, Notice, NoticesDelivered
 from springspread.net.notices import Notifier, notice_times
-from tests.list_service import NO_CONTENT, read_request
+from tests.list_service import NO_CONTENT, ended, read_request
 from tests.peer import serve_connections, until
 from tests.test_malformed_answers import NullLog
 
@@ -55,16 +55,6 @@
             sock.close()
 
 
-def ended(sock: socket.socket) -> bool:
-    """Whether the sender has closed its connection."""
-    try:
-        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 @pytest.fixture
 def platform() -> Iterator[QuietPlatform]:
     made = QuietPlatform(1)
