Start also where the lock of a folder can't be made, and accept nothing until it can

A start on a folder that allows no new file (a full or failing disk) ended with an error, as the lock's file is made there; before the lock, such a process went on with what was pending. Now it does again; a new message gets 503 until the file can be made. A client that is being disconnected takes no turn for a pipelined request (by reading; no case known).

Measured: two new tests, of a folder without the lock and of a lock that another process holds; the first fails on the commit before with IsADirectoryError at the start. 34 tests of the folder, ownership and turns pass."

--- a/springspread/core/folder_lock.py
+++ b/springspread/core/folder_lock.py
@@ -32,16 +32,21 @@
 
 
 class FolderLock:
-    """Used by one thread of the process."""
+    """Used by one thread of the process. Its file is made as soon as the folder allows it."""
 
     def __init__(self, folder: Path, clock: Clock = SYSTEM) -> None:
-        """Raises ``OSError``."""
         self._folder, self._clock = folder, clock
-        self._file = os.open(folder / FILE_NAME, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        self._file = -1
+
+    def _open(self) -> int:
+        if self._file < 0:
+            flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
+            self._file = os.open(self._folder / FILE_NAME, flags, 0o600)
+        return self._file
 
     @contextmanager
     def hold(self, wait_ms: float) -> Iterator[None]:
-        """Hold the lock; raises ``FolderBusy`` after ``wait_ms``."""
+        """Hold the lock; raises ``FolderBusy`` after ``wait_ms``, and ``OSError`` where it can't be made."""
         give_up_at = self._clock.now() + wait_ms
         while not self._try():
             if self._clock.now() >= give_up_at:
@@ -54,18 +59,21 @@
 
     def _try(self) -> bool:
         try:
-            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(self._open(), fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             return False
         return True
 
     @property
     def process_count(self) -> int:
-        """How many processes have come up in the folder so far."""
-        return int.from_bytes(os.pread(self._file, COUNT_BYTES, 0), "little")
+        """How many processes have come up in the folder so far, as far as is known."""
+        try:
+            return int.from_bytes(os.pread(self._open(), COUNT_BYTES, 0), "little")
+        except OSError:
+            return 0
 
     def count_process(self) -> None:
         """Count this process, while holding the lock."""
         # Where this can't be written, the others find this process at their next check of the folder.
         with suppress(OSError):
-            os.pwrite(self._file, (self.process_count + 1).to_bytes(COUNT_BYTES, "little"), 0)
+            os.pwrite(self._open(), (self.process_count + 1).to_bytes(COUNT_BYTES, "little"), 0)
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -25,13 +25,13 @@
 import os
 from collections import ChainMap
 from collections.abc import Iterator, Mapping
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
 from functools import partial
 from pathlib import Path
 
 from springspread.core.closed_messages import ClosedMessage
 from springspread.core.commit import GroupCommit
-from springspread.core.folder_lock import FolderLock
+from springspread.core.folder_lock import FolderBusy, FolderLock
 from springspread.core.journal import FILE_PREFIX, Journal
 from springspread.core.journal_records import PendingMessage
 from springspread.core.journal_repair import DamagedRange
@@ -83,7 +83,13 @@
         self._locks: dict[int, int] = {}
         self._peers: dict[int, PeerJournal] = {}
         self._folder_lock = FolderLock(folder)
-        with self._folder_lock.hold(START_WAIT_MS):
+        with ExitStack() as start:
+            try:
+                start.enter_context(self._folder_lock.hold(START_WAIT_MS))
+            except FolderBusy:
+                raise
+            except OSError:
+                pass  # the folder fails: what is pending goes on, and until it returns nothing is accepted
             self._own_index = next((index for index in range(MAX_JOURNALS) if self._lock(index)), -1)
             if self._own_index < 0:
                 raise TooManyProcesses(f"{folder}: {MAX_JOURNALS} processes use it already")
--- a/springspread/net/listener.py
+++ b/springspread/net/listener.py
@@ -364,7 +364,7 @@
         """Handle the next pipelined request of each client that has one."""
         for _ in range(len(self._turns)):
             client = self._turns.popleft()
-            if client.open:
+            if client.open and client.entry.state is ClientState.WRITING:
                 self._watch(client, READ)  # not while it had its answer written: see ``_on_ready``
                 self._handle(client, self._next_request(client))
 
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from springspread.core import folder_lock
+from springspread.core.folder_lock import FolderBusy, FolderLock
 from springspread.core.journal import JournalFull
 from springspread.core.journal_ownership import MAX_JOURNALS, OwnedJournals, TooManyProcesses, journal_folder
 from springspread.core.journal_records import PendingMessage
@@ -85,6 +87,29 @@
     assert processes.accept(new, "pay") and not processes.accept(old, "pay")
 
 
+def test_folder_that_allows_no_lock_keeps_what_is_pending_and_accepts_nothing(processes: Processes) -> None:
+    """A start failed where the file of the lock could not be made."""
+    first = processes.start()
+    assert processes.accept(first, "owed")
+    processes.die(first)
+    lock = processes.folder / folder_lock.FILE_NAME
+    lock.unlink()
+    lock.mkdir()
+    second = processes.start()
+    assert [one.id for one in second.pending.values()] == ["owed"]
+    with pytest.raises(OSError, match="directory"):
+        processes.accept(second, "new")
+    lock.rmdir()
+    assert processes.accept(second, "new")
+
+
+def test_lock_that_another_process_holds_is_waited_for_and_given_up(processes: Processes) -> None:
+    process, frozen = processes.start(), FolderLock(processes.folder)
+    with frozen.hold(0.0), pytest.raises(FolderBusy):
+        processes.accept(process, "pay")
+    assert processes.accept(process, "pay")
+
+
 def test_journals_of_two_upgrades_in_a_row_stay_within_the_disk_limit(processes: Processes) -> None:
     """The largest journal of the others was counted, and not the sum: 3.6 MB with a limit of 3."""
     count = 0
