Test of a message at two processes: it may be delivered before it is asked for again

test_message_that_the_other_process_may_still_drop_is_not_accepted failed once in a run of all tests: after the takeover the message may be delivered before the test hands it in again, which is answered 200 and not 202, for good. The test allows both at that point, and asks for 200 and for one call at the end, as before.

--- a/tests/test_closed_messages.py
+++ b/tests/test_closed_messages.py
@@ -93,8 +93,9 @@
     new = Program(tmp_path, peer)
     assert new.hand_in("pay", cls="pay") == 503
     program.end(signal.SIGKILL)
-    until(lambda: new.hand_in("pay", cls="pay") == 202, "it is this process's own")
-    until(lambda: peer.ids() == ["pay"], "it is delivered")
+    until(lambda: new.hand_in("pay", cls="pay") in (202, 200), "it is this process's own, or delivered")
+    until(lambda: new.hand_in("pay", cls="pay") == 200, "it is delivered")
+    assert peer.ids() == ["pay"]
 
 
 def test_results_outlast_compaction_and_the_process(tmp_path: Path) -> None:
