--- a/springspread/core/closed_messages.py
+++ b/springspread/core/closed_messages.py
@@ -7,8 +7,9 @@
 
     records of a completed message              result          handed in again
     an attempt that may have run, no ending     DELIVERED       answered as delivered
-    an attempt that may have run, an ending     MAY_HAVE_RUN    its end was told; it runs again only if its
-                                                                class may be repeated
+    an attempt that may have run, ended as      MAY_HAVE_RUN    its end was told; it runs again only if its
+    undeliverable                                               class may be repeated
+    ended as deferred                           none            a new message: its client was told to come again
     no attempt that may have run                none            a new message
 """
 
@@ -81,11 +82,12 @@
 
     @classmethod
     def of(cls, message: PendingMessage, delivered: bool = False) -> ClosedMessage | None:
-        """The result of a message that is completed now; ``None`` if it surely never ran.
+        """The result of a message that is completed now; ``None`` if it may come again as a new one.
 
         ``delivered``: it was; else its records tell.
         """
-        if not (delivered or message.may_have_run):
+        deferred = message.ending is not None and message.ending[0]
+        if deferred or not (delivered or message.may_have_run):
             return None
         outcome = Outcome.DELIVERED if delivered or message.ending is None else Outcome.MAY_HAVE_RUN
         return cls(id_digest(message.id), content_digest(message), outcome, message.file)
@@ -115,6 +117,9 @@
     def __len__(self) -> int:
         return len(self._results)
 
+    def __contains__(self, closed: ClosedMessage) -> bool:
+        return closed.id_digest in self._results
+
     def __iter__(self) -> Iterator[ClosedMessage]:
         return iter(list(self._results.values()))
 
--- a/springspread/core/journal.py
+++ b/springspread/core/journal.py
@@ -373,9 +373,12 @@
                 self._append_best_effort(encode_frame(COMPLETED.pack(b"O", number)))
 
     def record_results(self, results: Iterable[ClosedMessage]) -> None:
-        """Record the results of another journal, which is about to be deleted; raises ``OSError``."""
+        """Record the results of another journal, which is about to be deleted; raises ``OSError``.
+
+        Those that are known already are left out, as the deletion may fail again and again.
+        """
         with self._lock:
-            for closed in results:
+            for closed in [closed for closed in results if closed not in self.closed]:
                 self._make_room(RESULT_BYTES)
                 self._write_result(closed, self.closed.add)
 
--- a/springspread/core/journal_ownership.py
+++ b/springspread/core/journal_ownership.py
@@ -190,13 +190,14 @@
             return None
         try:
             journal = self._open_journal(index)
-            journal.compact()
         except OSError:  # e.g. disk full: nothing is lost, and the next check retries
             self._add_peer(index)
             self._unlock(index)
             return None
         self._peers.pop(index, None)
         self._journals[index] = journal
+        with suppress(OSError):  # needs room for a file, which a full disk does not have
+            journal.compact()
         return journal
 
     def _add_peer(self, index: int) -> None:
@@ -232,13 +233,17 @@
             yield
 
     def _find_peers(self) -> None:
-        """Find processes that came up; journals without a process are left to the next check."""
+        """Find processes that came up, and what one that died meanwhile has left to the next check."""
         self._process_count = self._folder_lock.process_count
         for index in self._other_indexes():
-            if index not in self._peers and not self._lock(index):
+            if index in self._peers:
+                continue
+            if not self._lock(index):
+                self._add_peer(index)
+                continue
+            self._unlock(index)
+            if _has_files(journal_folder(self._folder, index)):
                 self._add_peer(index)
-            elif index in self._locks:
-                self._unlock(index)
 
     def _limit_disk(self) -> None:
         """Limit this process's own journal to what all others do not use and may not need."""
--- a/tests/test_closed_messages.py
+++ b/tests/test_closed_messages.py
@@ -10,6 +10,7 @@
 import pytest
 
 from springspread.core.closed_messages import Outcome
+from springspread.core.files import Files
 from springspread.core.journal import MAX_RESULTS, Journal, JournalFull
 from springspread.core.journal_ownership import OwnedJournals, read_pending
 from springspread.core.journal_records import PendingMessage
@@ -134,8 +135,12 @@
     assert sum(path.stat().st_size for path in tmp_path.iterdir()) <= DISK_BYTES
 
 
-def test_message_that_never_ran_leaves_no_result(tmp_path: Path) -> None:
+def test_message_that_never_ran_or_may_come_again_leaves_no_result(tmp_path: Path) -> None:
     journal = Journal(tmp_path, DISK_BYTES, 8, BODY_BYTES)
+    journal.record_taken(payment(3))
+    journal.record_begun(3, 0)
+    journal.record_ending(3, True, 500.0)  # its client was told to come again
+    journal.record_completed(3)
     journal.record_taken(payment(1))
     assert journal.withdraw(1)
     journal.record_taken(payment(2))
@@ -158,3 +163,25 @@
         os.close(file)
     third = OwnedJournals(tmp_path, DISK_BYTES, 8, BODY_BYTES)
     assert third.find_closed("pay") is not None
+
+
+def test_results_are_recorded_once_however_often_a_deletion_fails(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = (OwnedJournals(tmp_path, DISK_BYTES, 8, BODY_BYTES) for _ in range(2))
+    deliver(old, payment(old.last_number + 1, "pay"))
+    for file in old._locks.values():
+        os.close(file)  # simulates the death of its process
+
+    def failing(*_: object) -> None:
+        raise OSError(5, "Input/output error")
+
+    monkeypatch.setattr(Files, "unlink", failing)
+    new.check_ownership(1e9)
+    recorded = sum(new._journals[1].files.values())
+    for check in range(2, 10):
+        new.check_ownership(check * 1e9)
+    assert recorded and sum(new._journals[1].files.values()) == recorded
+    monkeypatch.undo()
+    new.check_ownership(1e11)
+    assert not new.has_other_journals and new.find_closed("pay") is not None
--- a/tests/test_shared_folder.py
+++ b/tests/test_shared_folder.py
@@ -11,7 +11,7 @@
 
 from springspread.core import folder_lock
 from springspread.core.folder_lock import FolderBusy, FolderLock
-from springspread.core.journal import JournalFull
+from springspread.core.journal import Journal, JournalFull
 from springspread.core.journal_ownership import MAX_JOURNALS, OwnedJournals, TooManyProcesses, journal_folder
 from springspread.core.journal_records import PendingMessage
 from springspread.core.peer_journal import folder_bytes
@@ -87,6 +87,34 @@
     assert processes.accept(new, "pay") and not processes.accept(old, "pay")
 
 
+def test_message_of_a_process_that_came_up_and_died_unnoticed_is_not_accepted_again(
+    processes: Processes,
+) -> None:
+    old = processes.start()
+    processes.check(old)
+    new = processes.start()
+    assert processes.accept(new, "pay")
+    processes.die(new)
+    assert not processes.accept(old, "pay")
+    processes.now += CHECK_INTERVAL
+    assert [one.id for one in old.check_ownership(processes.now)] == ["pay"]
+
+
+def test_messages_are_taken_over_on_a_disk_without_room_for_compaction(
+    processes: Processes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    old, new = processes.start(), processes.start()
+    assert processes.accept(old, "owed")
+    processes.die(old)
+
+    def full(*_: object, **__: object) -> None:
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(Journal, "compact", full)
+    processes.now += CHECK_INTERVAL
+    assert [one.id for one in new.check_ownership(processes.now)] == ["owed"]
+
+
 def test_folder_that_allows_no_lock_keeps_what_is_pending_and_accepts_nothing(processes: Processes) -> None:
     """A start failed where the file of the lock could not be made."""
     first = processes.start()
