--- a/springspread/core/closed_messages.py
+++ b/springspread/core/closed_messages.py
@@ -9,7 +9,7 @@
     an attempt that may have run, no ending     DELIVERED       answered as delivered
     an attempt that may have run, ended as      MAY_HAVE_RUN    its end was told; it runs again only if its
     undeliverable                                               class may be repeated
-    ended as deferred                           none            a new message: its client was told to come again
+    ended as deferred                           none            a new message: its client may come again
     no attempt that may have run                none            a new message
 """
 
