--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import threading
@@ -395,10 +396,11 @@
 
     def serve(self, sock: socket.socket) -> None:
         self.open.append(sock)
-        while request := read_request(sock):
-            self.asked.put((clock(), request.split(b" ")[1].decode()))
-            if self.scripts:
-                self.scripts.pop(0)(sock)
+        with contextlib.suppress(OSError):  # closed at the end of the test
+            while request := read_request(sock):
+                self.asked.put((clock(), request.split(b" ")[1].decode()))
+                if self.scripts:
+                    self.scripts.pop(0)(sock)
 
     @property
     def address(self) -> tuple[str, int]:
